--- /dev/null
+++ b/src/acaciapier/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Accounts of cost by workspace, pipeline and stage."""
--- /dev/null
+++ b/src/acaciapier/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/src/acaciapier/app/__init__.py
@@ -0,0 +1,1 @@
+"""The application object that owns resources and their clean-up."""
--- /dev/null
+++ b/src/acaciapier/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that let a request that may not be repeated run at most once."""
--- /dev/null
+++ b/src/acaciapier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/src/acaciapier/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted configuration: its log, its replicas and its distribution."""
--- /dev/null
+++ b/src/acaciapier/core/__init__.py
@@ -0,0 +1,1 @@
+"""Identifiers, clocks, outcomes and findings shared by all packages."""
--- /dev/null
+++ b/src/acaciapier/core/findings.py
@@ -0,0 +1,76 @@
+"""Findings: problems collected with their place and reported together."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pydantic import ValidationError
+
+from ..exceptions import FindingsError
+
+
+@dataclass(frozen=True)
+class Finding:
+    """One problem in an input.
+
+    Parameters
+    ----------
+    place : str
+        Where the problem is, such as ``pools.encoders.targets[2].url``.
+    message : str
+        What is wrong, in one sentence.
+    """
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}"
+
+
+class Findings:
+    """Collector of findings.
+
+    Examples
+    --------
+    >>> findings = Findings()
+    >>> findings.add("listen.port", "must be between 1 and 65535")
+    >>> findings.raise_if_any("settings")
+    Traceback (most recent call last):
+        ...
+    acaciapier.exceptions.FindingsError: settings: 1 finding
+      listen.port: must be between 1 and 65535
+    """
+
+    def __init__(self, found: Iterable[Finding] = ()):
+        self._found = list(found)
+
+    def __iter__(self):
+        return iter(self._found)
+
+    def __len__(self) -> int:
+        return len(self._found)
+
+    def add(self, place: str, message: str) -> None:
+        """Record one finding."""
+        self._found.append(Finding(place, message))
+
+    def add_validation_error(self, error: ValidationError, prefix: str = "") -> None:
+        """Record every problem of a pydantic error under `prefix`."""
+        for detail in error.errors(include_url=False, include_input=False):
+            self.add(_place_of(detail["loc"], prefix), detail["msg"])
+
+    def raise_if_any(self, subject: str) -> None:
+        """Raise `FindingsError` about `subject` if anything was recorded."""
+        if self._found:
+            raise FindingsError(subject, tuple(self._found))
+
+
+def _place_of(location: tuple[str | int, ...], prefix: str) -> str:
+    """Join a pydantic location to a place such as ``a.b[2].c``."""
+    place = prefix
+    for step in location:
+        if isinstance(step, int):
+            place += f"[{step}]"
+        else:
+            place += f".{step}" if place else step
+    return place or "(whole input)"
--- /dev/null
+++ b/src/acaciapier/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to model engines, given under leases with fencing numbers."""
--- /dev/null
+++ b/src/acaciapier/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process, between callers and targets."""
--- /dev/null
+++ b/src/acaciapier/exceptions.py
@@ -0,0 +1,61 @@
+"""Exceptions raised by acaciapier, all below one root."""
+
+from collections.abc import Sequence
+from typing import Any
+
+
+class AcaciapierError(Exception):
+    """Root of every exception that acaciapier raises."""
+
+
+class FindingsError(AcaciapierError):
+    """An input was rejected with one or more findings.
+
+    Parameters
+    ----------
+    subject : str
+        What was checked, such as a file name.
+    findings : sequence of Finding
+        Every problem that was found, each with its place.
+    """
+
+    def __init__(self, subject: str, findings: Sequence[Any]):
+        self.subject = subject
+        self.findings = tuple(findings)
+        noun = "finding" if len(self.findings) == 1 else "findings"
+        lines = [f"{subject}: {len(self.findings)} {noun}"]
+        lines += [f"  {finding}" for finding in self.findings]
+        super().__init__("\n".join(lines))
+
+
+class StoreError(AcaciapierError):
+    """A call of the object API did not succeed."""
+
+
+class StoreUnavailable(StoreError):
+    """The object API did not answer; a change may or may not have landed."""
+
+
+class VersionConflict(StoreError):
+    """A conditional update named another version than the present one.
+
+    Parameters
+    ----------
+    name : str
+        Kind and name of the object.
+    present_version : int
+        Version that the object has now; 0 if it does not exist.
+    """
+
+    def __init__(self, name: str, present_version: int):
+        self.name = name
+        self.present_version = present_version
+        super().__init__(f"{name} is at version {present_version}")
+
+
+class ProtocolError(AcaciapierError):
+    """A peer sent bytes that the inner protocol does not allow."""
+
+
+class PeerUnavailable(AcaciapierError):
+    """A peer could not be reached, or did not answer in time."""
--- /dev/null
+++ b/src/acaciapier/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances and targets are live, leaving or gone."""
--- /dev/null
+++ b/src/acaciapier/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Declared objects and the checks that span them."""
--- /dev/null
+++ b/src/acaciapier/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs and metrics."""
--- /dev/null
+++ b/src/acaciapier/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Execution of one request over the stages of its pipeline."""
--- /dev/null
+++ b/src/acaciapier/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the request path: routing, limits, retries, hedges, blocking."""
--- /dev/null
+++ b/src/acaciapier/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: JSON with comments, checked as a whole."""
--- /dev/null
+++ b/src/acaciapier/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API, with its budget."""
--- /dev/null
+++ b/src/acaciapier/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of engines, pools and plain services."""
--- /dev/null
+++ b/src/acaciapier/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between the system's own processes."""
--- /dev/null
+++ b/src/acaciapier_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiment and history-checking tool on the stand-ins."""
--- /dev/null
+++ b/src/acaciapier_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that acaciapier meets."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,31 @@
+"""Shared set-up of the tests: fixed seeds and the list of known failures."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import settings
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile("ci")
+
+
+def known_red_tests() -> list[str]:
+    """Return the node ids that KNOWN-RED.txt lists, one per ``test:`` line."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line.split(":", 1)[1].strip() for line in lines if line.startswith("test:")]
+
+
+def pytest_collection_modifyitems(items):
+    listed = set(known_red_tests())
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for test in known_red_tests():
+        terminalreporter.write_line(f"KNOWN RED: {test}")
