Decide on the request path: first working cut of the policy

The executor needs one object for admission, choice of target, retries, hedges and the quarantine. Each part is a plain object that gets the clock and the random source; PathPolicy joins them. Baselines are chosen by settings. Weighed: a shared concurrency limit per pool was ruled out, as it needs a store or a coordinator on the path; each instance estimates the queue from reported loads and its own calls instead.

pick() takes an optional fingerprint in addition, so that the copies of a content that crashed a target stay on few targets.

--- a/src/acaciapier/policy/__init__.py
+++ b/src/acaciapier/policy/__init__.py
@@ -1,1 +1,35 @@
-"""Decisions on the request path: routing, limits, retries, hedges, blocking."""
+"""Decisions on the request path: routing, limits, retries and quarantine."""
+
+from .models import (
+    CallOutcome,
+    CallReport,
+    Load,
+    Permit,
+    PoolLimits,
+    Refused,
+    StageEstimate,
+    Strike,
+    StrikeKind,
+    TargetView,
+    WorkspaceLimits,
+)
+from .path import PathPolicy
+from .settings import Choice, PolicySettings, RetryRule
+
+__all__ = [
+    "CallOutcome",
+    "CallReport",
+    "Choice",
+    "Load",
+    "PathPolicy",
+    "Permit",
+    "PolicySettings",
+    "PoolLimits",
+    "Refused",
+    "RetryRule",
+    "StageEstimate",
+    "Strike",
+    "StrikeKind",
+    "TargetView",
+    "WorkspaceLimits",
+]
--- /dev/null
+++ b/src/acaciapier/policy/admission.py
@@ -0,0 +1,112 @@
+"""Admission of requests that can finish, from the load of each pool."""
+
+import math
+from collections import defaultdict
+
+from ..core.clock import Clock
+from ..core.ids import PoolName
+from .models import StageEstimate
+from .routing import PoolRouter
+
+PENDING_WINDOW_S = 0.25
+FIRST_MARGIN = 0.8
+MIN_MARGIN = 0.4
+MAX_MARGIN = 0.85
+MARGIN_STEP_UP = 0.001
+MARGIN_STEP_DOWN = 0.97
+OVERLOADED_CALLS_PER_SLOT = 1.5
+
+
+class PendingCalls:
+    """Calls that admitted requests have still to send to a pool, smoothed.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._count = 0
+        self._smooth = 0.0
+        self._at_s = clock.monotonic_s()
+
+    def change(self, by: int) -> None:
+        """Add `by` calls."""
+        self._smooth = self.smooth()
+        self._at_s = self._clock.monotonic_s()
+        self._count += by
+
+    def smooth(self) -> float:
+        """Return the count, averaged over about `PENDING_WINDOW_S`."""
+        passed_s = self._clock.monotonic_s() - self._at_s
+        old = math.exp(-passed_s / PENDING_WINDOW_S)
+        return old * self._smooth + (1.0 - old) * self._count
+
+
+class Admission:
+    """Expected times of stages from queues, and the margin kept to deadlines.
+
+    The margin shrinks when admitted work turns out to be too late, and grows
+    slowly while all is in time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    instances : int
+        Entry instances that are taken to admit as much as this one.
+    """
+
+    def __init__(self, clock: Clock, instances: int):
+        self.instances = max(instances, 1)
+        self._pending = defaultdict(lambda: PendingCalls(clock))
+        self._margin = FIRST_MARGIN
+
+    @property
+    def margin(self) -> float:
+        """Share of the remaining time that an admitted request may need."""
+        return self._margin
+
+    def add_pending(self, pool: PoolName, calls: int) -> None:
+        """Count calls that are still to be sent, or with a minus were sent."""
+        self._pending[pool].change(calls)
+
+    def was_late(self) -> None:
+        """Shrink the margin: admitted work could not finish in time."""
+        self._margin = max(MIN_MARGIN, self._margin * MARGIN_STEP_DOWN)
+
+    def was_in_time(self) -> None:
+        """Grow the margin by a little."""
+        self._margin = min(MAX_MARGIN, self._margin + MARGIN_STEP_UP)
+
+    def wait_ms(self, estimate: StageEstimate, router: PoolRouter | None) -> float:
+        """Return the expected wait for a slot of the stage's pool."""
+        if router is None:
+            return 0.0
+        calls, slots = router.calls_and_slots()
+        if not slots:
+            return 0.0
+        pending = self._pending[estimate.pool].smooth() * self.instances
+        waiting = max(0.0, calls + pending - slots)
+        return waiting / slots * service_mean_ms(estimate, router)
+
+
+def service_mean_ms(estimate: StageEstimate, router: PoolRouter | None) -> float:
+    """Return the mean time of a stage without waiting."""
+    measured = router.service_times.mean_ms() if router else None
+    return estimate.typical_ms if measured is None else measured
+
+
+def service_quantile_ms(
+    estimate: StageEstimate, router: PoolRouter | None, share: float
+) -> float:
+    """Return a quantile of the time of a stage without waiting."""
+    measured = router.service_times.quantile_ms(share) if router else None
+    return estimate.typical_ms if measured is None else measured
+
+
+def is_overloaded(router: PoolRouter | None) -> bool:
+    """Return whether calls of a pool wait for longer than half a call."""
+    return router is not None and router.calls_per_slot() > OVERLOADED_CALLS_PER_SLOT
--- /dev/null
+++ b/src/acaciapier/policy/path.py
@@ -0,0 +1,374 @@
+"""The decisions on a request's path, behind one object."""
+
+from collections.abc import Collection, Iterable, Sequence
+from random import Random
+
+from result import Err, Ok, Result
+
+from ..core.clock import Clock
+from ..core.ids import (
+    DataCentreId,
+    Fingerprint,
+    Incarnation,
+    PoolName,
+    StageName,
+    TargetId,
+    WorkspaceId,
+)
+from ..core.outcomes import Cause, Outcome
+from .admission import Admission, is_overloaded, service_mean_ms, service_quantile_ms
+from .deadlines import critical_path_ms, stage_share_ms
+from .extra_calls import ExtraCalls
+from .fairness import FairShares
+from .models import (
+    CallOutcome,
+    CallReport,
+    Load,
+    Permit,
+    PoolLimits,
+    Refused,
+    StageEstimate,
+    Strike,
+    TargetView,
+    WorkspaceLimits,
+)
+from .quarantine import Quarantine
+from .routing import PoolRouter
+from .settings import PolicySettings
+from .target_state import TargetState
+
+OVER_SHARE_FACTOR = 0.75
+MIN_RETRY_AFTER_MS = 100
+RETRY_JITTER = 0.5
+CAN_FINISH_QUANTILE = 0.25
+SUSPECT_RETRY_MS = 100
+
+
+class PathPolicy:
+    """Admits requests, chooses targets and limits what is sent again.
+
+    It does no input or output; its calls return at once. One instance of the
+    system has one.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    random : Random
+        Source of chance.
+    settings : PolicySettings
+        Settings and baselines.
+    own_data_centre : DataCentreId
+        Where this instance runs.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        settings: PolicySettings,
+        own_data_centre: DataCentreId,
+    ):
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._own_data_centre = own_data_centre
+        self._routers: dict[PoolName, PoolRouter] = {}
+        self._extra: dict[PoolName, ExtraCalls] = {}
+        self._pool_of: dict[TargetId, PoolName] = {}
+        self._shares = FairShares(clock, settings.instances)
+        self._admission = Admission(clock, settings.instances)
+        self._quarantine = Quarantine(clock, random, settings)
+        self._permits: dict[Fingerprint, list[Permit]] = {}
+
+    def update_pool(
+        self, pool: PoolName, limits: PoolLimits, targets: Sequence[TargetView]
+    ) -> None:
+        """Take over a pool's limits and its live targets."""
+        if pool not in self._routers:
+            router = PoolRouter(
+                pool, self._clock, self._random, self._settings, self._own_data_centre
+            )
+            self._routers[pool] = router
+            self._extra[pool] = ExtraCalls(router, limits, self._settings)
+        self._routers[pool].update(limits, targets)
+        self._extra[pool].configure(limits)
+        for target in targets:
+            self._pool_of[target.target] = pool
+
+    def update_workspace(self, workspace: WorkspaceId, limits: WorkspaceLimits) -> None:
+        """Take over a workspace's limits."""
+        self._shares.update(workspace, limits)
+
+    def update_instances(self, instances: int) -> None:
+        """Set the number of live entry instances that share the limits."""
+        self._admission.instances = max(instances, 1)
+        self._shares.update_instances(instances)
+
+    def admit(
+        self,
+        workspace: WorkspaceId,
+        estimates: Sequence[StageEstimate],
+        remaining_ms: float,
+        fingerprint: Fingerprint,
+    ) -> Result[Permit, Refused]:
+        """Return the right to run a request, or why it cannot run now."""
+        blocked = self.blocked(fingerprint)
+        if blocked is not None:
+            return Err(blocked)
+        wait_ms = self._shares.rate_wait_ms(workspace)
+        if wait_ms > 0:
+            message = f"workspace {workspace} is over its rate"
+            return Err(self._refused(Cause.RATE_LIMIT, wait_ms, message))
+        excess_ms = self._excess_ms(workspace, estimates, remaining_ms)
+        if excess_ms > 0:
+            message = "the pipeline cannot finish within the deadline now"
+            return Err(self._refused(Cause.OVERLOAD, excess_ms, message))
+        self._shares.admitted(workspace)
+        return Ok(self._permit(workspace, estimates, fingerprint))
+
+    def release(self, permit: Permit, outcome: Outcome) -> None:
+        """Give a permit back; a second time has no effect."""
+        if permit.released:
+            return
+        permit.released = True
+        for pool, calls in permit.pending.items():
+            self._admission.add_pending(pool, -calls)
+        held = self._permits[permit.fingerprint]
+        held.remove(permit)
+        if not held:
+            del self._permits[permit.fingerprint]
+        if outcome is Outcome.DONE:
+            self._admission.was_in_time()
+
+    def pick(
+        self,
+        pool: PoolName,
+        *,
+        exclude: frozenset[TargetId],
+        affinity_key: str | None,
+        suspect: bool,
+        fingerprint: Fingerprint | None = None,
+    ) -> Result[TargetView, Refused]:
+        """Return the target for a call, or why there is none.
+
+        Parameters
+        ----------
+        pool : PoolName
+            Pool of the stage.
+        exclude : frozenset of TargetId
+            Targets that may not be chosen, such as those of earlier attempts.
+        affinity_key : str or None
+            Hash of a prompt prefix that a target may have in its cache.
+        suspect : bool
+            Whether `suspected` holds for the request.
+        fingerprint : Fingerprint, optional
+            Content of the request; keeps its copies on few targets.
+
+        Returns
+        -------
+        Result of TargetView or Refused
+            For a suspect, a refusal may only mean that it has to wait for
+            `retry_after_ms`.
+        """
+        router = self._routers.get(pool)
+        if router is None:
+            message = f"pool {pool} is not known"
+            return Err(Refused(Cause.NO_TARGET, MIN_RETRY_AFTER_MS, message))
+        if not self._settings.quarantine:
+            return router.pick(exclude, affinity_key, _any_target)
+        if suspect:
+            return self._pick_for_suspect(router, exclude, affinity_key, fingerprint)
+        only = None
+        if fingerprint is not None:
+            only = self._quarantine.only_targets(fingerprint, pool)
+        return router.pick(
+            exclude,
+            affinity_key,
+            lambda one: only is None or one.view.target in only,
+            avoid=self._runs_suspect,
+        )
+
+    def sent(self, target: TargetId, fingerprint: Fingerprint) -> None:
+        """Note that a call is being sent to `target`."""
+        pool = self._pool_of.get(target)
+        if pool is None:
+            return
+        self._routers[pool].sent(target, fingerprint)
+        self._extra[pool].sent()
+        self._quarantine.sent(fingerprint, pool, target)
+        for permit in self._permits.get(fingerprint, ()):
+            if permit.pending.get(pool, 0) > 0:
+                permit.pending[pool] -= 1
+                self._admission.add_pending(pool, -1)
+                return
+
+    def ended(self, report: CallReport, fingerprint: Fingerprint) -> None:
+        """Take over how a call ended."""
+        router = self._routers.get(report.pool)
+        if router is not None:
+            router.ended(report, fingerprint)
+        if self._settings.quarantine:
+            self._quarantine.ended(report, fingerprint)
+        if report.outcome is CallOutcome.TIMED_OUT and is_overloaded(router):
+            self._admission.was_late()
+
+    def load_reported(
+        self, target: TargetId, incarnation: Incarnation, load: Load
+    ) -> None:
+        """Take over a load that was read from a target."""
+        pool = self._pool_of.get(target)
+        state = self._routers[pool].state(target) if pool else None
+        if state is not None and state.view.incarnation == incarnation:
+            state.reported(load)
+
+    def stage_budget_ms(
+        self,
+        estimates: Sequence[StageEstimate],
+        stage: StageName,
+        remaining_ms: float,
+    ) -> float:
+        """Return how long `stage` may take so that the later ones can still end."""
+        return stage_share_ms(estimates, stage, remaining_ms, self._expected_ms)
+
+    def can_finish(
+        self,
+        estimates: Sequence[StageEstimate],
+        stages_left: Collection[StageName],
+        remaining_ms: float,
+    ) -> bool:
+        """Return whether the stages left can end in time if all goes well."""
+        if remaining_ms <= 0:
+            return False
+        if not self._settings.admission:
+            return True
+        needed_ms = critical_path_ms(estimates, stages_left, self._quick_ms)
+        if needed_ms <= remaining_ms:
+            return True
+        self._admission.was_late()
+        return False
+
+    def may_retry(self, pool: PoolName, typical_ms: float, remaining_ms: float) -> bool:
+        """Return whether a retry may be sent, and take it out of the budget."""
+        extra = self._extra.get(pool)
+        return extra is not None and extra.may_retry(typical_ms, remaining_ms)
+
+    def hedge_after_ms(self, pool: PoolName, remaining_ms: float) -> float | None:
+        """Return after which time a call should be hedged, or None for never."""
+        extra = self._extra.get(pool)
+        return extra.hedge_after_ms(remaining_ms) if extra else None
+
+    def may_hedge(self, pool: PoolName) -> bool:
+        """Return whether a hedge may be sent, and take it out of the budget."""
+        extra = self._extra.get(pool)
+        return extra is not None and extra.may_hedge()
+
+    def blocked(self, fingerprint: Fingerprint) -> Refused | None:
+        """Return why a request's content may not run, or None."""
+        return self._quarantine.blocked(fingerprint)
+
+    def suspected(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request's content was in flight at a crash."""
+        return self._quarantine.suspected(fingerprint)
+
+    def strikes(self) -> tuple[Strike, ...]:
+        """Return all records of the quarantine, for an instance that lacks some."""
+        return self._quarantine.records()
+
+    def take_new_strikes(self) -> tuple[Strike, ...]:
+        """Return the records made here since the last call, to be sent to peers."""
+        return self._quarantine.take_new_records()
+
+    def merge_strikes(self, strikes: Iterable[Strike]) -> None:
+        """Take over records of other instances, in any order and repeatedly."""
+        self._quarantine.merge(strikes)
+
+    def release_fingerprint(self, fingerprint: Fingerprint) -> None:
+        """Clear a request's content on an operator's order."""
+        self._quarantine.release(fingerprint)
+
+    def _pick_for_suspect(
+        self,
+        router: PoolRouter,
+        exclude: frozenset[TargetId],
+        affinity_key: str | None,
+        fingerprint: Fingerprint | None,
+    ) -> Result[TargetView, Refused]:
+        """Choose a target that runs no other suspect, in the order of the trial."""
+        waiting = Refused(
+            Cause.TARGET_CRASHED, SUSPECT_RETRY_MS, "the request has to run alone"
+        )
+        if fingerprint is None:
+            picked = router.pick(
+                exclude,
+                affinity_key,
+                lambda one: not self._runs_suspect(one),
+                probes=False,
+            )
+            return picked.map_err(lambda _: waiting)
+        settling_ms = self._quarantine.settling_ms(fingerprint)
+        if settling_ms > 0:
+            return Err(Refused(waiting.cause, settling_ms, waiting.message))
+        only = self._quarantine.only_targets(fingerprint, router.pool)
+        names = [one for one in router.usable(exclude) if only is None or one in only]
+        order = self._quarantine.trial_order(fingerprint, names)
+        for name in order or ():
+            state = router.state(name)
+            if not self._runs_suspect(state, besides=fingerprint):
+                return Ok(state.view)
+        return Err(waiting)
+
+    def _runs_suspect(
+        self, state: TargetState, besides: Fingerprint | None = None
+    ) -> bool:
+        return self._quarantine.is_suspect_on(state.fingerprints, besides)
+
+    def _excess_ms(
+        self,
+        workspace: WorkspaceId,
+        estimates: Sequence[StageEstimate],
+        remaining_ms: float,
+    ) -> float:
+        """Return by how much a request would come too late, 0 or less if in time."""
+        if remaining_ms <= 0:
+            return MIN_RETRY_AFTER_MS
+        if not self._settings.admission:
+            return 0.0
+        stages = [one.stage for one in estimates]
+        needed_ms = critical_path_ms(estimates, stages, self._expected_ms)
+        allowed_ms = remaining_ms * self._admission.margin
+        if self._shares.is_over_share(workspace):
+            allowed_ms *= OVER_SHARE_FACTOR
+        return needed_ms - allowed_ms
+
+    def _expected_ms(self, estimate: StageEstimate) -> float:
+        router = self._routers.get(estimate.pool)
+        waiting_ms = self._admission.wait_ms(estimate, router)
+        return waiting_ms + service_mean_ms(estimate, router)
+
+    def _quick_ms(self, estimate: StageEstimate) -> float:
+        router = self._routers.get(estimate.pool)
+        return service_quantile_ms(estimate, router, CAN_FINISH_QUANTILE)
+
+    def _permit(
+        self,
+        workspace: WorkspaceId,
+        estimates: Sequence[StageEstimate],
+        fingerprint: Fingerprint,
+    ) -> Permit:
+        permit = Permit(workspace, fingerprint)
+        for estimate in estimates:
+            pool = estimate.pool
+            permit.pending[pool] = permit.pending.get(pool, 0) + 1
+            self._admission.add_pending(pool, 1)
+        self._permits.setdefault(fingerprint, []).append(permit)
+        return permit
+
+    def _refused(self, cause: Cause, wait_ms: float, message: str) -> Refused:
+        spread = 1.0 + RETRY_JITTER * self._random.random()
+        after_ms = max(wait_ms, MIN_RETRY_AFTER_MS) * spread
+        return Refused(cause, int(after_ms), message)
+
+
+def _any_target(state: TargetState) -> bool:
+    return True
--- /dev/null
+++ b/src/acaciapier/policy/stage_times.py
@@ -0,0 +1,60 @@
+"""Measured times of a pool's calls as quantiles over a sliding window."""
+
+from collections import deque
+
+from ..core.clock import Clock
+
+WINDOW_S = 30.0
+MAX_SAMPLES = 512
+MIN_SAMPLES = 20
+REFRESH_SAMPLES = 16
+REFRESH_S = 1.0
+
+
+class SlidingQuantiles:
+    """Quantiles of the samples of the last `WINDOW_S` seconds.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._samples: deque[tuple[float, float]] = deque(maxlen=MAX_SAMPLES)
+        self._sorted: list[float] = []
+        self._mean_ms = 0.0
+        self._sorted_at_s = float("-inf")
+        self._added = 0
+
+    def add(self, value_ms: float) -> None:
+        """Record one measured time."""
+        self._samples.append((self._clock.monotonic_s(), value_ms))
+        self._added += 1
+
+    def quantile_ms(self, share: float) -> float | None:
+        """Return the quantile at `share`, or None with too few samples."""
+        self._refresh()
+        if len(self._sorted) < MIN_SAMPLES:
+            return None
+        return self._sorted[min(int(share * len(self._sorted)), len(self._sorted) - 1)]
+
+    def mean_ms(self) -> float | None:
+        """Return the mean, or None with too few samples."""
+        self._refresh()
+        if len(self._sorted) < MIN_SAMPLES:
+            return None
+        return self._mean_ms
+
+    def _refresh(self) -> None:
+        now_s = self._clock.monotonic_s()
+        stale = now_s - self._sorted_at_s >= REFRESH_S
+        if self._added < REFRESH_SAMPLES and not stale:
+            return
+        while self._samples and self._samples[0][0] < now_s - WINDOW_S:
+            self._samples.popleft()
+        self._sorted = sorted(value for _, value in self._samples)
+        self._mean_ms = sum(self._sorted) / max(len(self._sorted), 1)
+        self._sorted_at_s = now_s
+        self._added = 0
--- /dev/null
+++ b/tests/policy/test_policy_path.py
@@ -0,0 +1,114 @@
+"""Admission, deadlines and the facade of the policy."""
+
+from policy_helpers import (
+    ESTIMATES,
+    LIMITS,
+    POOL,
+    call,
+    make_policy,
+    make_targets,
+    pick,
+    report,
+)
+
+from acaciapier.core.clock import ManualClock
+from acaciapier.core.outcomes import Cause, Outcome
+from acaciapier.policy import CallOutcome, Load, StageEstimate
+
+
+def admit(policy, remaining_ms=3_000.0, workspace="w1", fingerprint="f"):
+    return policy.admit(workspace, ESTIMATES, remaining_ms, fingerprint)
+
+
+def report_load(policy, running, queued, slots=4):
+    for target in make_targets():
+        policy.load_reported(target.target, 1, Load(running, queued, slots, 0.0))
+
+
+def test_an_idle_pipeline_admits():
+    permit = admit(make_policy()).unwrap()
+    assert permit.workspace == "w1"
+
+
+def test_a_long_queue_refuses_at_once_with_the_excess():
+    policy = make_policy()
+    report_load(policy, running=4, queued=200)
+    refused = admit(policy).unwrap_err()
+    assert refused.cause is Cause.OVERLOAD
+    assert 1_000 < refused.retry_after_ms < 10_000
+
+
+def test_a_stale_report_loses_its_weight_only_against_its_peers():
+    clock = ManualClock()
+    policy = make_policy(clock)
+    report_load(policy, running=4, queued=200)
+    clock.advance(10)
+    assert admit(policy).is_err()
+
+
+def test_release_is_idempotent_and_forgets_what_was_pending():
+    clock = ManualClock()
+    policy = make_policy(clock, instances=9)
+    permits = [admit(policy).unwrap() for _ in range(50)]
+    clock.advance(2)
+    assert admit(policy, remaining_ms=500).is_err()
+    for permit in permits:
+        policy.release(permit, Outcome.DONE)
+        policy.release(permit, Outcome.DONE)
+    clock.advance(2)
+    assert admit(policy, remaining_ms=500).is_ok()
+
+
+def test_a_deadline_is_split_along_the_critical_path():
+    policy = make_policy()
+    estimates = (
+        StageEstimate("encode", "encoders", 100.0, ()),
+        StageEstimate("look-up", "services", 50.0, ()),
+        StageEstimate("rerank", "rerankers", 100.0, ("encode", "look-up")),
+        StageEstimate("generate", POOL, 800.0, ("rerank",)),
+    )
+    assert policy.stage_budget_ms(estimates, "encode", 3_000.0) == 300.0
+    assert policy.stage_budget_ms(estimates, "generate", 500.0) == 500.0
+    assert policy.can_finish(estimates, ("rerank", "generate"), 900.0)
+    assert not policy.can_finish(estimates, ("rerank", "generate"), 899.0)
+
+
+def test_retries_and_hedges_are_off_in_an_overloaded_pool():
+    policy = make_policy()
+    for number in range(40):
+        call(policy, f"f{number}")
+    assert policy.hedge_after_ms(POOL, 3_000.0) == 100.0
+    report_load(policy, running=4, queued=4)
+    assert policy.hedge_after_ms(POOL, 3_000.0) is None
+    assert not policy.may_hedge(POOL)
+    assert not policy.may_retry(POOL, 100.0, 3_000.0)
+
+
+def test_a_retry_needs_time_for_a_typical_call():
+    policy = make_policy()
+    assert not policy.may_retry(POOL, 100.0, 99.0)
+    assert policy.may_retry(POOL, 100.0, 101.0)
+
+
+def test_a_late_end_of_an_older_incarnation_does_not_touch_the_new_one():
+    policy = make_policy(targets=make_targets(1))
+    view = pick(policy).unwrap()
+    policy.sent(view.target, "f")
+    policy.update_pool(POOL, LIMITS, make_targets(1, incarnation=2))
+    policy.sent(view.target, "g")
+    policy.ended(report(view.target, CallOutcome.FAILED), "f")
+    state = policy._routers[POOL].state(view.target)
+    assert state.outstanding == 1
+
+
+def test_a_leaving_target_gets_no_new_call_but_is_followed_to_its_end():
+    policy = make_policy(targets=make_targets(2))
+    view = pick(policy).unwrap()
+    policy.sent(view.target, "f")
+    left = [one for one in make_targets(2) if one.target != view.target]
+    policy.update_pool(POOL, LIMITS, left)
+    assert {pick(policy, f"g{n}").unwrap().target for n in range(20)} == {
+        left[0].target
+    }
+    policy.ended(report(view.target), "f")
+    assert policy._routers[POOL].state(view.target) is None
