Read and check declared objects, and look them up in an immutable state

The request path needs pipelines, pools, workspaces by token and route rules before any distribution exists. A state is immutable with indexes that are built on first use, so a request can keep the one it started with.

--- /dev/null
+++ b/src/acaciapier/configuration/state.py
@@ -0,0 +1,180 @@
+"""The configuration in force: an immutable state with indexes for look-ups."""
+
+import hashlib
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from functools import cached_property
+from types import MappingProxyType
+from typing import NamedTuple
+
+import xxhash
+
+from ..core.ids import PipelineName, PoolName, RequestId, WorkspaceId
+from ..objects import DeclaredObject, Pipeline, RouteRule, TargetPool, Workspace
+
+SHARE_STEPS = 10_000
+"""Steps into which request hashes are divided: a share has 0.01% resolution."""
+
+
+class ObjectKey(NamedTuple):
+    """Kind and name of a declared object."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind}/{self.name}"
+
+
+@dataclass(frozen=True)
+class VersionedObject:
+    """A declared object with its own version number."""
+
+    version: int
+    declared: DeclaredObject
+
+    @property
+    def key(self) -> ObjectKey:
+        """Kind and name of the object."""
+        return ObjectKey(self.declared.kind, self.declared.name)
+
+
+class ConfigurationState:
+    """All declared objects that are in force together at one number.
+
+    A request keeps the state that it started with to its end; a change of the
+    configuration makes a new state and leaves this one as it is.
+
+    Parameters
+    ----------
+    number : int
+        Number of the last change that the state holds; 0 for the empty state.
+    objects : iterable of VersionedObject
+        Every declared object.
+
+    Examples
+    --------
+    >>> state = ConfigurationState.of_objects([Workspace(name="sales")])
+    >>> state.workspace("sales").weight
+    1.0
+    """
+
+    def __init__(self, number: int, objects: Iterable[VersionedObject]):
+        self.number = number
+        self._objects = MappingProxyType({one.key: one for one in objects})
+
+    @classmethod
+    def of_objects(
+        cls, objects: Iterable[DeclaredObject], number: int = 1
+    ) -> "ConfigurationState":
+        """Return the state that holds `objects`, each at version 1."""
+        return cls(number, [VersionedObject(1, one) for one in objects])
+
+    def __len__(self) -> int:
+        return len(self._objects)
+
+    def __iter__(self) -> Iterator[VersionedObject]:
+        return iter(self._objects.values())
+
+    def get(self, kind: str, name: str) -> VersionedObject | None:
+        """Return the object of that kind and name with its version."""
+        return self._objects.get(ObjectKey(kind, name))
+
+    def pipeline(self, name: PipelineName | str) -> Pipeline | None:
+        """Return the pipeline of that name."""
+        return self._declared("pipeline", name)
+
+    def pool(self, name: PoolName | str) -> TargetPool | None:
+        """Return the target pool of that name."""
+        return self._declared("pool", name)
+
+    def workspace(self, name: WorkspaceId | str) -> Workspace | None:
+        """Return the workspace of that name."""
+        return self._declared("workspace", name)
+
+    @property
+    def pipelines(self) -> list[Pipeline]:
+        """All pipelines."""
+        return self._of_kind(Pipeline)
+
+    @property
+    def pools(self) -> list[TargetPool]:
+        """All target pools."""
+        return self._of_kind(TargetPool)
+
+    @property
+    def workspaces(self) -> list[Workspace]:
+        """All workspaces."""
+        return self._of_kind(Workspace)
+
+    def workspace_of_token(self, token: str) -> Workspace | None:
+        """Return the workspace that a caller's token gives access to.
+
+        Only digests are compared, so the time taken tells nothing about the
+        tokens that exist.
+        """
+        return self._workspace_by_token.get(token_digest(token))
+
+    def route(
+        self,
+        workspace: WorkspaceId | str,
+        pipeline: PipelineName | str,
+        request_id: RequestId | str,
+    ) -> Pipeline | None:
+        """Return the pipeline that runs a request, after the route rules.
+
+        The first rule that matches applies, once. The choice depends on the
+        workspace and request id only, so a resend takes the same way on every
+        instance that holds the same configuration.
+
+        Returns
+        -------
+        Pipeline or None
+            None if the named pipeline does not exist.
+        """
+        for rule in self._rules_by_pipeline.get(pipeline, ()):
+            if rule.workspaces and workspace not in rule.workspaces:
+                continue
+            if _share_covers(rule, workspace, request_id):
+                return self.pipeline(rule.to_pipeline)
+        return self.pipeline(pipeline)
+
+    def _declared(self, kind: str, name: str) -> DeclaredObject | None:
+        found = self._objects.get(ObjectKey(kind, name))
+        return found.declared if found else None
+
+    def _of_kind(self, model: type) -> list:
+        return [one.declared for one in self if isinstance(one.declared, model)]
+
+    @cached_property
+    def _workspace_by_token(self) -> Mapping[str, Workspace]:
+        return {
+            digest: workspace
+            for workspace in self.workspaces
+            for digest in workspace.token_sha256
+        }
+
+    @cached_property
+    def _rules_by_pipeline(self) -> Mapping[str, tuple[RouteRule, ...]]:
+        rules = sorted(self._of_kind(RouteRule), key=lambda one: (one.order, one.name))
+        names = {rule.pipeline for rule in rules}
+        return {
+            name: tuple(rule for rule in rules if rule.pipeline == name)
+            for name in names
+        }
+
+
+EMPTY_STATE = ConfigurationState(0, ())
+"""The state before the first change."""
+
+
+def token_digest(token: str) -> str:
+    """Return the SHA-256 of a token, as declared in a workspace."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def _share_covers(rule: RouteRule, workspace: str, request_id: str) -> bool:
+    """Return whether a rule's share covers the hash of a request."""
+    identity = f"{rule.name}/{workspace}/{request_id}".encode()
+    hashed = xxhash.xxh64_intdigest(identity)
+    return hashed % SHARE_STEPS < rule.share_percent * SHARE_STEPS / 100
--- a/src/acaciapier/objects/__init__.py
+++ b/src/acaciapier/objects/__init__.py
@@ -1,1 +1,43 @@
 """Declared objects and the checks that span them."""
+
+from .bundle import (
+    MODELS,
+    load_bundle,
+    parse_object,
+    parse_objects,
+    parse_stored,
+    read_bundle,
+    stored_value,
+)
+from .checks import check_objects, critical_path_ms, place_of
+from .models import (
+    DeclaredObject,
+    FencingMode,
+    Pipeline,
+    RouteRule,
+    Stage,
+    StageKind,
+    TargetPool,
+    Workspace,
+)
+
+__all__ = [
+    "MODELS",
+    "DeclaredObject",
+    "FencingMode",
+    "Pipeline",
+    "RouteRule",
+    "Stage",
+    "StageKind",
+    "TargetPool",
+    "Workspace",
+    "check_objects",
+    "critical_path_ms",
+    "load_bundle",
+    "parse_object",
+    "parse_objects",
+    "parse_stored",
+    "place_of",
+    "read_bundle",
+    "stored_value",
+]
