Execute pipelines: attempts, streams, records, resume tokens, entry service and client

The run of a request is kept in a record that any number of readers follow, so that a caller can rejoin it; a stream is resumed at its engine, never spliced. Not wired to processes yet.

--- /dev/null
+++ b/src/acaciapier/app/application.py
@@ -0,0 +1,109 @@
+"""The application object: owns resources, runs tasks and stops them in order."""
+
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from ..observability import get_logger
+
+log = get_logger("acaciapier.app")
+
+Hook = Callable[[], Awaitable[None]]
+
+EXIT_AT_ONCE = 130
+
+
+class State(Enum):
+    """Where an application is in its life."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+
+
+@dataclass(frozen=True)
+class StopHook:
+    """Something to do when the application stops, with a name for the log."""
+
+    name: str
+    action: Hook
+
+
+class Application:
+    """Runs background tasks until a signal, then its stop hooks in order.
+
+    The first SIGTERM or SIGINT starts the graceful stop: hooks run in the order
+    in which they were added, then tasks are cancelled, then resources are closed
+    in reverse order. A second signal ends the process at once.
+
+    Parameters
+    ----------
+    name : str
+        Name for the log.
+
+    Examples
+    --------
+    >>> app = Application("entry")
+    >>> app.on_stop("drain", service.drain)  # doctest: +SKIP
+    >>> trio.run(app.run, start)  # doctest: +SKIP
+    """
+
+    def __init__(self, name: str):
+        self.name = name
+        self.state = State.STARTING
+        self.resources = AsyncExitStack()
+        self.stop_requested = trio.Event()
+        self.stopped = trio.Event()
+        self._stop_hooks: list[StopHook] = []
+
+    def on_stop(self, name: str, action: Hook) -> None:
+        """Add a hook for the graceful stop."""
+        self._stop_hooks.append(StopHook(name, action))
+
+    def stop(self) -> None:
+        """Begin the graceful stop."""
+        self.stop_requested.set()
+
+    async def run(
+        self,
+        start: Callable[["Application", trio.Nursery], Awaitable[None]],
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Start, run until stopped, and clean up."""
+        async with self.resources:
+            async with trio.open_nursery() as nursery:
+                await start(self, nursery)
+                self.state = State.RUNNING
+                log.info("{} is running", self.name)
+                task_status.started()
+                await self.stop_requested.wait()
+                await self._stop()
+                nursery.cancel_scope.cancel()
+        log.info("{} has stopped", self.name)
+
+    async def watch_signals(self) -> None:
+        """Turn the first signal into a graceful stop; end at once on the second."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                if self.stop_requested.is_set():
+                    log.warning("{} ends at once on signal {}", self.name, number)
+                    os._exit(EXIT_AT_ONCE)
+                log.info("{} stops on signal {}", self.name, number)
+                self.stop()
+
+    async def _stop(self) -> None:
+        self.state = State.STOPPING
+        for hook in self._stop_hooks:
+            try:
+                await hook.action()
+            except Exception:
+                log.exception("{}: stop hook {} has failed", self.name, hook.name)
+        self.state = State.STOPPED
+        self.stopped.set()
--- a/src/acaciapier/core/outcomes.py
+++ b/src/acaciapier/core/outcomes.py
@@ -29,6 +29,7 @@
     ID_EXPIRED = "id_expired"
     DUPLICATE = "duplicate"
     ANSWER_GONE = "answer_gone"
+    RECOVERED = "recovered"
     BLOCKED = "blocked"
     RATE_LIMIT = "rate_limit"
     OVERLOAD = "overload"
--- /dev/null
+++ b/src/acaciapier/entry/service.py
@@ -0,0 +1,288 @@
+"""The service of an entry instance: submits, joins, resumes and cancels requests."""
+
+import random
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+import trio
+
+from ..configuration import ConfigurationState
+from ..core.clock import Clock, epoch_ms, to_ms, to_s
+from ..core.ids import RequestId, RunId, WorkspaceId
+from ..core.outcomes import Cause, Outcome
+from ..objects.models import Pipeline
+from ..observability import Metrics, get_logger
+from ..pipeline import (
+    CallerRequest,
+    Executor,
+    FinalEvent,
+    RunIdentity,
+    RunRecord,
+    refusal,
+)
+from ..settings.models import PathSettings
+from .bodies import has_time
+from .records import RecordKey, RecordTable
+from .resuming import StreamResumer
+
+log = get_logger("acaciapier.entry")
+
+COLLECT_INTERVAL_MS = 500.0
+DRAIN_POLL_MS = 20.0
+SHUTDOWN_RETRY_AFTER_MS = 200
+OPEN_LIMIT_RETRY_AFTER_MS = 1_000
+
+
+class ClaimedRuns(Protocol):
+    """Runs requests that may not be repeated, under a claim."""
+
+    async def run(self, record: RunRecord, pipeline: Pipeline) -> None:
+        """Claim the request and run it, or join the run of its claimant."""
+
+
+@dataclass(frozen=True)
+class ServiceParts:
+    """What the service is made of."""
+
+    executor: Executor
+    resumer: StreamResumer
+    configuration: Callable[[], ConfigurationState]
+    claimed: ClaimedRuns | None
+    metrics: Metrics | None
+    clock: Clock
+    random: random.Random
+    settings: PathSettings
+
+
+class RequestService:
+    """Accepts requests and keeps their records.
+
+    Parameters
+    ----------
+    parts : ServiceParts
+        Executor, configuration and the like.
+    nursery : trio.Nursery
+        Where runs are executed; they outlive the connection of their caller.
+    """
+
+    def __init__(self, parts: ServiceParts, nursery: trio.Nursery):
+        self._parts = parts
+        self._nursery = nursery
+        self._draining = False
+        settings = parts.settings
+        self.records = RecordTable(
+            parts.clock, settings.keep_ended_ms, settings.keep_ended_claimed_ms
+        )
+
+    @property
+    def draining(self) -> bool:
+        """Whether new requests are refused."""
+        return self._draining
+
+    def submit(self, request: CallerRequest) -> RunRecord | FinalEvent:
+        """Start a request or join its present run.
+
+        Returns
+        -------
+        RunRecord or FinalEvent
+            The record to read, or why nothing runs.
+        """
+        key = RecordKey(request.workspace, request.request_id)
+        present = self.records.get(key)
+        if present is not None:
+            return self._join(present, request)
+        state = self._parts.configuration()
+        pipeline = state.route(request.workspace, request.pipeline, request.request_id)
+        refused = self._refuse(request, pipeline)
+        if refused is not None:
+            return refused
+        request = _with_defaults(request, pipeline)
+        record = self._open_record(key, request, state.number)
+        self._nursery.start_soon(self._run, key, record, pipeline)
+        return record
+
+    async def attach(
+        self, workspace: WorkspaceId, request_id: RequestId, token: str, position: int
+    ) -> RunRecord | FinalEvent:
+        """Return the record of a request that was started here or elsewhere."""
+        present = self.records.get(RecordKey(workspace, request_id))
+        if present is not None:
+            return present
+        if not token:
+            message = f"request {request_id} does not run on this instance"
+            return refusal(Cause.UNKNOWN_REQUEST, message, outcome=Outcome.UNKNOWN)
+        resumed = self._parts.resumer.check(workspace, request_id, token)
+        if resumed.is_err():
+            message = resumed.unwrap_err()
+            return refusal(Cause.FORBIDDEN, message, outcome=Outcome.UNKNOWN)
+        return self._resume(resumed.unwrap())
+
+    def cancel(self, workspace: WorkspaceId, request_id: RequestId) -> bool:
+        """Cancel a running request; False if it does not run here."""
+        record = self.records.get(RecordKey(workspace, request_id))
+        if record is None or record.final is not None:
+            return False
+        record.cancel_scope.cancel()
+        return True
+
+    async def run_collector(self) -> None:
+        """Forget old records, and cancel runs whose callers have left."""
+        while True:
+            await trio.sleep(to_s(COLLECT_INTERVAL_MS))
+            self.records.collect()
+            self._cancel_abandoned()
+
+    async def drain(self, limit_ms: float) -> None:
+        """Refuse new requests and wait until those in flight have been answered."""
+        self._draining = True
+        with trio.move_on_after(to_s(limit_ms)):
+            while self._is_busy():
+                await trio.sleep(to_s(DRAIN_POLL_MS))
+        for record in self.records.running:
+            record.cancel_scope.cancel()
+
+    def _is_busy(self) -> bool:
+        return len(self.records) > 0
+
+    def _refuse(
+        self, request: CallerRequest, pipeline: Pipeline | None
+    ) -> FinalEvent | None:
+        if self._draining:
+            message = "this instance is shutting down"
+            return refusal(Cause.SHUTTING_DOWN, message, SHUTDOWN_RETRY_AFTER_MS)
+        if pipeline is None:
+            message = f"there is no pipeline {request.pipeline}"
+            return refusal(Cause.UNKNOWN_PIPELINE, message)
+        if len(self.records) >= self._parts.settings.max_open_requests:
+            message = "this instance has too many open requests"
+            return refusal(Cause.OVERLOAD, message, OPEN_LIMIT_RETRY_AFTER_MS)
+        if is_claimed(request, pipeline) and not has_time(request.request_id):
+            message = "the id of a request that may not be repeated is a UUID version 7"
+            return refusal(Cause.BAD_REQUEST, message)
+        return None
+
+    def _join(
+        self, record: RunRecord, request: CallerRequest
+    ) -> RunRecord | FinalEvent:
+        if record.request.fingerprint != request.fingerprint:
+            message = f"request {request.request_id} has been sent with other content"
+            return refusal(Cause.ID_REUSED, message)
+        return record
+
+    def _open_record(
+        self, key: RecordKey, request: CallerRequest, number: int
+    ) -> RunRecord:
+        run_id = RunId(str(uuid.UUID(int=self._parts.random.getrandbits(128))))
+        identity = RunIdentity(request.request_id, run_id, number)
+        record = RunRecord(request, identity, self._parts.clock)
+        self.records.add(key, record)
+        if self._parts.metrics is not None:
+            self._parts.metrics.request_opened()
+        return record
+
+    def _resume(self, claim) -> RunRecord:
+        identity = RunIdentity(
+            RequestId(claim.request_id),
+            RunId(claim.run_id),
+            claim.configuration_number,
+        )
+        request = self._parts.resumer.request_of(claim)
+        record = RunRecord(request, identity, self._parts.clock)
+        key = RecordKey(request.workspace, request.request_id)
+        self.records.add(key, record)
+        if self._parts.metrics is not None:
+            self._parts.metrics.request_opened()
+        self._nursery.start_soon(self._run_resumed, key, record, claim)
+        return record
+
+    async def _run_resumed(self, key: RecordKey, record: RunRecord, claim) -> None:
+        await self._guard(record, self._parts.resumer.run, record, claim)
+        self._end(key, record)
+
+    async def _run(self, key: RecordKey, record: RunRecord, pipeline: Pipeline) -> None:
+        if is_claimed(record.request, pipeline):
+            await self._guard(record, self._run_claimed, record, pipeline)
+        else:
+            run = self._parts.executor.run
+            await self._guard(record, run, record.request, pipeline, record)
+        self._end(key, record)
+
+    async def _run_claimed(self, record: RunRecord, pipeline: Pipeline) -> None:
+        if self._parts.claimed is None:
+            message = "this instance cannot claim requests"
+            record.finish(refusal(Cause.STORE_UNAVAILABLE, message, 1_000))
+            return
+        await self._parts.claimed.run(record, pipeline)
+
+    async def _guard(self, record: RunRecord, action, *arguments) -> None:
+        """Run `action`; a fault of ours still ends the record with its final event."""
+        try:
+            await action(*arguments)
+        except Exception:
+            log.exception("request {} has failed", record.request.request_id)
+        finally:
+            message = "an internal error has ended the run"
+            record.finish(refusal(Cause.INTERNAL, message, outcome=Outcome.UNKNOWN))
+
+    def _end(self, key: RecordKey, record: RunRecord) -> None:
+        final = record.final
+        self.records.end(key, keep=final.outcome != Outcome.NOT_RUN.value)
+        self._log_end(record, final)
+        if self._parts.metrics is not None:
+            self._observe_end(record, final)
+
+    def _observe_end(self, record: RunRecord, final: FinalEvent) -> None:
+        metrics = self._parts.metrics
+        request = record.request
+        request_class = "repeatable" if request.repeatable else "not_repeatable"
+        elapsed_ms = to_ms(record.ended_s - record.started_s)
+        metrics.request_ended(
+            request.workspace, request_class, final.outcome, elapsed_ms
+        )
+        if record.first_part_s is not None:
+            first_ms = to_ms(record.first_part_s - record.started_s)
+            metrics.first_token(request.workspace, request_class, first_ms)
+        if final.cause is not None:
+            metrics.refused(request.workspace, final.cause)
+
+    def _log_end(self, record: RunRecord, final: FinalEvent) -> None:
+        request = record.request
+        fields = {
+            "workspace": request.workspace,
+            "request_id": request.request_id,
+            "run_id": record.identity.run_id,
+            "pipeline": request.pipeline,
+            "outcome": final.outcome,
+            "cause": final.cause,
+            "elapsed_ms": round(to_ms(record.ended_s - record.started_s), 1),
+            "tokens": final.count,
+        }
+        log.info("request {} has ended", request.request_id, extra=fields)
+
+    def _cancel_abandoned(self) -> None:
+        now_s = self._parts.clock.monotonic_s()
+        grace_s = to_s(self._parts.settings.reconnect_grace_ms)
+        for record in self.records.running:
+            left = record.readers == 0 and now_s - record.last_reader_s > grace_s
+            if left and record.request.repeatable:
+                record.cancel_scope.cancel()
+
+
+def is_claimed(request: CallerRequest, pipeline: Pipeline) -> bool:
+    """Tell whether a request must be claimed before it runs."""
+    if not request.repeatable:
+        return True
+    return any(not stage.repeatable for stage in pipeline.stages)
+
+
+def _with_defaults(request: CallerRequest, pipeline: Pipeline) -> CallerRequest:
+    if request.deadline_ms:
+        return request
+    return replace(request, deadline_ms=pipeline.deadline_ms)
+
+
+def now_ms(clock: Clock) -> int:
+    """Return the wall-clock time in milliseconds since the Unix epoch."""
+    return epoch_ms(clock.now())
--- a/src/acaciapier/exceptions.py
+++ b/src/acaciapier/exceptions.py
@@ -59,3 +59,34 @@
 
 class PeerUnavailable(AcaciapierError):
     """A peer could not be reached, or did not answer in time."""
+
+
+class RequestError(AcaciapierError):
+    """A request has ended without its whole answer.
+
+    Parameters
+    ----------
+    final : Final
+        The final event, with the cause and when to come back.
+    """
+
+    def __init__(self, final: Any):
+        self.final = final
+        cause = final.cause.value if final.cause else "no cause"
+        super().__init__(f"{final.outcome.value}: {cause}: {final.message}")
+
+
+class NotRun(RequestError):
+    """The request did not run; it may be sent again."""
+
+
+class OutcomeUnknown(RequestError):
+    """The request ran in part, or may have run."""
+
+
+class AnswerGone(RequestError):
+    """The request was done earlier, but its answer is not held any more."""
+
+
+class IncompleteAnswer(AcaciapierError):
+    """An answer does not match the count or the digest of its final event."""
--- a/src/acaciapier/pipeline/__init__.py
+++ b/src/acaciapier/pipeline/__init__.py
@@ -1,1 +1,21 @@
 """Execution of one request over the stages of its pipeline."""
+
+from .context import ExecutorServices
+from .executor import Executor
+from .models import CallerRequest, FinalEvent, RunIdentity, canonical_json, refusal
+from .record import RecordReader, RunRecord
+from .resume import ResumeClaim, ResumeTokens
+
+__all__ = [
+    "CallerRequest",
+    "Executor",
+    "ExecutorServices",
+    "FinalEvent",
+    "RecordReader",
+    "ResumeClaim",
+    "ResumeTokens",
+    "RunIdentity",
+    "RunRecord",
+    "canonical_json",
+    "refusal",
+]
--- /dev/null
+++ b/src/acaciapier/pipeline/executor.py
@@ -0,0 +1,244 @@
+"""Runs a request over the stages of its pipeline, under one deadline."""
+
+from typing import Any
+
+import trio
+
+from ..core.clock import epoch_ms, to_ms, to_s
+from ..core.ids import StageName
+from ..core.outcomes import Cause, Outcome
+from ..objects.models import Pipeline, Stage, StageKind
+from ..policy import Refused
+from .attempts import OpenedStream, StageCall
+from .context import ExecutorServices, RunContext, estimates_of
+from .models import (
+    CallerRequest,
+    FinalEvent,
+    ResumeEvent,
+    RunFailed,
+    RunIdentity,
+    StageEvent,
+    StageResult,
+)
+from .record import RunRecord
+from .resume import ResumeClaim
+from .stages import StageRunner, StreamBroken
+
+RESUME_VALIDITY_MS = 120_000
+
+
+class Executor:
+    """Runs requests; each ends with exactly one final event in its record.
+
+    Parameters
+    ----------
+    services : ExecutorServices
+        What all runs of the instance share.
+    """
+
+    def __init__(self, services: ExecutorServices):
+        self._services = services
+
+    async def run(
+        self, request: CallerRequest, pipeline: Pipeline, record: RunRecord
+    ) -> None:
+        """Run `request` and finish `record`; never raises for a failed run."""
+        context = self._make_context(request, pipeline, record)
+        refused = self._services.policy.blocked(context.fingerprint)
+        if refused is not None:
+            self._finish_refused(context, refused)
+            return
+        admitted = self._admit(context)
+        if admitted.is_err():
+            self._finish_refused(context, admitted.unwrap_err())
+            return
+        record.accept()
+        outcome = Outcome.UNKNOWN
+        try:
+            outcome = await self._run_admitted(context)
+        finally:
+            self._services.policy.release(admitted.unwrap(), outcome)
+
+    async def _run_admitted(self, context: RunContext) -> Outcome:
+        record = context.record
+        run = _GraphRun(self._services, context)
+        remaining_s = to_s(context.remaining_ms(self._services.clock))
+        with record.cancel_scope:
+            with trio.move_on_after(remaining_s) as deadline:
+                await run.run()
+            if deadline.cancelled_caught:
+                run.failure = RunFailed(Cause.DEADLINE, "the deadline has passed")
+        if record.cancel_scope.cancelled_caught:
+            run.failure = RunFailed(Cause.CANCELLED, "the caller left")
+        final = self._final_event(context, run.failure)
+        record.finish(final)
+        return Outcome(final.outcome)
+
+    def _make_context(
+        self, request: CallerRequest, pipeline: Pipeline, record: RunRecord
+    ) -> RunContext:
+        return RunContext(
+            request=request,
+            pipeline=pipeline,
+            record=record,
+            deadline_s=record.started_s + to_s(request.deadline_ms),
+            estimates=estimates_of(pipeline),
+            fingerprint=request.fingerprint,
+            stages_left={stage.name for stage in pipeline.stages},
+        )
+
+    def _admit(self, context: RunContext):
+        return self._services.policy.admit(
+            context.request.workspace,
+            context.estimates,
+            context.remaining_ms(self._services.clock),
+            context.fingerprint,
+        )
+
+    def _finish_refused(self, context: RunContext, refused: Refused) -> None:
+        context.record.finish(
+            FinalEvent(
+                outcome=Outcome.NOT_RUN.value,
+                cause=refused.cause.value,
+                message=refused.message,
+                retry_after_ms=refused.retry_after_ms,
+            )
+        )
+
+    def _final_event(
+        self, context: RunContext, failure: RunFailed | None
+    ) -> FinalEvent:
+        record = context.record
+        cost = {name: _cost_numbers(cost) for name, cost in context.costs.items()}
+        if failure is None:
+            return FinalEvent(
+                outcome=Outcome.DONE.value,
+                count=record.count,
+                digest=record.digest(),
+                cost=cost,
+            )
+        outcome = Outcome.UNKNOWN if context.may_have_run else Outcome.NOT_RUN
+        return FinalEvent(
+            outcome=outcome.value,
+            cause=failure.cause.value,
+            message=failure.message,
+            retry_after_ms=failure.retry_after_ms,
+            count=record.count,
+            cost=cost,
+        )
+
+
+class _GraphRun:
+    """The stages of one run, each started once the stages it needs are done."""
+
+    def __init__(self, services: ExecutorServices, context: RunContext):
+        self.failure: RunFailed | None = None
+        self._services = services
+        self._context = context
+        self._answer_stage = context.pipeline.stages[-1].name
+        self._results: dict[StageName, StageResult] = {}
+        self._done = {stage.name: trio.Event() for stage in context.pipeline.stages}
+        self._strict = not context.request.repeatable
+
+    async def run(self) -> None:
+        """Run all stages; `failure` tells afterwards whether one has failed."""
+        async with trio.open_nursery() as nursery:
+            for stage in self._context.pipeline.stages:
+                nursery.start_soon(self._run_stage, stage, nursery)
+
+    async def _run_stage(self, stage: Stage, nursery: trio.Nursery) -> None:
+        for need in stage.needs:
+            await self._done[need].wait()
+        started_s = self._services.clock.monotonic_s()
+        try:
+            output = await self._produce(stage)
+        except RunFailed as failure:
+            if self.failure is None:
+                self.failure = failure
+            nursery.cancel_scope.cancel()
+            return
+        elapsed_ms = to_ms(self._services.clock.monotonic_s() - started_s)
+        self._results[stage.name] = StageResult(stage.name, output, elapsed_ms)
+        self._context.stages_left.discard(stage.name)
+        self._context.record.add_hint(StageEvent(stage.name, round(elapsed_ms, 3)))
+        self._done[stage.name].set()
+
+    async def _produce(self, stage: Stage) -> Any:
+        call = StageCall(
+            stage, self._input_of(stage), self._strict or not stage.repeatable
+        )
+        runner = StageRunner(self._services, self._context, call)
+        is_answer = stage.name == self._answer_stage
+        if stage.kind is not StageKind.GENERATE:
+            output = await runner.run_unary()
+            if is_answer:
+                self._context.record.set_value(output)
+            return output
+        if is_answer:
+            return await self._stream_answer(runner)
+        return await self._collect_text(runner)
+
+    async def _stream_answer(self, runner: StageRunner) -> None:
+        record = self._context.record
+        while True:
+            try:
+                await runner.run_stream(record.add_tokens, self._offer_resume)
+                return
+            except StreamBroken as broken:
+                if record.count:
+                    record.restart(self._next_identity(), broken.message)
+
+    async def _collect_text(self, runner: StageRunner) -> str:
+        while True:
+            tokens: list[str] = []
+            try:
+                await runner.run_stream(tokens.extend)
+                return "".join(tokens)
+            except StreamBroken:
+                continue
+
+    def _offer_resume(self, opened: OpenedStream) -> None:
+        request = self._context.request
+        identity = self._context.record.identity
+        now_ms = epoch_ms(self._services.clock.now())
+        claim = ResumeClaim(
+            workspace=request.workspace,
+            request_id=request.request_id,
+            run_id=identity.run_id,
+            pipeline=self._context.pipeline.name,
+            configuration_number=identity.configuration_number,
+            instance=self._services.instance,
+            target=opened.target.target,
+            target_incarnation=opened.target.incarnation,
+            target_url=opened.target.url,
+            pool=opened.target.pool,
+            stream_id=opened.envelope.stream_id,
+            expires_ms=now_ms + RESUME_VALIDITY_MS,
+        )
+        token = self._services.tokens.seal(claim)
+        self._context.record.add_hint(ResumeEvent(token))
+
+    def _next_identity(self) -> RunIdentity:
+        identity = self._context.record.identity
+        base, _, number = identity.run_id.partition("~")
+        run_id = f"{base}~{int(number or 1) + 1}"
+        return RunIdentity(identity.request_id, run_id, identity.configuration_number)
+
+    def _input_of(self, stage: Stage) -> dict[str, Any]:
+        caller_input = self._context.request.input
+        fields = (
+            caller_input if isinstance(caller_input, dict) else {"input": caller_input}
+        )
+        if not stage.needs:
+            return fields
+        results = {need: self._results[need].output for need in stage.needs}
+        return {**fields, "results": results}
+
+
+def _cost_numbers(cost) -> dict[str, float]:
+    numbers = {
+        "calls": cost.calls,
+        "wasted_calls": cost.wasted_calls,
+        "service_ms": round(cost.service_ms, 3),
+    }
+    return {**cost.units, **numbers}
--- /dev/null
+++ b/src/acaciapier/pipeline/stages.py
@@ -0,0 +1,284 @@
+"""Runs one stage: attempts, retries, hedges and streams."""
+
+import math
+from collections.abc import Callable, Sequence
+
+import trio
+
+from ..accounts import AttemptClass, CostClass
+from ..core.clock import to_s
+from ..core.outcomes import Cause
+from ..objects.models import StageKind
+from ..policy import CallOutcome, Refused, TargetView
+from ..targets.models import CallAnswer
+from .attempts import Attempt, OpenedStream, StageCall
+from .context import ExecutorServices, RunContext
+from .models import RunFailed
+
+MAX_STREAM_RECONNECTS = 3
+MIN_RETRY_AFTER_MS = 200
+
+TokenSink = Callable[[Sequence[str]], None]
+
+CAUSE_OF_OUTCOME = {
+    CallOutcome.REFUSED: Cause.TARGET_REFUSED,
+    CallOutcome.FAILED: Cause.TARGET_FAILED,
+    CallOutcome.CRASHED: Cause.TARGET_CRASHED,
+    CallOutcome.TIMED_OUT: Cause.DEADLINE,
+    CallOutcome.CANCELLED: Cause.CANCELLED,
+}
+
+
+class StageRunner:
+    """Runs the attempts of one stage until one succeeds or none may follow.
+
+    Parameters
+    ----------
+    services : ExecutorServices
+        What all runs share.
+    context : RunContext
+        The run.
+    call : StageCall
+        The stage and its input.
+    """
+
+    def __init__(
+        self, services: ExecutorServices, context: RunContext, call: StageCall
+    ):
+        self._services = services
+        self._context = context
+        self._call = call
+        self._tried: set[str] = set()
+        self._first = True
+
+    async def run_unary(self) -> object:
+        """Return the stage's output.
+
+        Raises
+        ------
+        RunFailed
+            If no attempt succeeded and none may follow.
+        """
+        while True:
+            _attempt, answer = await self._race()
+            if answer.outcome is CallOutcome.DONE:
+                return answer.output
+            self._check_retry(answer)
+
+    async def run_stream(
+        self, sink: TokenSink, on_open: Callable[[OpenedStream], None] | None = None
+    ) -> None:
+        """Pass the stage's tokens to `sink`.
+
+        A stream that breaks is resumed at the same engine; another attempt is
+        made only by the caller, which must discard the tokens so far.
+
+        Raises
+        ------
+        RunFailed
+            If the stream cannot be completed.
+        StreamBroken
+            If it broke and another attempt may be made.
+        """
+        while True:
+            attempt, answer = await self._race()
+            if answer.outcome is CallOutcome.DONE:
+                break
+            self._check_retry(answer)
+        if on_open is not None:
+            on_open(attempt.opened)
+        answer = await self._consume(attempt, sink)
+        if answer.outcome is not CallOutcome.DONE:
+            self._check_retry(answer)
+            raise StreamBroken(answer.message)
+
+    async def _race(self) -> tuple[Attempt, CallAnswer]:
+        """Run an attempt, and a hedge if it is late; return the first success."""
+        race = _Race()
+        attempt = self._start_attempt(self._attempt_class())
+        self._first = False
+        async with trio.open_nursery() as nursery:
+            race.nursery = nursery
+            nursery.start_soon(race.follow, attempt)
+            if not self._call.strict:
+                nursery.start_soon(self._hedge, race)
+        return race.result()
+
+    async def _hedge(self, race: "_Race") -> None:
+        policy = self._services.policy
+        pool = self._call.stage.pool
+        remaining_ms = self._context.remaining_ms(self._services.clock)
+        delay_ms = policy.hedge_after_ms(pool, remaining_ms)
+        if delay_ms is None:
+            return
+        await trio.sleep(to_s(delay_ms))
+        if race.ended or not policy.may_hedge(pool):
+            return
+        try:
+            attempt = self._start_attempt(AttemptClass.HEDGE)
+        except RunFailed:
+            return
+        race.nursery.start_soon(race.follow, attempt)
+
+    def _start_attempt(self, attempt_class: AttemptClass) -> Attempt:
+        context = self._context
+        policy = self._services.policy
+        stage = self._call.stage
+        remaining_ms = context.remaining_ms(self._services.clock)
+        if not policy.can_finish(context.estimates, context.stages_left, remaining_ms):
+            raise RunFailed(Cause.DEADLINE, f"stage {stage.name} cannot finish in time")
+        budget_ms = policy.stage_budget_ms(context.estimates, stage.name, remaining_ms)
+        target = self._pick()
+        self._tried.add(target.target)
+        return Attempt(
+            self._services, context, self._call, target, attempt_class, budget_ms
+        )
+
+    def _attempt_class(self) -> AttemptClass:
+        return AttemptClass.FIRST if self._first else AttemptClass.RETRY
+
+    def _pick(self) -> TargetView:
+        context = self._context
+        policy = self._services.policy
+        picked = policy.pick(
+            self._call.stage.pool,
+            exclude=frozenset(self._tried),
+            affinity_key=self._affinity_key(),
+            suspect=policy.suspected(context.fingerprint),
+        )
+        if picked.is_err() and self._tried:
+            picked = policy.pick(
+                self._call.stage.pool,
+                exclude=frozenset(),
+                affinity_key=None,
+                suspect=policy.suspected(context.fingerprint),
+            )
+        if picked.is_err():
+            raise _failure_of(picked.unwrap_err())
+        return picked.unwrap()
+
+    def _affinity_key(self) -> str | None:
+        if self._call.stage.kind is not StageKind.GENERATE:
+            return None
+        request = self._context.request
+        prefix = ""
+        if isinstance(request.input, dict):
+            prefix = str(request.input.get("prefix", ""))
+        return f"{request.workspace}/{self._context.pipeline.name}/{prefix}"
+
+    def _check_retry(self, answer: CallAnswer) -> None:
+        """Raise unless another attempt may be made."""
+        context = self._context
+        policy = self._services.policy
+        blocked = policy.blocked(context.fingerprint)
+        if blocked is not None:
+            raise _failure_of(blocked)
+        if answer.may_have_run and self._call.strict:
+            raise self._failure(answer)
+        stage = self._call.stage
+        remaining_ms = context.remaining_ms(self._services.clock)
+        if not policy.may_retry(stage.pool, stage.typical_ms, remaining_ms):
+            raise self._failure(answer)
+
+    def _failure(self, answer: CallAnswer) -> RunFailed:
+        cause = CAUSE_OF_OUTCOME.get(answer.outcome, Cause.TARGET_FAILED)
+        message = f"stage {self._call.stage.name}: {answer.message or cause.value}"
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, math.ceil(answer.retry_after_ms))
+        return RunFailed(cause, message, retry_after_ms)
+
+    async def _consume(self, attempt: Attempt, sink: TokenSink) -> CallAnswer:
+        """Read an opened stream to its end and report how it ended."""
+        opened = attempt.opened
+        position = 0
+        batch = opened.first
+        reconnects = 0
+        try:
+            while True:
+                while batch is not None:
+                    position = batch.offset + len(batch.tokens)
+                    sink(batch.tokens)
+                    batch = await opened.stream.next_batch()
+                answer = opened.stream.answer
+                if answer.outcome is not CallOutcome.CRASHED:
+                    break
+                reconnects += 1
+                answer = await self._reconnect(opened, position, reconnects)
+                if answer is not None:
+                    break
+                batch = await opened.stream.next_batch()
+        except trio.Cancelled:
+            attempt.abandon()
+            raise
+        finally:
+            await opened.stream.aclose()
+        done = answer.outcome is CallOutcome.DONE
+        attempt.report(answer, CostClass.USED if done else CostClass.FAILED)
+        return answer
+
+    async def _reconnect(
+        self, opened: OpenedStream, position: int, reconnects: int
+    ) -> CallAnswer | None:
+        """Resume a cut stream at the same engine, or return how it failed."""
+        transport = self._services.transport
+        cut = opened.stream.answer
+        await opened.stream.aclose()
+        if await transport.has_crashed(opened.target):
+            return cut
+        if reconnects > MAX_STREAM_RECONNECTS:
+            return CallAnswer(CallOutcome.FAILED, message=cut.message)
+        stream = await transport.resume_stream(
+            opened.target, opened.envelope.stream_id, position
+        )
+        if isinstance(stream, CallAnswer):
+            return CallAnswer(CallOutcome.FAILED, message=stream.message)
+        opened.stream = stream
+        return None
+
+
+class StreamBroken(Exception):
+    """A stream ended before its last token, and another attempt may be made."""
+
+
+class _Race:
+    """Attempts that run at the same time; the first success cancels the others."""
+
+    def __init__(self):
+        self.nursery: trio.Nursery | None = None
+        self.ended = False
+        self._winner: tuple[Attempt, CallAnswer] | None = None
+        self._failures: list[tuple[Attempt, CallAnswer]] = []
+        self._running = 0
+
+    async def follow(self, attempt: Attempt) -> None:
+        """Run `attempt` and take its result if it is the first success."""
+        self._running += 1
+        answer = await attempt.run()
+        self._running -= 1
+        if answer.outcome is not CallOutcome.DONE:
+            self._failures.append((attempt, answer))
+        elif self._winner is None:
+            self._win(attempt, answer)
+        else:
+            self._lose(attempt, answer)
+        if self._winner is not None or self._running == 0:
+            self.ended = True
+            self.nursery.cancel_scope.cancel()
+
+    def result(self) -> tuple[Attempt, CallAnswer]:
+        """Return the winner, or the last failure."""
+        return self._winner or self._failures[-1]
+
+    def _win(self, attempt: Attempt, answer: CallAnswer) -> None:
+        self._winner = (attempt, answer)
+        if attempt.opened is None:
+            attempt.report(answer, CostClass.USED)
+
+    def _lose(self, attempt: Attempt, answer: CallAnswer) -> None:
+        if attempt.opened is None:
+            attempt.report(answer, CostClass.WASTED)
+        else:
+            attempt.abandon()
+
+
+def _failure_of(refused: Refused) -> RunFailed:
+    return RunFailed(refused.cause, refused.message, refused.retry_after_ms)
