Add stand-ins of the platform and of targets

Everybody who tests against the protocols needs something that speaks them. One binary with six kinds: object-api, instance-list, weight-store, engine, pool and service; the same as async functions with the bound port in task_status. Faults are set by POST /control at run time, and every target keeps a book of the work it started and ended, flushed at both moments.

Weighed: a connection can be cut before any answer only through hypercorn's stream object, since ASGI has no message for it; a half-sent answer would be another fault. Engines emit from one shared step timer, not one per stream.

--- /dev/null
+++ b/tests/standins/test_main.py
@@ -0,0 +1,52 @@
+"""Tests of the binary: settings, the bound port, crash and the book on disk."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from acaciapier.exceptions import FindingsError
+from acaciapier_standins import load_settings
+from acaciapier_standins.standin import CRASH_STATUS
+
+from .client import Client, envelope
+
+SOURCE = Path(__file__).parents[2] / "src"
+
+
+async def test_process_crashes_on_poison_and_keeps_its_book(tmp_path):
+    settings = tmp_path / "settings.json"
+    text = '{"median_ms": 0, // at once\n "book_path": "%s", "port_path": "%s"}'
+    settings.write_text(text % (tmp_path / "book", tmp_path / "port"))
+    command = [sys.executable, "-m", "acaciapier_standins.main", "service"]
+    process = subprocess.Popen(
+        [*command, "--settings", str(settings)], env={"PYTHONPATH": str(SOURCE)}
+    )
+    try:
+        while not (tmp_path / "port").exists() or not (tmp_path / "port").read_text():
+            await trio.sleep(0.01)
+        client = Client("http://127.0.0.1:" + (tmp_path / "port").read_text())
+        assert (await client.call("POST", "/v1/call", envelope()))[0] == 200
+        with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
+            poison = envelope(input={"text": "x", "poison": True})
+            await client.call("POST", "/v1/call", poison)
+        await client.close()
+        assert process.wait(10) == CRASH_STATUS
+    finally:
+        process.kill()
+        process.wait()
+    lines = [msgspec.json.decode(x) for x in (tmp_path / "book").open("rb")]
+    assert [line["number"] for line in lines] == [1, 1, 2]
+    assert [line["ended_ms"] is None for line in lines] == [True, False, True]
+
+
+def test_settings_report_every_problem(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text('{"slots": 0, "colour": 1}')
+    with pytest.raises(FindingsError) as caught:
+        load_settings("pool", path)
+    assert len(caught.value.findings) == 2
