Add the inner protocol: typed messages over persistent authenticated streams

The processes need calls, one-way messages and streams between each other at a cost of a fraction of a millisecond, which HTTP by hypercorn and httpcore does not give and grpcio, without a trio API, does not fit.

Both sides of a connection prove that they know a fleet key by a challenge that is new each time, so a replayed hello fails; several keys are accepted for rotation. One connection carries many calls in both directions; queues, windows and time-outs are bounded for each peer.

--- /dev/null
+++ b/src/acaciapier/wire/connection.py
@@ -0,0 +1,258 @@
+"""One authenticated connection, with many calls multiplexed on it.
+
+Both sides may call; each numbers its own calls. Frames go out through a bounded
+queue that one task writes, so a slow or frozen peer delays nobody else.
+"""
+
+from collections.abc import AsyncGenerator
+
+import trio
+from logbook import Logger
+
+from ..core.clock import Clock
+from ..exceptions import PeerUnavailable, ProtocolError
+from .codec import MessageRegistry, encode_message
+from .counters import TrafficCounters
+from .dispatch import CallFailed, Dispatcher
+from .frames import HEADER_BYTES, Frame, FrameKind, FrameReader, encode_frame
+from .handshake import RECEIVE_BYTES, Session
+from .messages.base import Message
+from .messages.control import Acknowledgement, CallFailure, Credit
+from .serving import CallServer
+from .streams import IncomingStream
+
+MAX_QUEUED_FRAMES = 256
+MAX_BATCH_BYTES = 262_144
+WRITE_TIMEOUT_S = 10.0
+CALL_NUMBERS = 1 << 32
+
+log = Logger(__name__)
+
+
+class Connection:
+    """An open connection to one peer.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The transport, past its handshake.
+    reader : FrameReader
+        Reader that may hold bytes received with the handshake.
+    session : Session
+        Result of the handshake.
+    registry : MessageRegistry
+        Message types.
+    dispatcher : Dispatcher
+        Handlers of incoming messages.
+    counters : TrafficCounters
+        Where traffic is counted.
+    clock : Clock
+        Time of last use, for idle close.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        reader: FrameReader,
+        session: Session,
+        registry: MessageRegistry,
+        dispatcher: Dispatcher,
+        counters: TrafficCounters,
+        clock: Clock,
+    ):
+        self.peer = session.peer
+        self.closed = False
+        self.last_used_s = clock.monotonic_s()
+        self._version = session.version
+        self._stream = stream
+        self._reader = reader
+        self._registry = registry
+        self._counters = counters
+        self._clock = clock
+        self._queue, self._outgoing = trio.open_memory_channel(MAX_QUEUED_FRAMES)
+        self._next_number = 0
+        self._waiting: dict[int, trio.MemorySendChannel] = {}
+        self._incoming_streams: dict[int, IncomingStream] = {}
+        self._server = CallServer(
+            session.peer.instance_id, dispatcher, counters, self._decode, self._put
+        )
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether calls are running in either direction."""
+        return bool(self._waiting or self._incoming_streams or self._server.running)
+
+    async def run(self) -> None:
+        """Serve the connection until either side closes it."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._write)
+                await self._read()
+                nursery.cancel_scope.cancel()
+        finally:
+            await self.aclose()
+
+    async def aclose(self) -> None:
+        """Close at once; calls that wait for answers fail."""
+        if self.closed:
+            return
+        self.closed = True
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+        for waiting in list(self._waiting.values()):
+            waiting.close()
+        for stream in list(self._incoming_streams.values()):
+            stream.break_off()
+        await trio.aclose_forcefully(self._stream)
+
+    async def call(self, message: Message) -> Message:
+        """Send `message` and return its answer; the caller bounds the time.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the queue is full or the connection ends first.
+        """
+        number = self._take_number()
+        send_answer, receive_answer = trio.open_memory_channel(1)
+        self._waiting[number] = send_answer
+        try:
+            self._queue_message(FrameKind.CALL, number, message)
+            answer = await receive_answer.receive()
+        except trio.EndOfChannel:
+            raise PeerUnavailable(f"{self.peer.instance_id} cut the call") from None
+        finally:
+            del self._waiting[number]
+        if isinstance(answer, CallFailure):
+            raise CallFailed(f"{self.peer.instance_id}: {answer.reason}")
+        return answer
+
+    def send(self, message: Message) -> None:
+        """Queue `message` without waiting, or raise `PeerUnavailable`."""
+        self._queue_message(FrameKind.SEND, 0, message)
+
+    async def call_stream(self, message: Message) -> AsyncGenerator[Message, None]:
+        """Send `message` and yield the messages of its answer.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the connection ends before the stream does.
+        """
+        number = self._take_number()
+        stream = IncomingStream()
+        self._incoming_streams[number] = stream
+        try:
+            self._queue_message(FrameKind.STREAM_CALL, number, message)
+            async for item in stream.items():
+                if isinstance(item, CallFailure):
+                    raise CallFailed(f"{self.peer.instance_id}: {item.reason}")
+                yield item
+                if count := stream.take_credit():
+                    self._queue_message(FrameKind.CREDIT, number, Credit(count))
+            if not stream.ended:
+                raise PeerUnavailable(f"{self.peer.instance_id} cut the stream")
+        finally:
+            del self._incoming_streams[number]
+            if not stream.ended and not self.closed:
+                self._try_cancel(number)
+
+    def _try_cancel(self, number: int) -> None:
+        try:
+            self._queue_message(FrameKind.CANCEL, number, Acknowledgement())
+        except PeerUnavailable:
+            self._nursery.cancel_scope.cancel()
+
+    def _take_number(self) -> int:
+        self._next_number = (self._next_number + 1) % CALL_NUMBERS
+        return self._next_number
+
+    def _encode(self, kind: FrameKind, number: int, message: Message) -> bytes:
+        frame = encode_frame(kind, number, encode_message(message), self._version)
+        self._counters.count_sent(type(message).__name__, len(frame))
+        return frame
+
+    def _queue_message(self, kind: FrameKind, number: int, message: Message) -> None:
+        if self.closed:
+            raise PeerUnavailable(f"the connection to {self.peer.instance_id} closed")
+        try:
+            self._queue.send_nowait(self._encode(kind, number, message))
+        except trio.WouldBlock:
+            raise PeerUnavailable(
+                f"the queue to {self.peer.instance_id} is full"
+            ) from None
+
+    async def _put(self, kind: FrameKind, number: int, message: Message) -> None:
+        """Queue a message, waiting while the queue is full."""
+        await self._queue.send(self._encode(kind, number, message))
+
+    async def _write(self) -> None:
+        """Write queued frames, several in one system call where they wait."""
+        while True:
+            batch = [await self._outgoing.receive()]
+            size_bytes = len(batch[0])
+            while size_bytes < MAX_BATCH_BYTES:
+                try:
+                    batch.append(self._outgoing.receive_nowait())
+                except trio.WouldBlock:
+                    break
+                size_bytes += len(batch[-1])
+            try:
+                with trio.fail_after(WRITE_TIMEOUT_S):
+                    await self._stream.send_all(b"".join(batch))
+            except (OSError, trio.BrokenResourceError, trio.TooSlowError) as error:
+                log.info("connection to {} failed: {!r}", self.peer.instance_id, error)
+                self._nursery.cancel_scope.cancel()
+                return
+
+    async def _read(self) -> None:
+        """Handle received frames until the peer closes or breaks the rules."""
+        try:
+            while True:
+                while (frame := self._reader.next_frame()) is not None:
+                    self._handle(frame)
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    break
+                self.last_used_s = self._clock.monotonic_s()
+                self._reader.feed_bytes(data)
+            if self._reader.pending_bytes:
+                raise ProtocolError("the connection was cut inside a frame")
+        except ProtocolError as error:
+            self._counters.protocol_errors += 1
+            log.warning("connection to {} closed: {}", self.peer.instance_id, error)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            log.info("connection to {} failed: {!r}", self.peer.instance_id, error)
+
+    def _handle(self, frame: Frame) -> None:
+        if frame.kind in (FrameKind.CALL, FrameKind.SEND, FrameKind.STREAM_CALL):
+            self._server.start(self._nursery, frame)
+            return
+        message = self._decode(frame)
+        if frame.kind is FrameKind.ANSWER:
+            self._handle_answer(frame.number, message)
+        elif frame.kind in (FrameKind.STREAM_ITEM, FrameKind.STREAM_END):
+            stream = self._incoming_streams.get(frame.number)
+            if stream is not None:
+                stream.put(message, is_end=frame.kind is FrameKind.STREAM_END)
+        else:
+            self._server.control_stream(frame.kind, frame.number, message)
+
+    def _decode(self, frame: Frame) -> Message:
+        message = self._registry.decode(frame.body)
+        self._counters.count_received(
+            type(message).__name__, len(frame.body) + HEADER_BYTES
+        )
+        return message
+
+    def _handle_answer(self, number: int, message: Message) -> None:
+        waiting = self._waiting.get(number)
+        if waiting is None:
+            self._counters.late_answers += 1
+            return
+        try:
+            waiting.send_nowait(message)
+        except trio.WouldBlock:
+            raise ProtocolError(f"two answers to call {number}") from None
--- /dev/null
+++ b/src/acaciapier/wire/connector.py
@@ -0,0 +1,133 @@
+"""Opening of connections, with jittered waits after failures."""
+
+import random as random_module
+import ssl
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import trio
+
+from ..core.clock import Clock
+from ..core.ids import InstanceId
+from ..exceptions import PeerUnavailable, ProtocolError
+from .handshake import HandshakeChannel, PeerIdentity, Session, open_session
+from .keys import FleetKeys
+
+FIRST_WAIT_S = 0.1
+MAX_WAIT_S = 10.0
+
+
+class PeerAddress(NamedTuple):
+    """Where a peer listens."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True)
+class TlsContexts:
+    """TLS contexts of the accepting and of the opening side."""
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
+@dataclass(frozen=True)
+class _Failure:
+    """A failed attempt and when the next one is allowed."""
+
+    reason: str
+    wait_s: float
+    retry_at_s: float
+    address: PeerAddress
+
+
+class Connector:
+    """Opens authenticated connections to peers by their known addresses.
+
+    After a failure, attempts to the same address fail at once for a jittered
+    time that doubles up to a bound.
+
+    Parameters
+    ----------
+    identity : PeerIdentity
+        Who this instance is.
+    keys : FleetKeys
+        Accepted fleet keys.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of jitter.
+    tls : TlsContexts or None
+        TLS, if it is used.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        keys: FleetKeys,
+        clock: Clock,
+        random: random_module.Random,
+        tls: TlsContexts | None,
+    ):
+        self.addresses: dict[InstanceId, PeerAddress] = {}
+        self._identity = identity
+        self._keys = keys
+        self._clock = clock
+        self._random = random
+        self._tls = tls
+        self._failures: dict[InstanceId, _Failure] = {}
+
+    async def open(self, peer: InstanceId) -> tuple[HandshakeChannel, Session]:
+        """Return a connection to `peer` that has passed its handshake.
+
+        Raises
+        ------
+        PeerUnavailable
+            If there is no address, the last failure is recent, or this one fails.
+        """
+        address = self.addresses.get(peer)
+        if address is None:
+            raise PeerUnavailable(f"no address of {peer} is known")
+        self._check_wait(peer, address)
+        try:
+            opened = await self._open(peer, address)
+        except (OSError, trio.BrokenResourceError, ProtocolError) as error:
+            self._note_failure(peer, address, str(error) or repr(error))
+            raise PeerUnavailable(f"{peer} at {address}: {error}") from error
+        self._failures.pop(peer, None)
+        return opened
+
+    async def _open(
+        self, peer: InstanceId, address: PeerAddress
+    ) -> tuple[HandshakeChannel, Session]:
+        stream: trio.abc.Stream = await trio.open_tcp_stream(*address)
+        if self._tls is not None:
+            stream = trio.SSLStream(
+                stream, self._tls.client, server_hostname=address.host
+            )
+        channel = HandshakeChannel(stream)
+        try:
+            session = await open_session(channel, self._identity, self._keys)
+            if session.peer.instance_id != peer:
+                raise ProtocolError(f"{session.peer.instance_id} answers for {peer}")
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+        return channel, session
+
+    def _check_wait(self, peer: InstanceId, address: PeerAddress) -> None:
+        failure = self._failures.get(peer)
+        if failure is None or failure.address != address:
+            return
+        if self._clock.monotonic_s() < failure.retry_at_s:
+            raise PeerUnavailable(f"{peer} failed shortly before: {failure.reason}")
+
+    def _note_failure(
+        self, peer: InstanceId, address: PeerAddress, reason: str
+    ) -> None:
+        last = self._failures.get(peer)
+        wait_s = min(last.wait_s * 2, MAX_WAIT_S) if last else FIRST_WAIT_S
+        jittered_s = wait_s * self._random.uniform(0.5, 1.0)
+        retry_at_s = self._clock.monotonic_s() + jittered_s
+        self._failures[peer] = _Failure(reason, wait_s, retry_at_s, address)
--- /dev/null
+++ b/src/acaciapier/wire/network.py
@@ -0,0 +1,290 @@
+"""The network of the system's own processes, as one of them sees it."""
+
+import random as random_module
+from collections.abc import AsyncGenerator, Mapping
+from contextlib import aclosing
+from itertools import chain
+
+import trio
+from logbook import Logger
+
+from ..core.clock import Clock, to_s
+from ..core.ids import InstanceId
+from ..exceptions import PeerUnavailable
+from .acceptor import HANDSHAKE_TIMEOUT_S, Acceptor
+from .codec import MessageRegistry
+from .connection import Connection
+from .connector import Connector, PeerAddress, TlsContexts
+from .counters import TrafficCounters
+from .dispatch import Dispatcher, Handler, StreamHandler
+from .handshake import HandshakeChannel, PeerIdentity, Session
+from .keys import FleetKeys
+from .limits import NetworkLimits, choose_closable
+from .messages.base import Message
+
+MAX_WAITING_SENDS = 64
+SWEEP_PERIOD_S = 5.0
+
+log = Logger(__name__)
+
+
+class PeerNetwork:
+    """Calls between instances over persistent, authenticated connections.
+
+    Parameters
+    ----------
+    identity : PeerIdentity
+        Who this instance is.
+    keys : FleetKeys
+        Accepted fleet keys, newest first.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of jitter.
+    tls : TlsContexts, optional
+        Contexts for both directions; plain TCP without.
+    limits : NetworkLimits, optional
+        Bounds on connections.
+    registry : MessageRegistry, optional
+        Message types; all imported ones by default.
+
+    Examples
+    --------
+    >>> network = PeerNetwork(identity, keys, SystemClock(), Random())
+    >>> network.register(Ping, answer_ping)
+    >>> port = await nursery.start(network.serve, "127.0.0.1", 0)
+    >>> network.set_addresses({peer: PeerAddress("10.0.0.7", 7400)})
+    >>> answer = await network.call(peer, Ping(), timeout_ms=300)
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        keys: FleetKeys,
+        clock: Clock,
+        random: random_module.Random,
+        tls: TlsContexts | None = None,
+        limits: NetworkLimits = NetworkLimits(),
+        registry: MessageRegistry | None = None,
+    ):
+        self.identity = identity
+        self.counters = TrafficCounters()
+        self._clock = clock
+        self._limits = limits
+        self._registry = registry or MessageRegistry()
+        self._dispatcher = Dispatcher()
+        self._connector = Connector(identity, keys, clock, random, tls)
+        self._connections: dict[InstanceId, list[Connection]] = {}
+        self._connecting: dict[InstanceId, trio.Lock] = {}
+        self._waiting_sends: dict[InstanceId, list[Message]] = {}
+        self._acceptor = Acceptor(
+            identity, keys, tls, self.counters, self._run_accepted
+        )
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return sum(len(connections) for connections in self._connections.values())
+
+    def register(self, message_type: type[Message], handler: Handler) -> None:
+        """Let `handler` answer calls and sends of `message_type`."""
+        self._dispatcher.register(message_type, handler)
+
+    def register_stream(
+        self, message_type: type[Message], handler: StreamHandler
+    ) -> None:
+        """Let the asynchronous generator `handler` answer `call_stream`."""
+        self._dispatcher.register_stream(message_type, handler)
+
+    def set_addresses(
+        self, addresses: Mapping[InstanceId, PeerAddress | tuple[str, int]]
+    ) -> None:
+        """Replace the known addresses of peers."""
+        self._connector.addresses = {
+            peer: PeerAddress(*address) for peer, address in addresses.items()
+        }
+
+    async def serve(
+        self,
+        host: str | None = None,
+        port: int = 0,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until `aclose`; without a host, call peers but accept nobody.
+
+        `task_status` receives the port that is listened on, 0 without a host.
+        """
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._sweep)
+            try:
+                if host is not None:
+                    port = await self._acceptor.listen(nursery, host, port)
+                task_status.started(port)
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+                nursery.cancel_scope.cancel()
+
+    async def aclose(self) -> None:
+        """Stop listening and close every connection."""
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+        await trio.lowlevel.checkpoint()
+
+    async def call(
+        self, peer: InstanceId, message: Message, timeout_ms: float
+    ) -> Message:
+        """Send `message` to `peer` and return its answer.
+
+        Raises
+        ------
+        PeerUnavailable
+            If no answer came in time; `CallFailed` if its handler failed.
+        ProtocolError
+            If `message` is larger than a frame may be.
+        """
+        with trio.move_on_after(to_s(timeout_ms)):
+            connection = await self._connect(peer)
+            return await connection.call(message)
+        raise PeerUnavailable(f"{peer} did not answer within {timeout_ms:g} ms")
+
+    async def send(self, peer: InstanceId, message: Message) -> None:
+        """Send `message` to `peer` once, without an answer; it may be dropped."""
+        await trio.lowlevel.checkpoint()
+        self.send_soon(peer, message)
+
+    def send_soon(self, peer: InstanceId, message: Message) -> None:
+        """Queue `message` for `peer` without waiting; it may be dropped."""
+        connection = self._open_connection(peer)
+        try:
+            if connection is not None:
+                connection.send(message)
+            else:
+                self._send_after_connecting(peer, message)
+        except PeerUnavailable:
+            self.counters.dropped_sends += 1
+
+    async def call_stream(
+        self, peer: InstanceId, message: Message, timeout_ms: float = 5_000.0
+    ) -> AsyncGenerator[Message, None]:
+        """Send `message` to `peer` and yield the messages of its answer.
+
+        Wrap it in `contextlib.aclosing` to tell the peer when you leave early.
+
+        Parameters
+        ----------
+        peer : InstanceId
+            Who is called.
+        message : Message
+            The request.
+        timeout_ms : float, optional
+            Bound on connecting; the stream itself has none.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer cannot be reached, or the stream is cut.
+        """
+        connection = None
+        with trio.move_on_after(to_s(timeout_ms)):
+            connection = await self._connect(peer)
+        if connection is None:
+            raise PeerUnavailable(f"no connection to {peer} in {timeout_ms:g} ms")
+        async with aclosing(connection.call_stream(message)) as stream:
+            async for item in stream:
+                yield item
+
+    def _send_after_connecting(self, peer: InstanceId, message: Message) -> None:
+        if self._nursery is None:
+            raise PeerUnavailable("the network is not running")
+        waiting = self._waiting_sends.get(peer)
+        if waiting is None:
+            self._waiting_sends[peer] = [message]
+            self._nursery.start_soon(self._flush_sends, peer)
+        elif len(waiting) < MAX_WAITING_SENDS:
+            waiting.append(message)
+        else:
+            raise PeerUnavailable(f"{len(waiting)} messages already wait for {peer}")
+
+    async def _flush_sends(self, peer: InstanceId) -> None:
+        connection = None
+        try:
+            with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+                connection = await self._connect(peer)
+        except PeerUnavailable as error:
+            log.debug("messages to {} dropped: {}", peer, error)
+        waiting = self._waiting_sends.pop(peer)
+        if connection is None:
+            self.counters.dropped_sends += len(waiting)
+            return
+        for message in waiting:
+            self.send_soon(peer, message)
+
+    def _open_connection(self, peer: InstanceId) -> Connection | None:
+        for connection in self._connections.get(peer, ()):
+            if not connection.closed:
+                connection.last_used_s = self._clock.monotonic_s()
+                return connection
+        return None
+
+    async def _connect(self, peer: InstanceId) -> Connection:
+        """Return an open connection to `peer`, opening one if needed."""
+        connection = self._open_connection(peer)
+        if connection is not None:
+            return connection
+        if self._nursery is None:
+            raise PeerUnavailable("the network is not running")
+        lock = self._connecting.setdefault(peer, trio.Lock())
+        async with lock:
+            connection = self._open_connection(peer)
+            if connection is not None:
+                return connection
+            try:
+                channel, session = await self._connector.open(peer)
+            except PeerUnavailable:
+                self.counters.failed_connections += 1
+                raise
+            self.counters.opened_connections += 1
+            connection = self._adopt(channel, session)
+            self._nursery.start_soon(self._run, connection)
+            return connection
+
+    async def _run_accepted(self, channel: HandshakeChannel, session: Session) -> None:
+        await self._run(self._adopt(channel, session))
+
+    def _adopt(self, channel: HandshakeChannel, session: Session) -> Connection:
+        if self._nursery is None:
+            raise PeerUnavailable("the network is closing")
+        connection = Connection(
+            channel.stream,
+            channel.finish(),
+            session,
+            self._registry,
+            self._dispatcher,
+            self.counters,
+            self._clock,
+        )
+        peers = self._connections.setdefault(session.peer.instance_id, [])
+        peers.append(connection)
+        return connection
+
+    async def _run(self, connection: Connection) -> None:
+        peer = connection.peer.instance_id
+        try:
+            await connection.run()
+        finally:
+            self._connections[peer].remove(connection)
+            if not self._connections[peer]:
+                del self._connections[peer]
+                self._connecting.pop(peer, None)
+
+    async def _sweep(self) -> None:
+        """Close unneeded connections from time to time."""
+        while True:
+            await trio.sleep(SWEEP_PERIOD_S)
+            every = chain.from_iterable(self._connections.values())
+            now_s = self._clock.monotonic_s()
+            for connection in choose_closable(every, self._limits, now_s):
+                await connection.aclose()
--- /dev/null
+++ b/src/acaciapier/wire/serving.py
@@ -0,0 +1,136 @@
+"""Serving of a peer's calls on one connection."""
+
+from collections.abc import Callable
+from contextlib import aclosing
+
+import trio
+from logbook import Logger
+
+from ..core.ids import InstanceId
+from ..exceptions import PeerUnavailable, ProtocolError
+from .counters import TrafficCounters
+from .dispatch import Dispatcher
+from .frames import Frame, FrameKind
+from .messages.base import Message
+from .messages.control import Acknowledgement, CallFailure, Credit
+from .streams import OutgoingStream
+
+MAX_INCOMING_CALLS = 256
+
+log = Logger(__name__)
+
+
+class CallServer:
+    """Runs the handlers of a peer's calls, a bounded number at once.
+
+    Parameters
+    ----------
+    peer : InstanceId
+        Who calls.
+    dispatcher : Dispatcher
+        Handlers by message type.
+    counters : TrafficCounters
+        Where refused calls are counted.
+    decode : callable
+        Decodes the body of a frame.
+    write : callable
+        Coroutine that queues one message: kind, call number, message.
+    """
+
+    def __init__(
+        self,
+        peer: InstanceId,
+        dispatcher: Dispatcher,
+        counters: TrafficCounters,
+        decode: Callable[[Frame], Message],
+        write,
+    ):
+        self.running = 0
+        self._peer = peer
+        self._dispatcher = dispatcher
+        self._counters = counters
+        self._decode = decode
+        self._write = write
+        self._streams: dict[int, OutgoingStream] = {}
+
+    def start(self, nursery: trio.Nursery, frame: Frame) -> None:
+        """Start the handler; a message unknown here fails its call alone."""
+        if self.running >= MAX_INCOMING_CALLS:
+            self._counters.refused_calls += 1
+            self._refuse(nursery, frame, "too many calls at once")
+            return
+        try:
+            message = self._decode(frame)
+            if frame.kind is FrameKind.STREAM_CALL:
+                serve = self._serve_stream
+                handler = self._dispatcher.stream_handler_of(message)
+            else:
+                serve = self._serve
+                handler = self._dispatcher.handler_of(message)
+        except ProtocolError as error:
+            self._counters.protocol_errors += 1
+            self._refuse(nursery, frame, str(error))
+            return
+        self.running += 1
+        nursery.start_soon(serve, frame, handler, message)
+
+    def control_stream(self, kind: FrameKind, number: int, message: Message) -> None:
+        """Apply a credit or a cancellation to a running stream."""
+        stream = self._streams.get(number)
+        if stream is None:
+            return
+        if kind is FrameKind.CANCEL:
+            stream.scope.cancel()
+        elif isinstance(message, Credit):
+            stream.grant(message.count)
+
+    def _refuse(self, nursery: trio.Nursery, frame: Frame, reason: str) -> None:
+        if frame.kind is FrameKind.SEND:
+            log.info("message of {} dropped: {}", self._peer, reason)
+            return
+        is_stream = frame.kind is FrameKind.STREAM_CALL
+        kind = FrameKind.STREAM_END if is_stream else FrameKind.ANSWER
+        nursery.start_soon(self._write, kind, frame.number, CallFailure(reason))
+
+    async def _serve(self, frame: Frame, handler, message: Message) -> None:
+        try:
+            answer = await handler(self._peer, message)
+        except Exception as error:
+            answer = self._report(message, error)
+        finally:
+            self.running -= 1
+        if frame.kind is FrameKind.CALL:
+            await self._answer(FrameKind.ANSWER, frame, answer)
+
+    async def _serve_stream(self, frame: Frame, handler, message: Message) -> None:
+        stream = self._streams[frame.number] = OutgoingStream()
+        end = None
+        try:
+            with stream.scope:
+                async with aclosing(handler(self._peer, message)) as items:
+                    async for item in items:
+                        await stream.spend_credit()
+                        await self._write(FrameKind.STREAM_ITEM, frame.number, item)
+        except Exception as error:
+            end = self._report(message, error)
+        finally:
+            self.running -= 1
+            del self._streams[frame.number]
+        if not stream.scope.cancelled_caught:
+            await self._answer(FrameKind.STREAM_END, frame, end)
+
+    async def _answer(
+        self, kind: FrameKind, frame: Frame, answer: Message | None
+    ) -> None:
+        answer = Acknowledgement() if answer is None else answer
+        try:
+            await self._write(kind, frame.number, answer)
+        except ProtocolError as error:
+            await self._write(kind, frame.number, CallFailure(str(error)))
+        except PeerUnavailable:
+            log.debug("{} is gone before its answer", self._peer)
+
+    def _report(self, message: Message, error: Exception) -> CallFailure:
+        name = type(message).__name__
+        log.exception("handler of {} from {} failed", name, self._peer)
+        return CallFailure(f"the handler of {name} failed: {type(error).__name__}")
