--- a/src/acaciapier/settings/models.py
+++ b/src/acaciapier/settings/models.py
@@ -99,6 +99,9 @@
     """Settings of `acaciapier-entry`."""
 
     path: PathSettings = PathSettings()
+    bundle_path: str | None = Field(
+        default=None, description="declared objects until configuration is accepted"
+    )
     max_drain_ms: int = Field(default=30_000, ge=0)
 
 
--- /dev/null
+++ b/src/acaciapier_bench/main.py
@@ -0,0 +1,24 @@
+"""The binary `acaciapier-bench`: experiments on local stand-ins."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from .demo import Demo
+
+
+@cappa.command(name="acaciapier-bench")
+@dataclass
+class BenchCommand:
+    """Experiments on local stand-ins, each a small deployment of its own."""
+
+    command: cappa.Subcommands[Demo]
+
+
+def main() -> None:
+    """Parse the command line and run one experiment."""
+    cappa.invoke(BenchCommand)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/path/path_helpers.py
@@ -0,0 +1,145 @@
+"""In-process stand-ins and entry instances over real loopback sockets."""
+
+import json
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import trio
+
+from acaciapier import Session
+from acaciapier.app import Application
+from acaciapier.configuration.state import token_digest
+from acaciapier.entry.instance import EntryInstance
+from acaciapier.settings import EntrySettings
+from acaciapier_standins import serve_standin
+from acaciapier_standins.settings import (
+    EngineSettings,
+    InstanceListSettings,
+    ObjectApiSettings,
+    PoolSettings,
+    ServiceSettings,
+)
+
+TOKEN = "token-sales"
+OTHER_TOKEN = "token-other"
+STAGES = [
+    {"name": "embed", "kind": "encode", "pool": "encode"},
+    {"name": "search", "kind": "retrieve", "pool": "retrieve", "needs": ["embed"]},
+    {
+        "name": "draft",
+        "kind": "generate",
+        "pool": "generate",
+        "needs": ["search"],
+        "max_tokens": 40,
+    },
+]
+BOOKING = [
+    {"name": "embed", "kind": "encode", "pool": "encode"},
+    {
+        "name": "book",
+        "kind": "service",
+        "pool": "dispatch",
+        "needs": ["embed"],
+        "repeatable": False,
+    },
+]
+BUNDLE = [
+    {"kind": "pool", "name": "encode", "serves": "encode"},
+    {"kind": "pool", "name": "retrieve", "serves": "retrieve"},
+    {"kind": "pool", "name": "generate", "serves": "generate"},
+    {"kind": "pool", "name": "dispatch", "serves": "service"},
+    {"kind": "pipeline", "name": "quote", "deadline_ms": 20_000, "stages": STAGES},
+    {"kind": "pipeline", "name": "find", "deadline_ms": 20_000, "stages": STAGES[:2]},
+    {"kind": "pipeline", "name": "book", "deadline_ms": 20_000, "stages": BOOKING},
+    {"kind": "workspace", "name": "sales", "token_sha256": [token_digest(TOKEN)]},
+    {"kind": "workspace", "name": "other", "token_sha256": [token_digest(OTHER_TOKEN)]},
+]
+
+
+@dataclass
+class World:
+    """Everything that a test of the path talks to."""
+
+    entries: list[EntryInstance]
+    standins: dict
+    apps: list[Application]
+
+    @property
+    def urls(self):
+        return [entry.url for entry in self.entries]
+
+    def session(self, token=TOKEN, entry=None):
+        urls = self.urls if entry is None else [self.urls[entry]]
+        return Session(urls, token, rng=random.Random(1))
+
+    def book(self, name):
+        return self.standins[name].standin.report()
+
+
+@asynccontextmanager
+async def open_world(tmp_path, entries=1, engine=None):
+    """Run stand-ins of all kinds and some entry instances."""
+    bundle = tmp_path / "bundle.jsonc"
+    bundle.write_text(json.dumps(BUNDLE))
+    async with trio.open_nursery() as nursery:
+        world = World([], {}, [])
+        world.standins["list"] = await nursery.start(
+            serve_standin, InstanceListSettings()
+        )
+        world.standins["store"] = await nursery.start(
+            serve_standin, ObjectApiSettings()
+        )
+        for settings in _target_settings(world.standins["list"].url, engine or {}):
+            bound = await nursery.start(serve_standin, settings)
+            world.standins[settings.id] = bound
+        for number in range(1, entries + 1):
+            await _start_entry(world, nursery, number, str(bundle))
+        await _wait_for_targets(world)
+        yield world
+        for app in world.apps:
+            app.stop()
+        await trio.sleep(0)
+        nursery.cancel_scope.cancel()
+
+
+def _target_settings(list_url, engine):
+    shared = {"instance_list_url": list_url}
+    fast = {"median_ms": 2.0, **shared}
+    engine = {"step_ms": 2.0, "step_ms_per_stream": 0.0, **engine}
+    return [
+        PoolSettings(id="encode-1", pool="encode", serves="encode", **fast),
+        PoolSettings(id="encode-2", pool="encode", serves="encode", **fast),
+        PoolSettings(id="retrieve-1", pool="retrieve", serves="retrieve", **fast),
+        EngineSettings(id="generate-1", pool="generate", **engine, **shared),
+        EngineSettings(id="generate-2", pool="generate", **engine, **shared),
+        ServiceSettings(id="dispatch-1", pool="dispatch", **fast),
+    ]
+
+
+async def _start_entry(world, nursery, number, bundle):
+    settings = EntrySettings.model_validate(
+        {
+            "instance": {"id": f"entry-{number}", "data_centre": "a", "region": "r"},
+            "fleet_keys": ["key"],
+            "platform": {
+                "object_api_url": world.standins["store"].url,
+                "instance_list_url": world.standins["list"].url,
+            },
+            "bundle_path": bundle,
+        }
+    )
+    entry = EntryInstance(settings, random.Random(number))
+    app = Application(settings.instance.id)
+    await nursery.start(app.run, entry.start)
+    world.entries.append(entry)
+    world.apps.append(app)
+
+
+async def _wait_for_targets(world):
+    """Wait until each instance has a target in each pool."""
+    pools = ("encode", "retrieve", "generate", "dispatch")
+    with trio.fail_after(30):
+        for entry in world.entries:
+            while not all(entry.knows_targets_of(pool) for pool in pools):
+                await trio.sleep(0.02)
