--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -5,6 +5,8 @@
 import cappa
 
 from .demo import Demo
+from .load import LoadCommand
+from .path_cost import PathCommand
 
 
 @cappa.command(name="acaciapier-bench")
@@ -12,7 +14,7 @@
 class BenchCommand:
     """Experiments on local stand-ins, each a small deployment of its own."""
 
-    command: cappa.Subcommands[Demo]
+    command: cappa.Subcommands[Demo | LoadCommand | PathCommand]
 
 
 def main() -> None:
