--- a/src/acaciapier/entry/http.py
+++ b/src/acaciapier/entry/http.py
@@ -31,8 +31,6 @@
     (b"cache-control", b"no-store"),
 ]
 PROMETHEUS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
-FLUSH_MS_PER_OPEN_STREAM = 0.5
-MAX_FLUSH_INTERVAL_MS = 40.0
 
 STATUS_OF_CAUSE = {
     Cause.BAD_REQUEST: 400,
@@ -80,7 +78,6 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._open_streams = 0
 
     async def __call__(self, scope: dict[str, Any], receive, send) -> None:
         """Serve one HTTP request."""
@@ -152,11 +149,7 @@
             if isinstance(events[0], FinalEvent) and events[0].outcome != "done":
                 await _send_refusal(send, events[0])
                 return
-            self._open_streams += 1
-            try:
-                await self._stream(reader, events, started, receive, send)
-            finally:
-                self._open_streams -= 1
+            await self._stream(reader, events, started, receive, send)
 
     async def _first_events(self, reader: RecordReader, receive) -> list[Event]:
         """Return the first events, or none if the caller leaves before them."""
@@ -182,7 +175,7 @@
             nursery.cancel_scope.cancel()
 
     async def _pump(self, reader, events, record, send) -> None:
-        """Send events until the final one, coalescing parts that wait already."""
+        """Send events until the final one; parts that wait already go together."""
         last_part_s = None
         while events:
             body = b"".join(_format(event) for event in events)
@@ -194,8 +187,6 @@
             if any(isinstance(event, PartEvent) for event in events):
                 self._observe_gap(record, last_part_s, now_s)
                 last_part_s = now_s
-                if record.final is None:
-                    await trio.sleep(to_s(self._flush_interval_ms()))
             events = await reader.next_events()
         await send(_body(b"", more=False))
 
@@ -204,11 +195,6 @@
             return
         self._metrics.token_gap(record.request.workspace, to_ms(now_s - last_part_s))
 
-    def _flush_interval_ms(self) -> float:
-        floor_ms = self._settings.flush_interval_ms
-        by_load_ms = self._open_streams * FLUSH_MS_PER_OPEN_STREAM
-        return min(MAX_FLUSH_INTERVAL_MS, max(floor_ms, by_load_ms))
-
     async def _serve_status(self, request: HttpRequest, send) -> None:
         if request.path == "/healthz":
             await send_json(send, 200, {"status": "alive"})
--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -12,7 +12,7 @@
 from ..http import serve_app
 from ..objects import load_bundle
 from ..observability import Metrics
-from ..pipeline import Executor, ExecutorServices, ResumeTokens
+from ..pipeline import Executor, ExecutorServices, ResumeTokens, StreamPace
 from ..policy import PathPolicy, PolicySettings
 from ..settings import EntrySettings
 from ..targets import HttpTransport
@@ -96,6 +96,7 @@
             clock=self.clock,
             random=self._random,
             background=nursery,
+            pace=StreamPace(self.clock, self.settings.path.flush_interval_ms),
         )
         parts = ServiceParts(
             executor=Executor(services),
--- a/src/acaciapier/pipeline/stages.py
+++ b/src/acaciapier/pipeline/stages.py
@@ -188,33 +188,39 @@
 
     async def _consume(self, attempt: Attempt, sink: TokenSink) -> CallAnswer:
         """Read an opened stream to its end and report how it ended."""
-        opened = attempt.opened
-        position = 0
-        batch = opened.first
-        reconnects = 0
         try:
-            while True:
-                while batch is not None:
-                    position = batch.offset + len(batch.tokens)
-                    sink(batch.tokens)
-                    batch = await opened.stream.next_batch()
-                answer = opened.stream.answer
-                if answer.outcome is not CallOutcome.CRASHED:
-                    break
-                reconnects += 1
-                answer = await self._reconnect(opened, position, reconnects)
-                if answer is not None:
-                    break
-                batch = await opened.stream.next_batch()
+            with self._services.pace.opened():
+                answer = await self._read_to_end(attempt.opened, sink)
         except trio.Cancelled:
             attempt.abandon()
             raise
         finally:
-            await opened.stream.aclose()
+            await attempt.opened.stream.aclose()
         done = answer.outcome is CallOutcome.DONE
         attempt.report(answer, CostClass.USED if done else CostClass.FAILED)
         return answer
 
+    async def _read_to_end(self, opened: OpenedStream, sink: TokenSink) -> CallAnswer:
+        clock = self._services.clock
+        batch = opened.first
+        position = 0
+        reconnects = 0
+        while True:
+            while batch is not None:
+                position = batch.offset + len(batch.tokens)
+                sink(batch.tokens)
+                asked_s = clock.monotonic_s()
+                batch = await opened.stream.next_batch()
+                if batch is not None:
+                    await self._services.pace.after_read(asked_s)
+            if opened.stream.answer.outcome is not CallOutcome.CRASHED:
+                return opened.stream.answer
+            reconnects += 1
+            failed = await self._reconnect(opened, position, reconnects)
+            if failed is not None:
+                return failed
+            batch = await opened.stream.next_batch()
+
     async def _reconnect(
         self, opened: OpenedStream, position: int, reconnects: int
     ) -> CallAnswer | None:
--- /dev/null
+++ b/src/acaciapier_bench/history/__init__.py
@@ -0,0 +1,6 @@
+"""Histories of concurrent runs: what callers received and what targets ran."""
+
+from .checker import Violation, check_history
+from .records import CallerRecord, History, WorkRecord
+
+__all__ = ["CallerRecord", "History", "Violation", "WorkRecord", "check_history"]
