--- a/src/acaciapier/sessions.py
+++ b/src/acaciapier/sessions.py
@@ -174,6 +174,8 @@
         now_s = session._clock.monotonic_s()
         self._give_up_s = now_s + to_s(deadline_ms + ANSWER_SLACK_MS)
         self._may_have_arrived = False
+        self.superseded: list[str] = []
+        """Earlier ids of the request, each declared as not run."""
 
     @property
     def request_id(self) -> str:
@@ -272,6 +274,7 @@
 
     def _start_over_with_new_id(self) -> None:
         session = self._session
+        self.superseded.append(self.request_id)
         request_id = make_request_id(session._clock, session._random)
         self._body = {**self._body, "request_id": request_id}
         self._builder = AnswerBuilder(request_id)
--- a/src/acaciapier_bench/deployment.py
+++ b/src/acaciapier_bench/deployment.py
@@ -104,6 +104,16 @@
         """All entry instances."""
         return [m for m in self.members.values() if m.name.startswith("entry-")]
 
+    @property
+    def targets(self) -> list[Member]:
+        """All targets."""
+        names = {pool.name for pool in self.plan.pools}
+        return [
+            member
+            for member in self.members.values()
+            if member.name.rpartition("-")[0] in names
+        ]
+
     async def start(self) -> None:
         """Start everything and wait until requests can be served."""
         plan = self.plan
@@ -178,6 +188,12 @@
             content=json.dumps(faults).encode(),
         )
 
+    async def target_word(self, name: str) -> dict[str, Any]:
+        """Return what a target says about itself."""
+        url = f"{self.members[name].url}/v1/load"
+        response = await self._pool.request("GET", url)
+        return json.loads(response.content)
+
     async def book(self, name: str) -> dict[str, Any]:
         """Return the book of a stand-in."""
         url = f"{self.members[name].url}/book"
--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -5,6 +5,7 @@
 import cappa
 
 from .demo import Demo
+from .history.run import HistoryCommand
 from .load import LoadCommand
 from .path_cost import PathCommand
 
@@ -14,7 +15,7 @@
 class BenchCommand:
     """Experiments on local stand-ins, each a small deployment of its own."""
 
-    command: cappa.Subcommands[Demo | LoadCommand | PathCommand]
+    command: cappa.Subcommands[Demo | HistoryCommand | LoadCommand | PathCommand]
 
 
 def main() -> None:
