--- a/src/acaciapier/pipeline/stages.py
+++ b/src/acaciapier/pipeline/stages.py
@@ -242,7 +242,17 @@
 
 
 class StreamBroken(Exception):
-    """A stream ended before its last token, and another attempt may be made."""
+    """A stream ended before its last token, and another attempt may be made.
+
+    Parameters
+    ----------
+    message : str
+        How it ended.
+    """
+
+    def __init__(self, message: str):
+        self.message = message
+        super().__init__(message)
 
 
 class _Race:
