--- a/src/acaciapier/exceptions.py
+++ b/src/acaciapier/exceptions.py
@@ -33,7 +33,31 @@
 
 
 class StoreUnavailable(StoreError):
-    """The object API did not answer; a change may or may not have landed."""
+    """The object API did not answer, or refused the call.
+
+    Parameters
+    ----------
+    message : str
+        What happened to the call.
+    may_have_landed : bool, default=False
+        Whether a change may have taken effect although its answer was lost.
+    retry_after_ms : float, default=1000.0
+        When the call is worth another try.
+    """
+
+    def __init__(
+        self,
+        message: str = "the object API did not answer",
+        may_have_landed: bool = False,
+        retry_after_ms: float = 1_000.0,
+    ):
+        self.may_have_landed = may_have_landed
+        self.retry_after_ms = retry_after_ms
+        super().__init__(message)
+
+
+class WatchCompacted(StoreError):
+    """The events since the wanted revision are gone; list the objects again."""
 
 
 class VersionConflict(StoreError):
