Add the ledger of cost by workspace, pipeline and stage

First, retried and hedged attempts, and used, wasted, failed and cancelled work are counted apart, so that their sum can equal what the targets spent. Reports carry incarnation and sequence number, so that merging them can be idempotent.

--- /dev/null
+++ b/src/acaciapier/accounts/ledger.py
@@ -0,0 +1,67 @@
+"""In-memory counters of cost, closed into numbered reports."""
+
+from ..core.clock import Clock, epoch_ms
+from ..core.ids import Incarnation, InstanceId
+from .models import (
+    AccountEntry,
+    AccountReport,
+    CostEntry,
+    CostKey,
+    CostTotal,
+    cost_key,
+)
+
+MILLISECONDS_PER_HOUR = 3_600_000
+
+
+class Ledger:
+    """Counters of one instance, by workspace, pipeline, stage and class.
+
+    Parameters
+    ----------
+    instance, incarnation : InstanceId, Incarnation
+        Identity that the reports carry.
+    clock : Clock
+        Source of the hour that a report is booked to.
+
+    Examples
+    --------
+    >>> ledger.record(entry)
+    >>> report = ledger.close_interval()
+    """
+
+    def __init__(self, instance: InstanceId, incarnation: Incarnation, clock: Clock):
+        self._instance = instance
+        self._incarnation = incarnation
+        self._clock = clock
+        self._sequence = 0
+        self._totals: dict[CostKey, CostTotal] = {}
+
+    def __len__(self) -> int:
+        return len(self._totals)
+
+    def record(self, entry: CostEntry) -> None:
+        """Add one call to the counters of the present interval."""
+        total = CostTotal(1, entry.service_ms, entry.units)
+        key = cost_key(entry)
+        self._totals[key] = self._totals.get(key, CostTotal()).plus(total)
+
+    def close_interval(self) -> AccountReport | None:
+        """Return the present interval's report and start the next one.
+
+        Returns
+        -------
+        AccountReport or None
+            None if nothing was recorded.
+        """
+        if not self._totals:
+            return None
+        self._sequence += 1
+        entries = tuple(
+            AccountEntry(key, self._totals[key]) for key in sorted(self._totals)
+        )
+        self._totals = {}
+        hour = epoch_ms(self._clock.now()) // MILLISECONDS_PER_HOUR
+        return AccountReport(
+            self._instance, self._incarnation, self._sequence, hour, entries
+        )
