Let the store tests' server read whole requests

The fault was in the test's server, which took a request's head and body, sent apart, for two requests.

--- a/tests/store/test_client.py
+++ b/tests/store/test_client.py
@@ -1,5 +1,6 @@
 """Tests of the object API's client against a scripted server."""
 
+import re
 from random import Random
 
 import pytest
@@ -18,6 +19,21 @@
     return head.encode() + body
 
 
+async def receive_request(stream) -> bytes:
+    """Return one whole request; its head and body may come apart."""
+    request = b""
+    while b"\r\n\r\n" not in request:
+        received = await stream.receive_some(65_536)
+        if not received:
+            return b""
+        request += received
+    head, _, body = request.partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    while length and len(body) < int(length[1]):
+        body += await stream.receive_some(65_536)
+    return head + body
+
+
 @pytest.fixture
 async def serve(nursery):
     """Start a server that gives the listed answers in order."""
@@ -26,7 +42,7 @@
         script = list(answers)
 
         async def handle(stream):
-            while await stream.receive_some(65_536):
+            while await receive_request(stream):
                 reply = script.pop(0)
                 if reply == HANG:
                     await trio.sleep_forever()
