--- a/src/acaciapier/pipeline/attempts.py
+++ b/src/acaciapier/pipeline/attempts.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from ..accounts import AttemptClass, CostClass, CostEntry
+from ..accounts import AttemptClass, CostEntry, OutcomeClass
 from ..core.clock import to_ms, to_s
 from ..objects.models import Stage, StageKind
 from ..policy import CallOutcome, CallReport, TargetView
@@ -75,10 +75,10 @@
         if answer.outcome is CallOutcome.TIMED_OUT:
             self._in_background(self._cancel)
         if answer.outcome is not CallOutcome.DONE:
-            self.report(answer, CostClass.FAILED)
+            self.report(answer, OutcomeClass.FAILED)
         return answer
 
-    def report(self, answer: CallAnswer, cost_class: CostClass) -> None:
+    def report(self, answer: CallAnswer, cost_class: OutcomeClass) -> None:
         """Tell the policy and the accounts how the attempt ended, once."""
         if self._reported:
             return
@@ -100,7 +100,7 @@
             self._in_background(self.opened.stream.aclose)
         self._in_background(self._cancel)
 
-    def record_cost(self, answer: CallAnswer, cost_class: CostClass) -> None:
+    def record_cost(self, answer: CallAnswer, cost_class: OutcomeClass) -> None:
         """Record what the attempt consumed."""
         if not answer.may_have_run:
             return
@@ -120,7 +120,7 @@
         )
         cost = context.costs.setdefault(stage.name, StageCost())
         cost.calls += 1
-        cost.wasted_calls += cost_class is not CostClass.USED
+        cost.wasted_calls += cost_class is not OutcomeClass.USED
         cost.service_ms += answer.service_ms
         for unit, amount in answer.units.items():
             cost.units[unit] = cost.units.get(unit, 0) + amount
@@ -174,7 +174,7 @@
     async def _cancel(self) -> None:
         answer = await self._services.transport.cancel(self.target, self.envelope)
         if answer.outcome is CallOutcome.CANCELLED:
-            self.record_cost(answer, CostClass.CANCELLED)
+            self.record_cost(answer, OutcomeClass.CANCELLED)
 
     def _make_envelope(self, number: int) -> CallEnvelope:
         request = self._context.request
--- a/src/acaciapier/pipeline/stages.py
+++ b/src/acaciapier/pipeline/stages.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from ..accounts import AttemptClass, CostClass
+from ..accounts import AttemptClass, OutcomeClass
 from ..core.clock import to_s
 from ..core.outcomes import Cause
 from ..objects.models import StageKind
@@ -197,7 +197,7 @@
         finally:
             await attempt.opened.stream.aclose()
         done = answer.outcome is CallOutcome.DONE
-        attempt.report(answer, CostClass.USED if done else CostClass.FAILED)
+        attempt.report(answer, OutcomeClass.USED if done else OutcomeClass.FAILED)
         return answer
 
     async def _read_to_end(self, opened: OpenedStream, sink: TokenSink) -> CallAnswer:
@@ -287,11 +287,11 @@
     def _win(self, attempt: Attempt, answer: CallAnswer) -> None:
         self._winner = (attempt, answer)
         if attempt.opened is None:
-            attempt.report(answer, CostClass.USED)
+            attempt.report(answer, OutcomeClass.USED)
 
     def _lose(self, attempt: Attempt, answer: CallAnswer) -> None:
         if attempt.opened is None:
-            attempt.report(answer, CostClass.WASTED)
+            attempt.report(answer, OutcomeClass.WASTED)
         else:
             attempt.abandon()
 
