--- a/src/acaciapier/pipeline/context.py
+++ b/src/acaciapier/pipeline/context.py
@@ -14,7 +14,6 @@
 from ..targets.models import TargetBody
 from ..targets.transport import Transport
 from .models import CallerRequest, StageCost
-from .pace import StreamPace
 from .record import RunRecord
 from .resume import ResumeTokens
 
@@ -43,8 +42,6 @@
         Source of randomness.
     background : trio.Nursery
         Where cancellations of lost attempts run.
-    pace : StreamPace
-        How often open streams are read.
     """
 
     policy: PathPolicy
@@ -56,7 +53,6 @@
     clock: Clock
     random: random.Random
     background: trio.Nursery
-    pace: StreamPace
 
 
 @dataclass
--- a/src/acaciapier/pipeline/stages.py
+++ b/src/acaciapier/pipeline/stages.py
@@ -189,8 +189,7 @@
     async def _consume(self, attempt: Attempt, sink: TokenSink) -> CallAnswer:
         """Read an opened stream to its end and report how it ended."""
         try:
-            with self._services.pace.opened():
-                answer = await self._read_to_end(attempt.opened, sink)
+            answer = await self._read_to_end(attempt.opened, sink)
         except trio.Cancelled:
             attempt.abandon()
             raise
@@ -201,7 +200,6 @@
         return answer
 
     async def _read_to_end(self, opened: OpenedStream, sink: TokenSink) -> CallAnswer:
-        clock = self._services.clock
         batch = opened.first
         position = 0
         reconnects = 0
@@ -209,10 +207,7 @@
             while batch is not None:
                 position = batch.offset + len(batch.tokens)
                 sink(batch.tokens)
-                asked_s = clock.monotonic_s()
                 batch = await opened.stream.next_batch()
-                if batch is not None:
-                    await self._services.pace.after_read(asked_s)
             if opened.stream.answer.outcome is not CallOutcome.CRASHED:
                 return opened.stream.answer
             reconnects += 1
