--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -12,12 +12,11 @@
 from ..http import serve_app
 from ..objects import load_bundle
 from ..observability import Metrics
-from ..pipeline import Executor, ExecutorServices, ResumeTokens
+from ..pipeline import Executor, ExecutorServices, ResumeTokens, StreamPace
 from ..policy import PathPolicy, PolicySettings
 from ..settings import EntrySettings
 from ..targets import HttpTransport
 from ..targets.directory import InstanceBody, InstanceListClient, TargetDirectory
-from ..targets.pacing import Pace
 from .http import EntryHttp
 from .resuming import StreamResumer
 from .service import RequestService, ServiceParts
@@ -42,7 +41,7 @@
         self._metrics = Metrics(settings.instance.id)
         objects = load_bundle(settings.bundle_path) if settings.bundle_path else []
         self._state = ConfigurationState.of_objects(objects)
-        self._transport = HttpTransport(pace=Pace(settings.path.read_interval_ms))
+        self._transport = HttpTransport()
         self._tokens = ResumeTokens([key.encode() for key in settings.fleet_keys])
         self._policy = PathPolicy(
             self.clock,
@@ -97,6 +96,7 @@
             clock=self.clock,
             random=self._random,
             background=nursery,
+            pace=StreamPace(self.clock, self.settings.path.flush_interval_ms),
         )
         parts = ServiceParts(
             executor=Executor(services),
--- a/src/acaciapier/pipeline/__init__.py
+++ b/src/acaciapier/pipeline/__init__.py
@@ -3,6 +3,7 @@
 from .context import ExecutorServices
 from .executor import Executor
 from .models import CallerRequest, FinalEvent, RunIdentity, canonical_json, refusal
+from .pace import StreamPace
 from .record import RecordReader, RunRecord
 from .resume import ResumeClaim, ResumeTokens
 
@@ -16,6 +17,7 @@
     "ResumeTokens",
     "RunIdentity",
     "RunRecord",
+    "StreamPace",
     "canonical_json",
     "refusal",
 ]
--- a/src/acaciapier/pipeline/context.py
+++ b/src/acaciapier/pipeline/context.py
@@ -14,6 +14,7 @@
 from ..targets.models import TargetBody
 from ..targets.transport import Transport
 from .models import CallerRequest, StageCost
+from .pace import StreamPace
 from .record import RunRecord
 from .resume import ResumeTokens
 
@@ -42,6 +43,8 @@
         Source of randomness.
     background : trio.Nursery
         Where cancellations of lost attempts run.
+    pace : StreamPace
+        How often open streams are read.
     """
 
     policy: PathPolicy
@@ -53,6 +56,7 @@
     clock: Clock
     random: random.Random
     background: trio.Nursery
+    pace: StreamPace
 
 
 @dataclass
--- a/src/acaciapier/pipeline/stages.py
+++ b/src/acaciapier/pipeline/stages.py
@@ -189,7 +189,8 @@
     async def _consume(self, attempt: Attempt, sink: TokenSink) -> CallAnswer:
         """Read an opened stream to its end and report how it ended."""
         try:
-            answer = await self._read_to_end(attempt.opened, sink)
+            with self._services.pace.opened():
+                answer = await self._read_to_end(attempt.opened, sink)
         except trio.Cancelled:
             attempt.abandon()
             raise
@@ -200,6 +201,7 @@
         return answer
 
     async def _read_to_end(self, opened: OpenedStream, sink: TokenSink) -> CallAnswer:
+        clock = self._services.clock
         batch = opened.first
         position = 0
         reconnects = 0
@@ -207,7 +209,10 @@
             while batch is not None:
                 position = batch.offset + len(batch.tokens)
                 sink(batch.tokens)
+                asked_s = clock.monotonic_s()
                 batch = await opened.stream.next_batch()
+                if batch is not None:
+                    await self._services.pace.after_read(asked_s)
             if opened.stream.answer.outcome is not CallOutcome.CRASHED:
                 return opened.stream.answer
             reconnects += 1
--- a/src/acaciapier/settings/models.py
+++ b/src/acaciapier/settings/models.py
@@ -78,7 +78,7 @@
     max_open_requests: int = Field(default=2_000, gt=0)
     reconnect_grace_ms: int = Field(default=500, ge=0)
     write_stall_ms: int = Field(default=5_000, gt=0)
-    read_interval_ms: float = Field(default=15.0, ge=0)
+    flush_interval_ms: float = Field(default=15.0, ge=0)
     keep_ended_ms: int = Field(default=10_000, ge=0)
     keep_ended_claimed_ms: int = Field(default=60_000, ge=0)
 
--- a/src/acaciapier/targets/http.py
+++ b/src/acaciapier/targets/http.py
@@ -11,7 +11,6 @@
 from ..core.clock import to_s
 from ..policy.models import CallOutcome, TargetView
 from .models import AnswerBody, CallAnswer, CallEnvelope, TargetBody
-from .pacing import Pace, PacedBackend
 from .sse import SseParser
 from .stream import HttpTokenStream
 
@@ -41,8 +40,6 @@
     ----------
     ssl_context : ssl.SSLContext or None
         For targets whose URL is https.
-    pace : Pace or None
-        How often open streams are read.
 
     Examples
     --------
@@ -50,11 +47,8 @@
     ...     answer = await transport.call(target, envelope)
     """
 
-    def __init__(
-        self, ssl_context: ssl.SSLContext | None = None, pace: Pace | None = None
-    ):
+    def __init__(self, ssl_context: ssl.SSLContext | None = None):
         self._ssl_context = ssl_context
-        self._backend = PacedBackend(pace or Pace())
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def __aenter__(self):
@@ -203,7 +197,6 @@
                 ssl_context=self._ssl_context,
                 max_connections=MAX_CONNECTIONS_PER_TARGET,
                 keepalive_expiry=KEEPALIVE_EXPIRY_S,
-                network_backend=self._backend,
             )
             self._pools[url] = pool
         return pool
--- a/src/acaciapier/targets/pacing.py
+++ b/src/acaciapier/targets/pacing.py
@@ -15,8 +15,8 @@
 from ..core.clock import to_s
 
 FLOOR_MS = 15.0
-MS_PER_STREAM = 1.0
-CEILING_MS = 34.0
+MS_PER_STREAM = 0.5
+CEILING_MS = 40.0
 READS_PER_PASS = 3
 PACED_STREAM = "acaciapier.paced_stream"
 
--- a/src/acaciapier/targets/stream.py
+++ b/src/acaciapier/targets/stream.py
@@ -8,7 +8,6 @@
 
 from ..policy.models import CallOutcome
 from .models import CallAnswer, StreamBody, TokenBatch
-from .pacing import paced_stream_of
 from .sse import EventTooLarge, SseParser
 
 _decode_event = msgspec.json.Decoder(StreamBody).decode
@@ -44,7 +43,6 @@
         self._max_tokens = max_tokens
         self._digest = hashlib.sha256()
         self._answer: CallAnswer | None = None
-        self._connection = paced_stream_of(response)
 
     @property
     def answer(self) -> CallAnswer:
@@ -58,22 +56,15 @@
         while self._answer is None:
             tokens = self._take(await self._next_chunk())
             if tokens:
-                self._start_pacing()
                 offset = self._position - len(tokens)
                 return TokenBatch(offset, tokens)
         return None
 
     async def aclose(self) -> None:
         """Release the connection."""
-        if self._connection is not None:
-            self._connection.stop_pacing()
         with trio.CancelScope(shield=True):
             await self._response.aclose()
 
-    def _start_pacing(self) -> None:
-        if self._connection is not None:
-            self._connection.start_pacing()
-
     async def _next_chunk(self) -> bytes:
         try:
             return await anext(self._chunks)
