--- a/src/acaciapier/entry/http.py
+++ b/src/acaciapier/entry/http.py
@@ -1,5 +1,6 @@
 """The HTTP interface for callers, as docs/protocols.md gives it."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -17,13 +18,15 @@
     send_json,
     watch_disconnect,
 )
-from ..observability import Metrics
+from ..observability import Metrics, get_logger
 from ..pipeline import FinalEvent, RecordReader, RunRecord, refusal
 from ..pipeline.models import EVENT_NAMES, Event, PartEvent
 from ..settings.models import PathSettings
 from .bodies import BodyLimits, parse_request
 from .service import RequestService
 
+log = get_logger("acaciapier.entry")
+
 REQUESTS_PATH = "/v1/requests"
 RESUME_HEADER = b"x-resume-token"
 STREAM_HEADERS = [
@@ -177,23 +180,28 @@
     async def _pump(self, reader, events, record, send) -> None:
         """Send events until the final one; parts that wait already go together."""
         last_part_s = None
-        while events:
-            body = b"".join(_format(event) for event in events)
-            with trio.move_on_after(to_s(self._settings.write_stall_ms)) as stall:
+        stall_s = to_s(self._settings.write_stall_ms)
+        with trio.CancelScope() as stall:
+            while events:
+                body = b"".join(map(_format, events))
+                stall.deadline = trio.current_time() + stall_s
                 await send(_body(body, more=True))
-            if stall.cancelled_caught:
-                return
-            now_s = self._clock.monotonic_s()
-            if any(isinstance(event, PartEvent) for event in events):
-                self._observe_gap(record, last_part_s, now_s)
-                last_part_s = now_s
-            events = await reader.next_events()
-        await send(_body(b"", more=False))
-
-    def _observe_gap(self, record, last_part_s: float | None, now_s: float) -> None:
-        if last_part_s is None or self._metrics is None:
-            return
-        self._metrics.token_gap(record.request.workspace, to_ms(now_s - last_part_s))
+                stall.deadline = math.inf
+                last_part_s = self._observe_parts(record, events, last_part_s)
+                events = await reader.next_events()
+            await send(_body(b"", more=False))
+        if stall.cancelled_caught:
+            log.warning("the caller of {} does not read", record.request.request_id)
+
+    def _observe_parts(self, record, events, last_part_s) -> float | None:
+        """Record the time since the last part, if `events` hold one."""
+        if not any(type(event) is PartEvent for event in events):
+            return last_part_s
+        now_s = self._clock.monotonic_s()
+        if last_part_s is not None and self._metrics is not None:
+            gap_ms = to_ms(now_s - last_part_s)
+            self._metrics.token_gap(record.request.workspace, gap_ms)
+        return now_s
 
     async def _serve_status(self, request: HttpRequest, send) -> None:
         if request.path == "/healthz":
