Mend admission under bursts, and find stragglers by their first parts

Extrapolating since the last report was ruled out: it is biased, as reports come with the ends of own calls; - an entry without calls kept a bad estimate and never admitted again.

--- a/src/acaciapier/policy/admission.py
+++ b/src/acaciapier/policy/admission.py
@@ -1,10 +1,10 @@
 """Admission of requests that can finish, from the load of each pool."""
 
-import math
 from collections import defaultdict
 
 from ..core.clock import Clock
 from ..core.ids import PoolName
+from .levels import SmoothedLevel
 from .models import StageEstimate
 from .routing import PoolRouter
 
@@ -17,34 +17,6 @@
 OVERLOADED_CALLS_PER_SLOT = 1.5
 
 
-class PendingCalls:
-    """Calls that admitted requests have still to send to a pool, smoothed.
-
-    Parameters
-    ----------
-    clock : Clock
-        Source of monotonic time.
-    """
-
-    def __init__(self, clock: Clock):
-        self._clock = clock
-        self._count = 0
-        self._smooth = 0.0
-        self._at_s = clock.monotonic_s()
-
-    def change(self, by: int) -> None:
-        """Add `by` calls."""
-        self._smooth = self.smooth()
-        self._at_s = self._clock.monotonic_s()
-        self._count += by
-
-    def smooth(self) -> float:
-        """Return the count, averaged over about `PENDING_WINDOW_S`."""
-        passed_s = self._clock.monotonic_s() - self._at_s
-        old = math.exp(-passed_s / PENDING_WINDOW_S)
-        return old * self._smooth + (1.0 - old) * self._count
-
-
 class Admission:
     """Expected times of stages from queues, and the margin kept to deadlines.
 
@@ -61,7 +33,7 @@
 
     def __init__(self, clock: Clock, instances: int):
         self.instances = max(instances, 1)
-        self._pending = defaultdict(lambda: PendingCalls(clock))
+        self._pending = defaultdict(lambda: SmoothedLevel(clock, PENDING_WINDOW_S))
         self._margin = FIRST_MARGIN
 
     @property
@@ -88,15 +60,16 @@
         calls, slots = router.calls_and_slots()
         if not slots:
             return 0.0
-        pending = self._pending[estimate.pool].smooth() * self.instances
+        pending = self._pending[estimate.pool].average() * self.instances
         waiting = max(0.0, calls + pending - slots)
         return waiting / slots * service_mean_ms(estimate, router)
 
 
 def service_mean_ms(estimate: StageEstimate, router: PoolRouter | None) -> float:
     """Return the mean time of a stage without waiting."""
-    measured = router.service_times.mean_ms() if router else None
-    return estimate.typical_ms if measured is None else measured
+    if router is None:
+        return estimate.typical_ms
+    return router.service_times.mean_ms(estimate.typical_ms)
 
 
 def service_quantile_ms(
--- a/src/acaciapier/policy/deadlines.py
+++ b/src/acaciapier/policy/deadlines.py
@@ -39,15 +39,20 @@
     stage: StageName,
     remaining_ms: float,
     time_ms: StageTime,
+    ample_ms: StageTime,
 ) -> float:
     """Return the part of `remaining_ms` that `stage` may use.
 
-    The slack is divided in proportion to the expected times of the stage and
-    of what has to follow it; the last stage may use all that remains.
+    The time is divided in proportion to the expected times of the stage and
+    of what has to follow it; the last stage may use all that remains. A stage
+    gets no less than its `ample_ms`, though: a short one beside a long one
+    would else be cut off for its usual variation.
     """
-    own_ms = next(time_ms(one) for one in estimates if one.stage == stage)
+    own = next(one for one in estimates if one.stage == stage)
+    own_ms = time_ms(own)
     after_ms = path_after_ms(estimates, stage, time_ms)
-    return max(remaining_ms, 0.0) * own_ms / (own_ms + after_ms)
+    share_ms = remaining_ms * own_ms / (own_ms + after_ms)
+    return max(0.0, min(remaining_ms, max(share_ms, ample_ms(own))))
 
 
 def _end_ms(by_name, name, left, time_ms: StageTime, ends) -> float:
--- a/src/acaciapier/policy/extra_calls.py
+++ b/src/acaciapier/policy/extra_calls.py
@@ -59,9 +59,12 @@
         """Return after which time a call should be hedged, or None for never."""
         if not self._settings.hedges or is_overloaded(self._router):
             return None
-        after_ms = self._router.times.quantile_ms(HEDGE_QUANTILE)
+        first_parts = self._router.first_part_times
+        after_ms = first_parts.quantile_ms(HEDGE_QUANTILE)
+        if after_ms is None:
+            after_ms = self._router.times.quantile_ms(HEDGE_QUANTILE)
         usual_ms = self._router.times.quantile_ms(0.5)
-        if after_ms is None or after_ms + usual_ms > remaining_ms:
+        if None in (after_ms, usual_ms) or after_ms + usual_ms > remaining_ms:
             return None
         return after_ms
 
--- a/src/acaciapier/policy/health.py
+++ b/src/acaciapier/policy/health.py
@@ -1,7 +1,7 @@
 """Detection of stragglers and failing targets, relative to their pool."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from statistics import median
 
@@ -9,8 +9,10 @@
 from ..core.ids import TargetId
 
 SLOW_FACTOR = 3.0
+VERY_SLOW_FACTOR = 5.0
 RECOVERED_FACTOR = 2.0
 MIN_SAMPLES = 3
+MIN_VERY_SLOW_SAMPLES = 2
 MAX_FAILURES = 3
 GOOD_PROBES = 2
 SMOOTHING = 0.3
@@ -27,14 +29,40 @@
     EJECTED = "ejected"
 
 
+class Measure(Enum):
+    """Which time of a call is compared between targets."""
+
+    FIRST_PART = "first_part"
+    WHOLE = "whole"
+
+
 @dataclass
-class TargetHealth:
-    """Health of one target; times are smoothed in the logarithm."""
+class SmoothedTime:
+    """A time smoothed in the logarithm."""
 
-    state: HealthState = HealthState.HEALTHY
     log_ms: float = 0.0
     samples: int = 0
     sampled_at_s: float = 0.0
+
+    def add(self, value_ms: float, now_s: float) -> None:
+        """Take one sample into the smoothed time."""
+        value = math.log(max(value_ms, 0.1))
+        if not self.samples:
+            self.log_ms = value
+        else:
+            self.log_ms += SMOOTHING * (value - self.log_ms)
+        self.samples += 1
+        self.sampled_at_s = now_s
+
+
+@dataclass
+class TargetHealth:
+    """Health of one target."""
+
+    state: HealthState = HealthState.HEALTHY
+    times: dict[Measure, SmoothedTime] = field(
+        default_factory=lambda: {one: SmoothedTime() for one in Measure}
+    )
     failures: int = 0
     good_probes: int = 0
     probe_at_s: float = 0.0
@@ -73,30 +101,32 @@
         no calls for its slowness is tried again.
         """
         health = self._targets[target]
-        reference = self._reference_log_ms(target)
-        if reference is None or health.samples < MIN_SAMPLES:
-            return 1.0
-        age_s = self._clock.monotonic_s() - health.sampled_at_s
-        return math.exp((health.log_ms - reference) * math.exp(-age_s / FORGET_S))
+        return max(self._ratio(target, health, measure) for measure in Measure)
 
-    def succeeded(self, target: TargetId, elapsed_ms: float) -> None:
-        """Record a call that ended well."""
+    def succeeded(
+        self, target: TargetId, elapsed_ms: float, measure: Measure = Measure.WHOLE
+    ) -> None:
+        """Record a call that ended well, or of which a first part arrived."""
         health = self._targets[target]
-        health.failures = 0
+        if measure is Measure.WHOLE:
+            health.failures = 0
         if health.state is HealthState.EJECTED:
-            self._probed(target, elapsed_ms)
+            self._probed(target, elapsed_ms, measure)
             return
-        self._sample(health, elapsed_ms)
+        health.times[measure].add(elapsed_ms, self._clock.monotonic_s())
         self._eject_if_slow(target)
 
-    def overdue(self, target: TargetId, age_ms: float) -> None:
+    def overdue(
+        self, target: TargetId, age_ms: float, measure: Measure = Measure.WHOLE
+    ) -> None:
         """Record a call that has already taken `age_ms` without an end."""
         health = self._targets[target]
         if health.state is HealthState.EJECTED:
             return
-        if health.samples and math.log(max(age_ms, 0.1)) < health.log_ms:
+        known = health.times[measure]
+        if known.samples and math.log(max(age_ms, 0.1)) < known.log_ms:
             return
-        self._sample(health, age_ms)
+        known.add(age_ms, self._clock.monotonic_s())
         self._eject_if_slow(target)
 
     def failed(self, target: TargetId, *, crashed: bool) -> None:
@@ -118,24 +148,27 @@
                 return target
         return None
 
-    def _sample(self, health: TargetHealth, elapsed_ms: float) -> None:
-        value = math.log(max(elapsed_ms, 0.1))
-        if not health.samples:
-            health.log_ms = value
-        else:
-            health.log_ms += SMOOTHING * (value - health.log_ms)
-        health.samples += 1
-        health.sampled_at_s = self._clock.monotonic_s()
+    def _ratio(self, target: TargetId, health: TargetHealth, measure: Measure) -> float:
+        known = health.times[measure]
+        reference = self._reference_log_ms(target, measure)
+        if reference is None or known.samples < MIN_VERY_SLOW_SAMPLES:
+            return 1.0
+        age_s = self._clock.monotonic_s() - known.sampled_at_s
+        ratio = math.exp((known.log_ms - reference) * math.exp(-age_s / FORGET_S))
+        certain = known.samples >= MIN_SAMPLES or ratio >= VERY_SLOW_FACTOR
+        return ratio if certain else 1.0
 
-    def _probed(self, target: TargetId, elapsed_ms: float) -> None:
+    def _probed(self, target: TargetId, elapsed_ms: float, measure: Measure) -> None:
         health = self._targets[target]
-        reference = self._reference_log_ms(target)
+        reference = self._reference_log_ms(target, measure)
         limit = math.inf
         if reference is not None:
             limit = RECOVERED_FACTOR * math.exp(reference)
         if elapsed_ms > limit:
             self._back_off(health)
             return
+        if measure is Measure.FIRST_PART:
+            return
         health.good_probes += 1
         health.probe_at_s = self._clock.monotonic_s()
         if health.good_probes >= GOOD_PROBES:
@@ -162,12 +195,12 @@
         health.probe_gap_s = min(MAX_PROBE_S, 2 * health.probe_gap_s)
         health.probe_at_s = self._clock.monotonic_s() + health.probe_gap_s
 
-    def _reference_log_ms(self, target: TargetId) -> float | None:
+    def _reference_log_ms(self, target: TargetId, measure: Measure) -> float | None:
         times = [
-            one.log_ms
+            one.times[measure].log_ms
             for name, one in self._targets.items()
             if name != target
-            and one.samples >= MIN_SAMPLES
+            and one.times[measure].samples >= MIN_SAMPLES
             and one.state is HealthState.HEALTHY
         ]
         return median(times) if times else None
--- a/src/acaciapier/policy/models.py
+++ b/src/acaciapier/policy/models.py
@@ -84,7 +84,21 @@
 
 @dataclass(frozen=True)
 class CallReport:
-    """What is known about a call after its end; `elapsed_ms` counts from sending."""
+    """What is known about a call after its end.
+
+    Parameters
+    ----------
+    target, incarnation, pool, stage_kind
+        What was called.
+    outcome : CallOutcome
+        How the call ended.
+    elapsed_ms : float
+        Time from sending to the end.
+    load : Load or None
+        Load in the target's answer, if it answered.
+    service_ms : float or None
+        Time for which the target says to have worked, without waiting.
+    """
 
     target: TargetId
     incarnation: Incarnation
@@ -93,6 +107,7 @@
     outcome: CallOutcome
     elapsed_ms: float
     load: Load | None
+    service_ms: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/acaciapier/policy/path.py
+++ b/src/acaciapier/policy/path.py
@@ -21,7 +21,6 @@
 from .extra_calls import ExtraCalls
 from .fairness import FairShares
 from .models import (
-    CallOutcome,
     CallReport,
     Load,
     Permit,
@@ -41,6 +40,9 @@
 MIN_RETRY_AFTER_MS = 100
 RETRY_JITTER = 0.5
 CAN_FINISH_QUANTILE = 0.25
+CAREFUL_QUANTILE = 0.9
+AMPLE_QUANTILE = 0.95
+AMPLE_FACTOR = 3.0
 SUSPECT_RETRY_MS = 100
 
 
@@ -103,6 +105,8 @@
     def update_instances(self, instances: int) -> None:
         """Set the number of live entry instances that share the limits."""
         self._admission.instances = max(instances, 1)
+        for router in self._routers.values():
+            router.instances = max(instances, 1)
         self._shares.update_instances(instances)
 
     def admit(
@@ -140,6 +144,8 @@
             del self._permits[permit.fingerprint]
         if outcome is Outcome.DONE:
             self._admission.was_in_time()
+        elif any(is_overloaded(self._routers.get(one)) for one in permit.pending):
+            self._admission.was_late()
 
     def pick(
         self,
@@ -203,6 +209,14 @@
                 self._admission.add_pending(pool, -1)
                 return
 
+    def first_part(
+        self, target: TargetId, fingerprint: Fingerprint, elapsed_ms: float
+    ) -> None:
+        """Note that the first part of a streamed answer arrived after `elapsed_ms`."""
+        pool = self._pool_of.get(target)
+        if pool is not None:
+            self._routers[pool].first_part(target, fingerprint, elapsed_ms)
+
     def ended(self, report: CallReport, fingerprint: Fingerprint) -> None:
         """Take over how a call ended."""
         router = self._routers.get(report.pool)
@@ -210,8 +224,6 @@
             router.ended(report, fingerprint)
         if self._settings.quarantine:
             self._quarantine.ended(report, fingerprint)
-        if report.outcome is CallOutcome.TIMED_OUT and is_overloaded(router):
-            self._admission.was_late()
 
     def load_reported(
         self, target: TargetId, incarnation: Incarnation, load: Load
@@ -229,7 +241,9 @@
         remaining_ms: float,
     ) -> float:
         """Return how long `stage` may take so that the later ones can still end."""
-        return stage_share_ms(estimates, stage, remaining_ms, self._expected_ms)
+        return stage_share_ms(
+            estimates, stage, remaining_ms, self._expected_ms, self._ample_ms
+        )
 
     def can_finish(
         self,
@@ -339,16 +353,31 @@
         if not self._settings.admission:
             return 0.0
         stages = [one.stage for one in estimates]
-        needed_ms = critical_path_ms(estimates, stages, self._expected_ms)
+        if not any(self._wait_ms(one) for one in estimates):
+            return critical_path_ms(estimates, stages, self._quick_ms) - remaining_ms
+        needed_ms = critical_path_ms(estimates, stages, self._careful_ms)
         allowed_ms = remaining_ms * self._admission.margin
         if self._shares.is_over_share(workspace):
             allowed_ms *= OVER_SHARE_FACTOR
         return needed_ms - allowed_ms
 
+    def _wait_ms(self, estimate: StageEstimate) -> float:
+        router = self._routers.get(estimate.pool)
+        return self._admission.wait_ms(estimate, router)
+
     def _expected_ms(self, estimate: StageEstimate) -> float:
         router = self._routers.get(estimate.pool)
-        waiting_ms = self._admission.wait_ms(estimate, router)
-        return waiting_ms + service_mean_ms(estimate, router)
+        return self._wait_ms(estimate) + service_mean_ms(estimate, router)
+
+    def _careful_ms(self, estimate: StageEstimate) -> float:
+        router = self._routers.get(estimate.pool)
+        service_ms = service_quantile_ms(estimate, router, CAREFUL_QUANTILE)
+        return self._wait_ms(estimate) + service_ms
+
+    def _ample_ms(self, estimate: StageEstimate) -> float:
+        router = self._routers.get(estimate.pool)
+        usual_ms = service_quantile_ms(estimate, router, AMPLE_QUANTILE)
+        return self._wait_ms(estimate) + AMPLE_FACTOR * usual_ms
 
     def _quick_ms(self, estimate: StageEstimate) -> float:
         router = self._routers.get(estimate.pool)
--- a/src/acaciapier/policy/routing.py
+++ b/src/acaciapier/policy/routing.py
@@ -9,17 +9,21 @@
 from ..core.ids import DataCentreId, Fingerprint, PoolName, TargetId
 from ..core.outcomes import Cause
 from .choices import blended_calls, make_chooser, usual_others_per_slot
-from .health import PoolHealth
+from .health import Measure, PoolHealth
+from .levels import SmoothedLevel
 from .models import CallOutcome, CallReport, PoolLimits, Refused, TargetView
 from .settings import PolicySettings
 from .stage_times import SlidingQuantiles
 from .subset import choose_subset
-from .target_state import TargetState
+from .target_state import CallInFlight, TargetState
 
 NO_TARGET_RETRY_MS = 1_000
 FULL_RETRY_MS = 250
 OVERDUE_FACTOR = 3.0
 OVERDUE_QUANTILE = 0.9
+USUAL_CALLS_WINDOW_S = 1.0
+UNCERTAIN_CALLS = 4.0
+MAX_COMPARABLE_WAIT = 0.5
 BAD_OUTCOMES = (CallOutcome.FAILED, CallOutcome.CRASHED)
 
 
@@ -50,6 +54,7 @@
     ):
         self.pool = pool
         self.times = SlidingQuantiles(clock)
+        self.first_part_times = SlidingQuantiles(clock)
         self.service_times = SlidingQuantiles(clock)
         self.health = PoolHealth(clock)
         self._clock = clock
@@ -58,7 +63,9 @@
         self._chooser = make_chooser(
             settings.choice, random, own_data_centre, self.health
         )
+        self.instances = settings.instances
         self._max_outstanding = 1
+        self._own_calls = SmoothedLevel(clock, USUAL_CALLS_WINDOW_S)
         self._states: dict[TargetId, TargetState] = {}
         self._leaving: dict[TargetId, TargetState] = {}
 
@@ -134,26 +141,52 @@
         """Count a call as in flight."""
         state = self.state(target)
         if state is not None:
-            state.sent(fingerprint)
+            usual = usual_others_per_slot(tuple(self.states))
+            state.sent(fingerprint, blended_calls(state, usual))
+            self._own_calls.change(+1)
+
+    def first_part(
+        self, target: TargetId, fingerprint: Fingerprint, elapsed_ms: float
+    ) -> None:
+        """Take over when the first part of a call's answer arrived."""
+        state = self._states.get(target)
+        if state is None:
+            return
+        call = state.answered(fingerprint)
+        self.first_part_times.add(elapsed_ms)
+        if call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
+            self.health.succeeded(target, elapsed_ms, Measure.FIRST_PART)
 
     def ended(self, report: CallReport, fingerprint: Fingerprint) -> None:
         """Take over how a call ended."""
         state = self.state(report.target)
         if state is None or state.view.incarnation != report.incarnation:
             return
-        state.ended(fingerprint)
+        call = state.ended(fingerprint)
+        if call is not None:
+            self._own_calls.change(-1)
         if report.load is not None:
             state.reported(report.load)
         if report.target in self._states:
-            self._judge(report)
+            self._judge(report, call)
         else:
             self._drop_if_idle(report.target)
 
     def calls_and_slots(self) -> tuple[float, int]:
-        """Return the blended calls in flight, and the slots, of all targets."""
-        usual = usual_others_per_slot(tuple(self.states))
-        calls = sum(blended_calls(one, usual) for one in self.states)
-        return calls, sum(one.slots for one in self.states)
+        """Return the expected calls in flight, and the slots, of all targets.
+
+        Other instances are taken to have changed their calls since the
+        reports as this one has, on the average.
+        """
+        states = self.states
+        slots = sum(one.slots for one in states)
+        usual = usual_others_per_slot(tuple(states))
+        own = sum(one.outstanding for one in states)
+        others = sum(blended_calls(one, usual) for one in states) - own
+        usual_own = self._own_calls.average()
+        certainty = usual_own / (usual_own + UNCERTAIN_CALLS)
+        growth = certainty * (own - usual_own) * (self.instances - 1)
+        return own + max(0.0, others + growth), slots
 
     def calls_per_slot(self) -> float:
         """Return the blended calls in flight per slot."""
@@ -184,23 +217,28 @@
         return self._chooser.choose(healthy or free, affinity_key)
 
     def _note_overdue(self, states: list[TargetState]) -> None:
-        usual_ms = self.times.quantile_ms(OVERDUE_QUANTILE)
+        first_ms = self.first_part_times.quantile_ms(OVERDUE_QUANTILE)
+        measure, usual_ms = Measure.FIRST_PART, first_ms
+        if first_ms is None:
+            usual_ms = self.times.quantile_ms(OVERDUE_QUANTILE)
+            measure = Measure.WHOLE
         if usual_ms is None:
             return
         for one in states:
-            age_ms = one.oldest_age_ms()
+            age_ms = one.oldest_age_ms(unanswered=first_ms is not None)
             if age_ms > OVERDUE_FACTOR * usual_ms and one.may_note_overdue():
-                self.health.overdue(one.view.target, age_ms)
+                self.health.overdue(one.view.target, age_ms, measure)
 
-    def _judge(self, report: CallReport) -> None:
+    def _judge(self, report: CallReport, call: CallInFlight | None) -> None:
+        unreachable = report.outcome is CallOutcome.REFUSED and report.load is None
         if report.outcome is CallOutcome.DONE:
             self.times.add(report.elapsed_ms)
-            self.service_times.add(_without_waiting_ms(report))
-            self.health.succeeded(report.target, report.elapsed_ms)
-        elif report.outcome in BAD_OUTCOMES:
-            crashed = report.outcome is CallOutcome.CRASHED
+            self.service_times.add(_service_ms(report, call))
+            self.health.succeeded(report.target, _service_ms(report, call))
+        elif report.outcome in BAD_OUTCOMES or unreachable:
+            crashed = unreachable or report.outcome is CallOutcome.CRASHED
             self.health.failed(report.target, crashed=crashed)
-        elif report.outcome in (CallOutcome.TIMED_OUT, CallOutcome.CANCELLED):
+        elif call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
             self.health.overdue(report.target, report.elapsed_ms)
 
     def _drop_if_idle(self, target: TargetId) -> None:
@@ -209,9 +247,9 @@
             del self._leaving[target]
 
 
-def _without_waiting_ms(report: CallReport) -> float:
-    """Return the time of a call without its likely wait in the target's queue."""
-    if report.load is None:
-        return report.elapsed_ms
-    waiting = report.load.queued / max(report.load.slots, 1)
+def _service_ms(report: CallReport, call: CallInFlight | None) -> float:
+    """Return the time of a call without its wait in the target's queue."""
+    if report.service_ms:
+        return report.service_ms
+    waiting = call.waiting_share if call else 0.0
     return report.elapsed_ms / (1.0 + waiting)
--- a/src/acaciapier/policy/stage_times.py
+++ b/src/acaciapier/policy/stage_times.py
@@ -7,6 +7,7 @@
 WINDOW_S = 30.0
 MAX_SAMPLES = 512
 MIN_SAMPLES = 20
+PRIOR_SAMPLES = 30
 REFRESH_SAMPLES = 16
 REFRESH_S = 1.0
 
@@ -40,12 +41,16 @@
             return None
         return self._sorted[min(int(share * len(self._sorted)), len(self._sorted) - 1)]
 
-    def mean_ms(self) -> float | None:
-        """Return the mean, or None with too few samples."""
+    def mean_ms(self, expected_ms: float) -> float:
+        """Return the mean; `expected_ms` stands for it while samples are few.
+
+        The first calls to end are the shortest, so that a mean over a few of
+        them alone would be too low.
+        """
         self._refresh()
-        if len(self._sorted) < MIN_SAMPLES:
-            return None
-        return self._mean_ms
+        count = len(self._sorted)
+        known_ms = count * self._mean_ms + PRIOR_SAMPLES * expected_ms
+        return known_ms / (count + PRIOR_SAMPLES)
 
     def _refresh(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/src/acaciapier/policy/target_state.py
+++ b/src/acaciapier/policy/target_state.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
 
 from ..core.clock import Clock, to_ms, to_s
 from ..core.ids import Fingerprint
@@ -12,6 +13,25 @@
 OVERDUE_GAP_S = 0.25
 
 
+@dataclass
+class CallInFlight:
+    """A call that was sent and has not ended.
+
+    Parameters
+    ----------
+    sent_s : float
+        Time of sending.
+    waiting_share : float
+        Calls that were expected to be ahead in the queue, for each slot.
+    answered : bool
+        Whether a first part has arrived.
+    """
+
+    sent_s: float
+    waiting_share: float
+    answered: bool = False
+
+
 class TargetState:
     """Own calls in flight at a target, and the newest load that it reported.
 
@@ -32,7 +52,7 @@
         self._report_lag_ms = report_lag_ms
         self._measured_s = 0.0
         self._own_at_measure = 0
-        self._in_flight: dict[Fingerprint, list[float]] = {}
+        self._in_flight: dict[Fingerprint, list[CallInFlight]] = {}
         self._outstanding = 0
         self._overdue_at_s = float("-inf")
         self._history: deque[tuple[float, int]] = deque(maxlen=MAX_HISTORY)
@@ -52,22 +72,31 @@
         """Calls that the target runs at once, as it reported last."""
         return max(self.load.slots, 1) if self.load else DEFAULT_SLOTS
 
-    def sent(self, fingerprint: Fingerprint) -> None:
-        """Count a call as in flight."""
-        now_s = self._clock.monotonic_s()
-        self._in_flight.setdefault(fingerprint, []).append(now_s)
+    def sent(self, fingerprint: Fingerprint, expected_calls: float) -> None:
+        """Count a call as in flight, before which there were `expected_calls`."""
+        waiting = max(0.0, expected_calls + 1.0 - self.slots) / self.slots
+        call = CallInFlight(self._clock.monotonic_s(), waiting)
+        self._in_flight.setdefault(fingerprint, []).append(call)
         self._change(+1)
 
-    def ended(self, fingerprint: Fingerprint) -> bool:
-        """Count a call as ended; False if it was not in flight."""
-        started = self._in_flight.get(fingerprint)
-        if not started:
-            return False
-        started.pop(0)
-        if not started:
+    def answered(self, fingerprint: Fingerprint) -> CallInFlight | None:
+        """Note that the first part of a call's answer has arrived."""
+        for call in self._in_flight.get(fingerprint, ()):
+            if not call.answered:
+                call.answered = True
+                return call
+        return None
+
+    def ended(self, fingerprint: Fingerprint) -> CallInFlight | None:
+        """Take a call out of those in flight; None if it is not among them."""
+        calls = self._in_flight.get(fingerprint)
+        if not calls:
+            return None
+        call = calls.pop(0)
+        if not calls:
             del self._in_flight[fingerprint]
         self._change(-1)
-        return True
+        return call
 
     def reported(self, load: Load) -> None:
         """Keep a reported load unless a newer one is known."""
@@ -91,12 +120,20 @@
         age_ms = to_ms(self._clock.monotonic_s() - self._measured_s)
         return math.exp(-max(age_ms, 0.0) / self._report_lag_ms)
 
-    def oldest_age_ms(self) -> float:
-        """Return the age of the oldest own call in flight, 0 without any."""
-        if not self._in_flight:
+    def oldest_age_ms(self, *, unanswered: bool) -> float:
+        """Return the age of the oldest own call in flight, 0 without any.
+
+        With `unanswered`, only calls without a first part count.
+        """
+        sent = [
+            call.sent_s
+            for calls in self._in_flight.values()
+            for call in calls
+            if not (unanswered and call.answered)
+        ]
+        if not sent:
             return 0.0
-        oldest_s = min(started[0] for started in self._in_flight.values())
-        return to_ms(self._clock.monotonic_s() - oldest_s)
+        return to_ms(self._clock.monotonic_s() - min(sent))
 
     def may_note_overdue(self) -> bool:
         """Return True at most once per `OVERDUE_GAP_S`."""
--- a/src/acaciapier_bench/policy/fleet.py
+++ b/src/acaciapier_bench/policy/fleet.py
@@ -7,7 +7,14 @@
 import trio
 
 from acaciapier.core.clock import TrioClock, to_s
-from acaciapier.core.ids import DataCentreId, InstanceId, RequestId, RunId
+from acaciapier.core.ids import (
+    DataCentreId,
+    Fingerprint,
+    InstanceId,
+    RequestId,
+    RunId,
+    TargetId,
+)
 from acaciapier.pipeline.context import ExecutorServices
 from acaciapier.pipeline.executor import Executor
 from acaciapier.pipeline.models import CallerRequest, FinalEvent, RunIdentity
@@ -18,7 +25,7 @@
 from .deployments import Deployment
 from .targets import FakeTarget
 from .transport import FakeTransport
-from .variants import make_settings
+from .variants import VARIANTS, make_settings
 
 LIMITS = PoolLimits(
     max_outstanding=64, retry_share_percent=10.0, hedge_share_percent=5.0
@@ -30,13 +37,23 @@
 STRIKE_LAG_MS = 10.0
 SUPERVISE_S = 0.05
 DOWN_S = 2.0
+SHARE_LOADS_MS = 200.0
 FLEET_KEY = b"measured"
 
 
 class CountingPolicy(PathPolicy):
-    """The policy, with a count of the extra calls that it granted."""
+    """The policy, with a count of the extra calls that it granted.
+
+    It also adds the targets' service times, which the executor does not report.
+    """
 
     granted: Counter[str]
+    service_ms: dict[tuple[TargetId, Fingerprint], float]
+
+    def ended(self, report, fingerprint) -> None:
+        """Add how long the target said to have worked."""
+        service_ms = self.service_ms.pop((report.target, fingerprint), None)
+        super().ended(replace(report, service_ms=service_ms), fingerprint)
 
     def may_retry(self, pool, typical_ms, remaining_ms) -> bool:
         """Count a granted retry."""
@@ -67,14 +84,20 @@
             clock, random, settings, DataCentreId(self.data_centre)
         )
         self.policy.granted = fleet.granted
+        self.policy.service_ms = {}
         for workspace in WORKSPACES:
             self.policy.update_workspace(workspace, WORKSPACE_LIMITS)
         self._clock = clock
         self._pipeline = fleet.deployment.pipeline
+        self._fingerprints: dict[str, Fingerprint] = {}
+        transport = FakeTransport(fleet.targets, self.data_centre)
+        if VARIANTS[fleet.variant].full_reports:
+            transport.on_first_part = self._hear_first_part
+            transport.on_done = self._hear_done
         self._executor = Executor(
             ExecutorServices(
                 policy=self.policy,
-                transport=FakeTransport(fleet.targets, self.data_centre),
+                transport=transport,
                 record_cost=lambda entry: None,
                 hear_target=lambda target, word: None,
                 tokens=ResumeTokens([FLEET_KEY]),
@@ -89,14 +112,26 @@
         """Return how a request ended, or None if this instance was killed."""
         identity = RunIdentity(request.request_id, RunId(request.request_id), 1)
         record = RunRecord(request, identity, self._clock)
+        self._fingerprints[request.request_id] = request.fingerprint
         with trio.CancelScope() as scope:
             self.scopes.add(scope)
             try:
                 await self._executor.run(request, self._pipeline, record)
             finally:
                 self.scopes.discard(scope)
+                del self._fingerprints[request.request_id]
         return record.final
 
+    def _hear_first_part(self, target: str, request_id: str, elapsed_ms: float) -> None:
+        fingerprint = self._fingerprints.get(request_id)
+        if fingerprint is not None:
+            self.policy.first_part(target, fingerprint, elapsed_ms)
+
+    def _hear_done(self, target: str, request_id: str, service_ms: float) -> None:
+        fingerprint = self._fingerprints.get(request_id)
+        if fingerprint is not None:
+            self.policy.service_ms[target, fingerprint] = service_ms
+
     def kill(self) -> None:
         """End the process with all its runs."""
         self.up = False
@@ -124,6 +159,8 @@
         self.list_targets()
         nursery.start_soon(self._share_strikes)
         nursery.start_soon(self._supervise)
+        if VARIANTS[self.variant].share_loads:
+            nursery.start_soon(self._share_loads)
 
     def list_targets(self) -> None:
         """Give all entries the present list of targets."""
@@ -181,6 +218,17 @@
                 for entry in self.entries:
                     entry.policy.merge_strikes(new)
 
+    async def _share_loads(self) -> None:
+        """Give all entries the targets' loads, as those hear them that called."""
+        while True:
+            await trio.sleep(to_s(SHARE_LOADS_MS))
+            for target in self.targets.values():
+                body = target.body()
+                for entry in self.entries:
+                    entry.policy.load_reported(
+                        target.name, body.incarnation, body.load.to_load()
+                    )
+
     def _make_targets(self) -> dict[str, FakeTarget]:
         centres = self.deployment.data_centres
         targets = [
--- a/tests/policy/test_policy_path.py
+++ b/tests/policy/test_policy_path.py
@@ -112,3 +112,53 @@
     }
     policy.ended(report(view.target), "f")
     assert policy._routers[POOL].state(view.target) is None
+
+
+def test_a_short_stage_before_a_long_queue_keeps_ample_time():
+    policy = make_policy()
+    report_load(policy, running=4, queued=40)
+    estimates = (
+        StageEstimate("encode", "encoders", 15.0, ()),
+        StageEstimate("generate", POOL, 700.0, ("encode",)),
+    )
+    assert policy.stage_budget_ms(estimates, "encode", 2_900.0) == 45.0
+
+
+def test_an_instance_without_calls_admits_again_although_calls_were_slow():
+    clock = ManualClock()
+    policy = make_policy(clock)
+    for number in range(100):
+        call(policy, f"f{number}", elapsed_ms=2_900.0)
+    clock.advance(5)
+    assert admit(policy).is_ok()
+
+
+def test_the_first_calls_to_end_do_not_set_the_mean():
+    policy = make_policy()
+    for number in range(20):
+        call(policy, f"f{number}", elapsed_ms=10.0)
+    report_load(policy, running=4, queued=40)
+    assert admit(policy, remaining_ms=800.0).is_err()
+
+
+def test_growth_of_own_calls_counts_for_the_other_instances():
+    alone, fleet = (make_policy(instances=count) for count in (1, 9))
+    calls = {}
+    for policy in (alone, fleet):
+        clock = policy._clock
+        report_load(policy, running=4, queued=0)
+        for number in range(8):
+            clock.advance(0.1)
+            policy.sent(pick(policy, f"f{number}").unwrap().target, f"f{number}")
+        calls[policy] = policy._routers[POOL].calls_and_slots()[0]
+    assert calls[fleet] > calls[alone] + 5
+
+
+def test_a_hedge_waits_for_the_time_of_first_parts():
+    policy = make_policy()
+    for number in range(40):
+        view = pick(policy, f"f{number}").unwrap()
+        policy.sent(view.target, f"f{number}")
+        policy.first_part(view.target, f"f{number}", 30.0)
+        policy.ended(report(view.target, elapsed_ms=300.0), f"f{number}")
+    assert policy.hedge_after_ms(POOL, 3_000.0) == 30.0
--- a/tests/policy/test_policy_routing.py
+++ b/tests/policy/test_policy_routing.py
@@ -207,3 +207,23 @@
             one.target for one in choose_subset(local, "dc0", f"entry-{entry}", 64)
         )
     assert len(covered) > 0.85 * len(local)
+
+
+def test_a_target_that_cannot_be_reached_is_set_aside_at_once():
+    policy = make_policy()
+    policy.ended(report(f"{POOL}-1", CallOutcome.REFUSED), "f")
+    assert not policy._routers[POOL].health.is_healthy(f"{POOL}-1")
+    full = report(f"{POOL}-2", CallOutcome.REFUSED, load=Load(4, 60, 4, 0.0))
+    policy.ended(full, "f")
+    assert policy._routers[POOL].health.is_healthy(f"{POOL}-2")
+
+
+def test_a_queue_is_not_taken_for_slowness():
+    clock = ManualClock()
+    policy = make_policy(clock)
+    for number in range(60):
+        call(policy, f"f{number}", elapsed_ms=100.0)
+    for number in range(10):
+        ended = report(f"{POOL}-1", elapsed_ms=1_000.0, service_ms=100.0)
+        policy.ended(ended, f"g{number}")
+    assert policy._routers[POOL].health.is_healthy(f"{POOL}-1")
