--- a/src/acaciapier_bench/policy/fleet.py
+++ b/src/acaciapier_bench/policy/fleet.py
@@ -18,6 +18,7 @@
 from acaciapier.pipeline.context import ExecutorServices
 from acaciapier.pipeline.executor import Executor
 from acaciapier.pipeline.models import CallerRequest, FinalEvent, RunIdentity
+from acaciapier.pipeline.pace import StreamPace
 from acaciapier.pipeline.record import RunRecord
 from acaciapier.pipeline.resume import ResumeTokens
 from acaciapier.policy import PathPolicy, PoolLimits, WorkspaceLimits
@@ -105,6 +106,7 @@
                 clock=clock,
                 random=random,
                 background=nursery,
+                pace=StreamPace(clock),
             )
         )
 
