Set stragglers aside after one flagrant call, and keep hedges for them

Causes, from traces of the lost requests: hedges at the 95th percentile used up a budget of 5 % in calm, so none was left (now the 98th, and more may be saved up); the straggler's own times moved the percentile up (now capped at four medians, and times of targets set aside are left out); probes were real requests without a hedge (now only while one may be hedged); each entry needed two slow calls (now one, if it is far beyond the pool's usual time).

The budget machine's burst for hedges follows the new constant; its bound is as strict as before.

--- a/src/acaciapier/policy/budgets.py
+++ b/src/acaciapier/policy/budgets.py
@@ -26,16 +26,14 @@
 
     def __init__(self, share_percent: float, burst: float = DEFAULT_BURST):
         self._share = share_percent / PERCENT
+        self._most = burst
         self._burst = burst if share_percent > 0 else 0.0
         self._saved = self._burst
 
     def configure(self, share_percent: float) -> None:
         """Set a new share; what was saved is kept."""
         self._share = share_percent / PERCENT
-        if share_percent <= 0:
-            self._burst = 0.0
-        elif not self._burst:
-            self._burst = DEFAULT_BURST
+        self._burst = self._most if share_percent > 0 else 0.0
         self._saved = min(self._saved, self._burst)
 
     def earn(self) -> None:
--- a/src/acaciapier/policy/extra_calls.py
+++ b/src/acaciapier/policy/extra_calls.py
@@ -6,7 +6,9 @@
 from .routing import PoolRouter
 from .settings import PolicySettings, RetryRule
 
-HEDGE_QUANTILE = 0.95
+HEDGE_QUANTILE = 0.98
+HEDGE_BURST = 10.0
+MAX_HEDGE_FACTOR = 4.0
 
 
 class ExtraCalls:
@@ -28,7 +30,7 @@
         self._router = router
         self._settings = settings
         self._retries = ShareBudget(limits.retry_share_percent)
-        self._hedges = ShareBudget(limits.hedge_share_percent)
+        self._hedges = ShareBudget(limits.hedge_share_percent, HEDGE_BURST)
         self._granted = 0
 
     def configure(self, limits: PoolLimits) -> None:
@@ -59,14 +61,20 @@
         """Return after which time a call should be hedged, or None for never."""
         if not self._settings.hedges or is_overloaded(self._router):
             return None
-        first_parts = self._router.first_part_times
-        after_ms = first_parts.quantile_ms(HEDGE_QUANTILE)
-        if after_ms is None:
-            after_ms = self._router.times.quantile_ms(HEDGE_QUANTILE)
-        usual_ms = self._router.times.quantile_ms(0.5)
-        if None in (after_ms, usual_ms) or after_ms + usual_ms > remaining_ms:
+        whole_ms = self._router.times.quantile_ms(0.5)
+        times = self._router.first_part_times
+        if times.quantile_ms(0.5) is None:
+            times = self._router.times
+        late_ms = times.quantile_ms(HEDGE_QUANTILE)
+        if whole_ms is None or late_ms is None:
             return None
-        return after_ms
+        # A straggler's own times must not delay the hedges against it.
+        after_ms = min(late_ms, MAX_HEDGE_FACTOR * times.quantile_ms(0.5))
+        return after_ms if after_ms + whole_ms <= remaining_ms else None
+
+    def can_probe(self) -> bool:
+        """Return whether a call to a target that was set aside could be hedged."""
+        return not self._settings.hedges or self._hedges.can_spend()
 
     def may_hedge(self) -> bool:
         """Return whether a hedge may be sent, and take it out of the budget."""
--- a/src/acaciapier/policy/health.py
+++ b/src/acaciapier/policy/health.py
@@ -174,9 +174,16 @@
         if health.good_probes >= GOOD_PROBES:
             self._targets[target] = TargetHealth()
 
+    def flagrant(self, target: TargetId) -> None:
+        """Set a target aside for one call that was far beyond the usual time."""
+        if self.is_healthy(target):
+            self._eject_if_allowed(target)
+
     def _eject_if_slow(self, target: TargetId) -> None:
-        if self.slowness(target) < SLOW_FACTOR:
-            return
+        if self.slowness(target) >= SLOW_FACTOR:
+            self._eject_if_allowed(target)
+
+    def _eject_if_allowed(self, target: TargetId) -> None:
         ejected = sum(
             one.state is HealthState.EJECTED for one in self._targets.values()
         )
--- a/src/acaciapier/policy/path.py
+++ b/src/acaciapier/policy/path.py
@@ -193,6 +193,7 @@
             affinity_key,
             lambda one: only is None or one.view.target in only,
             avoid=self._runs_suspect,
+            probes=self._extra[pool].can_probe(),
         )
 
     def sent(self, target: TargetId, fingerprint: Fingerprint) -> None:
--- a/src/acaciapier/policy/routing.py
+++ b/src/acaciapier/policy/routing.py
@@ -19,8 +19,8 @@
 
 NO_TARGET_RETRY_MS = 1_000
 FULL_RETRY_MS = 250
-OVERDUE_FACTOR = 3.0
-OVERDUE_QUANTILE = 0.9
+FLAGRANT_FACTOR = 4.5
+FLAGRANT_QUANTILE = 0.75
 USUAL_CALLS_WINDOW_S = 1.0
 UNCERTAIN_CALLS = 4.0
 MAX_COMPARABLE_WAIT = 0.5
@@ -153,8 +153,11 @@
         if state is None:
             return
         call = state.answered(fingerprint)
-        self.first_part_times.add(elapsed_ms)
+        if self.health.is_healthy(target):
+            self.first_part_times.add(elapsed_ms)
         if call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
+            if _is_flagrant(elapsed_ms, self.first_part_times):
+                self.health.flagrant(target)
             self.health.succeeded(target, elapsed_ms, Measure.FIRST_PART)
 
     def ended(self, report: CallReport, fingerprint: Fingerprint) -> None:
@@ -217,36 +220,44 @@
         return self._chooser.choose(healthy or free, affinity_key)
 
     def _note_overdue(self, states: list[TargetState]) -> None:
-        first_ms = self.first_part_times.quantile_ms(OVERDUE_QUANTILE)
-        measure, usual_ms = Measure.FIRST_PART, first_ms
-        if first_ms is None:
-            usual_ms = self.times.quantile_ms(OVERDUE_QUANTILE)
-            measure = Measure.WHOLE
-        if usual_ms is None:
-            return
+        by_parts = self.first_part_times.quantile_ms(FLAGRANT_QUANTILE) is not None
+        times = self.first_part_times if by_parts else self.times
         for one in states:
-            age_ms = one.oldest_age_ms(unanswered=first_ms is not None)
-            if age_ms > OVERDUE_FACTOR * usual_ms and one.may_note_overdue():
-                self.health.overdue(one.view.target, age_ms, measure)
+            if one.may_note_overdue() and one.outstanding:
+                age_ms = one.oldest_age_ms(unanswered=by_parts)
+                if _is_flagrant(age_ms, times):
+                    self.health.flagrant(one.view.target)
 
     def _judge(self, report: CallReport, call: CallInFlight | None) -> None:
         unreachable = report.outcome is CallOutcome.REFUSED and report.load is None
         if report.outcome is CallOutcome.DONE:
-            self.times.add(report.elapsed_ms)
-            self.service_times.add(_service_ms(report, call))
-            self.health.succeeded(report.target, _service_ms(report, call))
+            self._take_times(report, call)
         elif report.outcome in BAD_OUTCOMES or unreachable:
             crashed = unreachable or report.outcome is CallOutcome.CRASHED
             self.health.failed(report.target, crashed=crashed)
         elif call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
             self.health.overdue(report.target, report.elapsed_ms)
 
+    def _take_times(self, report: CallReport, call: CallInFlight | None) -> None:
+        service_ms = _service_ms(report, call)
+        if self.health.is_healthy(report.target):
+            self.times.add(report.elapsed_ms)
+            self.service_times.add(service_ms)
+            if report.service_ms and _is_flagrant(service_ms, self.service_times):
+                self.health.flagrant(report.target)
+        self.health.succeeded(report.target, service_ms)
+
     def _drop_if_idle(self, target: TargetId) -> None:
         state = self._leaving[target]
         if not state.outstanding:
             del self._leaving[target]
 
 
+def _is_flagrant(elapsed_ms: float, times: SlidingQuantiles) -> bool:
+    usual_ms = times.quantile_ms(FLAGRANT_QUANTILE)
+    return usual_ms is not None and elapsed_ms > FLAGRANT_FACTOR * usual_ms
+
+
 def _service_ms(report: CallReport, call: CallInFlight | None) -> float:
     """Return the time of a call without its wait in the target's queue."""
     if report.service_ms:
--- a/src/acaciapier/policy/target_state.py
+++ b/src/acaciapier/policy/target_state.py
@@ -123,13 +123,14 @@
     def oldest_age_ms(self, *, unanswered: bool) -> float:
         """Return the age of the oldest own call in flight, 0 without any.
 
-        With `unanswered`, only calls without a first part count.
+        With `unanswered`, only calls without a first part count. Calls before
+        which a queue was expected never count.
         """
         sent = [
             call.sent_s
             for calls in self._in_flight.values()
             for call in calls
-            if not (unanswered and call.answered)
+            if not (unanswered and call.answered) and not call.waiting_share
         ]
         if not sent:
             return 0.0
--- a/tests/policy/test_policy_routing.py
+++ b/tests/policy/test_policy_routing.py
@@ -227,3 +227,49 @@
         ended = report(f"{POOL}-1", elapsed_ms=1_000.0, service_ms=100.0)
         policy.ended(ended, f"g{number}")
     assert policy._routers[POOL].health.is_healthy(f"{POOL}-1")
+
+
+def stream(policy, fingerprint, slow=None, first_ms=50.0):
+    """Run one streamed call, ten times slower on the target `slow`."""
+    view = pick(policy, fingerprint).unwrap()
+    factor = 10.0 if view.target == slow else 1.0
+    policy.sent(view.target, fingerprint)
+    policy.first_part(view.target, fingerprint, factor * first_ms)
+    ended = report(view.target, elapsed_ms=factor * 5 * first_ms)
+    policy.ended(ended, fingerprint)
+    return view.target
+
+
+def test_one_flagrantly_late_first_part_sets_a_target_aside():
+    policy = make_policy()
+    for number in range(60):
+        stream(policy, f"f{number}")
+    slow = f"{POOL}-1"
+    policy.sent(slow, "g")
+    policy.first_part(slow, "g", 500.0)
+    assert not policy._routers[POOL].health.is_healthy(slow)
+
+
+def test_a_straggler_does_not_delay_the_hedges_against_it():
+    policy = make_policy()
+    for number in range(100):
+        view = pick(policy, f"f{number}").unwrap()
+        policy.sent(view.target, f"f{number}")
+        late = 2_000.0 if number % 10 == 0 else 50.0
+        policy._routers[POOL].first_part_times.add(late)
+        policy.ended(report(view.target, elapsed_ms=250.0), f"f{number}")
+    assert policy.hedge_after_ms(POOL, 3_000.0) == 200.0
+
+
+def test_a_target_is_probed_only_by_calls_that_may_be_hedged():
+    clock = ManualClock()
+    policy = make_policy(clock)
+    slow = f"{POOL}-1"
+    policy.ended(report(slow, CallOutcome.CRASHED), "f")
+    clock.advance(2)
+    while policy.may_hedge(POOL):
+        pass
+    assert all(pick(policy, f"g{n}").unwrap().target != slow for n in range(20))
+    for number in range(30):
+        call(policy, f"h{number}")
+    assert any(pick(policy, f"i{n}").unwrap().target == slow for n in range(2))
