Let instances pass on the loads that they hear

At 60 entries an entry hears from a target every 12 s, so its view of the queues is too old for admission.

Tests: python -m pytest -q tests/policy, 52 passed.

--- a/src/acaciapier/policy/__init__.py
+++ b/src/acaciapier/policy/__init__.py
@@ -3,6 +3,7 @@
 from .models import (
     CallOutcome,
     CallReport,
+    HeardLoad,
     Load,
     Permit,
     PoolLimits,
@@ -20,6 +21,7 @@
     "CallOutcome",
     "CallReport",
     "Choice",
+    "HeardLoad",
     "Load",
     "PathPolicy",
     "Permit",
--- a/src/acaciapier/policy/models.py
+++ b/src/acaciapier/policy/models.py
@@ -37,6 +37,15 @@
     age_ms: float
 
 
+@dataclass(frozen=True)
+class HeardLoad:
+    """A load that a target reported to this instance, for the other instances."""
+
+    target: TargetId
+    incarnation: Incarnation
+    load: Load
+
+
 @dataclass(frozen=True)
 class TargetView:
     """One live target of a pool as the configuration and the list show it."""
--- a/src/acaciapier/policy/path.py
+++ b/src/acaciapier/policy/path.py
@@ -22,6 +22,7 @@
 from .fairness import FairShares
 from .models import (
     CallReport,
+    HeardLoad,
     Load,
     Permit,
     PoolLimits,
@@ -229,11 +230,20 @@
     def load_reported(
         self, target: TargetId, incarnation: Incarnation, load: Load
     ) -> None:
-        """Take over a load that was read from a target."""
+        """Take over a load that was read from a target, or heard by a peer."""
         pool = self._pool_of.get(target)
         state = self._routers[pool].state(target) if pool else None
         if state is not None and state.view.incarnation == incarnation:
-            state.reported(load)
+            state.reported(load, heard=False)
+
+    def take_heard_loads(self) -> tuple[HeardLoad, ...]:
+        """Return the loads heard here since the last call, to be sent to peers.
+
+        A peer takes them over with `load_reported`, with the time on the way
+        added to their age.
+        """
+        routers = self._routers.values()
+        return tuple(load for one in routers for load in one.take_heard_loads())
 
     def stage_budget_ms(
         self,
--- a/src/acaciapier/policy/routing.py
+++ b/src/acaciapier/policy/routing.py
@@ -11,7 +11,7 @@
 from .choices import blended_calls, make_chooser, usual_others_per_slot
 from .health import Measure, PoolHealth
 from .levels import SmoothedLevel
-from .models import CallOutcome, CallReport, PoolLimits, Refused, TargetView
+from .models import CallOutcome, CallReport, HeardLoad, PoolLimits, Refused, TargetView
 from .settings import PolicySettings
 from .stage_times import SlidingQuantiles
 from .subset import choose_subset
@@ -169,12 +169,21 @@
         if call is not None:
             self._own_calls.change(-1)
         if report.load is not None:
-            state.reported(report.load)
+            state.reported(report.load, heard=True)
         if report.target in self._states:
             self._judge(report, call)
         else:
             self._drop_if_idle(report.target)
 
+    def take_heard_loads(self) -> list[HeardLoad]:
+        """Return the loads that answers brought since the last call."""
+        heard = [(state.view, state.take_heard()) for state in self.states]
+        return [
+            HeardLoad(view.target, view.incarnation, load)
+            for view, load in heard
+            if load is not None
+        ]
+
     def calls_and_slots(self) -> tuple[float, int]:
         """Return the expected calls in flight, and the slots, of all targets.
 
--- a/src/acaciapier/policy/stage_times.py
+++ b/src/acaciapier/policy/stage_times.py
@@ -4,9 +4,9 @@
 
 from ..core.clock import Clock
 
-WINDOW_S = 30.0
+WINDOW_S = 60.0
 MAX_SAMPLES = 512
-MIN_SAMPLES = 20
+MIN_SAMPLES = 8
 PRIOR_SAMPLES = 30
 REFRESH_SAMPLES = 16
 REFRESH_S = 1.0
--- a/src/acaciapier/policy/target_state.py
+++ b/src/acaciapier/policy/target_state.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..core.clock import Clock, to_ms, to_s
 from ..core.ids import Fingerprint
@@ -50,6 +50,7 @@
         self.load: Load | None = None
         self._clock = clock
         self._report_lag_ms = report_lag_ms
+        self._heard = False
         self._measured_s = 0.0
         self._own_at_measure = 0
         self._in_flight: dict[Fingerprint, list[CallInFlight]] = {}
@@ -98,15 +99,27 @@
         self._change(-1)
         return call
 
-    def reported(self, load: Load) -> None:
-        """Keep a reported load unless a newer one is known."""
+    def reported(self, load: Load, *, heard: bool) -> None:
+        """Keep a reported load unless a newer one is known.
+
+        `heard` tells whether the target reported it to this very instance.
+        """
         measured_s = self._clock.monotonic_s() - to_s(load.age_ms)
         if self.load is not None and measured_s < self._measured_s:
             return
         self.load = load
+        self._heard = heard
         self._measured_s = measured_s
         self._own_at_measure = self._own_at(measured_s)
 
+    def take_heard(self) -> Load | None:
+        """Return the load that the target reported here since the last call."""
+        if not self._heard:
+            return None
+        self._heard = False
+        age_ms = to_ms(self._clock.monotonic_s() - self._measured_s)
+        return replace(self.load, age_ms=age_ms)
+
     def others(self) -> float | None:
         """Return the calls of other instances in the last report, or None."""
         if self.load is None:
--- a/src/acaciapier_bench/policy/fleet.py
+++ b/src/acaciapier_bench/policy/fleet.py
@@ -21,7 +21,7 @@
 from acaciapier.pipeline.pace import StreamPace
 from acaciapier.pipeline.record import RunRecord
 from acaciapier.pipeline.resume import ResumeTokens
-from acaciapier.policy import PathPolicy, PoolLimits, WorkspaceLimits
+from acaciapier.policy import HeardLoad, PathPolicy, PoolLimits, WorkspaceLimits
 
 from .deployments import Deployment
 from .targets import FakeTarget
@@ -221,15 +221,17 @@
                     entry.policy.merge_strikes(new)
 
     async def _share_loads(self) -> None:
-        """Give all entries the targets' loads, as those hear them that called."""
+        """Pass the loads that entries hear on to the other entries."""
         while True:
             await trio.sleep(to_s(SHARE_LOADS_MS))
-            for target in self.targets.values():
-                body = target.body()
-                for entry in self.entries:
-                    entry.policy.load_reported(
-                        target.name, body.incarnation, body.load.to_load()
-                    )
+            for entry in self.entries:
+                for heard in entry.policy.take_heard_loads():
+                    self._pass_on(heard, entry)
+
+    def _pass_on(self, heard: HeardLoad, hearer: Entry) -> None:
+        for entry in self.entries:
+            if entry is not hearer and entry.up:
+                entry.policy.load_reported(heard.target, heard.incarnation, heard.load)
 
     def _make_targets(self) -> dict[str, FakeTarget]:
         centres = self.deployment.data_centres
--- a/src/acaciapier_bench/policy/variants.py
+++ b/src/acaciapier_bench/policy/variants.py
@@ -40,6 +40,9 @@
     "round-robin": _routed_by(Choice.ROUND_ROBIN),
     "least-outstanding": _routed_by(Choice.LEAST_OUTSTANDING),
     "least-reported": _routed_by(Choice.LEAST_REPORTED),
+    "least-reported-shared": Variant(
+        {"choice": Choice.LEAST_REPORTED, "health": False}, share_loads=True
+    ),
     "no-retries": Variant({"retries": RetryRule.NONE}),
     "unlimited-retries": Variant({"retries": RetryRule.UNLIMITED}),
     "no-admission": Variant({"admission": False}),
--- a/tests/policy/test_policy_path.py
+++ b/tests/policy/test_policy_path.py
@@ -162,3 +162,17 @@
         policy.first_part(view.target, f"f{number}", 30.0)
         policy.ended(report(view.target, elapsed_ms=300.0), f"f{number}")
     assert policy.hedge_after_ms(POOL, 3_000.0) == 30.0
+
+
+def test_a_heard_load_is_passed_on_once_with_its_age():
+    clock = ManualClock()
+    policy, peer = make_policy(clock), make_policy(clock)
+    load = Load(running=4, queued=6, slots=4, age_ms=100.0)
+    policy.ended(report(f"{POOL}-1", load=load), "f")
+    clock.advance(0.1)
+    (heard,) = policy.take_heard_loads()
+    assert heard.load.age_ms == 200.0
+    assert policy.take_heard_loads() == ()
+    peer.load_reported(heard.target, heard.incarnation, heard.load)
+    assert peer.take_heard_loads() == ()
+    assert peer._routers[POOL].state(heard.target).others() == 10
