--- a/src/acaciapier/policy/routing.py
+++ b/src/acaciapier/policy/routing.py
@@ -9,17 +9,21 @@
 from ..core.ids import DataCentreId, Fingerprint, PoolName, TargetId
 from ..core.outcomes import Cause
 from .choices import blended_calls, make_chooser, usual_others_per_slot
-from .health import PoolHealth
-from .models import CallOutcome, CallReport, PoolLimits, Refused, TargetView
+from .health import Measure, PoolHealth
+from .levels import SmoothedLevel
+from .models import CallOutcome, CallReport, HeardLoad, PoolLimits, Refused, TargetView
 from .settings import PolicySettings
 from .stage_times import SlidingQuantiles
 from .subset import choose_subset
-from .target_state import TargetState
+from .target_state import CallInFlight, TargetState
 
 NO_TARGET_RETRY_MS = 1_000
 FULL_RETRY_MS = 250
-OVERDUE_FACTOR = 3.0
-OVERDUE_QUANTILE = 0.9
+FLAGRANT_FACTOR = 4.5
+FLAGRANT_QUANTILE = 0.75
+USUAL_CALLS_WINDOW_S = 1.0
+UNCERTAIN_CALLS = 4.0
+MAX_COMPARABLE_WAIT = 0.5
 BAD_OUTCOMES = (CallOutcome.FAILED, CallOutcome.CRASHED)
 
 
@@ -50,6 +54,7 @@
     ):
         self.pool = pool
         self.times = SlidingQuantiles(clock)
+        self.first_part_times = SlidingQuantiles(clock)
         self.service_times = SlidingQuantiles(clock)
         self.health = PoolHealth(clock)
         self._clock = clock
@@ -58,7 +63,9 @@
         self._chooser = make_chooser(
             settings.choice, random, own_data_centre, self.health
         )
+        self.instances = settings.instances
         self._max_outstanding = 1
+        self._own_calls = SmoothedLevel(clock, USUAL_CALLS_WINDOW_S)
         self._states: dict[TargetId, TargetState] = {}
         self._leaving: dict[TargetId, TargetState] = {}
 
@@ -134,26 +141,64 @@
         """Count a call as in flight."""
         state = self.state(target)
         if state is not None:
-            state.sent(fingerprint)
+            usual = usual_others_per_slot(tuple(self.states))
+            state.sent(fingerprint, blended_calls(state, usual))
+            self._own_calls.change(+1)
+
+    def first_part(
+        self, target: TargetId, fingerprint: Fingerprint, elapsed_ms: float
+    ) -> None:
+        """Take over when the first part of a call's answer arrived."""
+        state = self._states.get(target)
+        if state is None:
+            return
+        call = state.answered(fingerprint)
+        if self.health.is_healthy(target):
+            self.first_part_times.add(elapsed_ms)
+        if call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
+            if _is_flagrant(elapsed_ms, self.first_part_times):
+                self.health.flagrant(target)
+            self.health.succeeded(target, elapsed_ms, Measure.FIRST_PART)
 
     def ended(self, report: CallReport, fingerprint: Fingerprint) -> None:
         """Take over how a call ended."""
         state = self.state(report.target)
         if state is None or state.view.incarnation != report.incarnation:
             return
-        state.ended(fingerprint)
+        call = state.ended(fingerprint)
+        if call is not None:
+            self._own_calls.change(-1)
         if report.load is not None:
-            state.reported(report.load)
+            state.reported(report.load, heard=True)
         if report.target in self._states:
-            self._judge(report)
+            self._judge(report, call)
         else:
             self._drop_if_idle(report.target)
 
+    def take_heard_loads(self) -> list[HeardLoad]:
+        """Return the loads that answers brought since the last call."""
+        heard = [(state.view, state.take_heard()) for state in self.states]
+        return [
+            HeardLoad(view.target, view.incarnation, load)
+            for view, load in heard
+            if load is not None
+        ]
+
     def calls_and_slots(self) -> tuple[float, int]:
-        """Return the blended calls in flight, and the slots, of all targets."""
-        usual = usual_others_per_slot(tuple(self.states))
-        calls = sum(blended_calls(one, usual) for one in self.states)
-        return calls, sum(one.slots for one in self.states)
+        """Return the expected calls in flight, and the slots, of all targets.
+
+        Other instances are taken to have changed their calls since the
+        reports as this one has, on the average.
+        """
+        states = self.states
+        slots = sum(one.slots for one in states)
+        usual = usual_others_per_slot(tuple(states))
+        own = sum(one.outstanding for one in states)
+        others = sum(blended_calls(one, usual) for one in states) - own
+        usual_own = self._own_calls.average()
+        certainty = usual_own / (usual_own + UNCERTAIN_CALLS)
+        growth = certainty * (own - usual_own) * (self.instances - 1)
+        return own + max(0.0, others + growth), slots
 
     def calls_per_slot(self) -> float:
         """Return the blended calls in flight per slot."""
@@ -184,34 +229,47 @@
         return self._chooser.choose(healthy or free, affinity_key)
 
     def _note_overdue(self, states: list[TargetState]) -> None:
-        usual_ms = self.times.quantile_ms(OVERDUE_QUANTILE)
-        if usual_ms is None:
-            return
+        by_parts = self.first_part_times.quantile_ms(FLAGRANT_QUANTILE) is not None
+        times = self.first_part_times if by_parts else self.times
         for one in states:
-            age_ms = one.oldest_age_ms()
-            if age_ms > OVERDUE_FACTOR * usual_ms and one.may_note_overdue():
-                self.health.overdue(one.view.target, age_ms)
+            if one.may_note_overdue() and one.outstanding:
+                age_ms = one.oldest_age_ms(unanswered=by_parts)
+                if _is_flagrant(age_ms, times):
+                    self.health.flagrant(one.view.target)
 
-    def _judge(self, report: CallReport) -> None:
+    def _judge(self, report: CallReport, call: CallInFlight | None) -> None:
+        unreachable = report.outcome is CallOutcome.REFUSED and report.load is None
         if report.outcome is CallOutcome.DONE:
-            self.times.add(report.elapsed_ms)
-            self.service_times.add(_without_waiting_ms(report))
-            self.health.succeeded(report.target, report.elapsed_ms)
-        elif report.outcome in BAD_OUTCOMES:
-            crashed = report.outcome is CallOutcome.CRASHED
+            self._take_times(report, call)
+        elif report.outcome in BAD_OUTCOMES or unreachable:
+            crashed = unreachable or report.outcome is CallOutcome.CRASHED
             self.health.failed(report.target, crashed=crashed)
-        elif report.outcome in (CallOutcome.TIMED_OUT, CallOutcome.CANCELLED):
+        elif call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
             self.health.overdue(report.target, report.elapsed_ms)
 
+    def _take_times(self, report: CallReport, call: CallInFlight | None) -> None:
+        service_ms = _service_ms(report, call)
+        if self.health.is_healthy(report.target):
+            self.times.add(report.elapsed_ms)
+            self.service_times.add(service_ms)
+            if report.service_ms and _is_flagrant(service_ms, self.service_times):
+                self.health.flagrant(report.target)
+        self.health.succeeded(report.target, service_ms)
+
     def _drop_if_idle(self, target: TargetId) -> None:
         state = self._leaving[target]
         if not state.outstanding:
             del self._leaving[target]
 
 
-def _without_waiting_ms(report: CallReport) -> float:
-    """Return the time of a call without its likely wait in the target's queue."""
-    if report.load is None:
-        return report.elapsed_ms
-    waiting = report.load.queued / max(report.load.slots, 1)
+def _is_flagrant(elapsed_ms: float, times: SlidingQuantiles) -> bool:
+    usual_ms = times.quantile_ms(FLAGRANT_QUANTILE)
+    return usual_ms is not None and elapsed_ms > FLAGRANT_FACTOR * usual_ms
+
+
+def _service_ms(report: CallReport, call: CallInFlight | None) -> float:
+    """Return the time of a call without its wait in the target's queue."""
+    if report.service_ms:
+        return report.service_ms
+    waiting = call.waiting_share if call else 0.0
     return report.elapsed_ms / (1.0 + waiting)
