--- a/src/acaciapier_standins/engine.py
+++ b/src/acaciapier_standins/engine.py
@@ -76,11 +76,11 @@
     # -- generation ----------------------------------------------------------
 
     async def _generate(self, request: Request) -> Response | EventStream:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         envelope = request.json(Envelope)
-        await self.hang_if_told()
+        await self.faults.hang_if_drawn(request)
         refusal = self.refusal_at_door(envelope)
         if refusal is not None:
             return refusal
@@ -128,7 +128,7 @@
                 del self.streams[key]
 
     async def _resume(self, request: Request) -> Response | EventStream:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         stream = self.streams.get(request.segments[2])
@@ -137,7 +137,7 @@
         return self._read(stream, request.integer("from", 0))
 
     async def _cancel(self, request: Request) -> Response:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         stream = self.streams.get(request.segments[2])
@@ -204,7 +204,7 @@
     # -- cache, orders and load ----------------------------------------------
 
     async def _show_cache_events(self, request: Request) -> Response:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         since = request.integer("since", 0)
@@ -240,7 +240,7 @@
         return Response({"prefix": blob.prefix, "tokens": blob.tokens})
 
     async def _take_order(self, request: Request) -> Response:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         try:
@@ -280,7 +280,7 @@
             await self._drained.wait()
 
     async def _show_load(self, request: Request) -> Response:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         report = msgspec.to_builtins(self.target_report())
--- a/src/acaciapier_standins/faults.py
+++ b/src/acaciapier_standins/faults.py
@@ -9,7 +9,7 @@
 
 from acaciapier.core.clock import to_s
 
-from .http import ConnectionCut, Response, retry_after
+from .http import ConnectionCut, Request, Response, retry_after
 
 
 class Outage(Enum):
@@ -110,17 +110,28 @@
             return True
         return dial.share > 0 and self._random.random() < dial.share
 
-    async def disturb(self) -> Response | None:
+    async def disturb(self, request: Request) -> Response | None:
         """Apply an outage or a delay; returns the answer of an outage."""
         if self.present.outage is Outage.HANG:
-            await trio.sleep_forever()
+            await hang(request)
         if self.present.outage is Outage.ERROR:
             return retry_after(503, "unavailable", 1)
         if self.present.delay_ms:
             await trio.sleep(to_s(self.present.delay_ms))
         return None
 
+    async def hang_if_drawn(self, request: Request) -> None:
+        """Never answer if the fault `hang` befalls this call."""
+        if self.draw("hang"):
+            await hang(request)
+
     def lose_answer(self) -> None:
         """Cut the connection if this answer is to be lost."""
         if self.draw("lost"):
             raise ConnectionCut
+
+
+async def hang(request: Request) -> None:
+    """Leave `request` without an answer for as long as its caller waits."""
+    await request.wait_for_disconnect()
+    raise ConnectionCut
--- a/src/acaciapier_standins/http.py
+++ b/src/acaciapier_standins/http.py
@@ -25,11 +25,17 @@
     segments: tuple[str, ...]
     query: dict[str, str]
     body: bytes
+    receive: Receive
 
     def json(self, kind: Any = Any) -> Any:
         """Decode the body as `kind`; raises `msgspec.DecodeError` if it cannot."""
         return msgspec.json.decode(self.body or b"{}", type=kind)
 
+    async def wait_for_disconnect(self) -> None:
+        """Wait until the caller has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
     def integer(self, name: str, default: int | None) -> int | None:
         """Return the query parameter `name` as an integer."""
         raw = self.query.get(name, "")
@@ -103,13 +109,14 @@
             tuple(unquote(part) for part in _raw_segments(scope)),
             _query_of(scope),
             await _read_body(receive),
+            receive,
         )
         try:
             answer = await self._answer(request)
             if isinstance(answer, Response):
                 await _send_response(answer, send)
             else:
-                await _send_stream(answer, receive, send)
+                await _send_stream(answer, request, send)
         except ConnectionCut:
             await _cut(send)
 
@@ -162,11 +169,11 @@
     await send({"type": "http.response.body", "body": body})
 
 
-async def _send_stream(answer: EventStream, receive: Receive, send: Send) -> None:
+async def _send_stream(answer: EventStream, request: Request, send: Send) -> None:
     headers = [EVENT_STREAM_TYPE, (b"cache-control", b"no-store")]
     try:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            nursery.start_soon(_cancel_on_disconnect, request, nursery.cancel_scope)
             start = {"type": "http.response.start", "status": 200, "headers": headers}
             await send(start)
             async for chunk in answer.chunks:
@@ -180,9 +187,8 @@
         answer.closed()
 
 
-async def _cancel_on_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
+async def _cancel_on_disconnect(request: Request, scope: trio.CancelScope) -> None:
+    await request.wait_for_disconnect()
     scope.cancel()
 
 
--- a/src/acaciapier_standins/instance_list.py
+++ b/src/acaciapier_standins/instance_list.py
@@ -61,7 +61,7 @@
 
     async def _list(self, request: Request) -> Response:
         self.book.count(KIND, "list")
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         self._show_aged()
@@ -72,14 +72,16 @@
         self.book.count(KIND, "put")
         record = request.json(InstanceRecord)
         record.id = request.segments[2]
-        return await self._change(record.id, record)
+        return await self._change(request, record.id, record)
 
     async def _delete(self, request: Request) -> Response:
         self.book.count(KIND, "delete")
-        return await self._change(request.segments[2], None)
+        return await self._change(request, request.segments[2], None)
 
-    async def _change(self, key: str, record: InstanceRecord | None) -> Response:
-        refusal = await self.faults.disturb()
+    async def _change(
+        self, request: Request, key: str, record: InstanceRecord | None
+    ) -> Response:
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         self._pending.append(PendingChange(trio.current_time(), key, record))
--- a/src/acaciapier_standins/main.py
+++ b/src/acaciapier_standins/main.py
@@ -14,6 +14,7 @@
 
 from . import serve_standin
 from .settings import Settings, load_settings
+from .standin import Standin
 
 Kind = Literal[
     "object-api", "instance-list", "weight-store", "engine", "pool", "service"
@@ -48,9 +49,16 @@
                 partial(serve_standin, settings, exits_on_crash=True)
             )
             print(f"{settings.kind} on {bound.url}", flush=True)
-            async for _ in signals:
-                nursery.cancel_scope.cancel()
-                break
+            await signals.__anext__()
+            nursery.start_soon(_drain, bound.standin, nursery.cancel_scope)
+            await signals.__anext__()
+            nursery.cancel_scope.cancel()
+
+
+async def _drain(standin: Standin, scope: trio.CancelScope) -> None:
+    """End the process once its work has ended; a second signal ends it at once."""
+    await standin.drain()
+    scope.cancel()
 
 
 if __name__ == "__main__":
--- a/src/acaciapier_standins/object_api.py
+++ b/src/acaciapier_standins/object_api.py
@@ -45,11 +45,11 @@
         return self.book.report()
 
     async def _admit(
-        self, kind: str, verb: str, bucket: TokenBucket
+        self, request: Request, kind: str, verb: str, bucket: TokenBucket
     ) -> Response | None:
         """Count a call, then refuse it or let its latency pass."""
         self.book.count(kind, verb)
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         wait_s = bucket.take(1, trio.current_time())
@@ -66,7 +66,7 @@
 
     async def _get(self, request: Request) -> Response:
         kind, name = request.segments[2:]
-        refusal = await self._admit(kind, "get", self._reads)
+        refusal = await self._admit(request, kind, "get", self._reads)
         if refusal is not None:
             return refusal
         try:
@@ -76,7 +76,7 @@
 
     async def _list(self, request: Request) -> Response:
         kind = request.segments[2]
-        refusal = await self._admit(kind, "list", self._reads)
+        refusal = await self._admit(request, kind, "list", self._reads)
         if refusal is not None:
             return refusal
         at_s = self._read_time_s()
@@ -85,7 +85,7 @@
 
     async def _put(self, request: Request) -> Response:
         kind, name = request.segments[2:]
-        refusal = await self._admit(kind, "put", self._writes)
+        refusal = await self._admit(request, kind, "put", self._writes)
         if refusal is not None:
             return refusal
         body = request.json(PutBody)
@@ -99,7 +99,7 @@
 
     async def _delete(self, request: Request) -> Response:
         kind, name = request.segments[2:]
-        refusal = await self._admit(kind, "delete", self._writes)
+        refusal = await self._admit(request, kind, "delete", self._writes)
         if refusal is not None:
             return refusal
         if_version = request.integer("if_version", None)
@@ -122,7 +122,7 @@
 
     async def _watch(self, request: Request) -> Response:
         kind = request.segments[2]
-        refusal = await self._admit(kind, "watch", self._reads)
+        refusal = await self._admit(request, kind, "watch", self._reads)
         if refusal is not None:
             return refusal
         since = request.integer("since", 0)
--- a/src/acaciapier_standins/pool.py
+++ b/src/acaciapier_standins/pool.py
@@ -86,11 +86,11 @@
         return self._queue.running, self._queue.queued
 
     async def _call(self, request: Request) -> Response:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         envelope = request.json(Envelope)
-        await self.hang_if_told()
+        await self.faults.hang_if_drawn(request)
         refusal = self.refusal_at_door(envelope)
         if refusal is not None:
             return refusal
--- a/src/acaciapier_standins/settings.py
+++ b/src/acaciapier_standins/settings.py
@@ -70,6 +70,9 @@
     max_queued: int = Field(default=64, ge=0)
     load_lag_ms: float = Field(default=0.0, ge=0)
     retry_after_ms: float = Field(default=200.0, ge=0)
+    drain_ms: float = Field(
+        default=10_000.0, ge=0, description="longest wait for work on SIGTERM"
+    )
 
 
 class PoolSettings(TargetSettings):
--- a/src/acaciapier_standins/standin.py
+++ b/src/acaciapier_standins/standin.py
@@ -50,6 +50,9 @@
         """Run the stand-in's own tasks, beside the server."""
         await trio.sleep_forever()
 
+    async def drain(self) -> None:
+        """Refuse new work and wait until the present work has ended."""
+
     async def leave(self) -> None:
         """Tidy up when the server has stopped without a crash."""
 
--- a/src/acaciapier_standins/target.py
+++ b/src/acaciapier_standins/target.py
@@ -13,12 +13,13 @@
 
 from .book import WorkBook
 from .faults import Garbage
-from .http import ConnectionCut, Request, Response, error
+from .http import Request, Response, error
 from .settings import TargetSettings
 from .standin import Standin
 
 REGISTER_AGAIN_S = 1.0
 LEAVE_TIMEOUT_S = 1.0
+DRAIN_POLL_S = 0.02
 KEPT_ENDED_CALLS = 4_096
 
 
@@ -182,6 +183,14 @@
                 listed = state
             await trio.sleep(REGISTER_AGAIN_S / 4)
 
+    async def drain(self) -> None:
+        """Leave, and wait until no work runs or waits, for a bounded time."""
+        self.faults.change({"leaving": True})
+        with trio.move_on_after(to_s(self.settings.drain_ms)):
+            while self.counts() != (0, 0):
+                await trio.sleep(DRAIN_POLL_S)
+            await trio.sleep(DRAIN_POLL_S)
+
     async def leave(self) -> None:
         """Delete the record in the list of instances, unless after a crash."""
         self.book.close()
@@ -221,14 +230,5 @@
             return False
 
     async def _show_load(self, request: Request) -> Response:
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         return refusal or Response(self.target_report())
-
-    async def hang_if_told(self) -> None:
-        """Never answer if the fault `hang` befalls this call."""
-        if self.faults.draw("hang"):
-            await trio.sleep_forever()
-
-    def cut_connection(self) -> None:
-        """Close the connection of the present call without an answer."""
-        raise ConnectionCut
--- a/src/acaciapier_standins/weight_store.py
+++ b/src/acaciapier_standins/weight_store.py
@@ -31,7 +31,7 @@
     async def _load(self, request: Request) -> Response:
         model, version = request.segments[2:]
         self.book.count(model, version)
-        refusal = await self.faults.disturb()
+        refusal = await self.faults.disturb(request)
         if refusal is not None:
             return refusal
         size = self.settings.size_bytes.get(model, self.settings.default_size_bytes)
--- a/tests/standins/test_targets.py
+++ b/tests/standins/test_targets.py
@@ -146,3 +146,12 @@
             if shown["state"] == state:
                 return shown
         await trio.sleep(0.01)
+
+
+async def test_hanging_calls_end_with_their_caller():
+    async with serving(PoolSettings(median_ms=0)) as client:
+        await client.control(hang=1)
+        with trio.move_on_after(0.02):
+            await call(client)
+        assert (await call(client))[0] == 200
+        assert len(client.standin.book.entries) == 1
