Control engines by leases whose versions are fencing numbers

An engine has one holder at a time: whoever changes its lease object by a conditional update, and the object's version is the number of its orders. The holder's clock only decides when somebody else tries. The lease also records the highest configuration number that was ordered, so a holder with an older configuration cannot revert an engine. Leases are taken only while an engine differs from its wanted state, since 12,000 standing leases renewed every few seconds would cost more writes than the store has.

Loads take a permit from one shared object. Weighed: permits that end by time alone would drop long loads, so they end by hand, with the engine's arrival, or with whoever takes the engine's lease over.

--- a/src/acaciapier/engines/__init__.py
+++ b/src/acaciapier/engines/__init__.py
@@ -1,1 +1,24 @@
-"""Orders to model engines, given under leases with fencing numbers."""
+"""Control of engines: leases, orders with fencing numbers, and roll-outs."""
+
+from .client import Engines, HttpEngines
+from .controller import EngineController
+from .models import (
+    ControlLimits,
+    EngineRecord,
+    EngineState,
+    Holder,
+    Wanted,
+    WantedPools,
+)
+
+__all__ = [
+    "ControlLimits",
+    "EngineController",
+    "EngineRecord",
+    "EngineState",
+    "Engines",
+    "Holder",
+    "HttpEngines",
+    "Wanted",
+    "WantedPools",
+]
--- /dev/null
+++ b/tests/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control of engines."""
--- /dev/null
+++ b/tests/engines/fakes.py
@@ -0,0 +1,140 @@
+"""A store and engines in memory, which know lost answers, pauses and fencing."""
+
+import msgspec
+import trio
+
+from acaciapier.core.ids import (
+    DataCentreId,
+    Incarnation,
+    InstanceId,
+    PoolName,
+    TargetId,
+)
+from acaciapier.engines import EngineRecord, EngineState, Holder, WantedPools
+from acaciapier.engines.models import OrderAnswer, OrderStatus
+from acaciapier.exceptions import StoreUnavailable, VersionConflict
+from acaciapier.objects import StageKind, TargetPool
+from acaciapier.store import StoredObject
+from acaciapier_standins.object_table import Conflict, Missing, ObjectTable
+
+POOL = PoolName("writers")
+
+
+class MemoryStore:
+    """Has the methods of `ObjectStore` that the control of engines calls."""
+
+    def __init__(self):
+        self.table = ObjectTable()
+        self.down = False
+        self.lose_next = 0
+        self.puts = 0
+
+    async def get(self, kind, name, *, purpose):
+        await trio.sleep(0.001)
+        if self.down:
+            raise StoreUnavailable("down")
+        try:
+            found = self.table.get(kind, name)
+        except Missing:
+            return None
+        value = msgspec.json.decode(found.value)
+        return StoredObject(kind, name, found.version, value)
+
+    async def put(self, kind, name, value, if_version, *, purpose):
+        await trio.sleep(0.001)
+        if self.down:
+            raise StoreUnavailable("down")
+        self.puts += 1
+        raw = msgspec.Raw(msgspec.json.encode(value))
+        try:
+            version = self.table.put(kind, name, raw, if_version, 0.0)
+        except Conflict as conflict:
+            raise VersionConflict(name, conflict.present_version) from None
+        if self.lose_next:
+            self.lose_next -= 1
+            raise StoreUnavailable("lost", may_have_landed=True)
+        return version
+
+
+class MemoryEngine:
+    """One engine; it loads for `load_s` and refuses old numbers if it checks."""
+
+    def __init__(self, name, load_s=5.0, checks=True):
+        self.record = EngineRecord(
+            TargetId(name), Incarnation(1), POOL, DataCentreId("dc"), "http://x"
+        )
+        self.state = EngineState("m", "1")
+        self.load_s = load_s
+        self.checks = checks
+        self.reachable = True
+        self.numbers = []
+        self.loads = 0
+        self.loaded_at_s = float("-inf")
+
+    def present(self):
+        loading = trio.current_time() < self.loaded_at_s
+        highest = max(self.numbers, default=0) if self.checks else 0
+        return msgspec.structs.replace(
+            self.state, loading=loading, highest_fencing_number=highest
+        )
+
+    def take(self, number, wanted):
+        if self.checks and self.numbers and number < max(self.numbers):
+            return OrderAnswer(OrderStatus.STALE, max(self.numbers))
+        self.numbers.append(number)
+        if self.state.needs_load(wanted):
+            self.loads += 1
+            self.loaded_at_s = trio.current_time() + self.load_s
+        self.state = EngineState(
+            wanted.model, wanted.model_version, wanted.adapters, wanted.role
+        )
+        return OrderAnswer(OrderStatus.ACCEPTED)
+
+
+class MemoryEngines:
+    """Has the methods of `Engines`; `pause` freezes the way of orders."""
+
+    def __init__(self, engines, controllers=()):
+        self.by_id = {one.record.id: one for one in engines}
+        self.names = list(controllers)
+        self.pause = trio.Event()
+        self.pause.set()
+
+    def live(self):
+        return [one.record for one in self.by_id.values()]
+
+    def controllers(self):
+        return self.names
+
+    async def read_state(self, engine):
+        await trio.sleep(0.001)
+        found = self.by_id[engine.id]
+        return found.present() if found.reachable else None
+
+    async def order(self, engine, fencing_number, wanted):
+        await self.pause.wait()
+        await trio.sleep(0.001)
+        found = self.by_id[engine.id]
+        if not found.reachable:
+            return OrderAnswer(OrderStatus.UNREACHABLE)
+        return found.take(fencing_number, wanted)
+
+
+class Wish:
+    """The configuration in force, changed by a call."""
+
+    def __init__(self, version="2", number=2):
+        self.change(version, number)
+
+    def change(self, version, number):
+        pool = TargetPool(
+            name=POOL, serves=StageKind.GENERATE, model="m", model_version=version
+        )
+        self.pools = WantedPools(number, (pool,))
+
+    def __call__(self):
+        return self.pools
+
+
+def holder(name, incarnation=1):
+    return Holder(InstanceId(name), Incarnation(incarnation))
