Order all changes of the configuration by one conditionally updated head

Operators race each other, answers of the store get lost, and instances die between two calls, so safety may rest on nothing but the conditional update of one object. A change set carries a patch id and the versions it was made against: a resend is recognised by the id, and beyond the kept ids the versions refuse it, since no version number is used twice.

Ruled out: one object per declared object (no order over objects, no whole change sets) and one whole document (400 KB a write).

--- a/src/acaciapier/configuration/__init__.py
+++ b/src/acaciapier/configuration/__init__.py
@@ -1,5 +1,31 @@
 """Accepted configuration: its log, its replicas and its distribution."""
 
+from .decisions import Conflict, Rejected, VersionMismatch
+from .history import History, NotKept, ObjectVersion
+from .limits import LogLimits
+from .log import Accepted, ConfigurationLog, HeadCorrupt, Unavailable
+from .requests import Delete, Patch, Replace, RequestedChange, RequestedEdit
 from .state import EMPTY_STATE, ConfigurationState, ObjectKey, VersionedObject
 
-__all__ = ["EMPTY_STATE", "ConfigurationState", "ObjectKey", "VersionedObject"]
+__all__ = [
+    "EMPTY_STATE",
+    "Accepted",
+    "ConfigurationLog",
+    "ConfigurationState",
+    "Conflict",
+    "Delete",
+    "HeadCorrupt",
+    "History",
+    "LogLimits",
+    "NotKept",
+    "ObjectKey",
+    "ObjectVersion",
+    "Patch",
+    "Rejected",
+    "Replace",
+    "RequestedChange",
+    "RequestedEdit",
+    "Unavailable",
+    "VersionMismatch",
+    "VersionedObject",
+]
--- a/src/acaciapier/configuration/state.py
+++ b/src/acaciapier/configuration/state.py
@@ -10,7 +10,14 @@
 import xxhash
 
 from ..core.ids import PipelineName, PoolName, RequestId, WorkspaceId
-from ..objects import DeclaredObject, Pipeline, RouteRule, TargetPool, Workspace
+from ..objects import (
+    DeclaredObject,
+    DeletedRecord,
+    Pipeline,
+    RouteRule,
+    TargetPool,
+    Workspace,
+)
 
 SHARE_STEPS = 10_000
 """Steps into which request hashes are divided: a share has 0.01% resolution."""
@@ -28,10 +35,21 @@
 
 @dataclass(frozen=True)
 class VersionedObject:
-    """A declared object with its own version number."""
+    """A declared object with its own version number.
+
+    Parameters
+    ----------
+    version : int
+        Rises by one with each accepted change of the object.
+    declared : DeclaredObject
+        The object.
+    number : int
+        Number of the change that made this version.
+    """
 
     version: int
     declared: DeclaredObject
+    number: int = 0
 
     @property
     def key(self) -> ObjectKey:
@@ -51,6 +69,10 @@
         Number of the last change that the state holds; 0 for the empty state.
     objects : iterable of VersionedObject
         Every declared object.
+    deleted : iterable of DeletedRecord
+        Last versions of objects that do not exist now.
+    version_floor : int
+        Versions of names without any record start above it.
 
     Examples
     --------
@@ -59,9 +81,22 @@
     1.0
     """
 
-    def __init__(self, number: int, objects: Iterable[VersionedObject]):
+    def __init__(
+        self,
+        number: int,
+        objects: Iterable[VersionedObject],
+        deleted: Iterable[DeletedRecord] = (),
+        *,
+        version_floor: int = 0,
+    ):
         self.number = number
-        self._objects = MappingProxyType({one.key: one for one in objects})
+        self.version_floor = version_floor
+        self.objects: Mapping[ObjectKey, VersionedObject]
+        self.objects = MappingProxyType({one.key: one for one in objects})
+        self.deleted: Mapping[ObjectKey, DeletedRecord]
+        self.deleted = MappingProxyType(
+            {ObjectKey(one.kind, one.name): one for one in deleted}
+        )
 
     @classmethod
     def of_objects(
@@ -71,14 +106,14 @@
         return cls(number, [VersionedObject(1, one) for one in objects])
 
     def __len__(self) -> int:
-        return len(self._objects)
+        return len(self.objects)
 
     def __iter__(self) -> Iterator[VersionedObject]:
-        return iter(self._objects.values())
+        return iter(self.objects.values())
 
     def get(self, kind: str, name: str) -> VersionedObject | None:
         """Return the object of that kind and name with its version."""
-        return self._objects.get(ObjectKey(kind, name))
+        return self.objects.get(ObjectKey(kind, name))
 
     def pipeline(self, name: PipelineName | str) -> Pipeline | None:
         """Return the pipeline of that name."""
@@ -107,6 +142,20 @@
         """All workspaces."""
         return self._of_kind(Workspace)
 
+    def last_version(self, key: ObjectKey) -> int:
+        """Return the last version used for a name, whether or not it exists."""
+        if key in self.objects:
+            return self.objects[key].version
+        if key in self.deleted:
+            return self.deleted[key].version
+        return self.version_floor
+
+    def last_number(self, key: ObjectKey) -> int:
+        """Return the number of the last change of a name; 0 if none is known."""
+        if key in self.objects:
+            return self.objects[key].number
+        return self.deleted[key].number if key in self.deleted else 0
+
     def workspace_of_token(self, token: str) -> Workspace | None:
         """Return the workspace that a caller's token gives access to.
 
@@ -140,7 +189,7 @@
         return self.pipeline(pipeline)
 
     def _declared(self, kind: str, name: str) -> DeclaredObject | None:
-        found = self._objects.get(ObjectKey(kind, name))
+        found = self.objects.get(ObjectKey(kind, name))
         return found.declared if found else None
 
     def _of_kind(self, model: type) -> list:
--- a/src/acaciapier/objects/__init__.py
+++ b/src/acaciapier/objects/__init__.py
@@ -9,6 +9,7 @@
     read_bundle,
     stored_value,
 )
+from .changes import Change, DeletedRecord, Edit, ObjectRecord
 from .checks import check_objects, critical_path_ms, place_of
 from .models import (
     DeclaredObject,
@@ -23,8 +24,12 @@
 
 __all__ = [
     "MODELS",
+    "Change",
     "DeclaredObject",
+    "DeletedRecord",
+    "Edit",
     "FencingMode",
+    "ObjectRecord",
     "Pipeline",
     "RouteRule",
     "Stage",
