--- a/tests/configuration/fakes.py
+++ b/tests/configuration/fakes.py
@@ -2,6 +2,7 @@
 
 import copy
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -17,6 +18,7 @@
     NONE = "none"
     LOST_BEFORE = "lost before it took effect"
     LOST_AFTER = "lost after it took effect"
+    LOST_LATE = "lost, and takes effect later if it still can"
     CRASH_BEFORE = "the caller dies before the call"
     CRASH_AFTER = "the caller dies after the call"
     STALE = "a read answers from an older copy"
@@ -55,6 +57,7 @@
         self.past: dict[tuple[str, str], list[Stored]] = {}
         self.faults: deque[Fault] = deque()
         self.is_down = False
+        self.late = []
         self.calls = 0
         self._changed = trio.Event()
 
@@ -92,6 +95,21 @@
         fault = self._next_fault()
         self._before(fault)
         await trio.lowlevel.checkpoint()
+        if fault is Fault.LOST_LATE:
+            self.late.append((kind, name, copy.deepcopy(value), if_version))
+            raise StoreUnavailable("lost, maybe late")
+        self.write(kind, name, value, if_version)
+        self._after(fault)
+        return self.revision
+
+    def deliver_late(self):
+        """Let the late updates take effect where their version still matches."""
+        for update in self.late:
+            with suppress(VersionConflict):
+                self.write(*update)
+        self.late.clear()
+
+    def write(self, kind, name, value, if_version):
         present = self.objects.get((kind, name))
         version = present.version if present else 0
         if if_version is not None and if_version != version:
@@ -102,8 +120,6 @@
         self.past.setdefault((kind, name), []).append(stored)
         self._changed.set()
         self._changed = trio.Event()
-        self._after(fault)
-        return self.revision
 
     async def delete(self, kind, name, if_version, *, purpose):
         fault = self._next_fault()
