--- a/src/acaciapier/accounts/__init__.py
+++ b/src/acaciapier/accounts/__init__.py
@@ -1,5 +1,23 @@
 """Accounts of cost by workspace, pipeline and stage."""
 
-from .models import AttemptClass, CostClass, CostEntry
+from .ledger import Ledger
+from .models import (
+    AccountEntry,
+    AccountReport,
+    AttemptClass,
+    CostEntry,
+    CostKey,
+    CostTotal,
+    OutcomeClass,
+)
 
-__all__ = ["AttemptClass", "CostClass", "CostEntry"]
+__all__ = [
+    "AccountEntry",
+    "AccountReport",
+    "AttemptClass",
+    "CostEntry",
+    "CostKey",
+    "CostTotal",
+    "Ledger",
+    "OutcomeClass",
+]
