Add membership: gossip between daemons, targets by incarnation, rumours

The platform's list lags and is too large to read often, and there is no service to elect a leader with, so daemons learn from each other. Probes are SWIM-like and stay mostly inside a data centre; words merge by incarnation, refutation and state in any order. Weighed and ruled out: the list alone, heartbeats of all to all, leaders.

--- /dev/null
+++ b/tests/membership/support.py
@@ -0,0 +1,198 @@
+"""A fleet of nodes in one process, over a network that can be cut and slowed."""
+
+from collections import Counter
+from contextlib import asynccontextmanager
+from random import Random
+
+import trio
+
+from acaciapier.core.clock import TrioClock
+from acaciapier.exceptions import PeerUnavailable
+from acaciapier.membership import Membership, Seed
+from acaciapier.wire import PeerAddress, PeerIdentity
+from acaciapier.wire.messages.membership import (
+    MemberRecord,
+    MemberState,
+    TargetRecord,
+    TargetState,
+)
+
+LATENCY_S = 0.002
+
+
+def member(name, incarnation=1, refutation=0, state=MemberState.ALIVE, dc="dc1"):
+    return MemberRecord(
+        name, incarnation, refutation, state, "entry", dc, "r1", "10.0.0.1", 7400
+    )
+
+
+def target(name, incarnation=1, state=TargetState.LIVE, pool="encoders"):
+    return TargetRecord(
+        name, incarnation, state, pool, "encode", "dc1", "r1", "http://t"
+    )
+
+
+class Switchboard:
+    """Carries messages between nodes; knows who is cut, slow, frozen or gone."""
+
+    def __init__(self, seed: int = 0):
+        self.networks = {}
+        self.delays_s = {}
+        self.running = {}
+        self.traffic = Counter()
+        self.random = Random(seed)
+        self.loss = 0.0
+        self.is_cut = lambda sender, receiver: False
+
+    async def awake(self, name):
+        await self.running[name].wait()
+
+    async def sleep_as(self, name, seconds):
+        await trio.sleep(seconds)
+        await self.awake(name)
+
+    async def carry(self, sender, receiver, message):
+        """Take a message to its handler and return the answer."""
+        self.traffic[sender, receiver] += 1
+        await self._travel(sender, receiver)
+        network = self.networks.get(receiver)
+        if network is None:
+            raise PeerUnavailable(f"{receiver} refuses connections")
+        await self.awake(receiver)
+        answer = await network.handlers[type(message)](sender, message)
+        await self._travel(receiver, sender)
+        return answer
+
+    async def _travel(self, sender, receiver):
+        await self.awake(sender)
+        await trio.sleep(LATENCY_S + self.delays_s.get(sender, 0.0))
+        if self.is_cut(sender, receiver) or self.random.random() < self.loss:
+            await trio.sleep_forever()
+
+
+class FakeNetwork:
+    """Network of one node on a switchboard."""
+
+    def __init__(self, board, identity, nursery):
+        self.identity = identity
+        self.handlers = {}
+        self.addresses = {}
+        self._board = board
+        self._nursery = nursery
+        board.networks[identity.instance_id] = self
+
+    def register(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def set_addresses(self, addresses):
+        self.addresses = addresses
+
+    async def call(self, peer, message, timeout_ms):
+        own = self.identity.instance_id
+        if peer not in self.addresses:
+            raise PeerUnavailable(f"no address of {peer}")
+        try:
+            with trio.fail_after(timeout_ms / 1000):
+                return await self._board.carry(own, peer, message)
+        except trio.TooSlowError:
+            raise PeerUnavailable(f"{peer} did not answer") from None
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._board.awake(own)
+
+    def send_soon(self, peer, message):
+        self._nursery.start_soon(self._send, peer, message)
+
+    async def _send(self, peer, message):
+        with trio.move_on_after(30):
+            try:
+                await self._board.carry(self.identity.instance_id, peer, message)
+            except PeerUnavailable:
+                pass
+
+
+class Fleet:
+    """Running nodes, named like ``dc1-0``."""
+
+    def __init__(self, nursery, seed=0):
+        self.board = Switchboard(seed)
+        self.nodes = {}
+        self.scopes = {}
+        self._nursery = nursery
+        self._seed = seed
+
+    async def start(
+        self, name, data_centre, region, incarnation=1, seeds=(), lists=None
+    ):
+        identity = PeerIdentity(name, incarnation, data_centre, region)
+        self.board.running[name] = trio.Event()
+        self.board.running[name].set()
+        scope = trio.CancelScope()
+
+        async def run(task_status):
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    node = Membership(
+                        FakeNetwork(self.board, identity, nursery),
+                        lists,
+                        TrioClock(),
+                        Random(f"{self._seed}/{name}/{incarnation}"),
+                        PeerAddress(name, 7400),
+                        seeds=[Seed(s, PeerAddress(s, 7400)) for s in seeds],
+                        sleep=lambda s: self.board.sleep_as(name, s),
+                    )
+                    self.nodes[name], self.scopes[name] = node, scope
+                    await nursery.start(node.run)
+                    task_status.started(node)
+
+        return await self._nursery.start(run)
+
+    async def start_all(self, layout, lists=None):
+        """Start nodes by a layout ``{data centre: (region, count)}``."""
+        names = [f"{dc}-{i}" for dc, (_, count) in layout.items() for i in range(count)]
+        for dc, (region, count) in layout.items():
+            for number in range(count):
+                name = f"{dc}-{number}"
+                await self.start(name, dc, region, seeds=names[:3], lists=lists)
+
+    def kill(self, name):
+        self.scopes[name].cancel()
+        del self.board.networks[name], self.nodes[name]
+
+    def freeze(self, name):
+        self.board.running[name] = trio.Event()
+
+    def thaw(self, name):
+        self.board.running[name].set()
+
+    def sees(self, observer):
+        return {m.instance for m in self.nodes[observer].members()}
+
+    def all_see(self, names):
+        return all(self.sees(observer) == set(names) for observer in self.nodes)
+
+    def deaths(self):
+        return sum(node.roster.counters.deaths for node in self.nodes.values())
+
+    def suspicions(self):
+        return sum(node.roster.counters.suspicions for node in self.nodes.values())
+
+
+@asynccontextmanager
+async def running_fleet(layout, seed=0, lists=None):
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, seed)
+        await fleet.start_all(layout, lists)
+        await until(lambda: fleet.all_see(fleet.nodes), 30)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+async def until(condition, within_s):
+    """Wait until `condition` holds and return the seconds that it took."""
+    start_s = trio.current_time()
+    while not condition():
+        if trio.current_time() - start_s > within_s:
+            raise AssertionError(f"did not hold within {within_s} s")
+        await trio.sleep(0.1)
+    return trio.current_time() - start_s
--- /dev/null
+++ b/tests/membership/test_tables.py
@@ -0,0 +1,274 @@
+"""Tests of the merged tables: state machines against oracles, and planted faults."""
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from acaciapier.core.clock import ManualClock
+from acaciapier.membership import MemberTable, TargetTable
+from acaciapier.membership import member_table as member_table_module
+from acaciapier.membership.health import LocalHealth
+from acaciapier.membership.own_record import OwnRecord
+from acaciapier.membership.suspicions import MIN_SUSPICION_S, Suspicions
+from acaciapier.wire.messages.membership import MemberState, TargetState
+from membership.support import member, target
+
+NAMES = st.sampled_from(["a", "b", "c"])
+MEMBERS = st.builds(
+    member,
+    NAMES,
+    st.integers(1, 3),
+    st.integers(0, 2),
+    st.sampled_from(MemberState),
+    st.sampled_from(["dc1", "dc2"]),
+)
+TARGETS = st.builds(
+    target,
+    NAMES,
+    st.integers(1, 3),
+    st.sampled_from(TargetState),
+    st.sampled_from(["p1", "p2"]),
+)
+WORDS = st.one_of(MEMBERS, TARGETS)
+
+
+class Replica:
+    """A member table and a target table that hear the same words."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.members = MemberTable(self.clock)
+        self.targets = TargetTable(self.clock)
+
+    def merge(self, word):
+        table = self.targets if hasattr(word, "target_id") else self.members
+        return table.merge(word)
+
+    def state(self):
+        members = {r.instance_id: r for r in self.members.records()}
+        targets = {r.target_id: r for r in self.targets.records()}
+        return members, targets, self.members.digests(), self.targets.digests()
+
+
+class MergeMachine(RuleBasedStateMachine):
+    """Two replicas hear the same words in their own order, some of them twice.
+
+    The oracle knows, for each subject, only its highest incarnation, and for it
+    what must hold.
+    """
+
+    @initialize()
+    def start(self):
+        self.replicas = [Replica(), Replica()]
+        self.said = []
+        self.heard = [set(), set()]
+
+    @rule(word=WORDS)
+    def say(self, word):
+        self.said.append(word)
+
+    @rule(which=st.integers(0, 1), data=st.data())
+    def hear(self, which, data):
+        if self.said:
+            index = data.draw(st.integers(0, len(self.said) - 1))
+            self.replicas[which].merge(self.said[index])
+            self.heard[which].add(index)
+
+    @rule(which=st.integers(0, 1))
+    def take_all_from_the_other(self, which):
+        for table in ("members", "targets"):
+            for word in getattr(self.replicas[1 - which], table).records():
+                self.replicas[which].merge(word)
+        self.heard[which] |= self.heard[1 - which]
+
+    @invariant()
+    def the_newest_incarnation_wins(self):
+        for replica, heard in zip(self.replicas, self.heard):
+            words = [self.said[index] for index in heard]
+            for name in "abc":
+                self._check(replica.members.get(name), words, "instance_id", name)
+                self._check(replica.targets.get(name), words, "target_id", name)
+
+    @staticmethod
+    def _check(record, words, field, name):
+        about = [w for w in words if getattr(w, field, None) == name]
+        if not about:
+            assert record is None
+            return
+        newest = max(w.incarnation for w in about)
+        present = [w for w in about if w.incarnation == newest]
+        if field == "instance_id":
+            raised = max(w.refutation for w in present)
+            present = [w for w in present if w.refutation == raised]
+        assert record.incarnation == newest
+        assert record.state == max(w.state for w in present)
+
+    @invariant()
+    def equal_words_give_equal_tables(self):
+        if self.heard[0] == self.heard[1]:
+            assert self.replicas[0].state() == self.replicas[1].state()
+
+    @invariant()
+    def only_live_targets_are_usable(self):
+        for replica in self.replicas:
+            usable = {r for pool in ("p1", "p2") for r in replica.targets.usable(pool)}
+            live = {r for r in replica.targets.records() if r.state is TargetState.LIVE}
+            assert usable == live
+
+
+FAULT_SEARCH = settings(
+    max_examples=300,
+    stateful_step_count=30,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+)
+TestMerge = MergeMachine.TestCase
+TestMerge.settings = settings(max_examples=40, stateful_step_count=25)
+
+
+class LastWordTable(MemberTable):
+    """Faulty: takes any word of the same incarnation, so order matters."""
+
+    def merge(self, record):
+        present = self._records.get(record.instance_id)
+        if present is not None and present.incarnation > record.incarnation:
+            return False
+        self._records[record.instance_id] = record
+        self.revision += 1
+        return True
+
+
+class StickyTargetTable(TargetTable):
+    """Faulty: never uses a target again that was leaving once."""
+
+    def merge(self, record):
+        present = self._records.get(record.target_id)
+        if present is not None and present.state is not TargetState.LIVE:
+            return False
+        return super().merge(record)
+
+
+class LostDigestTable(TargetTable):
+    """Faulty: leaves the old record in its digest."""
+
+    def _withdraw(self, target_id, record):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("name", "faulty"),
+    [
+        ("members", LastWordTable),
+        ("targets", StickyTargetTable),
+        ("targets", LostDigestTable),
+    ],
+)
+def test_the_machine_finds_planted_faults(name, faulty):
+    class FaultyMachine(MergeMachine):
+        @initialize()
+        def start(self):
+            super().start()
+            for replica in self.replicas:
+                setattr(replica, name, faulty(replica.clock))
+
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(FaultyMachine, settings=FAULT_SEARCH)
+
+
+@given(st.lists(WORDS, max_size=12), st.randoms(use_true_random=False))
+def test_merging_is_commutative_associative_and_idempotent(words, random):
+    first, second, third = Replica(), Replica(), Replica()
+    for word in words:
+        first.merge(word)
+    shuffled = words * 2
+    random.shuffle(shuffled)
+    for word in shuffled:
+        second.merge(word)
+    middle = len(words) // 2
+    for part in (words[middle:], words[:middle]):
+        partial = Replica()
+        for word in part:
+            partial.merge(word)
+        for table in (partial.members, partial.targets):
+            for word in table.records():
+                third.merge(word)
+    assert first.state() == second.state() == third.state()
+
+
+@given(st.lists(MEMBERS.filter(lambda r: r.instance_id == "a"), max_size=10))
+def test_an_instance_wins_over_any_word_about_its_incarnation(words):
+    own = OwnRecord(member("a", incarnation=3))
+    table = MemberTable(ManualClock())
+    table.merge(own.record)
+    for word in words:
+        table.merge(word)
+        answer = own.answer(word)
+        if answer is not None:
+            table.merge(answer)
+    assert table.get("a") == own.record or table.get("a").state is MemberState.ALIVE
+
+
+def test_an_instance_that_left_does_not_contradict():
+    own = OwnRecord(member("a"))
+    own.leave()
+    assert own.answer(member("a", state=MemberState.DEAD)) is None
+
+
+def test_a_death_without_a_suspicion_before_counts_as_a_suspicion():
+    clock = ManualClock()
+    suspicions = Suspicions(clock, LocalHealth(clock))
+    alive, dead = member("a"), member("a", state=MemberState.DEAD)
+    softened = suspicions.soften(dead, alive)
+    assert softened.state is MemberState.SUSPECT
+    suspicions.note(softened)
+    assert suspicions.soften(dead, softened).state is MemberState.SUSPECT
+    clock.advance(MIN_SUSPICION_S)
+    assert suspicions.soften(dead, softened) is dead
+
+
+def test_after_a_freeze_nobody_is_declared_dead():
+    clock = ManualClock()
+    health = LocalHealth(clock)
+    suspicions = Suspicions(clock, health)
+    suspicions.note(member("a", state=MemberState.SUSPECT))
+    clock.advance(30)
+    health.note_wake_up(30)
+    assert suspicions.take_due() == []
+    suspicions.note(member("a", refutation=1))
+    clock.advance(30)
+    assert suspicions.take_due() == []
+
+
+def test_members_that_ended_long_ago_are_forgotten_but_not_too_early():
+    clock = ManualClock()
+    table = MemberTable(clock)
+    table.merge(member("a", state=MemberState.DEAD))
+    table.merge(member("b"))
+    clock.advance(member_table_module.OFFER_ENDED_S + 1)
+    table.expire()
+    assert [r.instance_id for r in table.offered(["dc1"])] == ["b"]
+    assert table.get("a") is not None
+    clock.advance(member_table_module.KEEP_ENDED_S)
+    table.expire()
+    assert table.get("a") is None
+    assert table.get("b") is not None
+
+
+def test_a_targets_own_word_is_news_only_once():
+    table = TargetTable(ManualClock())
+    table.merge(target("t"))
+    assert table.word("t", 1, leaving=False) is None
+    leaving = table.word("t", 1, leaving=True)
+    assert leaving.state is TargetState.LEAVING
+    table.merge(leaving)
+    assert table.word("t", 1, leaving=True) is None
+    assert table.word("t", 0, leaving=False) is None
+    assert table.word("t", 2, leaving=False) == target("t", incarnation=2)
+    assert table.word("unknown", 1, leaving=True) is None
--- a/tests/wire/test_protocol.py
+++ b/tests/wire/test_protocol.py
@@ -1,12 +1,13 @@
 """Tests of frames, codec and handshake against broken and hostile peers."""
 
+import msgspec
 import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from acaciapier.exceptions import ProtocolError
-from acaciapier.wire import FleetKeys, Message, MessageRegistry, encode_message
+from acaciapier.wire import FleetKeys, MessageRegistry, encode_message
 from acaciapier.wire.frames import (
     MAX_FRAME_BYTES,
     Frame,
@@ -72,7 +73,7 @@
 
 def test_two_messages_of_one_name_are_refused():
     with pytest.raises(TypeError, match="both define the message EchoCall"):
-        MessageRegistry((EchoCall, type("EchoCall", (Message,), {}, frozen=True)))
+        MessageRegistry((EchoCall, msgspec.defstruct("EchoCall", [], tag=True)))
 
 
 def test_short_and_missing_keys_are_refused_and_keys_do_not_show():
