Build the entry on a node of the fleet: peers, membership, store and configuration

Targets, limits and configuration now come through gossip, the lagging list and the distribution of accepted changes; the bundle file of the thin path is gone.

--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -70,7 +70,7 @@
     def __init__(self, parts: ServiceParts, nursery: trio.Nursery):
         self._parts = parts
         self._nursery = nursery
-        self._draining = False
+        self._stop_requested = trio.Event()
         settings = parts.settings
         self.records = RecordTable(
             parts.clock, settings.keep_ended_ms, settings.keep_ended_claimed_ms
@@ -79,7 +79,11 @@
     @property
     def draining(self) -> bool:
         """Whether new requests are refused."""
-        return self._draining
+        return self._stop_requested.is_set()
+
+    def refuse_new_when(self, stop_requested: trio.Event) -> None:
+        """Refuse new requests from the moment that `stop_requested` is set."""
+        self._stop_requested = stop_requested
 
     def submit(self, request: CallerRequest) -> RunRecord | FinalEvent:
         """Start a request or join its present run.
@@ -135,8 +139,7 @@
             self._cancel_abandoned()
 
     async def drain(self, limit_ms: float) -> None:
-        """Refuse new requests and wait until those in flight have been answered."""
-        self._draining = True
+        """Wait until the requests in flight have been answered."""
         with trio.move_on_after(to_s(limit_ms)):
             while self._is_busy():
                 await trio.sleep(to_s(DRAIN_POLL_MS))
@@ -149,7 +152,7 @@
     def _refuse(
         self, request: CallerRequest, pipeline: Pipeline | None
     ) -> FinalEvent | None:
-        if self._draining:
+        if self.draining:
             message = "this instance is shutting down"
             return refusal(Cause.SHUTTING_DOWN, message, SHUTDOWN_RETRY_AFTER_MS)
         if pipeline is None:
--- a/src/acaciapier/settings/models.py
+++ b/src/acaciapier/settings/models.py
@@ -1,10 +1,12 @@
 """Models of the settings files of all binaries."""
 
 from enum import Enum
+from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
 
 MAX_PORT = 65_535
+MIN_KEY_CHARS = 16
 
 
 class SettingsModel(BaseModel):
@@ -50,8 +52,7 @@
 
     object_api_url: str
     instance_list_url: str
-    store_writes_per_s: float = Field(default=40.0, gt=0)
-    store_reads_per_s: float = Field(default=200.0, gt=0)
+    store_calls_per_s: float = Field(default=100.0, gt=0)
 
 
 class LogLevel(Enum):
@@ -83,13 +84,16 @@
     keep_ended_claimed_ms: int = Field(default=60_000, ge=0)
 
 
+FleetKey = Annotated[str, Field(min_length=MIN_KEY_CHARS)]
+
+
 class FleetSettings(SettingsModel):
     """Settings that every binary of the fleet has."""
 
     instance: InstanceSettings
     listen: ListenSettings = ListenSettings()
     inner: ListenSettings = ListenSettings()
-    fleet_keys: tuple[str, ...] = Field(min_length=1)
+    fleet_keys: tuple[FleetKey, ...] = Field(min_length=1)
     platform: PlatformSettings
     seeds: tuple[SeedSettings, ...] = ()
     log: LogSettings = LogSettings()
@@ -99,9 +103,6 @@
     """Settings of `acaciapier-entry`."""
 
     path: PathSettings = PathSettings()
-    bundle_path: str | None = Field(
-        default=None, description="declared objects until configuration is accepted"
-    )
     max_drain_ms: int = Field(default=30_000, ge=0)
 
 
--- a/src/acaciapier/targets/directory.py
+++ b/src/acaciapier/targets/directory.py
@@ -1,145 +1,106 @@
-"""Keeps the policy's pools in step with the platform's list of instances."""
+"""Keeps the policy in step with membership and configuration."""
 
-from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
-import httpcore
-import msgspec
 import trio
 
 from ..configuration import ConfigurationState
 from ..core.clock import to_s
 from ..core.ids import DataCentreId, Incarnation, PoolName, RegionId, TargetId
-from ..observability import get_logger
+from ..membership import Membership
+from ..objects.models import TargetPool
 from ..policy import PathPolicy, PoolLimits, TargetView, WorkspaceLimits
+from ..wire.messages.membership import TargetRecord
 from .models import TargetBody
 
-log = get_logger("acaciapier.targets")
-
-POLL_INTERVAL_MS = 500.0
-
-
-class InstanceBody(msgspec.Struct, frozen=True):
-    """A record of the platform's list of instances."""
-
-    id: str
-    incarnation: int
-    role: str
-    data_centre: str
-    region: str
-    state: str = "live"
-    url: str | None = None
-    pool: str | None = None
-    kind: str | None = None
-    inner_host: str | None = None
-    inner_port: int | None = None
-
-
-class ListBody(msgspec.Struct, frozen=True):
-    """Body of the platform's list of instances."""
-
-    revision: int
-    instances: list[InstanceBody]
-
-
-class InstanceListClient:
-    """Reads the platform's list, and keeps this instance's own record in it."""
-
-    def __init__(self, url: str):
-        self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(keepalive_expiry=4.0)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
-
-    async def read(self) -> ListBody:
-        """Return the whole list."""
-        response = await self._pool.request("GET", f"{self._url}/v1/instances")
-        return msgspec.json.decode(response.content, type=ListBody)
-
-    async def put(self, record: InstanceBody) -> None:
-        """Set or replace one record."""
-        await self._pool.request(
-            "PUT",
-            f"{self._url}/v1/instances/{record.id}",
-            headers=[(b"content-type", b"application/json")],
-            content=msgspec.json.encode(record),
-        )
-
-    async def delete(self, instance: str) -> None:
-        """Remove one record."""
-        await self._pool.request("DELETE", f"{self._url}/v1/instances/{instance}")
+REFRESH_INTERVAL_MS = 250.0
 
 
 class TargetDirectory:
-    """Gives the policy the live targets and limits of each pool."""
+    """Gives the policy the live targets and the limits in force.
+
+    Parameters
+    ----------
+    membership : Membership
+        Knows the targets.
+    policy : PathPolicy
+        Takes them.
+    configuration : callable
+        Returns the configuration in force.
+    """
 
     def __init__(
         self,
-        client: InstanceListClient,
+        membership: Membership,
         policy: PathPolicy,
         configuration: Callable[[], ConfigurationState],
     ):
-        self._client = client
+        self._membership = membership
         self._policy = policy
         self._configuration = configuration
-        self._instances: dict[str, InstanceBody] = {}
-        self._leaving: dict[str, int] = {}
+        self._given: dict[str, tuple[TargetPool, tuple[TargetRecord, ...]]] = {}
+        self._number = -1
+        self._changed = trio.Event()
+        membership.subscribe(self._note_change)
 
     def hear_target(self, target: TargetView, word: TargetBody) -> None:
-        """Take a target's own word about itself."""
-        if word.leaving and self._leaving.get(word.id) != word.incarnation:
-            self._leaving[word.id] = word.incarnation
-            self.refresh()
+        """Take a target's own word about itself; a leaving one is dropped at once."""
+        target_id = TargetId(word.id)
+        self._membership.note_target(target_id, word.incarnation, word.leaving)
 
     def has_targets(self, pool: str) -> bool:
         """Tell whether at least one live target of `pool` is known."""
-        return any(one.pool == pool for one in self._live())
+        return bool(self._membership.targets.usable(PoolName(pool)))
 
     async def run(self) -> None:
-        """Poll the list for ever."""
+        """Refresh after each change, and from time to time."""
         while True:
-            try:
-                body = await self._client.read()
-                self._instances = {one.id: one for one in body.instances}
-                self.refresh()
-            except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                log.warning("the list of instances cannot be read: {}", error)
-            await trio.sleep(to_s(POLL_INTERVAL_MS))
+            self.refresh()
+            self._changed = trio.Event()
+            with trio.move_on_after(to_s(REFRESH_INTERVAL_MS)):
+                await self._changed.wait()
 
     def refresh(self) -> None:
-        """Give the policy all pools and workspaces anew."""
+        """Give the policy what has changed."""
         state = self._configuration()
-        targets = _by_pool(self._live())
         for pool in state.pools:
-            limits = PoolLimits(
-                pool.max_outstanding, pool.retry_share_percent, pool.hedge_share_percent
-            )
-            self._policy.update_pool(pool.name, limits, targets[pool.name])
+            self._refresh_pool(pool)
+        if state.number != self._number:
+            self._number = state.number
+            self._refresh_workspaces(state)
+        self._policy.update_instances(len(self._membership.live_entries()))
+
+    def _refresh_pool(self, pool: TargetPool) -> None:
+        records = self._membership.targets.usable(PoolName(pool.name))
+        if self._given.get(pool.name) == (pool, records):
+            return
+        self._given[pool.name] = (pool, records)
+        limits = PoolLimits(
+            pool.max_outstanding, pool.retry_share_percent, pool.hedge_share_percent
+        )
+        views = [view_of(record) for record in records]
+        self._policy.update_pool(PoolName(pool.name), limits, views)
+
+    def _refresh_workspaces(self, state: ConfigurationState) -> None:
         for workspace in state.workspaces:
             limits = WorkspaceLimits(
                 workspace.weight, workspace.rate_per_s, workspace.burst
             )
             self._policy.update_workspace(workspace.name, limits)
 
-    def _live(self) -> Iterable[InstanceBody]:
-        for one in self._instances.values():
-            left = self._leaving.get(one.id, -1) >= one.incarnation
-            if one.role == "target" and one.state == "live" and not left:
-                yield one
-
-
-def _by_pool(instances: Iterable[InstanceBody]) -> dict[str, list[TargetView]]:
-    pools: dict[str, list[TargetView]] = defaultdict(list)
-    for one in instances:
-        view = TargetView(
-            target=TargetId(one.id),
-            incarnation=Incarnation(one.incarnation),
-            pool=PoolName(one.pool),
-            data_centre=DataCentreId(one.data_centre),
-            region=RegionId(one.region),
-            url=one.url,
-        )
-        pools[one.pool].append(view)
-    return pools
+    def _note_change(self, change) -> None:
+        if change.targets:
+            self.refresh()
+        self._changed.set()
+
+
+def view_of(record: TargetRecord) -> TargetView:
+    """Return a target as the policy sees it."""
+    return TargetView(
+        target=TargetId(record.target_id),
+        incarnation=Incarnation(record.incarnation),
+        pool=PoolName(record.pool),
+        data_centre=DataCentreId(record.data_centre),
+        region=RegionId(record.region),
+        url=record.url,
+    )
--- a/tests/path/test_whole_path.py
+++ b/tests/path/test_whole_path.py
@@ -8,8 +8,8 @@
 from acaciapier import NotRun
 
 
-async def test_answer_is_whole_and_arrives_in_parts(tmp_path):
-    async with open_world(tmp_path) as world, world.session() as session:
+async def test_answer_is_whole_and_arrives_in_parts():
+    async with open_world() as world, world.session() as session:
         follower = session.follow("quote", {"text": "12 bowls"})
         parts = [part async for part in follower.parts()]
         answer = follower.answer
@@ -19,8 +19,8 @@
     assert set(answer.cost) == {"embed", "search", "draft"}
 
 
-async def test_value_answer(tmp_path):
-    async with open_world(tmp_path) as world, world.session() as session:
+async def test_value_answer():
+    async with open_world() as world, world.session() as session:
         answer = await session.run("find", {"text": "12 bowls"})
     assert answer.value is not None
     assert answer.count == 1
@@ -65,31 +65,31 @@
 
 
 @pytest.mark.parametrize("name", BAD_REQUESTS)
-async def test_bad_input_gets_a_typed_refusal(tmp_path, name):
+async def test_bad_input_gets_a_typed_refusal(name):
     content, status, cause = BAD_REQUESTS[name]
-    async with open_world(tmp_path) as world:
+    async with open_world() as world:
         found_status, body = await post(world, content)
     assert (found_status, body["cause"]) == (status, cause)
     assert body["outcome"] == "not_run"
     assert body["message"]
 
 
-async def test_findings_of_a_body_are_reported_together(tmp_path):
-    async with open_world(tmp_path) as world:
+async def test_findings_of_a_body_are_reported_together():
+    async with open_world() as world:
         _, body = await post(world, b'{"request_id":"","pipeline":"q","x":1}')
     assert "request_id" in body["message"]
     assert "x:" in body["message"]
 
 
-async def test_bad_token_is_refused(tmp_path):
-    async with open_world(tmp_path) as world, world.session("wrong") as session:
+async def test_bad_token_is_refused():
+    async with open_world() as world, world.session("wrong") as session:
         with pytest.raises(NotRun) as caught:
             await session.run("quote", {})
     assert caught.value.final.cause.value == "unauthenticated"
 
 
-async def test_same_id_joins_and_other_content_is_refused(tmp_path):
-    async with open_world(tmp_path) as world, world.session() as session:
+async def test_same_id_joins_and_other_content_is_refused():
+    async with open_world() as world, world.session() as session:
         first = await session.run("quote", {"text": "a"}, request_id="r-1")
         again = await session.run("quote", {"text": "a"}, request_id="r-1")
         with pytest.raises(NotRun) as caught:
@@ -102,8 +102,8 @@
     assert calls == 1
 
 
-async def test_workspaces_do_not_share_request_ids(tmp_path):
-    async with open_world(tmp_path) as world:
+async def test_workspaces_do_not_share_request_ids():
+    async with open_world() as world:
         async with world.session() as sales, world.session(OTHER_TOKEN) as other:
             first = await sales.run("quote", {"text": "a"}, request_id="r-1")
             second = await other.run("quote", {"text": "a"}, request_id="r-1")
--- a/tests/wire/test_protocol.py
+++ b/tests/wire/test_protocol.py
@@ -73,8 +73,7 @@
 
 def test_two_messages_of_one_name_are_refused():
     with pytest.raises(TypeError, match="both define the message EchoCall"):
-        other = msgspec.defstruct("EchoCall", [], tag=True, array_like=True)
-        MessageRegistry((EchoCall, other))
+        MessageRegistry((EchoCall, msgspec.defstruct("EchoCall", [], tag=True)))
 
 
 def test_short_and_missing_keys_are_refused_and_keys_do_not_show():
