--- a/src/acaciapier/configuration/interfaces.py
+++ b/src/acaciapier/configuration/interfaces.py
@@ -4,18 +4,13 @@
 from typing import Any, Protocol
 
 from ..core.ids import DataCentreId, InstanceId, RegionId
-from ..exceptions import StoreUnavailable
+from ..store import Purpose
 from ..wire.messages.base import Message
 
-PURPOSE = "configuration"
+PURPOSE = Purpose.CONFIGURATION
 """Purpose under which all calls of this package are counted."""
 
 
-def may_have_landed(lost: StoreUnavailable) -> bool:
-    """Return whether an update without an answer may have taken effect."""
-    return getattr(lost, "may_have_landed", True)
-
-
 class StoredValue(Protocol):
     """An object as the object API answers it."""
 
--- a/src/acaciapier/configuration/log.py
+++ b/src/acaciapier/configuration/log.py
@@ -13,7 +13,7 @@
 from .archive import Archive, ArchiveGap
 from .catchup import catch_up
 from .decisions import Conflict, PatchRecord, Rejected, decide, record_of
-from .interfaces import PURPOSE, Store, may_have_landed
+from .interfaces import PURPOSE, Store
 from .ledger import Ledger
 from .limits import LogLimits
 from .records import (
@@ -198,7 +198,7 @@
         except VersionConflict:
             return None
         except StoreUnavailable as lost:
-            attempt.may_have_landed = before or may_have_landed(lost)
+            attempt.may_have_landed = before or lost.may_have_landed
             raise
         trimmed = head.snapshot != self._head.snapshot
         self._adopt(head, version, change)
--- a/tests/configuration/fakes.py
+++ b/tests/configuration/fakes.py
@@ -70,14 +70,14 @@
     @staticmethod
     def _before(fault: Fault) -> None:
         if fault is Fault.LOST_BEFORE:
-            raise StoreUnavailable("lost before")
+            raise StoreUnavailable("lost before", True)
         if fault is Fault.CRASH_BEFORE:
             raise Crash
 
     @staticmethod
     def _after(fault: Fault) -> None:
         if fault is Fault.LOST_AFTER:
-            raise StoreUnavailable("lost after")
+            raise StoreUnavailable("lost after", True)
         if fault is Fault.CRASH_AFTER:
             raise Crash
 
@@ -97,7 +97,7 @@
         await trio.lowlevel.checkpoint()
         if fault is Fault.LOST_LATE:
             self.late.append((kind, name, copy.deepcopy(value), if_version))
-            raise StoreUnavailable("lost, maybe late")
+            raise StoreUnavailable("lost, maybe late", True)
         self.write(kind, name, value, if_version)
         self._after(fault)
         return self.revision
--- a/tests/configuration/test_distribution.py
+++ b/tests/configuration/test_distribution.py
@@ -88,7 +88,12 @@
         if {self.name, peer} & self.fleet.cut or peer not in self.fleet.nodes:
             await trio.sleep(timeout_ms / 1000)
             raise PeerUnavailable(peer)
-        return await self.fleet.nodes[peer].handlers[type(message)](self.name, message)
+        answer = await self.fleet.nodes[peer].handlers[type(message)](
+            self.name, message
+        )
+        if {self.name, peer} & self.fleet.cut:
+            raise PeerUnavailable(peer)
+        return answer
 
     def publish(self, message):
         if self.fleet.lose_rumours or self.name in self.fleet.cut:
@@ -106,13 +111,18 @@
 
     def __getattr__(self, verb):
         async def call(*args, **kwargs):
-            if self.name in self.fleet.cut:
-                raise StoreUnavailable("cut off")
+            self.check_link()
             self.fleet.store.calls += 1
-            return await getattr(self.fleet.store, verb)(*args, **kwargs)
+            answer = await getattr(self.fleet.store, verb)(*args, **kwargs)
+            self.check_link()
+            return answer
 
         return call
 
+    def check_link(self):
+        if self.name in self.fleet.cut:
+            raise StoreUnavailable("cut off", True)
+
 
 async def start(fleet, nursery):
     for node in fleet.nodes.values():
