--- a/src/acaciapier/policy/admission.py
+++ b/src/acaciapier/policy/admission.py
@@ -9,9 +9,9 @@
 from .routing import PoolRouter
 
 PENDING_WINDOW_S = 0.25
-FIRST_MARGIN = 0.8
+FIRST_MARGIN = 0.85
 MIN_MARGIN = 0.4
-MAX_MARGIN = 0.85
+MAX_MARGIN = 0.88
 MARGIN_STEP_UP = 0.001
 MARGIN_STEP_DOWN = 0.97
 OVERLOADED_CALLS_PER_SLOT = 1.5
--- a/src/acaciapier/policy/path.py
+++ b/src/acaciapier/policy/path.py
@@ -366,24 +366,29 @@
         stages = [one.stage for one in estimates]
         if not any(self._wait_ms(one) for one in estimates):
             return critical_path_ms(estimates, stages, self._quick_ms) - remaining_ms
-        needed_ms = critical_path_ms(estimates, stages, self._careful_ms)
-        allowed_ms = remaining_ms * self._admission.margin
+        service_ms = critical_path_ms(estimates, stages, self._service_ms)
+        service_ms += max(self._spread_ms(one) for one in estimates)
+        waiting_ms = critical_path_ms(estimates, stages, self._wait_ms)
+        allowed_ms = remaining_ms * self._admission.margin - service_ms
         if self._shares.is_over_share(workspace):
             allowed_ms *= OVER_SHARE_FACTOR
-        return needed_ms - allowed_ms
+        return waiting_ms - max(allowed_ms, 0.0)
 
     def _wait_ms(self, estimate: StageEstimate) -> float:
         router = self._routers.get(estimate.pool)
         return self._admission.wait_ms(estimate, router)
 
+    def _service_ms(self, estimate: StageEstimate) -> float:
+        return service_mean_ms(estimate, self._routers.get(estimate.pool))
+
     def _expected_ms(self, estimate: StageEstimate) -> float:
-        router = self._routers.get(estimate.pool)
-        return self._wait_ms(estimate) + service_mean_ms(estimate, router)
+        return self._wait_ms(estimate) + self._service_ms(estimate)
 
-    def _careful_ms(self, estimate: StageEstimate) -> float:
+    def _spread_ms(self, estimate: StageEstimate) -> float:
+        """Return by how much a stage often takes longer than on the average."""
         router = self._routers.get(estimate.pool)
-        service_ms = service_quantile_ms(estimate, router, CAREFUL_QUANTILE)
-        return self._wait_ms(estimate) + service_ms
+        long_ms = service_quantile_ms(estimate, router, CAREFUL_QUANTILE)
+        return max(0.0, long_ms - self._service_ms(estimate))
 
     def _ample_ms(self, estimate: StageEstimate) -> float:
         router = self._routers.get(estimate.pool)
--- a/tests/policy/test_policy_path.py
+++ b/tests/policy/test_policy_path.py
@@ -176,3 +176,10 @@
     peer.load_reported(heard.target, heard.incarnation, heard.load)
     assert peer.take_heard_loads() == ()
     assert peer._routers[POOL].state(heard.target).others() == 10
+
+
+def test_a_short_queue_refuses_nobody_for_a_share():
+    policy = make_policy()
+    report_load(policy, running=4, queued=4)
+    for name in ("w1", "w1", "w2", "w1"):
+        assert admit(policy, remaining_ms=400.0, workspace=name).is_ok()
