Claim requests that may not be repeated by conditional updates

A request's id is a UUID version 7; its time decides a bucket, its hash a partition, and one object holds a bucket's claims. The partition's owner by rendezvous hashing commits them in groups, at most one in 100 ms; an entry that cannot reach it commits directly. Safety rests on the conditional update and on two rules: an abandoned claim never runs, so it may be replaced, and the window is checked after the commit is known, so a commit that created a collected bucket anew grants nothing.

Weighed: recognising a lost answer by a batch id in the object; the claims' own nonces do it as well, and still after later writes by others. Weighed too: one log of created objects per partition; its bytes grow less, but a new owner must read the whole window before its first claim, where a bucket needs one read.

--- a/src/acaciapier/claims/__init__.py
+++ b/src/acaciapier/claims/__init__.py
@@ -1,1 +1,38 @@
 """Claims that let a request that may not be repeated run at most once."""
+
+from .models import (
+    ClaimRequest,
+    ClaimResult,
+    Done,
+    Early,
+    Expired,
+    Granted,
+    Invalid,
+    MayHaveRun,
+    Reused,
+    Running,
+    Unavailable,
+)
+from .partition import Partitioner
+from .peers import MembershipView, PeerNetwork
+from .service import ClaimService
+from .window import ClaimWindow
+
+__all__ = [
+    "ClaimRequest",
+    "ClaimResult",
+    "ClaimService",
+    "ClaimWindow",
+    "Done",
+    "Early",
+    "Expired",
+    "Granted",
+    "Invalid",
+    "MayHaveRun",
+    "MembershipView",
+    "Partitioner",
+    "PeerNetwork",
+    "Reused",
+    "Running",
+    "Unavailable",
+]
