--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -7,7 +7,8 @@
 from ..accounts import CostEntry, Ledger
 from ..app import Application
 from ..app.node import FleetNode
-from ..core.clock import SystemClock
+from ..claims import ClaimService
+from ..core.clock import SystemClock, to_s
 from ..core.ids import DataCentreId, WorkspaceId
 from ..http import serve_app
 from ..observability import Metrics
@@ -16,9 +17,15 @@
 from ..settings import EntrySettings
 from ..targets import HttpTransport
 from ..targets.directory import TargetDirectory
+from ..wire.messages.requests import JoinRun
+from .claimed import ClaimedRuns
 from .http import EntryHttp
+from .joining import JoinServer, RunJoiner
 from .resuming import StreamResumer
 from .service import RequestService, ServiceParts
+from .strikes import StrikeSharing
+
+STRIKE_INTERVAL_MS = 20.0
 
 
 class EntryInstance:
@@ -41,6 +48,8 @@
         identity = self.node.identity
         self.ledger = Ledger(identity.instance_id, identity.incarnation, self.clock)
         self._random = rng
+        self._strikes: StrikeSharing | None = None
+        self._claims: ClaimService | None = None
         self._metrics = Metrics(settings.instance.id)
         self._transport = HttpTransport()
         self._tokens = ResumeTokens(self.node.keys)
@@ -58,7 +67,11 @@
         self.directory = TargetDirectory(
             self.node.membership, self._policy, self.node.configuration
         )
+        self._strikes = StrikeSharing(self._policy, self.node.membership.rumours)
+        self._claims = self._make_claims()
         service = self._make_service(nursery)
+        join_server = JoinServer(service.find_for_peer)
+        self.node.network.register_stream(JoinRun, join_server.serve)
         http = EntryHttp(
             service,
             self._workspace_of_token,
@@ -68,6 +81,8 @@
         )
         nursery.start_soon(self.directory.run)
         nursery.start_soon(service.run_collector)
+        nursery.start_soon(self._claims.run)
+        nursery.start_soon(self._share_strikes)
         binds = await nursery.start(
             serve_app, http, self.settings.listen, app.stopped.wait
         )
@@ -88,10 +103,39 @@
         service.refuse_new_when(app.stop_requested)
         app.on_stop("announce that the instance leaves", announce_leaving)
         app.on_stop("drain requests", drain)
+        app.on_stop("write the outcomes of claims", self._claims.flush)
         app.on_stop("leave the fleet", leave)
 
     def _make_service(self, nursery: trio.Nursery) -> RequestService:
-        services = ExecutorServices(
+        executor = Executor(self._executor_services(nursery))
+        joiner = RunJoiner(self.node.network)
+        instance = self.node.identity.instance_id
+        parts = ServiceParts(
+            executor=executor,
+            resumer=StreamResumer(self._transport, self._tokens, self.clock),
+            configuration=self.node.configuration,
+            claimed=ClaimedRuns(self._claims, executor, joiner, instance, self.clock),
+            metrics=self._metrics,
+            clock=self.clock,
+            random=self._random,
+            settings=self.settings.path,
+        )
+        return RequestService(parts, nursery)
+
+    def _make_claims(self) -> ClaimService:
+        identity = self.node.identity
+        return ClaimService(
+            identity.instance_id,
+            identity.incarnation,
+            self.node.store,
+            self.node.network,
+            self.node.membership,
+            self.clock,
+            self._random,
+        )
+
+    def _executor_services(self, nursery: trio.Nursery) -> ExecutorServices:
+        return ExecutorServices(
             policy=self._policy,
             transport=self._transport,
             record_cost=self._record_cost,
@@ -103,22 +147,16 @@
             background=nursery,
             pace=StreamPace(self.clock, self.settings.path.flush_interval_ms),
         )
-        parts = ServiceParts(
-            executor=Executor(services),
-            resumer=StreamResumer(self._transport, self._tokens, self.clock),
-            configuration=self.node.configuration,
-            claimed=None,
-            metrics=self._metrics,
-            clock=self.clock,
-            random=self._random,
-            settings=self.settings.path,
-        )
-        return RequestService(parts, nursery)
 
     def _workspace_of_token(self, token: str) -> WorkspaceId | None:
         workspace = self.node.configuration().workspace_of_token(token)
         return WorkspaceId(workspace.name) if workspace else None
 
+    async def _share_strikes(self) -> None:
+        while True:
+            self._strikes.publish_new()
+            await trio.sleep(to_s(STRIKE_INTERVAL_MS))
+
     def _record_cost(self, entry: CostEntry) -> None:
         self.ledger.record(entry)
         self._metrics.stage_cost(
--- a/src/acaciapier/entry/joining.py
+++ b/src/acaciapier/entry/joining.py
@@ -9,6 +9,7 @@
 from ..core.ids import InstanceId, PipelineName, RequestId, RunId, WorkspaceId
 from ..core.outcomes import Cause, Outcome
 from ..exceptions import PeerUnavailable
+from ..observability import get_logger
 from ..pipeline import (
     CallerRequest,
     FinalEvent,
@@ -38,6 +39,8 @@
     RunValue,
 )
 
+log = get_logger("acaciapier.entry")
+
 CONNECT_TIMEOUT_MS = 1_000.0
 
 
@@ -61,8 +64,13 @@
             async with aclosing(stream) as events:
                 async for event in events:
                     apply_event(event, record)
-        except PeerUnavailable:
-            return record.final is not None
+        except PeerUnavailable as error:
+            log.info(
+                "the run of {} at {} is lost: {}",
+                record.request.request_id,
+                holder,
+                error,
+            )
         return record.final is not None
 
 
@@ -72,8 +80,7 @@
     Parameters
     ----------
     find : callable
-        Returns the record of a request, starting it if its claim is held here
-        and was not used; or the final event if there is nothing to follow.
+        Returns the record of a request, or the final event if there is none.
     """
 
     def __init__(self, find: Callable[[CallerRequest], RunRecord | FinalEvent]):
@@ -189,7 +196,9 @@
 
 @apply_event.register
 def _(message: RunFinal, record: RunRecord) -> None:
-    record.finish(msgspec.json.decode(message.content, type=FinalEvent))
+    final = msgspec.json.decode(message.content, type=FinalEvent)
+    if final.cause != Cause.ANSWER_GONE.value:
+        record.finish(final)
 
 
 def _join_message(request: CallerRequest) -> JoinRun:
--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -49,7 +49,7 @@
     executor: Executor
     resumer: StreamResumer
     configuration: Callable[[], ConfigurationState]
-    claimed: ClaimedRuns | None
+    claimed: ClaimedRuns
     metrics: Metrics | None
     clock: Clock
     random: random.Random
@@ -123,6 +123,14 @@
             return refusal(Cause.FORBIDDEN, message, outcome=Outcome.UNKNOWN)
         return self._resume(resumed.unwrap())
 
+    def find_for_peer(self, request: CallerRequest) -> RunRecord | FinalEvent:
+        """Return the record of a request that a peer wants to follow."""
+        present = self.records.get(RecordKey(request.workspace, request.request_id))
+        if present is not None:
+            return present
+        message = f"request {request.request_id} is not held here any more"
+        return refusal(Cause.ANSWER_GONE, message, outcome=Outcome.UNKNOWN)
+
     def cancel(self, workspace: WorkspaceId, request_id: RequestId) -> bool:
         """Cancel a running request; False if it does not run here."""
         record = self.records.get(RecordKey(workspace, request_id))
@@ -158,6 +166,9 @@
         if pipeline is None:
             message = f"there is no pipeline {request.pipeline}"
             return refusal(Cause.UNKNOWN_PIPELINE, message)
+        if request.recover and not is_claimed(request, pipeline):
+            message = f"request {request.request_id} does not run on this instance"
+            return refusal(Cause.UNKNOWN_REQUEST, message, outcome=Outcome.UNKNOWN)
         if len(self.records) >= self._parts.settings.max_open_requests:
             message = "this instance has too many open requests"
             return refusal(Cause.OVERLOAD, message, OPEN_LIMIT_RETRY_AFTER_MS)
@@ -206,19 +217,12 @@
 
     async def _run(self, key: RecordKey, record: RunRecord, pipeline: Pipeline) -> None:
         if is_claimed(record.request, pipeline):
-            await self._guard(record, self._run_claimed, record, pipeline)
+            await self._guard(record, self._parts.claimed.run, record, pipeline)
         else:
             run = self._parts.executor.run
             await self._guard(record, run, record.request, pipeline, record)
         self._end(key, record)
 
-    async def _run_claimed(self, record: RunRecord, pipeline: Pipeline) -> None:
-        if self._parts.claimed is None:
-            message = "this instance cannot claim requests"
-            record.finish(refusal(Cause.STORE_UNAVAILABLE, message, 1_000))
-            return
-        await self._parts.claimed.run(record, pipeline)
-
     async def _guard(self, record: RunRecord, action, *arguments) -> None:
         """Run `action`; a fault of ours still ends the record with its final event."""
         try:
--- a/src/acaciapier/pipeline/executor.py
+++ b/src/acaciapier/pipeline/executor.py
@@ -1,5 +1,6 @@
 """Runs a request over the stages of its pipeline, under one deadline."""
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import trio
@@ -40,9 +41,26 @@
         self._services = services
 
     async def run(
-        self, request: CallerRequest, pipeline: Pipeline, record: RunRecord
+        self,
+        request: CallerRequest,
+        pipeline: Pipeline,
+        record: RunRecord,
+        may_run: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
-        """Run `request` and finish `record`; never raises for a failed run."""
+        """Run `request` and finish `record`; never raises for a failed run.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            What the caller asked for.
+        pipeline : Pipeline
+            The pipeline after route rules.
+        record : RunRecord
+            Where parts and the final event go.
+        may_run : callable, optional
+            Asked once the request is admitted; if it says no, nothing runs and
+            the record is left unfinished.
+        """
         context = self._make_context(request, pipeline, record)
         refused = self._services.policy.blocked(context.fingerprint)
         if refused is not None:
@@ -52,10 +70,12 @@
         if admitted.is_err():
             self._finish_refused(context, admitted.unwrap_err())
             return
-        record.accept()
-        outcome = Outcome.UNKNOWN
+        outcome = Outcome.NOT_RUN
         try:
-            outcome = await self._run_admitted(context)
+            if may_run is None or await may_run():
+                record.accept()
+                outcome = Outcome.UNKNOWN
+                outcome = await self._run_admitted(context)
         finally:
             self._services.policy.release(admitted.unwrap(), outcome)
 
--- a/src/acaciapier/pipeline/stages.py
+++ b/src/acaciapier/pipeline/stages.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 import trio
+from result import Result
 
 from ..accounts import AttemptClass, OutcomeClass
 from ..core.clock import to_s
@@ -95,7 +96,7 @@
     async def _race(self) -> tuple[Attempt, CallAnswer]:
         """Run an attempt, and a hedge if it is late; return the first success."""
         race = _Race()
-        attempt = self._start_attempt(self._attempt_class())
+        attempt = await self._start_attempt(self._attempt_class())
         self._first = False
         async with trio.open_nursery() as nursery:
             race.nursery = nursery
@@ -115,20 +116,20 @@
         if race.ended or not policy.may_hedge(pool):
             return
         try:
-            attempt = self._start_attempt(AttemptClass.HEDGE)
+            attempt = await self._start_attempt(AttemptClass.HEDGE)
         except RunFailed:
             return
         race.nursery.start_soon(race.follow, attempt)
 
-    def _start_attempt(self, attempt_class: AttemptClass) -> Attempt:
+    async def _start_attempt(self, attempt_class: AttemptClass) -> Attempt:
         context = self._context
         policy = self._services.policy
         stage = self._call.stage
+        target = await self._pick()
         remaining_ms = context.remaining_ms(self._services.clock)
         if not policy.can_finish(context.estimates, context.stages_left, remaining_ms):
             raise RunFailed(Cause.DEADLINE, f"stage {stage.name} cannot finish in time")
         budget_ms = policy.stage_budget_ms(context.estimates, stage.name, remaining_ms)
-        target = self._pick()
         self._tried.add(target.target)
         return Attempt(
             self._services, context, self._call, target, attempt_class, budget_ms
@@ -137,25 +138,36 @@
     def _attempt_class(self) -> AttemptClass:
         return AttemptClass.FIRST if self._first else AttemptClass.RETRY
 
-    def _pick(self) -> TargetView:
-        context = self._context
+    async def _pick(self) -> TargetView:
+        """Choose a target; a suspect waits for its turn to run alone."""
         policy = self._services.policy
-        picked = policy.pick(
+        fingerprint = self._context.fingerprint
+        while True:
+            blocked = policy.blocked(fingerprint)
+            if blocked is not None:
+                raise _failure_of(blocked)
+            suspect = policy.suspected(fingerprint)
+            picked = self._pick_among(frozenset(self._tried), suspect)
+            if picked.is_err() and self._tried:
+                picked = self._pick_among(frozenset(), suspect)
+            if picked.is_ok():
+                return picked.unwrap()
+            refused = picked.unwrap_err()
+            remaining_ms = self._context.remaining_ms(self._services.clock)
+            if not suspect or refused.retry_after_ms >= remaining_ms:
+                raise _failure_of(refused)
+            await trio.sleep(to_s(refused.retry_after_ms))
+
+    def _pick_among(
+        self, exclude: frozenset[str], suspect: bool
+    ) -> Result[TargetView, Refused]:
+        return self._services.policy.pick(
             self._call.stage.pool,
-            exclude=frozenset(self._tried),
+            exclude=exclude,
             affinity_key=self._affinity_key(),
-            suspect=policy.suspected(context.fingerprint),
+            suspect=suspect,
+            fingerprint=self._context.fingerprint,
         )
-        if picked.is_err() and self._tried:
-            picked = policy.pick(
-                self._call.stage.pool,
-                exclude=frozenset(),
-                affinity_key=None,
-                suspect=policy.suspected(context.fingerprint),
-            )
-        if picked.is_err():
-            raise _failure_of(picked.unwrap_err())
-        return picked.unwrap()
 
     def _affinity_key(self) -> str | None:
         if self._call.stage.kind is not StageKind.GENERATE:
