Split the facade's forecast, placement and permits into modules of their own

No change of behaviour but that targets of which no call is in flight are forgotten, and that the longest path after a stage is worked out once for each stage. Tests: python -m pytest -q tests/policy, 53 passed.

--- a/src/acaciapier/policy/deadlines.py
+++ b/src/acaciapier/policy/deadlines.py
@@ -26,12 +26,8 @@
     estimates: Sequence[StageEstimate], stage: StageName, time_ms: StageTime
 ) -> float:
     """Return the expected time of the longest path that starts after `stage`."""
-    longest = 0.0
-    for estimate in estimates:
-        if stage in estimate.needs:
-            after = path_after_ms(estimates, estimate.stage, time_ms)
-            longest = max(longest, time_ms(estimate) + after)
-    return longest
+    after: dict[StageName, float] = {}
+    return _after_ms(estimates, stage, time_ms, after)
 
 
 def stage_share_ms(
@@ -64,3 +60,16 @@
     )
     ends[name] = start + time_ms(by_name[name])
     return ends[name]
+
+
+def _after_ms(estimates, stage, time_ms: StageTime, after) -> float:
+    if stage not in after:
+        after[stage] = max(
+            (
+                time_ms(one) + _after_ms(estimates, one.stage, time_ms, after)
+                for one in estimates
+                if stage in one.needs
+            ),
+            default=0.0,
+        )
+    return after[stage]
--- a/src/acaciapier/policy/path.py
+++ b/src/acaciapier/policy/path.py
@@ -16,10 +16,11 @@
     WorkspaceId,
 )
 from ..core.outcomes import Cause, Outcome
-from .admission import Admission, is_overloaded, service_mean_ms, service_quantile_ms
+from .admission import Admission, is_overloaded
 from .deadlines import critical_path_ms, stage_share_ms
 from .extra_calls import ExtraCalls
 from .fairness import FairShares
+from .forecast import Forecast
 from .models import (
     CallReport,
     HeardLoad,
@@ -32,19 +33,15 @@
     TargetView,
     WorkspaceLimits,
 )
+from .permits import PermitBook
+from .placement import Placement, PlacementRequest
 from .quarantine import Quarantine
 from .routing import PoolRouter
 from .settings import PolicySettings
-from .target_state import TargetState
 
 OVER_SHARE_FACTOR = 0.75
 MIN_RETRY_AFTER_MS = 100
 RETRY_JITTER = 0.5
-CAN_FINISH_QUANTILE = 0.25
-CAREFUL_QUANTILE = 0.9
-AMPLE_QUANTILE = 0.95
-AMPLE_FACTOR = 3.0
-SUSPECT_RETRY_MS = 100
 
 
 class PathPolicy:
@@ -81,8 +78,10 @@
         self._pool_of: dict[TargetId, PoolName] = {}
         self._shares = FairShares(clock, settings.instances)
         self._admission = Admission(clock, settings.instances)
+        self._forecast = Forecast(self._routers, self._admission)
         self._quarantine = Quarantine(clock, random, settings)
-        self._permits: dict[Fingerprint, list[Permit]] = {}
+        self._placement = Placement(self._quarantine, settings.quarantine)
+        self._permits = PermitBook(self._admission)
 
     def update_pool(
         self, pool: PoolName, limits: PoolLimits, targets: Sequence[TargetView]
@@ -96,6 +95,7 @@
             self._extra[pool] = ExtraCalls(router, limits, self._settings)
         self._routers[pool].update(limits, targets)
         self._extra[pool].configure(limits)
+        self._forget_targets(pool)
         for target in targets:
             self._pool_of[target.target] = pool
 
@@ -130,19 +130,12 @@
             message = "the pipeline cannot finish within the deadline now"
             return Err(self._refused(Cause.OVERLOAD, excess_ms, message))
         self._shares.admitted(workspace)
-        return Ok(self._permit(workspace, estimates, fingerprint))
+        return Ok(self._permits.issue(workspace, estimates, fingerprint))
 
     def release(self, permit: Permit, outcome: Outcome) -> None:
         """Give a permit back; a second time has no effect."""
-        if permit.released:
+        if not self._permits.take_back(permit):
             return
-        permit.released = True
-        for pool, calls in permit.pending.items():
-            self._admission.add_pending(pool, -calls)
-        held = self._permits[permit.fingerprint]
-        held.remove(permit)
-        if not held:
-            del self._permits[permit.fingerprint]
         if outcome is Outcome.DONE:
             self._admission.was_in_time()
         elif any(is_overloaded(self._routers.get(one)) for one in permit.pending):
@@ -182,18 +175,9 @@
         if router is None:
             message = f"pool {pool} is not known"
             return Err(Refused(Cause.NO_TARGET, MIN_RETRY_AFTER_MS, message))
-        if not self._settings.quarantine:
-            return router.pick(exclude, affinity_key, _any_target)
-        if suspect:
-            return self._pick_for_suspect(router, exclude, affinity_key, fingerprint)
-        only = None
-        if fingerprint is not None:
-            only = self._quarantine.only_targets(fingerprint, pool)
-        return router.pick(
-            exclude,
-            affinity_key,
-            lambda one: only is None or one.view.target in only,
-            avoid=self._runs_suspect,
+        return self._placement.pick(
+            router,
+            PlacementRequest(exclude, affinity_key, suspect, fingerprint),
             probes=self._extra[pool].can_probe(),
         )
 
@@ -205,11 +189,7 @@
         self._routers[pool].sent(target, fingerprint)
         self._extra[pool].sent()
         self._quarantine.sent(fingerprint, pool, target)
-        for permit in self._permits.get(fingerprint, ()):
-            if permit.pending.get(pool, 0) > 0:
-                permit.pending[pool] -= 1
-                self._admission.add_pending(pool, -1)
-                return
+        self._permits.sent(pool, fingerprint)
 
     def first_part(
         self, target: TargetId, fingerprint: Fingerprint, elapsed_ms: float
@@ -253,7 +233,11 @@
     ) -> float:
         """Return how long `stage` may take so that the later ones can still end."""
         return stage_share_ms(
-            estimates, stage, remaining_ms, self._expected_ms, self._ample_ms
+            estimates,
+            stage,
+            remaining_ms,
+            self._forecast.expected_ms,
+            self._forecast.ample_ms,
         )
 
     def can_finish(
@@ -267,7 +251,7 @@
             return False
         if not self._settings.admission:
             return True
-        needed_ms = critical_path_ms(estimates, stages_left, self._quick_ms)
+        needed_ms = critical_path_ms(estimates, stages_left, self._forecast.quick_ms)
         if needed_ms <= remaining_ms:
             return True
         self._admission.was_late()
@@ -312,45 +296,12 @@
         """Clear a request's content on an operator's order."""
         self._quarantine.release(fingerprint)
 
-    def _pick_for_suspect(
-        self,
-        router: PoolRouter,
-        exclude: frozenset[TargetId],
-        affinity_key: str | None,
-        fingerprint: Fingerprint | None,
-    ) -> Result[TargetView, Refused]:
-        """Choose a target that runs no other suspect, in the order of the trial."""
-        waiting = Refused(
-            Cause.TARGET_CRASHED, SUSPECT_RETRY_MS, "the request has to run alone"
-        )
-        if fingerprint is None:
-            picked = router.pick(
-                exclude,
-                affinity_key,
-                lambda one: not self._runs_suspect(one),
-                probes=False,
-            )
-            return picked.map_err(lambda _: waiting)
-        settling_ms = self._quarantine.settling_ms(fingerprint)
-        if settling_ms > 0:
-            return Err(Refused(waiting.cause, settling_ms, waiting.message))
-        usable = set(router.usable(exclude))
-        only = self._quarantine.only_targets(fingerprint, router.pool)
-        if only is not None:
-            usable &= only
-        names = [state.view.target for state in router.states]
-        for name in self._quarantine.trial_order(fingerprint, names):
-            if name not in usable:
-                continue
-            state = router.state(name)
-            if not self._runs_suspect(state, besides=fingerprint):
-                return Ok(state.view)
-        return Err(waiting)
-
-    def _runs_suspect(
-        self, state: TargetState, besides: Fingerprint | None = None
-    ) -> bool:
-        return self._quarantine.is_suspect_on(state.fingerprints, besides)
+    def _forget_targets(self, pool: PoolName) -> None:
+        """Drop the targets of a pool of which no call is in flight."""
+        router = self._routers[pool]
+        for name, owner in tuple(self._pool_of.items()):
+            if owner == pool and router.state(name) is None:
+                del self._pool_of[name]
 
     def _excess_ms(
         self,
@@ -363,61 +314,11 @@
             return MIN_RETRY_AFTER_MS
         if not self._settings.admission:
             return 0.0
-        stages = [one.stage for one in estimates]
-        if not any(self._wait_ms(one) for one in estimates):
-            return critical_path_ms(estimates, stages, self._quick_ms) - remaining_ms
-        service_ms = critical_path_ms(estimates, stages, self._service_ms)
-        service_ms += max(self._spread_ms(one) for one in estimates)
-        waiting_ms = critical_path_ms(estimates, stages, self._wait_ms)
-        allowed_ms = remaining_ms * self._admission.margin - service_ms
-        if self._shares.is_over_share(workspace):
-            allowed_ms *= OVER_SHARE_FACTOR
-        return waiting_ms - max(allowed_ms, 0.0)
-
-    def _wait_ms(self, estimate: StageEstimate) -> float:
-        router = self._routers.get(estimate.pool)
-        return self._admission.wait_ms(estimate, router)
-
-    def _service_ms(self, estimate: StageEstimate) -> float:
-        return service_mean_ms(estimate, self._routers.get(estimate.pool))
-
-    def _expected_ms(self, estimate: StageEstimate) -> float:
-        return self._wait_ms(estimate) + self._service_ms(estimate)
-
-    def _spread_ms(self, estimate: StageEstimate) -> float:
-        """Return by how much a stage often takes longer than on the average."""
-        router = self._routers.get(estimate.pool)
-        long_ms = service_quantile_ms(estimate, router, CAREFUL_QUANTILE)
-        return max(0.0, long_ms - self._service_ms(estimate))
-
-    def _ample_ms(self, estimate: StageEstimate) -> float:
-        router = self._routers.get(estimate.pool)
-        usual_ms = service_quantile_ms(estimate, router, AMPLE_QUANTILE)
-        return self._wait_ms(estimate) + AMPLE_FACTOR * usual_ms
-
-    def _quick_ms(self, estimate: StageEstimate) -> float:
-        router = self._routers.get(estimate.pool)
-        return service_quantile_ms(estimate, router, CAN_FINISH_QUANTILE)
-
-    def _permit(
-        self,
-        workspace: WorkspaceId,
-        estimates: Sequence[StageEstimate],
-        fingerprint: Fingerprint,
-    ) -> Permit:
-        permit = Permit(workspace, fingerprint)
-        for estimate in estimates:
-            pool = estimate.pool
-            permit.pending[pool] = permit.pending.get(pool, 0) + 1
-            self._admission.add_pending(pool, 1)
-        self._permits.setdefault(fingerprint, []).append(permit)
-        return permit
+        over_share = self._shares.is_over_share(workspace)
+        queue_share = OVER_SHARE_FACTOR if over_share else 1.0
+        return self._forecast.excess_ms(estimates, remaining_ms, queue_share)
 
     def _refused(self, cause: Cause, wait_ms: float, message: str) -> Refused:
         spread = 1.0 + RETRY_JITTER * self._random.random()
         after_ms = max(wait_ms, MIN_RETRY_AFTER_MS) * spread
         return Refused(cause, int(after_ms), message)
-
-
-def _any_target(state: TargetState) -> bool:
-    return True
