--- /dev/null
+++ b/tests/engines/test_allowance.py
@@ -0,0 +1,90 @@
+"""Permits of the weight store and the choice of the engines that load next."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, strategies
+
+from acaciapier.core.clock import ManualClock
+from acaciapier.engines.allowance import (
+    AllowanceBody,
+    LoadAllowance,
+    Permit,
+    PoolSituation,
+    most_out_of_service,
+)
+from acaciapier.engines.models import ControlLimits
+from acaciapier.engines.rollout import EngineStatus, choose_by_cap, rank_of
+from acaciapier_bench.rollout import SCENARIOS, CapPolicy, Rollout, WindowPolicy
+
+POOL = PoolSituation("writers", 8)
+LIMITS = ControlLimits(max_loads=3, pool_share_percent=50, stagger_ms=2_000)
+
+
+def permit(engine, holder="a.1", pool="writers"):
+    return Permit(engine, pool, holder, 1)
+
+
+def test_limits_of_fleet_and_pool_and_the_stagger():
+    clock = ManualClock()
+    allowance = LoadAllowance(LIMITS, clock)
+    body = AllowanceBody()
+    for number in range(3):
+        body = allowance.grant(body, POOL, permit(f"e{number}"))
+        allowance.observe(body)
+        assert allowance.grant(body, POOL, permit("e9")) is None, "staggered"
+        clock.advance(2)
+    assert allowance.fleet_room(body) == 0
+    assert allowance.grant(body, POOL, permit("e9")) is None, "fleet is full"
+    small = PoolSituation("writers", 8, ["e4", "e5", "e6", "e7"])
+    assert allowance.grant(AllowanceBody(), small, permit("e1")) is None
+    assert allowance.grant(AllowanceBody(), small, permit("e4")) is not None
+
+
+def test_permits_of_dead_holders_are_taken_over_or_end():
+    clock = ManualClock()
+    allowance = LoadAllowance(LIMITS, clock)
+    body = AllowanceBody(tuple(permit(f"e{n}") for n in range(3)))
+    allowance.observe(body)
+    taken = allowance.grant(body, POOL, permit("e1", "b.1"))
+    assert [one.holder for one in taken.permits] == ["a.1", "a.1", "b.1"]
+    assert allowance.without_arrived(body, {"e1"}) == body, "young permits stay"
+    clock.advance(10)
+    assert len(allowance.without_arrived(body, {"e1"}).permits) == 2
+    clock.advance(590)
+    assert allowance.fleet_room(body) == 0
+    clock.advance(1)
+    assert allowance.fleet_room(body) == 3
+
+
+STATUSES = strategies.lists(
+    strategies.tuples(strategies.booleans(), strategies.booleans()), max_size=20
+)
+
+
+@given(STATUSES, strategies.integers(0, 6), strategies.floats(1, 100))
+def test_cap_leaves_enough_in_service(pairs, room, share):
+    pool = [EngineStatus(f"e{n}", *pair) for n, pair in enumerate(pairs)]
+    chosen = set(choose_by_cap(pool, room, share))
+    by_id = {one.id: one for one in pool}
+    assert len(chosen) <= room
+    assert all(by_id[key].needs_load for key in chosen)
+    out_before = sum(not one.in_service for one in pool)
+    newly_out = sum(by_id[key].in_service for key in chosen)
+    if newly_out:
+        assert out_before + newly_out <= most_out_of_service(len(pool), share)
+
+
+def test_one_holder_ranks_first_for_each_engine():
+    holders = ["a.1", "b.1", "c.1"]
+    for number in range(20):
+        ranks = [rank_of(one, f"e{number}", holders) for one in holders]
+        assert sorted(ranks) == [0, 1, 2]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_window_alone_breaks_the_cap_and_the_cap_does_not(seed):
+    scenario = SCENARIOS[1]
+    capped = Rollout(scenario, CapPolicy(scenario), Random(seed)).run()
+    windowed = Rollout(scenario, WindowPolicy(scenario, 1.0), Random(seed)).run()
+    assert capped.over_cap_engine_s == 0 < windowed.over_cap_engine_s
