Add the administration API: changes, history, undo, diff and controls

Operators need to see, change and undo declared objects, each error typed with its findings. Roles bound what a token may do; digests of workspace tokens are shown to admins only.

Found on the way: a whole number of more than 64 bits was accepted and could not have been sent to a daemon; it is refused with its place now.

--- /dev/null
+++ b/src/acaciapier/admin/configuration.py
@@ -0,0 +1,265 @@
+"""Handlers for declared objects, their changes and their history."""
+
+from typing import Any
+
+import jsonpatch
+import msgspec
+from result import Err
+
+from ..configuration import (
+    Accepted,
+    ConfigurationLog,
+    Conflict,
+    Delete,
+    History,
+    ObjectKey,
+    Patch,
+    Rejected,
+    Replace,
+    RequestedChange,
+    RequestedEdit,
+    Unavailable,
+    VersionedObject,
+)
+from ..exceptions import StoreUnavailable
+from ..objects import MODELS, Change, stored_value
+from .bodies import (
+    AcceptedBody,
+    ChangeBody,
+    ChangesBody,
+    ConflictBody,
+    DiffBody,
+    EditBody,
+    ObjectBody,
+    ObjectsBody,
+    UndoBody,
+    VersionBody,
+)
+from .errors import ApiError, ErrorKind
+from .operators import Operator, Role
+from .routes import Call, Router
+
+DEFAULT_LIMIT = 20
+MAX_LIMIT = 200
+RETRY_AFTER_MS = 1_000.0
+SECRET_FIELDS = {"workspace": ("token_sha256",)}
+
+
+class ConfigurationHandlers:
+    """Answers about declared objects from the log of accepted changes.
+
+    Parameters
+    ----------
+    configuration : ConfigurationLog
+        The log.
+    """
+
+    def __init__(self, configuration: ConfigurationLog):
+        self._log = configuration
+        self._history = History(configuration)
+
+    def add_to(self, router: Router) -> None:
+        """Add the routes."""
+        view, change = Role.VIEWER, Role.OPERATOR
+        one = "/v1/objects/{kind}/{name}"
+        router.add("GET", "/v1/objects", view, self.list_objects)
+        router.add("GET", one, view, self.get_object)
+        router.add("GET", f"{one}/history", view, self.object_history)
+        router.add("GET", f"{one}/diff", view, self.diff)
+        router.add("GET", "/v1/changes", view, self.list_changes)
+        router.add("POST", "/v1/changes", change, self.change)
+        router.add("POST", "/v1/changes/{number}/undo", change, self.undo)
+
+    async def list_objects(self, call: Call) -> ObjectsBody:
+        """Return all objects, or those of one kind."""
+        state = await self._log.refresh()
+        kind = call.query.get("kind")
+        objects = tuple(
+            _object_body(one, call.operator)
+            for key, one in sorted(state.objects.items())
+            if kind is None or key.kind == kind
+        )
+        return ObjectsBody(state.number, objects)
+
+    async def get_object(self, call: Call) -> ObjectBody:
+        """Return one object, at its present or an older version."""
+        state = await self._log.refresh()
+        key = _key_of(call)
+        if "version" in call.query:
+            return await self._old_object(call, key, call.whole_number("version", 0))
+        found = state.get(*key)
+        if found is None:
+            raise ApiError(ErrorKind.NOT_FOUND, f"{key} does not exist")
+        return _object_body(found, call.operator)
+
+    async def object_history(self, call: Call) -> ChangesBody:
+        """Return the changes of one object, newest first."""
+        state = await self._log.refresh()
+        limit = call.whole_number("limit", DEFAULT_LIMIT, MAX_LIMIT)
+        before = call.whole_number("before", 0) or None
+        versions = await self._history.versions(_key_of(call), limit, before)
+        changes = tuple(_redacted(one.change, call.operator) for one in versions)
+        return ChangesBody(state.number, changes)
+
+    async def diff(self, call: Call) -> DiffBody:
+        """Return the JSON Patch from one version of an object to another."""
+        state = await self._log.refresh()
+        key = _key_of(call)
+        to_version = call.whole_number("to", state.last_version(key))
+        from_version = call.whole_number("from", max(0, to_version - 1))
+        before = await self._value_at(key, from_version)
+        after = await self._value_at(key, to_version)
+        before = _redacted_value(key.kind, before, call.operator)
+        after = _redacted_value(key.kind, after, call.operator)
+        operations = jsonpatch.make_patch(before or {}, after or {}).patch
+        return DiffBody(*key, from_version, to_version, operations)
+
+    async def list_changes(self, call: Call) -> ChangesBody:
+        """Return all changes, newest first."""
+        state = await self._log.refresh()
+        limit = call.whole_number("limit", DEFAULT_LIMIT, MAX_LIMIT)
+        before = call.whole_number("before", 0) or None
+        found = await self._history.changes(before, limit)
+        changes = tuple(_redacted(change, call.operator) for change in found)
+        return ChangesBody(state.number, changes)
+
+    async def change(self, call: Call) -> AcceptedBody:
+        """Have a change set accepted."""
+        body = call.read(ChangeBody)
+        edits = tuple(_edit_of(edit) for edit in body.edits)
+        request = RequestedChange(
+            body.patch_id, call.operator.name, edits, body.at_least_number
+        )
+        return await self._submit(request, call.operator)
+
+    async def undo(self, call: Call) -> AcceptedBody:
+        """Undo one change as a new one."""
+        body = call.read(UndoBody)
+        number = _number_of(call.path["number"])
+        await self._log.refresh()
+        request = await self._history.undo_of(number, body.patch_id, call.operator.name)
+        if isinstance(request, Err):
+            message = f"change {request.err_value.number} is not kept"
+            raise ApiError(ErrorKind.NOT_FOUND, message)
+        return await self._submit(request.ok_value, call.operator)
+
+    async def _submit(
+        self, request: RequestedChange, operator: Operator
+    ) -> AcceptedBody:
+        _check_role(request, operator)
+        answer = await self._log.submit(request)
+        if isinstance(answer, Err):
+            raise _refusal(answer.err_value)
+        return _accepted_body(answer.ok_value)
+
+    async def _old_object(self, call: Call, key: ObjectKey, version: int) -> ObjectBody:
+        found = await self._history.version(key, version)
+        if found is None or found.edit.value is None:
+            raise ApiError(ErrorKind.NOT_FOUND, f"{key} version {version} is not kept")
+        value = _redacted_value(key.kind, found.edit.value, call.operator)
+        return ObjectBody(*key, version, found.change.number, value)
+
+    async def _value_at(self, key: ObjectKey, version: int) -> dict[str, Any] | None:
+        if version == 0:
+            return None
+        found = await self._history.version(key, version)
+        if found is None:
+            raise ApiError(ErrorKind.NOT_FOUND, f"{key} version {version} is not kept")
+        return found.edit.value
+
+
+def _key_of(call: Call) -> ObjectKey:
+    return ObjectKey(call.path["kind"], call.path["name"])
+
+
+def _number_of(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 16:
+        raise ApiError(ErrorKind.NOT_FOUND, f"there is no change {text[:32]}")
+    return int(text)
+
+
+def _edit_of(edit: EditBody) -> RequestedEdit:
+    operation = {
+        "replace": Replace(edit.value),
+        "patch": Patch(edit.operations),
+        "delete": Delete(),
+    }[edit.operation]
+    return RequestedEdit(ObjectKey(edit.kind, edit.name), edit.base_version, operation)
+
+
+def _check_role(request: RequestedChange, operator: Operator) -> None:
+    kinds = {edit.key.kind for edit in request.edits}
+    if kinds & set(SECRET_FIELDS) and not operator.role.includes(Role.ADMIN):
+        message = f"only the role {Role.ADMIN.value} may change workspaces"
+        raise ApiError(ErrorKind.FORBIDDEN, message)
+    unknown = sorted(kinds - set(MODELS))
+    if unknown:
+        message = f"no declared objects of kind {unknown[0][:64]}"
+        raise ApiError(ErrorKind.BAD_REQUEST, message)
+
+
+def _refusal(refusal: Conflict | Rejected | Unavailable) -> ApiError:
+    match refusal:
+        case Conflict():
+            conflicts = tuple(
+                ConflictBody(*one.key, one.base_version, one.present_version)
+                for one in refusal.mismatches
+            )
+            return ApiError(
+                ErrorKind.CONFLICT,
+                "; ".join(
+                    f"{one.kind}/{one.name} is at version {one.present_version}, "
+                    f"not {one.base_version}"
+                    for one in conflicts
+                ),
+                conflicts=conflicts,
+                at_least_number=refusal.number,
+            )
+        case Rejected():
+            message = f"the change has {len(refusal.findings)} findings"
+            return ApiError(ErrorKind.REJECTED, message, refusal.findings)
+        case Unavailable():
+            return ApiError(
+                ErrorKind.UNAVAILABLE,
+                "the object API did not answer; send the same patch id again",
+                retry_after_ms=RETRY_AFTER_MS,
+                at_least_number=refusal.at_least_number,
+                may_have_landed=refusal.may_have_landed,
+            )
+
+
+def _accepted_body(accepted: Accepted) -> AcceptedBody:
+    versions = tuple(VersionBody(*key, version) for key, version in accepted.versions)
+    return AcceptedBody(accepted.number, versions, accepted.resent)
+
+
+def _object_body(one: VersionedObject, operator: Operator) -> ObjectBody:
+    value = _redacted_value(one.key.kind, stored_value(one.declared), operator)
+    return ObjectBody(*one.key, one.version, one.number, value)
+
+
+def _redacted_value(
+    kind: str, value: dict[str, Any] | None, operator: Operator
+) -> dict[str, Any] | None:
+    """Return a value without the fields that only admins may read."""
+    if value is None or operator.role.includes(Role.ADMIN):
+        return value
+    secret = SECRET_FIELDS.get(kind, ())
+    return {field: one for field, one in value.items() if field not in secret}
+
+
+def _redacted(change: Change, operator: Operator) -> Change:
+    edits = tuple(
+        msgspec.structs.replace(
+            edit, value=_redacted_value(edit.kind, edit.value, operator)
+        )
+        for edit in change.edits
+    )
+    return msgspec.structs.replace(change, edits=edits)
+
+
+def unavailable(error: StoreUnavailable) -> ApiError:
+    """Return the error for a read that the store did not answer."""
+    return ApiError(
+        ErrorKind.UNAVAILABLE, str(error), retry_after_ms=error.retry_after_ms
+    )
--- a/src/acaciapier/configuration/distribution.py
+++ b/src/acaciapier/configuration/distribution.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass
 from random import Random
 
-import logbook
 import trio
 
 from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId, RegionId
 from ..exceptions import AcaciapierError
+from ..observability import get_logger
 from ..wire.messages.configuration import ChangeRumour, NumberRumour
 from .interfaces import MembershipView, PeerNetwork, Rumours, Store
 from .peers import PeerExchange
@@ -16,7 +16,7 @@
 from .replica import PROMISE_MS, ConfigurationReplica, Freshness
 from .watcher import RECOVERABLE, HeadReader, Publisher
 
-log = logbook.Logger(__name__)
+log = get_logger("acaciapier.configuration")
 
 QUERY_INTERVAL_MS = 2_000.0
 RETRY_INTERVAL_MS = 500.0
--- a/src/acaciapier/configuration/requests.py
+++ b/src/acaciapier/configuration/requests.py
@@ -178,4 +178,9 @@
     if encoded_bytes(value) > MAX_OBJECT_BYTES:
         findings.add(place, f"is larger than {MAX_OBJECT_BYTES} bytes")
         return False
+    try:
+        msgspec.msgpack.encode(value)
+    except OverflowError:
+        findings.add(place, "holds a whole number of more than 64 bits")
+        return False
     return True
