Add the operator's command line

A call without an answer is sent again with the same patch id; apply names the number that it read, so that an instance behind it cannot refuse on older knowledge. Output is escaped, so values in brackets are not taken for markup.

--- /dev/null
+++ b/src/acaciapier/cli/check.py
@@ -0,0 +1,76 @@
+"""The command that checks files without calling anything."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+import cappa
+import jsonc
+from rich.markup import escape
+
+from ..admin.bodies import DoneBody, FindingBody
+from ..core.findings import Finding
+from ..exceptions import FindingsError
+from ..objects import load_bundle
+from ..settings.files import load_settings
+from ..settings.models import AdminSettings, ControllerSettings, EntrySettings
+from .exits import ExitCode
+from .options import SharedOptions
+
+MODELS = {
+    "entry": EntrySettings,
+    "admin": AdminSettings,
+    "controller": ControllerSettings,
+}
+
+
+@cappa.command(name="check", help="Check a bundle or a settings file.")
+@dataclass
+class Check(SharedOptions):
+    """Check a bundle of declared objects or a settings file, with all findings.
+
+    Examples: `acaciapier check examples/kartvel.jsonc`,
+    `acaciapier check entry.jsonc --as entry`.
+    """
+
+    file: Annotated[Path, cappa.Arg(help="JSON with comments")]
+    settings_of: Annotated[
+        Literal["entry", "admin", "controller"] | None,
+        cappa.Arg(long="--as", help="check the settings of this binary"),
+    ] = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        try:
+            self._check()
+        except FindingsError as error:
+            if session.as_json:
+                findings = [
+                    FindingBody(one.place, one.message) for one in error.findings
+                ]
+                session.show(findings, "")
+                raise cappa.Exit(code=int(ExitCode.REFUSED)) from error
+            raise cappa.Exit(escape(str(error)), code=int(ExitCode.REFUSED)) from error
+        done = DoneBody(f"{self.file}: no findings")
+        session.show(done, done.message)
+
+    def _check(self) -> None:
+        if self.settings_of is not None:
+            load_settings(self.file, MODELS[self.settings_of])
+        elif _holds_an_object(self.file):
+            load_settings(self.file, EntrySettings)
+        else:
+            load_bundle(self.file)
+
+
+def _body_of(finding: Finding) -> FindingBody:
+    return FindingBody(finding.place, finding.message)
+
+
+def _holds_an_object(path: Path) -> bool:
+    """Return whether a file holds settings; a bundle holds a list."""
+    try:
+        return isinstance(jsonc.loads(path.read_text()), dict)
+    except (OSError, ValueError, RecursionError):
+        return False
--- /dev/null
+++ b/src/acaciapier/cli/objects.py
@@ -0,0 +1,328 @@
+"""Commands that read and change declared objects."""
+
+import sys
+import uuid
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated, Any
+from urllib.parse import quote
+
+import cappa
+import jsonc
+import msgspec
+
+from ..admin.bodies import (
+    AcceptedBody,
+    ChangeBody,
+    ChangesBody,
+    DiffBody,
+    EditBody,
+    ObjectBody,
+    ObjectsBody,
+    UndoBody,
+)
+from ..core.findings import Findings
+from ..exceptions import FindingsError
+from ..objects import parse_objects, read_bundle, stored_value
+from .exits import CommandFailed, ExitCode
+from .options import SharedOptions
+from .session import Session, table_of
+
+ObjectName = Annotated[str, cappa.Arg(help="kind and name, such as pipeline/quote")]
+PatchId = Annotated[
+    str | None,
+    cappa.Arg(long="--patch-id", help="repeat an earlier call that got no answer"),
+]
+
+
+@cappa.command(name="get", help="Show declared objects, or one of them.")
+@dataclass
+class Get(SharedOptions):
+    """Show declared objects, or one of them.
+
+    Examples: `acaciapier get`, `acaciapier get --kind pool`,
+    `acaciapier get pipeline/quote --version 3`.
+    """
+
+    name: Annotated[str | None, cappa.Arg(help="such as pipeline/quote")] = None
+    kind: Annotated[str | None, cappa.Arg(long=True, help="only this kind")] = None
+    version: Annotated[int | None, cappa.Arg(long=True, help="an older one")] = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        with session.client() as client:
+            if self.name is None:
+                query = f"?kind={quote(self.kind, safe='')}" if self.kind else ""
+                show_objects(session, client.get(f"/v1/objects{query}", ObjectsBody))
+                return
+            query = "" if self.version is None else f"?version={self.version}"
+            found = client.get(path_of(self.name) + query, ObjectBody)
+            session.show(found, f"{title_of(found)}\n{pretty(found.value)}")
+
+
+@cappa.command(name="apply", help="Make the declared objects those of a bundle.")
+@dataclass
+class Apply(SharedOptions):
+    """Make the declared objects those of a bundle, as one change set.
+
+    Objects that are the same already are left alone; those that the bundle does
+    not name stay, unless `--prune` is given.
+    Example: `acaciapier apply examples/kartvel.jsonc --dry-run`.
+    """
+
+    file: Annotated[Path, cappa.Arg(help="bundle: JSON with comments")]
+    dry_run: Annotated[bool, cappa.Arg(long="--dry-run", help="change nothing")] = False
+    prune: Annotated[bool, cappa.Arg(long=True, help="delete all others")] = False
+    patch_id: PatchId = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        with session.client() as client:
+            wanted = read_values(self.file)
+            present = client.get("/v1/objects", ObjectsBody)
+            edits = edits_between(present, wanted, self.prune)
+            if self.dry_run or not edits:
+                session.show(list(edits), _describe(edits))
+                return
+            body = ChangeBody(new_id(self.patch_id), edits, present.number)
+            show_accepted(session, client.change(body))
+
+
+@cappa.command(name="patch", help="Change one object by a JSON Patch.")
+@dataclass
+class Patch(SharedOptions):
+    """Change one object by a JSON Patch against a version.
+
+    Example: `echo '[{"op": "replace", "path": "/deadline_ms", "value": 2500}]' |
+    acaciapier patch pipeline/quote - --version 4`.
+    """
+
+    name: ObjectName
+    file: Annotated[str, cappa.Arg(help="file with the operations; - for input")]
+    version: Annotated[int, cappa.Arg(long=True, help="version patched")]
+    patch_id: PatchId = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        with session.client() as client:
+            operations = read_operations(self.file)
+            edit = EditBody(
+                *split_name(self.name), self.version, "patch", operations=operations
+            )
+            body = ChangeBody(new_id(self.patch_id), (edit,))
+            show_accepted(session, client.change(body))
+
+
+@cappa.command(name="delete", help="Delete one object.")
+@dataclass
+class Delete(SharedOptions):
+    """Delete one object. Example: `acaciapier delete route/old --version 2`."""
+
+    name: ObjectName
+    version: Annotated[int, cappa.Arg(long=True, help="version deleted")]
+    patch_id: PatchId = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        with session.client() as client:
+            edit = EditBody(*split_name(self.name), self.version, "delete")
+            body = ChangeBody(new_id(self.patch_id), (edit,))
+            show_accepted(session, client.change(body))
+
+
+@cappa.command(name="diff", help="Show what changed between two versions.")
+@dataclass
+class Diff(SharedOptions):
+    """Show what changed between two versions of an object.
+
+    Example: `acaciapier diff pool/encode --from 1 --to 3`; by default the last
+    change.
+    """
+
+    name: ObjectName
+    from_version: Annotated[int | None, cappa.Arg(long="--from")] = None
+    to_version: Annotated[int | None, cappa.Arg(long="--to")] = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        bounds = {"from": self.from_version, "to": self.to_version}
+        query = "&".join(f"{k}={v}" for k, v in bounds.items() if v is not None)
+        with session.client() as client:
+            found = client.get(f"{path_of(self.name)}/diff?{query}", DiffBody)
+            rows = [
+                (one["op"], one["path"], msgspec.json.encode(one.get("value")).decode())
+                for one in found.operations
+            ]
+            session.show(found, table_of(("operation", "path", "value"), rows))
+
+
+@cappa.command(name="history", help="Show accepted changes, newest first.")
+@dataclass
+class History(SharedOptions):
+    """Show accepted changes, of all objects or one, newest first.
+
+    Example: `acaciapier history pipeline/quote --limit 5`.
+    """
+
+    name: Annotated[str | None, cappa.Arg(help="such as pipeline/quote")] = None
+    limit: Annotated[int, cappa.Arg(long=True, help="how many")] = 20
+    before: Annotated[
+        int, cappa.Arg(long=True, help="only before this number or version")
+    ] = 0
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        path = f"{path_of(self.name)}/history" if self.name else "/v1/changes"
+        with session.client() as client:
+            query = f"?limit={self.limit}&before={self.before}"
+            found = client.get(path + query, ChangesBody)
+            rows = [
+                (one.number, moment(one.made_at_ms), one.author, edit_text(edit))
+                for one in found.changes
+                for edit in one.edits
+            ]
+            session.show(found, table_of(("number", "time", "author", "edit"), rows))
+
+
+@cappa.command(name="undo", help="Undo a change by a new one.")
+@dataclass
+class Undo(SharedOptions):
+    """Undo a change by a new one. Example: `acaciapier undo 41`."""
+
+    number: Annotated[int, cappa.Arg(help="number of the change")]
+    patch_id: PatchId = None
+
+    def __call__(self) -> None:
+        """Run the command."""
+        session = self.open_session()
+        with session.client() as client:
+            body = UndoBody(new_id(self.patch_id))
+            path = f"/v1/changes/{self.number}/undo"
+            show_accepted(session, client.post(path, body, AcceptedBody, body.patch_id))
+
+
+def split_name(name: str) -> tuple[str, str]:
+    """Split ``kind/name``."""
+    kind, slash, rest = name.partition("/")
+    if not slash or not kind or not rest:
+        message = f"{name} is not of the form kind/name"
+        raise CommandFailed(ExitCode.USAGE, message)
+    return kind, rest
+
+
+def path_of(name: str) -> str:
+    """Return the path of an object in the API."""
+    kind, rest = split_name(name)
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(rest, safe='')}"
+
+
+def read_values(path: Path) -> list[dict[str, Any]]:
+    """Read the values of a bundle; each is checked by itself here."""
+    try:
+        findings = Findings()
+        objects = parse_objects(read_bundle(path), findings)
+        findings.raise_if_any(str(path))
+    except FindingsError as error:
+        raise CommandFailed(ExitCode.REFUSED, str(error)) from error
+    return [stored_value(one) for one in objects]
+
+
+def read_operations(file: str) -> Any:
+    """Read the operations of a patch from a file or the input."""
+    try:
+        text = sys.stdin.read() if file == "-" else Path(file).read_text()
+        return jsonc.loads(text)
+    except (OSError, ValueError, RecursionError) as error:
+        raise CommandFailed(ExitCode.REFUSED, f"{file}: {error}") from error
+
+
+def edits_between(
+    present: ObjectsBody, wanted: list[dict[str, Any]], prune: bool
+) -> tuple[EditBody, ...]:
+    """Return the edits that make the present objects the wanted ones."""
+    found = {(one.kind, one.name): one for one in present.objects}
+    edits = []
+    for value in wanted:
+        one = found.pop((value["kind"], value["name"]), None)
+        if one is not None and _is_same(one.value, value):
+            continue
+        version = one.version if one else 0
+        edits.append(EditBody(value["kind"], value["name"], version, "replace", value))
+    if prune:
+        edits += [
+            EditBody(kind, name, one.version, "delete")
+            for (kind, name), one in found.items()
+        ]
+    return tuple(edits)
+
+
+def _is_same(present: dict[str, Any], wanted: dict[str, Any]) -> bool:
+    """Compare the fields that this operator may read."""
+    return all(wanted.get(field) == value for field, value in present.items())
+
+
+def _describe(edits: tuple[EditBody, ...]):
+    if not edits:
+        return "Nothing to change."
+    rows = [
+        (_verb_of(edit), f"{edit.kind}/{edit.name}", edit.base_version)
+        for edit in edits
+    ]
+    return table_of(("edit", "object", "present version"), rows)
+
+
+def _verb_of(edit: EditBody) -> str:
+    if edit.operation == "delete":
+        return "delete"
+    return "change" if edit.base_version else "create"
+
+
+def new_id(patch_id: str | None) -> str:
+    """Return the given patch id, or a new one."""
+    return patch_id or str(uuid.uuid4())
+
+
+def show_objects(session: Session, found: ObjectsBody) -> None:
+    """Print a list of objects."""
+    rows = [(one.kind, one.name, one.version, one.number) for one in found.objects]
+    session.show(found, table_of(("kind", "name", "version", "change"), rows))
+
+
+def show_accepted(session: Session, accepted: AcceptedBody) -> None:
+    """Print what an accepted change made."""
+    lines = [f"Accepted as change {accepted.number}."]
+    lines += [
+        f"  {one.kind}/{one.name} is at version {one.version}"
+        for one in accepted.versions
+    ]
+    session.show(accepted, "\n".join(lines))
+
+
+def title_of(found: ObjectBody) -> str:
+    """Return a line that names an object and its version."""
+    place = f"version {found.version}, change {found.number}"
+    return f"{found.kind}/{found.name}, {place}"
+
+
+def pretty(value: Any) -> str:
+    """Return a value as indented JSON."""
+    return msgspec.json.format(msgspec.json.encode(value)).decode()
+
+
+def moment(made_at_ms: int) -> str:
+    """Return a time in UTC."""
+    when = datetime.fromtimestamp(made_at_ms / 1000, UTC)
+    return when.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def edit_text(edit) -> str:
+    """Return one edit as ``pool/a 1 -> 2``."""
+    after = "deleted" if edit.value is None else edit.new_version
+    return f"{edit.kind}/{edit.name} {edit.base_version} -> {after}"
