--- a/src/acaciapier_bench/fleet.py
+++ b/src/acaciapier_bench/fleet.py
@@ -74,6 +74,11 @@
             stdout=subprocess.PIPE,
         )
 
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
     def run(self, command: Command) -> Answer:
         """Send a command and return its answer."""
         self._process.stdin.write(msgspec.json.encode(command) + b"\n")
@@ -123,15 +128,28 @@
         names = [plan.name for plan in self._plans[:SEEDS]]
         self._seeds = {name: ports[name] for name in names}
 
-    def measure(self, settle_s: float, measure_s: float) -> FleetCost:
-        """Return the cost at rest with rumours, then the time to detect a kill."""
+    @property
+    def names(self) -> list[str]:
+        """Names of the nodes."""
+        return [plan.name for plan in self._plans]
+
+    def process_of(self, name: str) -> WorkerProcess:
+        """Return the worker that runs a node."""
+        return self._home[name]
+
+    def join(self, settle_s: float) -> None:
+        """Start membership everywhere, wait, and count from zero."""
         for worker in self._workers:
             worker.run(Join(self._seeds))
         time.sleep(settle_s)
-        self._read()
+        self.read()
+
+    def measure(self, settle_s: float, measure_s: float) -> FleetCost:
+        """Return the cost at rest with rumours, then the time to detect a kill."""
+        self.join(settle_s)
         published = self._publish_for(measure_s)
         time.sleep(2.0)
-        readings = self._read()
+        readings = self.read()
         incomplete = [n for r in readings for n in r.known if n != len(self._plans)]
         if incomplete:
             print(f"nodes that do not know the whole fleet: {len(incomplete)}")
@@ -139,7 +157,7 @@
         killed_s = time.monotonic()
         self._home[killed].run(Kill(killed))
         time.sleep(DETECT_S)
-        deaths = [death for reading in self._read() for death in reading.deaths]
+        deaths = [death for reading in self.read() for death in reading.deaths]
         delays_s = [at_s - killed_s for _, name, at_s in deaths if name == killed]
         false_deaths = len([d for r in readings for d in r.deaths])
         false_deaths += len(deaths) - len(delays_s)
@@ -152,7 +170,8 @@
         for worker in self._workers:
             worker.close()
 
-    def _read(self) -> list[Reading]:
+    def read(self) -> list[Reading]:
+        """Return what the workers counted since the last reading."""
         return [worker.run(Read()).reading for worker in self._workers]
 
     def _publish_for(self, seconds: float) -> int:
