--- a/src/acaciapier/policy/admission.py
+++ b/src/acaciapier/policy/admission.py
@@ -20,19 +20,17 @@
 class Admission:
     """Expected times of stages from queues, and the margin kept to deadlines.
 
-    The margin shrinks when admitted work turns out to be too late, and grows
-    slowly while all is in time.
+    The other instances are taken to admit as much as this one. The margin
+    shrinks when admitted work turns out to be too late, and grows slowly while
+    all is in time.
 
     Parameters
     ----------
     clock : Clock
         Source of monotonic time.
-    instances : int
-        Entry instances that are taken to admit as much as this one.
     """
 
-    def __init__(self, clock: Clock, instances: int):
-        self.instances = max(instances, 1)
+    def __init__(self, clock: Clock):
         self._pending = defaultdict(lambda: SmoothedLevel(clock, PENDING_WINDOW_S))
         self._margin = FIRST_MARGIN
 
@@ -60,7 +58,7 @@
         calls, slots = router.calls_and_slots()
         if not slots:
             return 0.0
-        pending = self._pending[estimate.pool].average() * self.instances
+        pending = self._pending[estimate.pool].average() * router.sharers
         waiting = max(0.0, calls + pending - slots)
         return waiting / slots * service_mean_ms(estimate, router)
 
@@ -69,14 +67,14 @@
     """Return the mean time of a stage without waiting."""
     if router is None:
         return estimate.typical_ms
-    return router.service_times.mean_ms(estimate.typical_ms)
+    return router.observed.service_times.mean_ms(estimate.typical_ms)
 
 
 def service_quantile_ms(
     estimate: StageEstimate, router: PoolRouter | None, share: float
 ) -> float:
     """Return a quantile of the time of a stage without waiting."""
-    measured = router.service_times.quantile_ms(share) if router else None
+    measured = router.observed.service_times.quantile_ms(share) if router else None
     return estimate.typical_ms if measured is None else measured
 
 
--- a/src/acaciapier/policy/choices.py
+++ b/src/acaciapier/policy/choices.py
@@ -19,9 +19,15 @@
     """Chooses one of several targets."""
 
     def choose(
-        self, candidates: Sequence[TargetState], affinity_key: str | None
+        self,
+        candidates: Sequence[TargetState],
+        affinity_key: str | None,
+        usual_others: float,
     ) -> TargetState:
-        """Return one of `candidates`, of which there is at least one."""
+        """Return one of `candidates`, of which there is at least one.
+
+        `usual_others` is the mean of the other instances' calls per slot.
+        """
 
 
 class RandomChooser:
@@ -31,7 +37,10 @@
         self._random = random
 
     def choose(
-        self, candidates: Sequence[TargetState], affinity_key: str | None
+        self,
+        candidates: Sequence[TargetState],
+        affinity_key: str | None,
+        usual_others: float,
     ) -> TargetState:
         """Return any candidate."""
         return self._random.choice(candidates)
@@ -44,7 +53,10 @@
         self._next = random.randrange(1 << 16)
 
     def choose(
-        self, candidates: Sequence[TargetState], affinity_key: str | None
+        self,
+        candidates: Sequence[TargetState],
+        affinity_key: str | None,
+        usual_others: float,
     ) -> TargetState:
         """Return the candidate after the last one."""
         self._next += 1
@@ -58,7 +70,10 @@
         self._random = random
 
     def choose(
-        self, candidates: Sequence[TargetState], affinity_key: str | None
+        self,
+        candidates: Sequence[TargetState],
+        affinity_key: str | None,
+        usual_others: float,
     ) -> TargetState:
         """Return the candidate with the fewest own calls in flight."""
         return min(candidates, key=lambda one: (one.outstanding, self._random.random()))
@@ -71,7 +86,10 @@
         self._random = random
 
     def choose(
-        self, candidates: Sequence[TargetState], affinity_key: str | None
+        self,
+        candidates: Sequence[TargetState],
+        affinity_key: str | None,
+        usual_others: float,
     ) -> TargetState:
         """Return the candidate with the lowest reported load."""
 
@@ -103,10 +121,12 @@
         self._health = health
 
     def choose(
-        self, candidates: Sequence[TargetState], affinity_key: str | None
+        self,
+        candidates: Sequence[TargetState],
+        affinity_key: str | None,
+        usual_others: float,
     ) -> TargetState:
         """Return the better of two, or the holder of a prefix if not much worse."""
-        usual_others = usual_others_per_slot(candidates)
         best = min(
             self._pair(candidates), key=lambda one: self._cost(one, usual_others)
         )
--- a/src/acaciapier/policy/extra_calls.py
+++ b/src/acaciapier/policy/extra_calls.py
@@ -61,10 +61,10 @@
         """Return after which time a call should be hedged, or None for never."""
         if not self._settings.hedges or is_overloaded(self._router):
             return None
-        whole_ms = self._router.times.quantile_ms(0.5)
-        times = self._router.first_part_times
+        whole_ms = self._router.observed.times.quantile_ms(0.5)
+        times = self._router.observed.first_part_times
         if times.quantile_ms(0.5) is None:
-            times = self._router.times
+            times = self._router.observed.times
         late_ms = times.quantile_ms(HEDGE_QUANTILE)
         if whole_ms is None or late_ms is None:
             return None
--- a/src/acaciapier/policy/health.py
+++ b/src/acaciapier/policy/health.py
@@ -19,6 +19,8 @@
 MAX_EJECTED_SHARE = 0.34
 FIRST_PROBE_S = 1.0
 FORGET_S = 5.0
+REFERENCE_S = 0.1
+MIN_COMPARED = 2
 MAX_PROBE_S = 20.0
 
 
@@ -81,6 +83,7 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._targets: dict[TargetId, TargetHealth] = {}
+        self._references: dict[Measure, tuple[float, float]] = {}
 
     def add(self, target: TargetId) -> None:
         """Start with a clean record for a new or restarted target."""
@@ -150,7 +153,7 @@
 
     def _ratio(self, target: TargetId, health: TargetHealth, measure: Measure) -> float:
         known = health.times[measure]
-        reference = self._reference_log_ms(target, measure)
+        reference = self._reference_log_ms(measure)
         if reference is None or known.samples < MIN_VERY_SLOW_SAMPLES:
             return 1.0
         age_s = self._clock.monotonic_s() - known.sampled_at_s
@@ -160,7 +163,7 @@
 
     def _probed(self, target: TargetId, elapsed_ms: float, measure: Measure) -> None:
         health = self._targets[target]
-        reference = self._reference_log_ms(target, measure)
+        reference = self._reference_log_ms(measure)
         limit = math.inf
         if reference is not None:
             limit = RECOVERED_FACTOR * math.exp(reference)
@@ -202,12 +205,19 @@
         health.probe_gap_s = min(MAX_PROBE_S, 2 * health.probe_gap_s)
         health.probe_at_s = self._clock.monotonic_s() + health.probe_gap_s
 
-    def _reference_log_ms(self, target: TargetId, measure: Measure) -> float | None:
+    def _reference_log_ms(self, measure: Measure) -> float | None:
+        """Return the pool's median, worked out anew every `REFERENCE_S`."""
+        now_s = self._clock.monotonic_s()
+        at_s, reference = self._references.get(measure, (-math.inf, 0.0))
+        if now_s - at_s < REFERENCE_S:
+            return reference
         times = [
             one.times[measure].log_ms
-            for name, one in self._targets.items()
-            if name != target
-            and one.times[measure].samples >= MIN_SAMPLES
+            for one in self._targets.values()
+            if one.times[measure].samples >= MIN_SAMPLES
             and one.state is HealthState.HEALTHY
         ]
-        return median(times) if times else None
+        if len(times) < MIN_COMPARED:
+            return None
+        self._references[measure] = now_s, median(times)
+        return self._references[measure][1]
--- a/src/acaciapier/policy/levels.py
+++ b/src/acaciapier/policy/levels.py
@@ -23,6 +23,11 @@
         self._average = 0.0
         self._at_s = clock.monotonic_s()
 
+    @property
+    def level(self) -> float:
+        """The present level."""
+        return self._level
+
     def change(self, by: float) -> None:
         """Raise the level by `by`."""
         self.set(self._level + by)
--- a/src/acaciapier/policy/path.py
+++ b/src/acaciapier/policy/path.py
@@ -73,11 +73,12 @@
         self._random = random
         self._settings = settings
         self._own_data_centre = own_data_centre
+        self._instances = max(settings.instances, 1)
         self._routers: dict[PoolName, PoolRouter] = {}
         self._extra: dict[PoolName, ExtraCalls] = {}
         self._pool_of: dict[TargetId, PoolName] = {}
         self._shares = FairShares(clock, settings.instances)
-        self._admission = Admission(clock, settings.instances)
+        self._admission = Admission(clock)
         self._forecast = Forecast(self._routers, self._admission)
         self._quarantine = Quarantine(clock, random, settings)
         self._placement = Placement(self._quarantine, settings.quarantine)
@@ -87,17 +88,24 @@
         self, pool: PoolName, limits: PoolLimits, targets: Sequence[TargetView]
     ) -> None:
         """Take over a pool's limits and its live targets."""
-        if pool not in self._routers:
+        router = self._routers.get(pool)
+        if router is None:
             router = PoolRouter(
                 pool, self._clock, self._random, self._settings, self._own_data_centre
             )
+            router.instances = self._instances
             self._routers[pool] = router
             self._extra[pool] = ExtraCalls(router, limits, self._settings)
-        self._routers[pool].update(limits, targets)
+        router.update(limits, targets)
         self._extra[pool].configure(limits)
-        self._forget_targets(pool)
-        for target in targets:
-            self._pool_of[target.target] = pool
+        gone = [
+            name
+            for name, owner in self._pool_of.items()
+            if owner == pool and router.state(name) is None
+        ]
+        for name in gone:
+            del self._pool_of[name]
+        self._pool_of.update((one.target, pool) for one in targets)
 
     def update_workspace(self, workspace: WorkspaceId, limits: WorkspaceLimits) -> None:
         """Take over a workspace's limits."""
@@ -105,10 +113,10 @@
 
     def update_instances(self, instances: int) -> None:
         """Set the number of live entry instances that share the limits."""
-        self._admission.instances = max(instances, 1)
+        self._instances = max(instances, 1)
+        self._shares.update_instances(self._instances)
         for router in self._routers.values():
-            router.instances = max(instances, 1)
-        self._shares.update_instances(instances)
+            router.instances = self._instances
 
     def admit(
         self,
@@ -212,9 +220,8 @@
     ) -> None:
         """Take over a load that was read from a target, or heard by a peer."""
         pool = self._pool_of.get(target)
-        state = self._routers[pool].state(target) if pool else None
-        if state is not None and state.view.incarnation == incarnation:
-            state.reported(load, heard=False)
+        if pool is not None:
+            self._routers[pool].load_reported(target, incarnation, load)
 
     def take_heard_loads(self) -> tuple[HeardLoad, ...]:
         """Return the loads heard here since the last call, to be sent to peers.
@@ -296,13 +303,6 @@
         """Clear a request's content on an operator's order."""
         self._quarantine.release(fingerprint)
 
-    def _forget_targets(self, pool: PoolName) -> None:
-        """Drop the targets of a pool of which no call is in flight."""
-        router = self._routers[pool]
-        for name, owner in tuple(self._pool_of.items()):
-            if owner == pool and router.state(name) is None:
-                del self._pool_of[name]
-
     def _excess_ms(
         self,
         workspace: WorkspaceId,
--- a/src/acaciapier/policy/routing.py
+++ b/src/acaciapier/policy/routing.py
@@ -1,6 +1,7 @@
 """Choice of a target within one pool."""
 
 from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
 from random import Random
 
 from result import Err, Ok, Result
@@ -9,22 +10,36 @@
 from ..core.ids import DataCentreId, Fingerprint, PoolName, TargetId
 from ..core.outcomes import Cause
 from .choices import blended_calls, make_chooser, usual_others_per_slot
-from .health import Measure, PoolHealth
+from .health import PoolHealth
 from .levels import SmoothedLevel
-from .models import CallOutcome, CallReport, HeardLoad, PoolLimits, Refused, TargetView
+from .models import (
+    CallReport,
+    HeardLoad,
+    Load,
+    PoolLimits,
+    Refused,
+    TargetView,
+)
+from .observations import Observations
 from .settings import PolicySettings
-from .stage_times import SlidingQuantiles
 from .subset import choose_subset
-from .target_state import CallInFlight, TargetState
+from .target_state import TargetState
 
 NO_TARGET_RETRY_MS = 1_000
 FULL_RETRY_MS = 250
-FLAGRANT_FACTOR = 4.5
-FLAGRANT_QUANTILE = 0.75
 USUAL_CALLS_WINDOW_S = 1.0
+OTHERS_S = 0.02
 UNCERTAIN_CALLS = 4.0
-MAX_COMPARABLE_WAIT = 0.5
-BAD_OUTCOMES = (CallOutcome.FAILED, CallOutcome.CRASHED)
+
+
+@dataclass(frozen=True)
+class OthersLoad:
+    """Calls of the other instances at a pool, at the time `at_s`."""
+
+    at_s: float
+    usual_per_slot: float
+    calls: float
+    slots: int
 
 
 class PoolRouter:
@@ -53,10 +68,8 @@
         own_data_centre: DataCentreId,
     ):
         self.pool = pool
-        self.times = SlidingQuantiles(clock)
-        self.first_part_times = SlidingQuantiles(clock)
-        self.service_times = SlidingQuantiles(clock)
         self.health = PoolHealth(clock)
+        self.observed = Observations(clock, self.health)
         self._clock = clock
         self._settings = settings
         self._own_data_centre = own_data_centre
@@ -64,11 +77,18 @@
             settings.choice, random, own_data_centre, self.health
         )
         self.instances = settings.instances
+        self._subset_share = 1.0
+        self._others_known: OthersLoad | None = None
         self._max_outstanding = 1
         self._own_calls = SmoothedLevel(clock, USUAL_CALLS_WINDOW_S)
         self._states: dict[TargetId, TargetState] = {}
         self._leaving: dict[TargetId, TargetState] = {}
 
+    @property
+    def sharers(self) -> float:
+        """Number of instances that send calls to the same targets, with this one."""
+        return max(1.0, self.instances * self._subset_share)
+
     @property
     def states(self) -> Collection[TargetState]:
         """The targets that may get new calls."""
@@ -77,6 +97,7 @@
     def update(self, limits: PoolLimits, targets: Sequence[TargetView]) -> None:
         """Take over the pool's limits and its present targets."""
         self._max_outstanding = limits.max_outstanding
+        self._others_known = None
         chosen = choose_subset(
             targets,
             self._own_data_centre,
@@ -93,6 +114,8 @@
         for name in old:
             if name not in self._states:
                 self.health.remove(name)
+        self._subset_share = len(chosen) / max(len(targets), 1)
+        self._own_calls.set(sum(one.outstanding for one in self.states))
 
     def state(self, target: TargetId) -> TargetState | None:
         """Return what is known about `target`, also while it is leaving."""
@@ -139,9 +162,9 @@
 
     def sent(self, target: TargetId, fingerprint: Fingerprint) -> None:
         """Count a call as in flight."""
-        state = self.state(target)
+        state = self._states.get(target)
         if state is not None:
-            usual = usual_others_per_slot(tuple(self.states))
+            usual = self._others().usual_per_slot
             state.sent(fingerprint, blended_calls(state, usual))
             self._own_calls.change(+1)
 
@@ -153,12 +176,7 @@
         if state is None:
             return
         call = state.answered(fingerprint)
-        if self.health.is_healthy(target):
-            self.first_part_times.add(elapsed_ms)
-        if call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
-            if _is_flagrant(elapsed_ms, self.first_part_times):
-                self.health.flagrant(target)
-            self.health.succeeded(target, elapsed_ms, Measure.FIRST_PART)
+        self.observed.first_part(target, elapsed_ms, call)
 
     def ended(self, report: CallReport, fingerprint: Fingerprint) -> None:
         """Take over how a call ended."""
@@ -166,12 +184,12 @@
         if state is None or state.view.incarnation != report.incarnation:
             return
         call = state.ended(fingerprint)
-        if call is not None:
+        if call is not None and report.target in self._states:
             self._own_calls.change(-1)
         if report.load is not None:
             state.reported(report.load, heard=True)
         if report.target in self._states:
-            self._judge(report, call)
+            self.observed.ended(report, call)
         else:
             self._drop_if_idle(report.target)
 
@@ -190,21 +208,38 @@
         Other instances are taken to have changed their calls since the
         reports as this one has, on the average.
         """
-        states = self.states
-        slots = sum(one.slots for one in states)
-        usual = usual_others_per_slot(tuple(states))
-        own = sum(one.outstanding for one in states)
-        others = sum(blended_calls(one, usual) for one in states) - own
+        others = self._others()
+        own = self._own_calls.level
         usual_own = self._own_calls.average()
         certainty = usual_own / (usual_own + UNCERTAIN_CALLS)
-        growth = certainty * (own - usual_own) * (self.instances - 1)
-        return own + max(0.0, others + growth), slots
+        growth = certainty * (own - usual_own) * (self.sharers - 1.0)
+        return own + max(0.0, others.calls + growth), others.slots
+
+    def load_reported(self, target: TargetId, incarnation: int, load: Load) -> None:
+        """Take over a load that did not come with the answer to a call."""
+        state = self.state(target)
+        if state is not None and state.view.incarnation == incarnation:
+            state.reported(load, heard=False)
+            self._others_known = None
 
     def calls_per_slot(self) -> float:
         """Return the blended calls in flight per slot."""
         calls, slots = self.calls_and_slots()
         return calls / slots if slots else 0.0
 
+    def _others(self) -> OthersLoad:
+        """Return the load by other instances, worked out every `OTHERS_S`."""
+        now_s = self._clock.monotonic_s()
+        known = self._others_known
+        if known is not None and now_s - known.at_s < OTHERS_S:
+            return known
+        states = tuple(self.states)
+        usual = usual_others_per_slot(states)
+        calls = sum(blended_calls(one, usual) - one.outstanding for one in states)
+        slots = sum(one.slots for one in states)
+        self._others_known = OthersLoad(now_s, usual, calls, slots)
+        return self._others_known
+
     def _state_for(self, view: TargetView, old) -> TargetState:
         state = old.get(view.target)
         if state is not None and state.view.incarnation == view.incarnation:
@@ -218,58 +253,18 @@
     def _choose(
         self, free: list[TargetState], affinity_key: str | None, probes: bool
     ) -> TargetState:
+        usual = self._others().usual_per_slot
         if not self._settings.health:
-            return self._chooser.choose(free, affinity_key)
-        self._note_overdue(free)
+            return self._chooser.choose(free, affinity_key, usual)
+        self.observed.note_overdue(free)
         if probes:
             probe = self.health.take_probe([one.view.target for one in free])
             if probe is not None:
                 return self._states[probe]
         healthy = [one for one in free if self.health.is_healthy(one.view.target)]
-        return self._chooser.choose(healthy or free, affinity_key)
-
-    def _note_overdue(self, states: list[TargetState]) -> None:
-        by_parts = self.first_part_times.quantile_ms(FLAGRANT_QUANTILE) is not None
-        times = self.first_part_times if by_parts else self.times
-        for one in states:
-            if one.may_note_overdue() and one.outstanding:
-                age_ms = one.oldest_age_ms(unanswered=by_parts)
-                if _is_flagrant(age_ms, times):
-                    self.health.flagrant(one.view.target)
-
-    def _judge(self, report: CallReport, call: CallInFlight | None) -> None:
-        unreachable = report.outcome is CallOutcome.REFUSED and report.load is None
-        if report.outcome is CallOutcome.DONE:
-            self._take_times(report, call)
-        elif report.outcome in BAD_OUTCOMES or unreachable:
-            crashed = unreachable or report.outcome is CallOutcome.CRASHED
-            self.health.failed(report.target, crashed=crashed)
-        elif call is not None and call.waiting_share <= MAX_COMPARABLE_WAIT:
-            self.health.overdue(report.target, report.elapsed_ms)
-
-    def _take_times(self, report: CallReport, call: CallInFlight | None) -> None:
-        service_ms = _service_ms(report, call)
-        if self.health.is_healthy(report.target):
-            self.times.add(report.elapsed_ms)
-            self.service_times.add(service_ms)
-            if report.service_ms and _is_flagrant(service_ms, self.service_times):
-                self.health.flagrant(report.target)
-        self.health.succeeded(report.target, service_ms)
+        return self._chooser.choose(healthy or free, affinity_key, usual)
 
     def _drop_if_idle(self, target: TargetId) -> None:
         state = self._leaving[target]
         if not state.outstanding:
             del self._leaving[target]
-
-
-def _is_flagrant(elapsed_ms: float, times: SlidingQuantiles) -> bool:
-    usual_ms = times.quantile_ms(FLAGRANT_QUANTILE)
-    return usual_ms is not None and elapsed_ms > FLAGRANT_FACTOR * usual_ms
-
-
-def _service_ms(report: CallReport, call: CallInFlight | None) -> float:
-    """Return the time of a call without its wait in the target's queue."""
-    if report.service_ms:
-        return report.service_ms
-    waiting = call.waiting_share if call else 0.0
-    return report.elapsed_ms / (1.0 + waiting)
--- a/tests/policy/test_policy_routing.py
+++ b/tests/policy/test_policy_routing.py
@@ -256,7 +256,7 @@
         view = pick(policy, f"f{number}").unwrap()
         policy.sent(view.target, f"f{number}")
         late = 2_000.0 if number % 10 == 0 else 50.0
-        policy._routers[POOL].first_part_times.add(late)
+        policy._routers[POOL].observed.first_part_times.add(late)
         policy.ended(report(view.target, elapsed_ms=250.0), f"f{number}")
     assert policy.hedge_after_ms(POOL, 3_000.0) == 200.0
 
@@ -273,3 +273,15 @@
     for number in range(30):
         call(policy, f"h{number}")
     assert any(pick(policy, f"i{n}").unwrap().target == slow for n in range(2))
+
+
+def test_instances_share_targets_only_as_far_as_their_subsets_overlap():
+    policy = make_policy(instances=510, targets=make_targets(1_280))
+    assert policy._routers[POOL].sharers == 510 * 64 / 1_280
+
+
+def test_a_pool_that_comes_later_knows_the_number_of_instances():
+    policy = make_policy()
+    policy.update_instances(9)
+    policy.update_pool("later", LIMITS, make_targets(2, "later"))
+    assert policy._routers["later"].sharers == 9
