--- a/src/acaciapier_bench/policy/command.py
+++ b/src/acaciapier_bench/policy/command.py
@@ -11,6 +11,8 @@
 from .table import PolicyRow
 from .variants import VARIANTS
 
+USAGE_ERROR = 2
+
 
 @cappa.command(name="policy")
 @dataclass
@@ -58,5 +60,6 @@
     wanted = tuple(text.split(","))
     unknown = [name for name in wanted if name not in names]
     if unknown:
-        raise cappa.Exit(f"unknown: {', '.join(unknown)}; known: {', '.join(names)}")
+        message = f"unknown: {', '.join(unknown)}; known: {', '.join(names)}"
+        raise cappa.Exit(message, code=USAGE_ERROR)
     return wanted
