--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -49,7 +49,7 @@
     executor: Executor
     resumer: StreamResumer
     configuration: Callable[[], ConfigurationState]
-    claimed: ClaimedRuns | None
+    claimed: ClaimedRuns
     metrics: Metrics | None
     clock: Clock
     random: random.Random
@@ -70,7 +70,7 @@
     def __init__(self, parts: ServiceParts, nursery: trio.Nursery):
         self._parts = parts
         self._nursery = nursery
-        self._draining = False
+        self._stop_requested = trio.Event()
         settings = parts.settings
         self.records = RecordTable(
             parts.clock, settings.keep_ended_ms, settings.keep_ended_claimed_ms
@@ -79,7 +79,11 @@
     @property
     def draining(self) -> bool:
         """Whether new requests are refused."""
-        return self._draining
+        return self._stop_requested.is_set()
+
+    def refuse_new_when(self, stop_requested: trio.Event) -> None:
+        """Refuse new requests from the moment that `stop_requested` is set."""
+        self._stop_requested = stop_requested
 
     def submit(self, request: CallerRequest) -> RunRecord | FinalEvent:
         """Start a request or join its present run.
@@ -119,6 +123,14 @@
             return refusal(Cause.FORBIDDEN, message, outcome=Outcome.UNKNOWN)
         return self._resume(resumed.unwrap())
 
+    def find_for_peer(self, request: CallerRequest) -> RunRecord | FinalEvent:
+        """Return the record of a request that a peer wants to follow."""
+        present = self.records.get(RecordKey(request.workspace, request.request_id))
+        if present is not None:
+            return present
+        message = f"request {request.request_id} is not held here any more"
+        return refusal(Cause.ANSWER_GONE, message, outcome=Outcome.UNKNOWN)
+
     def cancel(self, workspace: WorkspaceId, request_id: RequestId) -> bool:
         """Cancel a running request; False if it does not run here."""
         record = self.records.get(RecordKey(workspace, request_id))
@@ -135,8 +147,7 @@
             self._cancel_abandoned()
 
     async def drain(self, limit_ms: float) -> None:
-        """Refuse new requests and wait until those in flight have been answered."""
-        self._draining = True
+        """Wait until the requests in flight have been answered."""
         with trio.move_on_after(to_s(limit_ms)):
             while self._is_busy():
                 await trio.sleep(to_s(DRAIN_POLL_MS))
@@ -149,12 +160,15 @@
     def _refuse(
         self, request: CallerRequest, pipeline: Pipeline | None
     ) -> FinalEvent | None:
-        if self._draining:
+        if self.draining:
             message = "this instance is shutting down"
             return refusal(Cause.SHUTTING_DOWN, message, SHUTDOWN_RETRY_AFTER_MS)
         if pipeline is None:
             message = f"there is no pipeline {request.pipeline}"
             return refusal(Cause.UNKNOWN_PIPELINE, message)
+        if request.recover and not is_claimed(request, pipeline):
+            message = f"request {request.request_id} does not run on this instance"
+            return refusal(Cause.UNKNOWN_REQUEST, message, outcome=Outcome.UNKNOWN)
         if len(self.records) >= self._parts.settings.max_open_requests:
             message = "this instance has too many open requests"
             return refusal(Cause.OVERLOAD, message, OPEN_LIMIT_RETRY_AFTER_MS)
@@ -203,19 +217,12 @@
 
     async def _run(self, key: RecordKey, record: RunRecord, pipeline: Pipeline) -> None:
         if is_claimed(record.request, pipeline):
-            await self._guard(record, self._run_claimed, record, pipeline)
+            await self._guard(record, self._parts.claimed.run, record, pipeline)
         else:
             run = self._parts.executor.run
             await self._guard(record, run, record.request, pipeline, record)
         self._end(key, record)
 
-    async def _run_claimed(self, record: RunRecord, pipeline: Pipeline) -> None:
-        if self._parts.claimed is None:
-            message = "this instance cannot claim requests"
-            record.finish(refusal(Cause.STORE_UNAVAILABLE, message, 1_000))
-            return
-        await self._parts.claimed.run(record, pipeline)
-
     async def _guard(self, record: RunRecord, action, *arguments) -> None:
         """Run `action`; a fault of ours still ends the record with its final event."""
         try:
--- a/tests/path/path_helpers.py
+++ b/tests/path/path_helpers.py
@@ -1,6 +1,5 @@
 """In-process stand-ins and entry instances over real loopback sockets."""
 
-import json
 import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -12,6 +11,8 @@
 from acaciapier.configuration.state import token_digest
 from acaciapier.entry.instance import EntryInstance
 from acaciapier.settings import EntrySettings
+from acaciapier_bench.deployment import free_port
+from acaciapier_bench.seeding import seed_configuration
 from acaciapier_standins import serve_standin
 from acaciapier_standins.settings import (
     EngineSettings,
@@ -78,10 +79,8 @@
 
 
 @asynccontextmanager
-async def open_world(tmp_path, entries=1, engine=None):
+async def open_world(entries=1, engine=None):
     """Run stand-ins of all kinds and some entry instances."""
-    bundle = tmp_path / "bundle.jsonc"
-    bundle.write_text(json.dumps(BUNDLE))
     async with trio.open_nursery() as nursery:
         world = World([], {}, [])
         world.standins["list"] = await nursery.start(
@@ -93,8 +92,9 @@
         for settings in _target_settings(world.standins["list"].url, engine or {}):
             bound = await nursery.start(serve_standin, settings)
             world.standins[settings.id] = bound
+        await seed_configuration(world.standins["store"].url, BUNDLE)
         for number in range(1, entries + 1):
-            await _start_entry(world, nursery, number, str(bundle))
+            await _start_entry(world, nursery, number)
         await _wait_for_targets(world)
         yield world
         for app in world.apps:
@@ -117,16 +117,16 @@
     ]
 
 
-async def _start_entry(world, nursery, number, bundle):
+async def _start_entry(world, nursery, number):
     settings = EntrySettings.model_validate(
         {
             "instance": {"id": f"entry-{number}", "data_centre": "a", "region": "r"},
-            "fleet_keys": ["key"],
+            "inner": {"port": free_port()},
+            "fleet_keys": ["a key of the tests"],
             "platform": {
                 "object_api_url": world.standins["store"].url,
                 "instance_list_url": world.standins["list"].url,
             },
-            "bundle_path": bundle,
         }
     )
     entry = EntryInstance(settings, random.Random(number))
@@ -141,5 +141,5 @@
     pools = ("encode", "retrieve", "generate", "dispatch")
     with trio.fail_after(30):
         for entry in world.entries:
-            while not all(entry.knows_targets_of(pool) for pool in pools):
+            while not all(entry.directory.has_targets(pool) for pool in pools):
                 await trio.sleep(0.02)
