Merge cost reports into the object API, each exactly once

A page of one hour and shard of workspaces holds the totals and, by instance and incarnation, the highest sequence number merged; a resend is recognised by it, so a lost answer needs nothing but reading the page again. Reports go to the shard's owner by rendezvous hashing, which merges a page at most once in 10 s.

Weighed: each instance merging its own reports; at 510 instances and 10 s that is 51 writers on every page, so nearly all would conflict. Weighed: 8 shards; a page would near the value limit of 1 MB at 1,400 workspaces, so there are 64.

--- a/src/acaciapier/accounts/ledger.py
+++ b/src/acaciapier/accounts/ledger.py
@@ -2,14 +2,8 @@
 
 from ..core.clock import Clock, epoch_ms
 from ..core.ids import Incarnation, InstanceId
-from .models import (
-    AccountEntry,
-    AccountReport,
-    CostEntry,
-    CostKey,
-    CostTotal,
-    cost_key,
-)
+from ..wire.messages.accounts import AccountEntry, AccountReport, CostKey, CostTotal
+from .models import CostEntry, cost_key
 
 MILLISECONDS_PER_HOUR = 3_600_000
 
--- /dev/null
+++ b/src/acaciapier/accounts/merger.py
@@ -0,0 +1,101 @@
+"""Group commit of reports into pages by conditional update."""
+
+from random import Random
+
+import trio
+
+from ..claims.peers import ClaimStore
+from ..core.clock import to_s
+from ..exceptions import StoreError, StoreUnavailable, VersionConflict
+from ..store import Purpose
+from ..wire.messages.accounts import AccountReport
+from .pages import (
+    ACCOUNT_KIND,
+    AccountPage,
+    merge_reports,
+    page_from_value,
+    page_name,
+)
+
+MERGE_INTERVAL_MS = 10_000.0
+MAX_TRIES = 5
+RETRY_PAUSE_MS = 50.0
+
+
+class _PageGroup:
+    """Reports that wait for the next commit of one page."""
+
+    def __init__(self):
+        self.reports: list[AccountReport] = []
+        self.merged = False
+        self.ended = trio.Event()
+
+
+class PageMerger:
+    """Collects reports for pages and merges each page at most once an interval.
+
+    Parameters
+    ----------
+    store : ClaimStore
+        The object API.
+    random : Random
+        Source of the jitter between retries.
+    """
+
+    def __init__(self, store: ClaimStore, random: Random):
+        self._store = store
+        self._random = random
+        self._groups: dict[tuple[int, int], _PageGroup] = {}
+
+    async def merge(
+        self, hour: int, shard: int, reports: tuple[AccountReport, ...], urgent: bool
+    ) -> bool:
+        """Merge reports with the page's next commit; tell whether it is known."""
+        group = self._groups.setdefault((hour, shard), _PageGroup())
+        group.reports.extend(reports)
+        if urgent:
+            await self._commit(hour, shard)
+        await group.ended.wait()
+        return group.merged
+
+    async def run(self) -> None:
+        """Commit all pages once an interval until cancelled."""
+        while True:
+            share = self._random.uniform(0.8, 1.2)
+            await trio.sleep(to_s(MERGE_INTERVAL_MS * share))
+            for hour, shard in list(self._groups):
+                await self._commit(hour, shard)
+
+    async def _commit(self, hour: int, shard: int) -> None:
+        group = self._groups.pop((hour, shard), None)
+        if group is None:
+            return
+        try:
+            group.merged = await self._merge_page(page_name(hour, shard), group.reports)
+        except StoreError:
+            group.merged = False
+        finally:
+            group.ended.set()
+
+    async def _merge_page(self, name: str, reports: list[AccountReport]) -> bool:
+        """Read, merge and write until the page holds all reports.
+
+        A lost answer needs no special care: the page is read again, and reports
+        that landed are recognised by their sequence numbers.
+        """
+        for _ in range(MAX_TRIES):
+            stored = await self._store.get(ACCOUNT_KIND, name, purpose=Purpose.ACCOUNTS)
+            page = page_from_value(stored.value) if stored else AccountPage()
+            merged = merge_reports(page, reports)
+            if merged is page:
+                return True
+            version = stored.version if stored else 0
+            try:
+                await self._store.put(
+                    ACCOUNT_KIND, name, merged, version, purpose=Purpose.ACCOUNTS
+                )
+            except (VersionConflict, StoreUnavailable):
+                await trio.sleep(to_s(RETRY_PAUSE_MS * self._random.uniform(0.5, 1.5)))
+            else:
+                return True
+        return False
--- /dev/null
+++ b/src/acaciapier/accounts/service.py
@@ -0,0 +1,127 @@
+"""Driver that sends an instance's reports to the owners of their shards."""
+
+from random import Random
+
+import trio
+
+from ..claims.partition import Partitioner
+from ..claims.peers import ClaimStore, MembershipView, PeerNetwork
+from ..claims.routes import OwnerRoutes
+from ..core.clock import Clock, to_s
+from ..core.ids import InstanceId
+from ..exceptions import PeerUnavailable
+from ..wire.messages.accounts import AccountReport, MergeAnswer, MergeReports
+from .ledger import Ledger
+from .merger import MERGE_INTERVAL_MS, PageMerger
+from .pages import DEFAULT_SHARDS, split_report
+
+REPORT_INTERVAL_MS = 10_000.0
+ANSWER_TIMEOUT_MS = 2.0 * MERGE_INTERVAL_MS
+MAX_PENDING_REPORTS = 16
+
+PageId = tuple[int, int]
+"""Hour and shard."""
+
+
+class AccountService:
+    """Brings the ledger's reports into the object API, each exactly once.
+
+    A part of a report is kept until its page is known to hold it. In an outage
+    the ledger goes on counting in memory, and at most `MAX_PENDING_REPORTS`
+    reports wait.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This process.
+    ledger : Ledger
+        Its counters.
+    store, peers, membership, clock, random
+        As for `ClaimService`.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        ledger: Ledger,
+        store: ClaimStore,
+        peers: PeerNetwork,
+        membership: MembershipView,
+        clock: Clock,
+        random: Random,
+    ):
+        self._ledger = ledger
+        self._peers = peers
+        self._random = random
+        self._merger = PageMerger(store, random)
+        self._routes = OwnerRoutes(
+            instance, Partitioner(DEFAULT_SHARDS), membership, clock
+        )
+        self._pending: dict[PageId, list[AccountReport]] = {}
+        peers.register(MergeReports, self._on_merge)
+
+    async def run(self) -> None:
+        """Send and merge reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._merger.run)
+            while True:
+                share = self._random.uniform(0.8, 1.2)
+                await trio.sleep(to_s(REPORT_INTERVAL_MS * share))
+                await self.send(urgent=False)
+
+    async def flush(self) -> None:
+        """Send everything that was counted, for a shutdown."""
+        await self.send(urgent=True)
+
+    async def send(self, urgent: bool) -> None:
+        """Close the interval and send all parts that are not confirmed."""
+        self._close_interval()
+        async with trio.open_nursery() as nursery:
+            for page_id, reports in list(self._pending.items()):
+                nursery.start_soon(self._send_page, page_id, tuple(reports), urgent)
+
+    def _close_interval(self) -> None:
+        waiting = {r.sequence for parts in self._pending.values() for r in parts}
+        if len(waiting) >= MAX_PENDING_REPORTS:
+            return
+        report = self._ledger.close_interval()
+        if report is None:
+            return
+        for shard, part in split_report(report).items():
+            self._pending.setdefault((report.hour, shard), []).append(part)
+
+    async def _send_page(
+        self, page_id: PageId, reports: tuple[AccountReport, ...], urgent: bool
+    ) -> None:
+        if not await self._merge(page_id, reports, urgent):
+            return
+        left = [part for part in self._pending.get(page_id, ()) if part not in reports]
+        if left:
+            self._pending[page_id] = left
+        else:
+            self._pending.pop(page_id, None)
+
+    async def _merge(
+        self, page_id: PageId, reports: tuple[AccountReport, ...], urgent: bool
+    ) -> bool:
+        """Merge through the shard's owner; if it is out of reach, directly."""
+        hour, shard = page_id
+        for peer in self._routes.committers_of(shard)[:1]:
+            message = MergeReports(hour, shard, reports, urgent)
+            try:
+                answer = await self._peers.call(peer, message, ANSWER_TIMEOUT_MS)
+            except PeerUnavailable:
+                self._routes.suspect(peer)
+                continue
+            return isinstance(answer, MergeAnswer) and answer.merged
+        with trio.move_on_after(to_s(ANSWER_TIMEOUT_MS)):
+            return await self._merger.merge(hour, shard, reports, urgent)
+        return False
+
+    async def _on_merge(self, peer: InstanceId, message: MergeReports) -> MergeAnswer:
+        with trio.move_on_after(to_s(ANSWER_TIMEOUT_MS)):
+            merged = await self._merger.merge(
+                message.hour, message.shard, message.reports, message.urgent
+            )
+            return MergeAnswer(merged)
+        return MergeAnswer(False)
--- a/tests/claims/claims_world.py
+++ b/tests/claims/claims_world.py
@@ -3,8 +3,6 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from claims_fakes import StoreTable
-
 from acaciapier.claims.bucket import KnownBucket, Placement
 from acaciapier.claims.partition import CLAIM_KIND, bucket_name, bucket_number
 from acaciapier.claims.table import ClaimTable, OwnClaim
@@ -17,6 +15,7 @@
     CommitAnswer,
     CommitVerdict,
 )
+from store_fakes import StoreTable
 
 WINDOW = ClaimWindow(valid_ms=6_000, ahead_ms=500, clock_error_ms=400, bucket_ms=2_000)
 SKEWS_MS = (0, 400, -400)
--- a/tests/claims/test_claims_history.py
+++ b/tests/claims/test_claims_history.py
@@ -7,7 +7,6 @@
 
 import pytest
 import trio
-from claims_fakes import FakeFleet, FakeStore, StoreFaults, StoreTable
 
 from acaciapier.claims import (
     ClaimRequest,
@@ -26,6 +25,7 @@
 )
 from acaciapier.core.clock import TrioClock, epoch_ms
 from acaciapier.core.outcomes import Outcome
+from store_fakes import FakeFleet, FakeStore, StoreFaults, StoreTable
 
 SEEDS = range(6)
 ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
