--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -4,22 +4,28 @@
 
 import trio
 
-from ..accounts import CostEntry
+from ..accounts import CostEntry, Ledger
 from ..app import Application
-from ..configuration import ConfigurationState
-from ..core.clock import SystemClock, epoch_ms
+from ..app.node import FleetNode
+from ..claims import ClaimService
+from ..core.clock import SystemClock, to_s
 from ..core.ids import DataCentreId, WorkspaceId
 from ..http import serve_app
-from ..objects import load_bundle
 from ..observability import Metrics
 from ..pipeline import Executor, ExecutorServices, ResumeTokens, StreamPace
 from ..policy import PathPolicy, PolicySettings
 from ..settings import EntrySettings
 from ..targets import HttpTransport
-from ..targets.directory import InstanceBody, InstanceListClient, TargetDirectory
+from ..targets.directory import TargetDirectory
+from ..wire.messages.requests import JoinRun
+from .claimed import ClaimedRuns
 from .http import EntryHttp
+from .joining import JoinServer, RunJoiner
 from .resuming import StreamResumer
 from .service import RequestService, ServiceParts
+from .strikes import StrikeSharing
+
+STRIKE_INTERVAL_MS = 20.0
 
 
 class EntryInstance:
@@ -36,31 +42,36 @@
     def __init__(self, settings: EntrySettings, rng: random.Random):
         self.settings = settings
         self.clock = SystemClock()
+        self.node = FleetNode(settings, "entry", self.clock, rng)
         self.url = ""
+        self.directory: TargetDirectory | None = None
+        identity = self.node.identity
+        self.ledger = Ledger(identity.instance_id, identity.incarnation, self.clock)
         self._random = rng
+        self._strikes: StrikeSharing | None = None
+        self._claims: ClaimService | None = None
         self._metrics = Metrics(settings.instance.id)
-        objects = load_bundle(settings.bundle_path) if settings.bundle_path else []
-        self._state = ConfigurationState.of_objects(objects)
         self._transport = HttpTransport()
-        self._tokens = ResumeTokens([key.encode() for key in settings.fleet_keys])
+        self._tokens = ResumeTokens(self.node.keys)
         self._policy = PathPolicy(
             self.clock,
             rng,
             PolicySettings(instance=settings.instance.id),
             DataCentreId(settings.instance.data_centre),
         )
-        self._list = InstanceListClient(settings.platform.instance_list_url)
-        self._directory = TargetDirectory(self._list, self._policy, self._configuration)
-
-    def knows_targets_of(self, pool: str) -> bool:
-        """Tell whether at least one live target of `pool` is known."""
-        return self._directory.has_targets(pool)
 
     async def start(self, app: Application, nursery: trio.Nursery) -> None:
         """Start all parts in `nursery` and add the stop hooks to `app`."""
         app.resources.push_async_callback(self._transport.close)
-        app.resources.push_async_callback(self._list.close)
+        await self.node.start(app, nursery)
+        self.directory = TargetDirectory(
+            self.node.membership, self._policy, self.node.configuration
+        )
+        self._strikes = StrikeSharing(self._policy, self.node.membership.rumours)
+        self._claims = self._make_claims()
         service = self._make_service(nursery)
+        join_server = JoinServer(service.find_for_peer)
+        self.node.network.register_stream(JoinRun, join_server.serve)
         http = EntryHttp(
             service,
             self._workspace_of_token,
@@ -68,29 +79,67 @@
             self.clock,
             self._metrics,
         )
-        nursery.start_soon(self._directory.run)
+        nursery.start_soon(self.directory.run)
         nursery.start_soon(service.run_collector)
+        nursery.start_soon(self._claims.run)
+        nursery.start_soon(self._share_strikes)
         binds = await nursery.start(
             serve_app, http, self.settings.listen, app.stopped.wait
         )
         self.url = binds[0]
-        await self._list.put(self._own_record("live"))
+        nursery.start_soon(self.node.keep_announced, self.url, app)
+        self._add_stop_hooks(app, service)
 
-        async def leave() -> None:
-            await self._list.put(self._own_record("leaving"))
+    def _add_stop_hooks(self, app: Application, service: RequestService) -> None:
+        async def announce_leaving() -> None:
+            await self.node.announce(self.url, "leaving")
 
         async def drain() -> None:
             await service.drain(self.settings.max_drain_ms)
 
-        app.on_stop("leave the list of instances", leave)
+        async def leave() -> None:
+            await self.node.leave(self.url)
+
+        service.refuse_new_when(app.stop_requested)
+        app.on_stop("announce that the instance leaves", announce_leaving)
         app.on_stop("drain requests", drain)
+        app.on_stop("write the outcomes of claims", self._claims.flush)
+        app.on_stop("leave the fleet", leave)
 
     def _make_service(self, nursery: trio.Nursery) -> RequestService:
-        services = ExecutorServices(
+        executor = Executor(self._executor_services(nursery))
+        joiner = RunJoiner(self.node.network)
+        instance = self.node.identity.instance_id
+        parts = ServiceParts(
+            executor=executor,
+            resumer=StreamResumer(self._transport, self._tokens, self.clock),
+            configuration=self.node.configuration,
+            claimed=ClaimedRuns(self._claims, executor, joiner, instance, self.clock),
+            metrics=self._metrics,
+            clock=self.clock,
+            random=self._random,
+            settings=self.settings.path,
+        )
+        return RequestService(parts, nursery)
+
+    def _make_claims(self) -> ClaimService:
+        identity = self.node.identity
+        return ClaimService(
+            identity.instance_id,
+            identity.incarnation,
+            self.node.store,
+            self.node.network,
+            self.node.membership,
+            self.clock,
+            self._random,
+        )
+
+    def _executor_services(self, nursery: trio.Nursery) -> ExecutorServices:
+        return ExecutorServices(
             policy=self._policy,
             transport=self._transport,
             record_cost=self._record_cost,
-            hear_target=self._directory.hear_target,
+            hear_target=self.directory.hear_target,
             tokens=self._tokens,
             instance=self.settings.instance.id,
             clock=self.clock,
@@ -98,26 +147,18 @@
             background=nursery,
             pace=StreamPace(self.clock, self.settings.path.flush_interval_ms),
         )
-        parts = ServiceParts(
-            executor=Executor(services),
-            resumer=StreamResumer(self._transport, self._tokens, self.clock),
-            configuration=self._configuration,
-            claimed=None,
-            metrics=self._metrics,
-            clock=self.clock,
-            random=self._random,
-            settings=self.settings.path,
-        )
-        return RequestService(parts, nursery)
-
-    def _configuration(self) -> ConfigurationState:
-        return self._state
 
     def _workspace_of_token(self, token: str) -> WorkspaceId | None:
-        workspace = self._configuration().workspace_of_token(token)
+        workspace = self.node.configuration().workspace_of_token(token)
         return WorkspaceId(workspace.name) if workspace else None
 
+    async def _share_strikes(self) -> None:
+        while True:
+            self._strikes.publish_new()
+            await trio.sleep(to_s(STRIKE_INTERVAL_MS))
+
     def _record_cost(self, entry: CostEntry) -> None:
+        self.ledger.record(entry)
         self._metrics.stage_cost(
             entry.workspace,
             entry.stage_kind.value,
@@ -126,17 +167,3 @@
             entry.service_ms,
             entry.units,
         )
-
-    def _own_record(self, state: str) -> InstanceBody:
-        settings = self.settings
-        return InstanceBody(
-            id=settings.instance.id,
-            incarnation=epoch_ms(self.clock.now()),
-            role="entry",
-            data_centre=settings.instance.data_centre,
-            region=settings.instance.region,
-            state=state,
-            url=self.url,
-            inner_host=settings.inner.host,
-            inner_port=settings.inner.port,
-        )
--- a/src/acaciapier/policy/deadlines.py
+++ b/src/acaciapier/policy/deadlines.py
@@ -26,12 +26,8 @@
     estimates: Sequence[StageEstimate], stage: StageName, time_ms: StageTime
 ) -> float:
     """Return the expected time of the longest path that starts after `stage`."""
-    longest = 0.0
-    for estimate in estimates:
-        if stage in estimate.needs:
-            after = path_after_ms(estimates, estimate.stage, time_ms)
-            longest = max(longest, time_ms(estimate) + after)
-    return longest
+    after: dict[StageName, float] = {}
+    return _after_ms(estimates, stage, time_ms, after)
 
 
 def stage_share_ms(
@@ -39,15 +35,20 @@
     stage: StageName,
     remaining_ms: float,
     time_ms: StageTime,
+    ample_ms: StageTime,
 ) -> float:
     """Return the part of `remaining_ms` that `stage` may use.
 
-    The slack is divided in proportion to the expected times of the stage and
-    of what has to follow it; the last stage may use all that remains.
+    The time is divided in proportion to the expected times of the stage and
+    of what has to follow it; the last stage may use all that remains. A stage
+    gets no less than its `ample_ms`, though: a short one beside a long one
+    would else be cut off for its usual variation.
     """
-    own_ms = next(time_ms(one) for one in estimates if one.stage == stage)
+    own = next(one for one in estimates if one.stage == stage)
+    own_ms = time_ms(own)
     after_ms = path_after_ms(estimates, stage, time_ms)
-    return max(remaining_ms, 0.0) * own_ms / (own_ms + after_ms)
+    share_ms = remaining_ms * own_ms / (own_ms + after_ms)
+    return max(0.0, min(remaining_ms, max(share_ms, ample_ms(own))))
 
 
 def _end_ms(by_name, name, left, time_ms: StageTime, ends) -> float:
@@ -59,3 +60,16 @@
     )
     ends[name] = start + time_ms(by_name[name])
     return ends[name]
+
+
+def _after_ms(estimates, stage, time_ms: StageTime, after) -> float:
+    if stage not in after:
+        after[stage] = max(
+            (
+                time_ms(one) + _after_ms(estimates, one.stage, time_ms, after)
+                for one in estimates
+                if stage in one.needs
+            ),
+            default=0.0,
+        )
+    return after[stage]
--- a/src/acaciapier_bench/deployment.py
+++ b/src/acaciapier_bench/deployment.py
@@ -15,11 +15,15 @@
 import httpcore
 import trio
 
+from acaciapier.objects import load_bundle
+
+from .seeding import seed_configuration
+
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 HOST = "127.0.0.1"
-FLEET_KEY = "local-fleet-key"
+FLEET_KEY = "local-fleet-key-for-tests"
 
 
 class DeploymentError(Exception):
@@ -119,6 +123,8 @@
         plan = self.plan
         await self._start_standin("object-api", "object-api", plan.object_api)
         await self._start_standin("instance-list", "instance-list", plan.instance_list)
+        objects = [one.model_dump(mode="json") for one in load_bundle(plan.bundle)]
+        await seed_configuration(self.members["object-api"].url, objects)
         async with trio.open_nursery() as nursery:
             for pool in plan.pools:
                 for number in range(1, pool.count + 1):
@@ -255,7 +261,6 @@
                 "object_api_url": self.members["object-api"].url,
                 "instance_list_url": self.members["instance-list"].url,
             },
-            "bundle_path": str(self.plan.bundle),
         }
         path = self._write_settings(name, settings)
         member = Member(
--- a/tests/path/test_failures.py
+++ b/tests/path/test_failures.py
@@ -52,8 +52,8 @@
     return 200, [(one.name, msgspec.json.decode(one.data)) for one in events]
 
 
-async def test_request_is_resumed_on_another_instance(tmp_path):
-    async with open_world(tmp_path, 2, SLOW_ENGINE) as world:
+async def test_request_is_resumed_on_another_instance():
+    async with open_world(2, SLOW_ENGINE) as world:
         async with httpcore.AsyncConnectionPool() as pool:
             parts, token = await read_until_parts(pool, world.urls[0], 2)
             position = parts[-1]["offset"] + parts[-1]["count"]
@@ -74,8 +74,8 @@
     assert len(started) == 1
 
 
-async def test_resume_token_is_no_use_to_another_workspace(tmp_path):
-    async with open_world(tmp_path, 2, SLOW_ENGINE) as world:
+async def test_resume_token_is_no_use_to_another_workspace():
+    async with open_world(2, SLOW_ENGINE) as world:
         async with httpcore.AsyncConnectionPool() as pool:
             _, token = await read_until_parts(pool, world.urls[0], 1)
             status, body = await get_events(pool, world.urls[1], 0, token, OTHER_TOKEN)
@@ -84,9 +84,9 @@
     assert forged[0] == 403
 
 
-async def test_caller_that_leaves_is_cancelled_at_the_engine(tmp_path):
+async def test_caller_that_leaves_is_cancelled_at_the_engine():
     engine = {"step_ms": 200.0}
-    async with open_world(tmp_path, 1, engine) as world:
+    async with open_world(1, engine) as world:
         async with httpcore.AsyncConnectionPool() as pool:
             await read_until_parts(pool, world.urls[0], 1)
         with trio.fail_after(20):
@@ -103,8 +103,8 @@
     ]
 
 
-async def test_cancel_ends_a_request_with_its_final_event(tmp_path):
-    async with open_world(tmp_path, 1, {"step_ms": 200.0}) as world:
+async def test_cancel_ends_a_request_with_its_final_event():
+    async with open_world(1, {"step_ms": 200.0}) as world:
         async with world.session() as session:
             follower = session.follow("quote", {"text": "a"})
             async with trio.open_nursery() as nursery:
@@ -121,8 +121,8 @@
         await trio.sleep(0.02)
 
 
-async def test_broken_stream_is_run_anew_and_never_spliced(tmp_path):
-    async with open_world(tmp_path, 1, SLOW_ENGINE) as world:
+async def test_broken_stream_is_run_anew_and_never_spliced():
+    async with open_world(1, SLOW_ENGINE) as world:
         async with world.session() as session:
             expected = await session.run("quote", {"text": "a"})
             follower = session.follow("quote", {"text": "a"})
@@ -145,8 +145,8 @@
 
 
 @pytest.mark.parametrize("fault", ["garbage", "doubled", "cut", "refuse", "fail"])
-async def test_faulty_answers_of_targets_do_not_reach_callers(tmp_path, fault):
-    async with open_world(tmp_path) as world, world.session() as session:
+async def test_faulty_answers_of_targets_do_not_reach_callers(fault):
+    async with open_world() as world, world.session() as session:
         expected = await session.run("quote", {"text": "a"})
         world.standins["encode-1"].standin.faults.change({fault: {"next": 1}})
         world.standins["generate-1"].standin.faults.change({fault: {"next": 1}})
@@ -155,8 +155,8 @@
             assert answer.text == expected.text
 
 
-async def test_graceful_stop_answers_what_is_in_flight(tmp_path):
-    async with open_world(tmp_path, 1, SLOW_ENGINE) as world:
+async def test_graceful_stop_answers_what_is_in_flight():
+    async with open_world(1, SLOW_ENGINE) as world:
         async with world.session() as session, world.session() as late:
             follower = session.follow("quote", {"text": "a"})
             refused = []
@@ -179,8 +179,8 @@
     raise AssertionError("the request was run")
 
 
-async def test_deadline_gives_a_typed_final_event(tmp_path):
-    async with open_world(tmp_path, 1, {"step_ms": 100.0}) as world:
+async def test_deadline_gives_a_typed_final_event():
+    async with open_world(1, {"step_ms": 100.0}) as world:
         async with world.session() as session:
             with pytest.raises((OutcomeUnknown, NotRun)) as caught:
                 await session.run("quote", {"text": "a"}, deadline_ms=700)
