End connections whose data nobody acknowledges after 10 s

A connection that lasts through a cut would send again only after the kernel's growing waits, up to two minutes, and hold up the healing.

--- a/src/acaciapier/wire/acceptor.py
+++ b/src/acaciapier/wire/acceptor.py
@@ -6,7 +6,7 @@
 from logbook import Logger
 
 from ..exceptions import PeerUnavailable, ProtocolError
-from .connector import TlsContexts
+from .connector import TlsContexts, limit_unacknowledged
 from .counters import TrafficCounters
 from .handshake import HandshakeChannel, PeerIdentity, Session, accept_session
 from .keys import FleetKeys
@@ -58,6 +58,7 @@
     async def _accept(self, stream: trio.SocketStream) -> None:
         if self._handshakes >= MAX_HANDSHAKES:
             return
+        limit_unacknowledged(stream)
         if self._tls is not None:
             stream = trio.SSLStream(stream, self._tls.server, server_side=True)
         channel = HandshakeChannel(stream)
--- a/src/acaciapier/wire/connector.py
+++ b/src/acaciapier/wire/connector.py
@@ -1,6 +1,7 @@
 """Opening of connections, with jittered waits after failures."""
 
 import random as random_module
+import socket
 import ssl
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -15,6 +16,7 @@
 
 FIRST_WAIT_S = 0.1
 MAX_WAIT_S = 10.0
+UNACKNOWLEDGED_TIMEOUT_MS = 10_000
 
 
 class PeerAddress(NamedTuple):
@@ -102,6 +104,7 @@
         self, peer: InstanceId, address: PeerAddress
     ) -> tuple[HandshakeChannel, Session]:
         stream: trio.abc.Stream = await trio.open_tcp_stream(*address)
+        limit_unacknowledged(stream)
         if self._tls is not None:
             stream = trio.SSLStream(
                 stream, self._tls.client, server_hostname=address.host
@@ -131,3 +134,14 @@
         jittered_s = wait_s * self._random.uniform(0.5, 1.0)
         retry_at_s = self._clock.monotonic_s() + jittered_s
         self._failures[peer] = _Failure(reason, wait_s, retry_at_s, address)
+
+
+def limit_unacknowledged(stream: trio.SocketStream) -> None:
+    """Let the kernel end a connection whose data nobody acknowledges.
+
+    Without this, a connection that lasted through a cut of the network would
+    send again only after the kernel's growing waits, up to two minutes.
+    """
+    stream.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
--- a/tests/wire/test_network.py
+++ b/tests/wire/test_network.py
@@ -9,7 +9,14 @@
 import trustme
 
 from acaciapier.exceptions import PeerUnavailable
-from acaciapier.wire import CallFailed, Message, NetworkLimits, TlsContexts
+from acaciapier.wire import (
+    CallFailed,
+    Message,
+    NetworkLimits,
+    TlsContexts,
+    acceptor,
+    connector,
+)
 from wire.support import (
     LOOPBACK,
     CountCall,
@@ -189,3 +196,19 @@
         assert await peers.a.call("b", EchoCall("x"), 5_000) == EchoCall("a:x")
         items = [item async for item in peers.a.call_stream("b", CountCall(3))]
         assert items[-1] == CountItem(2, b"x" * 1000)
+
+
+async def test_both_sides_bound_unacknowledged_data(monkeypatch):
+    limited = []
+    for module in (acceptor, connector):
+        original = module.limit_unacknowledged
+
+        def note(stream, original=original):
+            original(stream)
+            option = socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            limited.append(stream.getsockopt(*option))
+
+        monkeypatch.setattr(module, "limit_unacknowledged", note)
+    async with running_peers() as peers:
+        await peers.a.call("b", EchoCall("x"), 5_000)
+    assert limited == [10_000, 10_000]
