Turn stale on an older copy of the store and on changes that cannot be read

Two faults found by tests that failed first. A watch of a store that answers from an older copy was taken as a confirmation, so a daemon that held more called itself current; and a change of a kind unknown to an older release ended the daemon's distribution task with a KeyError. Now the first confirms nothing, and the second holds the number back, logged and visible as stale.

Objects are shown in an outage, marked as last read; the status shows the highest number that any instance runs.

--- a/src/acaciapier/admin/bodies.py
+++ b/src/acaciapier/admin/bodies.py
@@ -86,10 +86,21 @@
 
 
 class ObjectsBody(msgspec.Struct, frozen=True):
-    """Declared objects at one number."""
+    """Declared objects at one number.
+
+    Parameters
+    ----------
+    number : int
+        Number of the state.
+    objects : tuple of ObjectBody
+        The objects.
+    from_store : bool
+        False if the object API was down and this is what was last read.
+    """
 
     number: int
     objects: tuple[ObjectBody, ...]
+    from_store: bool = True
 
 
 class ChangesBody(msgspec.Struct, frozen=True):
--- a/src/acaciapier/admin/configuration.py
+++ b/src/acaciapier/admin/configuration.py
@@ -71,15 +71,16 @@
         router.add("POST", "/v1/changes/{number}/undo", change, self.undo)
 
     async def list_objects(self, call: Call) -> ObjectsBody:
-        """Return all objects, or those of one kind."""
-        state = await self._log.refresh()
+        """Return all objects, or those of one kind; works in an outage."""
+        from_store = await self._try_refresh()
+        state = self._log.state
         kind = call.query.get("kind")
         objects = tuple(
             _object_body(one, call.operator)
             for key, one in sorted(state.objects.items())
             if kind is None or key.kind == kind
         )
-        return ObjectsBody(state.number, objects)
+        return ObjectsBody(state.number, objects, from_store)
 
     async def get_object(self, call: Call) -> ObjectBody:
         """Return one object, at its present or an older version."""
@@ -143,6 +144,22 @@
             raise ApiError(ErrorKind.NOT_FOUND, message)
         return await self._submit(request.ok_value, call.operator)
 
+    async def _try_refresh(self) -> bool:
+        """Read what is new; return whether the store answered.
+
+        Raises
+        ------
+        StoreUnavailable
+            If it did not, and nothing was read before.
+        """
+        try:
+            await self._log.refresh()
+        except StoreUnavailable:
+            if self._log.state.number == 0:
+                raise
+            return False
+        return True
+
     async def _submit(
         self, request: RequestedChange, operator: Operator
     ) -> AcceptedBody:
--- a/src/acaciapier/admin/operations.py
+++ b/src/acaciapier/admin/operations.py
@@ -46,7 +46,9 @@
     async def status(self, call: Call) -> StatusBody:
         """Return the newest known number and who runs which; works in an outage."""
         status = _wired(self._controls.status, "status")
-        return StatusBody(self._log.state.number, tuple(await status.instances()))
+        instances = tuple(await status.instances())
+        numbers = [one.configuration_number for one in instances]
+        return StatusBody(max(self._log.state.number, *numbers, 0), instances)
 
     async def costs(self, call: Call) -> CostsBody:
         """Return costs by workspace, pipeline and stage."""
--- a/src/acaciapier/cli/check.py
+++ b/src/acaciapier/cli/check.py
@@ -33,7 +33,7 @@
     `acaciapier check entry.jsonc --as entry`.
     """
 
-    file: Annotated[Path, cappa.Arg(help="JSON with comments")]
+    file: Annotated[str, cappa.Arg(help="JSON with comments")]
     settings_of: Annotated[
         Literal["entry", "admin", "controller"] | None,
         cappa.Arg(long="--as", help="check the settings of this binary"),
@@ -58,7 +58,7 @@
     def _check(self) -> None:
         if self.settings_of is not None:
             load_settings(self.file, MODELS[self.settings_of])
-        elif _holds_an_object(self.file):
+        elif _holds_an_object(Path(self.file)):
             load_settings(self.file, EntrySettings)
         else:
             load_bundle(self.file)
--- a/src/acaciapier/cli/objects.py
+++ b/src/acaciapier/cli/objects.py
@@ -72,7 +72,7 @@
     Example: `acaciapier apply examples/kartvel.jsonc --dry-run`.
     """
 
-    file: Annotated[Path, cappa.Arg(help="bundle: JSON with comments")]
+    file: Annotated[str, cappa.Arg(help="bundle: JSON with comments")]
     dry_run: Annotated[bool, cappa.Arg(long="--dry-run", help="change nothing")] = False
     prune: Annotated[bool, cappa.Arg(long=True, help="delete all others")] = False
     patch_id: PatchId = None
@@ -81,7 +81,7 @@
         """Run the command."""
         session = self.open_session()
         with session.client() as client:
-            wanted = read_values(self.file)
+            wanted = read_values(Path(self.file))
             present = client.get("/v1/objects", ObjectsBody)
             edits = edits_between(present, wanted, self.prune)
             if self.dry_run or not edits:
@@ -292,7 +292,10 @@
 def show_objects(session: Session, found: ObjectsBody) -> None:
     """Print a list of objects."""
     rows = [(one.kind, one.name, one.version, one.number) for one in found.objects]
-    session.show(found, table_of(("kind", "name", "version", "change"), rows))
+    table = table_of(("kind", "name", "version", "change"), rows)
+    if not found.from_store:
+        table.caption = "The object API is down; this is what was last read."
+    session.show(found, table)
 
 
 def show_accepted(session: Session, accepted: AcceptedBody) -> None:
--- a/src/acaciapier/configuration/distribution.py
+++ b/src/acaciapier/configuration/distribution.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 from random import Random
 
+import logbook
 import trio
 
 from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId, RegionId
-from ..exceptions import AcaciapierError
+from ..exceptions import AcaciapierError, PeerUnavailable, StoreUnavailable
 from ..observability import get_logger
 from ..wire.messages.configuration import ChangeRumour, NumberRumour
 from .interfaces import MembershipView, PeerNetwork, Rumours, Store
@@ -133,7 +134,7 @@
             elif not await self._reader.watch():
                 await self._sleep(RETRY_INTERVAL_MS)
         except RECOVERABLE as error:
-            log.debug("watch of the configuration's head failed: {}", error)
+            _log_failure("the object API", error)
             await self._sleep(RETRY_INTERVAL_MS)
             return False
         return True
@@ -183,7 +184,7 @@
         try:
             await self._reader.read()
         except RECOVERABLE as error:
-            log.debug("read of the configuration's head failed: {}", error)
+            _log_failure("the object API", error)
             return False
         return True
 
@@ -192,13 +193,16 @@
         try:
             await self._exchange.fetch(peer)
         except AcaciapierError as error:
-            log.debug("{} did not answer about the configuration: {}", peer, error)
+            _log_failure(peer, error)
             return False
         return self.replica.freshness is Freshness.CURRENT
 
     def _take_change(self, message: ChangeRumour) -> None:
         self._publisher.note_spread(message.change.number)
-        self.replica.apply(message.change)
+        try:
+            self.replica.apply(message.change)
+        except AcaciapierError as error:
+            _log_failure("a rumour", error)
         self._note(message.change.number)
 
     def _take_number(self, message: NumberRumour) -> None:
@@ -240,3 +244,10 @@
     async def _sleep(self, interval_ms: float) -> None:
         """Sleep for about the interval, so that instances do not fall in step."""
         await trio.sleep(to_s(interval_ms * self._random.uniform(0.8, 1.1)))
+
+
+def _log_failure(source: str, error: Exception) -> None:
+    """Log a failure; silence is ordinary, an unreadable answer is not."""
+    is_silence = isinstance(error, StoreUnavailable | PeerUnavailable)
+    level = logbook.DEBUG if is_silence else logbook.ERROR
+    log.log(level, "no configuration from {}: {}", source, error)
--- a/src/acaciapier/configuration/watcher.py
+++ b/src/acaciapier/configuration/watcher.py
@@ -77,6 +77,9 @@
     async def watch(self) -> bool:
         """Wait a bounded time for the next change of the head.
 
+        Silence confirms the head that was read before, unless the replica holds
+        more: then the store answers from an older copy.
+
         Returns
         -------
         bool
@@ -97,7 +100,7 @@
         for stored in found:
             await self._take_in(stored, answered_s)
         self._revision = max(self._revision, answer.revision)
-        if not found:
+        if not found and self._head_number >= self._replica.number:
             age_ms = max(0.0, self._age_ms(asked_s) - WATCH_WAIT_MS)
             self._replica.confirm(self._head_number, age_ms)
         return not found or self._head_number > before
--- a/src/acaciapier/objects/__init__.py
+++ b/src/acaciapier/objects/__init__.py
@@ -2,6 +2,7 @@
 
 from .bundle import (
     MODELS,
+    UnreadableObject,
     load_bundle,
     parse_object,
     parse_objects,
@@ -35,6 +36,7 @@
     "Stage",
     "StageKind",
     "TargetPool",
+    "UnreadableObject",
     "Workspace",
     "check_objects",
     "critical_path_ms",
--- a/src/acaciapier/objects/bundle.py
+++ b/src/acaciapier/objects/bundle.py
@@ -8,9 +8,15 @@
 from pydantic import ValidationError
 
 from ..core.findings import Findings
+from ..exceptions import AcaciapierError
 from .checks import check_objects, place_of
 from .models import DeclaredObject, Pipeline, RouteRule, TargetPool, Workspace
 
+
+class UnreadableObject(AcaciapierError):
+    """An accepted object that this release cannot read."""
+
+
 MODELS = {
     "pipeline": Pipeline,
     "route": RouteRule,
@@ -115,8 +121,20 @@
 
     Keys that this release does not know are ignored, so that instances of two
     releases can run side by side during an upgrade.
+
+    Raises
+    ------
+    UnreadableObject
+        If the kind or a value is unknown to this release.
     """
-    return MODELS[value["kind"]].model_validate(value, extra="ignore")
+    model = MODELS.get(value.get("kind"))
+    if model is None:
+        raise UnreadableObject(f"kind {value.get('kind')} is unknown here")
+    try:
+        return model.model_validate(value, extra="ignore")
+    except ValidationError as error:
+        place = place_of(value["kind"], str(value.get("name")))
+        raise UnreadableObject(f"{place} cannot be read here: {error}") from error
 
 
 def stored_value(one: DeclaredObject) -> dict[str, Any]:
--- a/tests/configuration/test_admin.py
+++ b/tests/configuration/test_admin.py
@@ -176,6 +176,20 @@
             assert (await client.call("POST", "/v1/releases", body))[0] == expected
 
 
+async def test_objects_and_status_are_shown_while_the_store_is_down():
+    store = FakeStore()
+    async with serving(store) as client:
+        store.is_down = True
+        assert (await client.call("GET", "/v1/objects"))[0] == 503
+        store.is_down = False
+        await client.change("p1", replace(0, pool_value("a", 1)))
+        store.is_down = True
+        status, listed = await client.call("GET", "/v1/objects")
+        assert (status, listed["from_store"], len(listed["objects"])) == (200, False, 1)
+        _, found = await client.call("GET", "/v1/status")
+        assert found["number"] == 3
+
+
 async def test_calls_over_the_rate_are_refused():
     async with serving(FakeStore()) as client:
         statuses = [
--- a/tests/configuration/test_distribution.py
+++ b/tests/configuration/test_distribution.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
 import pytest
 import trio
 
@@ -13,6 +14,7 @@
 from acaciapier.configuration.requests import RequestedChange, RequestedEdit
 from acaciapier.core.clock import TrioClock
 from acaciapier.exceptions import PeerUnavailable, StoreUnavailable
+from acaciapier.objects import Change, Edit
 from configuration.fakes import FakeStore, pool_value
 
 A = ObjectKey("pool", "a")
@@ -208,3 +210,34 @@
     await start(fleet, nursery)
     replica = fleet.nodes["i0"].replica
     assert (replica.freshness, replica.number) == (Freshness.UNKNOWN, 0)
+
+
+async def test_an_older_copy_of_the_store_confirms_nothing(autojump_clock, nursery):
+    fleet = FakeFleet(1)
+    await fleet.accept(0)
+    await start(fleet, nursery)
+    replica = fleet.nodes["i0"].replica
+    assert replica.freshness is Freshness.CURRENT
+    edit = Edit("pool", "a", 1, 2, pool_value("a", 2))
+    replica.apply(Change(2, "p", "op", 0, "f", (edit,)))
+    await trio.sleep(PROMISE_S + 3)
+    assert (replica.number, replica.freshness) == (2, Freshness.STALE)
+
+
+async def test_a_change_of_a_newer_release_holds_an_older_one_back_visibly(
+    autojump_clock, nursery
+):
+    fleet = FakeFleet(3)
+    await fleet.accept(0)
+    await start(fleet, nursery)
+    unknown = Edit("novelty", "n", 0, 1, {"kind": "novelty", "name": "n"})
+    change = Change(2, "p", "op", 0, "f", (unknown,))
+    head = msgspec.structs.replace(
+        fleet.log.head, number=2, recent=(*fleet.log.head.recent, change)
+    )
+    version = fleet.store.objects["configuration", "head"].version
+    fleet.store.write("configuration", "head", msgspec.to_builtins(head), version)
+    await trio.sleep(PROMISE_S + 3)
+    for node in fleet.nodes.values():
+        assert (node.replica.number, node.replica.highest_number) == (1, 2)
+        assert node.replica.freshness is Freshness.STALE
