Ask a target again that cuts the connection of the question whether it has crashed

Cause: a target that dies while its load is asked for answered with a cut connection, which counted as alive, so its crash was no strike. Ruled out: a second copy in flight (one caller), a slow rumour (one instance ran both attempts). A test shows it failing first.

--- a/src/acaciapier/targets/http.py
+++ b/src/acaciapier/targets/http.py
@@ -16,6 +16,8 @@
 
 CONNECT_TIMEOUT_MS = 500
 PROBE_TIMEOUT_MS = 300
+MAX_CUT_PROBES = 4
+CUT_PROBE_PAUSE_MS = 20.0
 KEEPALIVE_EXPIRY_S = 4.0
 MAX_CONNECTIONS_PER_TARGET = 512
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -118,12 +120,17 @@
     async def has_crashed(self, target: TargetView) -> bool:
         """Tell whether the target's process is gone or has been started anew.
 
-        A target that does not answer in time counts as alive: it may be slow.
+        A target that does not answer in time counts as alive: it may be slow. One
+        that cuts the connection is asked again over a new one.
         """
-        word = await self.probe(target)
-        if isinstance(word, TargetBody):
-            return word.incarnation != target.incarnation
-        return word.outcome is CallOutcome.CRASHED
+        for _ in range(MAX_CUT_PROBES):
+            word = await self.probe(target)
+            if isinstance(word, TargetBody):
+                return word.incarnation != target.incarnation
+            if word.outcome is not CallOutcome.FAILED:
+                return word.outcome is CallOutcome.CRASHED
+            await trio.sleep(to_s(CUT_PROBE_PAUSE_MS))
+        return False
 
     async def probe(self, target: TargetView) -> TargetBody | CallAnswer:
         """Ask a target for its load."""
