--- a/tests/path/path_helpers.py
+++ b/tests/path/path_helpers.py
@@ -70,16 +70,16 @@
     def urls(self):
         return [entry.url for entry in self.entries]
 
-    def session(self, token=TOKEN, entry=None):
+    def session(self, token=TOKEN, entry=None, ssl_context=None):
         urls = self.urls if entry is None else [self.urls[entry]]
-        return Session(urls, token, rng=random.Random(1))
+        return Session(urls, token, ssl_context, rng=random.Random(1))
 
     def book(self, name):
         return self.standins[name].standin.report()
 
 
 @asynccontextmanager
-async def open_world(entries=1, engine=None):
+async def open_world(entries=1, engine=None, tls=None):
     """Run stand-ins of all kinds and some entry instances."""
     async with trio.open_nursery() as nursery:
         world = World([], {}, [])
@@ -94,7 +94,7 @@
             world.standins[settings.id] = bound
         await seed_configuration(world.standins["store"].url, BUNDLE)
         for number in range(1, entries + 1):
-            await _start_entry(world, nursery, number)
+            await _start_entry(world, nursery, number, tls)
         await _wait_for_targets(world)
         yield world
         for app in world.apps:
@@ -117,11 +117,12 @@
     ]
 
 
-async def _start_entry(world, nursery, number):
+async def _start_entry(world, nursery, number, tls):
     settings = EntrySettings.model_validate(
         {
             "instance": {"id": f"entry-{number}", "data_centre": "a", "region": "r"},
-            "inner": {"port": free_port()},
+            "listen": {"tls": tls},
+            "inner": {"port": free_port(), "tls": tls},
             "fleet_keys": ["a key of the tests"],
             "platform": {
                 "object_api_url": world.standins["store"].url,
