--- a/src/acaciapier/entry/http.py
+++ b/src/acaciapier/entry/http.py
@@ -207,7 +207,7 @@
         if request.path == "/healthz":
             await send_json(send, 200, {"status": "alive"})
         elif request.path == "/readyz":
-            ready = not self._service.draining
+            ready = self._service.ready
             await send_json(send, 200 if ready else 503, {"ready": ready})
         elif request.path == "/metrics" and self._metrics is not None:
             body = self._metrics.exposition()
--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -81,6 +81,11 @@
         """Whether new requests are refused."""
         return self._stop_requested.is_set()
 
+    @property
+    def ready(self) -> bool:
+        """Whether a balancer should send requests here."""
+        return not self.draining and self._parts.configuration().number > 0
+
     def refuse_new_when(self, stop_requested: trio.Event) -> None:
         """Refuse new requests from the moment that `stop_requested` is set."""
         self._stop_requested = stop_requested
