Keep permits with the engines that load, under kills, pauses and cuts

A run of three controllers that are killed, paused, cut off and lose answers while the configuration changes found three faults, each shown failing first: - three permits of dead holders filled the allowance, and nobody could take them over before permit_ms: some runs did not settle in 600 s. An engine that has a permit now needs no room. - a holder whose renewal lost its answer gave its permit back while the engine was loading, so three of eight loaded where two may. It stays until the engine arrived. - an observer with an older configuration dropped the permit of a newer load. Permits carry their configuration number, and so does each comparison. Engines with a permit count as out of service in the choice, too; holders took and gave back leases once a second while the pool was full.

--- a/src/acaciapier/engines/allowance.py
+++ b/src/acaciapier/engines/allowance.py
@@ -21,12 +21,25 @@
 
 
 class Permit(msgspec.Struct, frozen=True):
-    """Leave of one engine to load; `fencing_number` is that of its lease."""
+    """Leave of one engine to load.
+
+    Parameters
+    ----------
+    engine, pool : str
+        The engine and its pool.
+    holder : str
+        Who orders the load.
+    fencing_number : int
+        Fencing number of the engine's lease.
+    configuration_number : int
+        Configuration whose weights are loaded.
+    """
 
     engine: str
     pool: str
     holder: str
     fencing_number: int
+    configuration_number: int
 
 
 class AllowanceBody(msgspec.Struct, frozen=True):
@@ -109,17 +122,21 @@
         return AllowanceBody((*others, permit))
 
     def without_arrived(
-        self, body: AllowanceBody, arrived: Collection[str]
+        self, body: AllowanceBody, arrived: Collection[str], configuration_number: int
     ) -> AllowanceBody:
         """Return the value without old permits of engines that have arrived.
 
-        A young permit stays, since its order may not have reached the engine yet.
+        A young permit stays, since its order may not have reached the engine yet, and
+        so does one for a newer configuration than `configuration_number`, which is
+        the one that the engines were compared with.
         """
         limit_s = self._clock.monotonic_s() - to_s(self._limits.lease_ms)
         kept = (
             one
             for one in body.permits
-            if one.engine not in arrived or self._seen_s.get(one, limit_s) > limit_s
+            if one.engine not in arrived
+            or one.configuration_number > configuration_number
+            or self._seen_s.get(one, limit_s) > limit_s
         )
         return AllowanceBody(tuple(kept))
 
--- a/src/acaciapier/engines/controller.py
+++ b/src/acaciapier/engines/controller.py
@@ -118,7 +118,11 @@
             nursery.start_soon(self._converge, watch)
 
     async def _choose_loads(self, due: list[EngineWatch]) -> list[EngineWatch]:
-        """Return the engines that start to load now."""
+        """Return the engines that start to load now.
+
+        An engine that has a permit already needs no room: its holder may be dead, and
+        then its permit passes to whoever takes the lease over.
+        """
         try:
             read = await self._objects.read_allowance()
         except StoreUnavailable as problem:
@@ -126,12 +130,15 @@
             return []
         self._allowance.observe(read.body)
         body = await self._drop_arrived(read)
+        permitted = {permit.engine for permit in body.permits}
+        chosen = [watch for watch in due if watch.record.id in permitted]
+        due = [watch for watch in due if watch.record.id not in permitted]
         room = self._allowance.fleet_room(body)
-        chosen: list[EngineWatch] = []
         for pool in sorted({watch.record.pool for watch in due}):
-            picked = self._choose_in_pool(pool, due, room - len(chosen), body)
+            picked = self._choose_in_pool(pool, due, room, body)
             if picked and self._pacer.admits(len(picked), self._observer.holders):
                 chosen += picked
+                room -= len(picked)
         return chosen
 
     def _choose_in_pool(
@@ -139,12 +146,12 @@
     ) -> list[EngineWatch]:
         watches = self._observer.watches
         due_ids = {watch.record.id for watch in due}
+        loading = self._allowance.loading(body, pool)
         statuses = [
-            EngineStatus(key, key in due_ids, watch.in_service)
+            EngineStatus(key, key in due_ids, watch.in_service and key not in loading)
             for key, watch in watches.items()
             if watch.record.pool == pool
         ]
-        loading = self._allowance.loading(body, pool)
         size = self._observer.situation(pool).size
         most = most_out_of_service(size, self._limits.pool_share_percent)
         chosen = choose_by_cap(statuses, room, most - len(loading - set(watches)))
@@ -152,14 +159,9 @@
 
     async def _drop_arrived(self, read: ReadAllowance) -> AllowanceBody:
         """Drop the permits that holders left behind; returns what is left."""
-        arrived = {
-            key
-            for key, watch in self._observer.watches.items()
-            if watch.state is not None
-            and watch.differs_since_s is None
-            and key not in self._busy
-        }
-        rest = self._allowance.without_arrived(read.body, arrived)
+        number = self._context.pools().configuration_number
+        arrived = self._observer.arrived(number) - self._busy
+        rest = self._allowance.without_arrived(read.body, arrived, number)
         if rest == read.body:
             return rest
         try:
--- a/src/acaciapier/engines/convergence.py
+++ b/src/acaciapier/engines/convergence.py
@@ -9,7 +9,7 @@
 from ..core.clock import Clock, to_s
 from ..exceptions import StoreUnavailable, VersionConflict
 from ..observability import get_logger
-from .allowance import LoadAllowance, Permit, PoolSituation
+from .allowance import AllowanceBody, LoadAllowance, Permit, PoolSituation
 from .client import Engines
 from .leases import LeaseAction, LeaseKeeper, LeaseStep
 from .models import (
@@ -74,6 +74,7 @@
         self._engine = engine
         self._keeper = keeper
         self._has_permit = False
+        self._may_load = False
 
     async def run(self) -> ConvergenceResult:
         """Take the lease, order the wanted state and read it back until it is so."""
@@ -102,10 +103,11 @@
                 return ConvergenceResult.HELD_BY_OTHER
             state = await self._context.engines.read_state(self._engine)
             if ordered == wanted and state is not None and state.matches(wanted):
+                self._may_load = False
                 return ConvergenceResult.REACHED
             if ordered != wanted or (state and state.needs_load(wanted)):
                 if state is None or state.needs_load(wanted):
-                    if not await self._take_permit(step.fencing_number):
+                    if not await self._take_permit(pools, step.fencing_number):
                         return ConvergenceResult.NO_PERMIT
                 answer = await self._order(pools, step.fencing_number, wanted)
                 if answer is OrderStatus.STALE:
@@ -117,6 +119,7 @@
     async def _order(
         self, pools: WantedPools, fencing_number: int, wanted: Wanted
     ) -> OrderStatus:
+        self._may_load = self._has_permit
         answer = await self._context.engines.order(self._engine, fencing_number, wanted)
         if answer.status is OrderStatus.STALE:
             log.warning(
@@ -156,16 +159,20 @@
         else:
             self._keeper.take_written(version, step.body)
 
-    async def _take_permit(self, fencing_number: int) -> bool:
+    async def _take_permit(self, pools: WantedPools, fencing_number: int) -> bool:
         """Add this engine to the loads in progress; False if there is no room."""
         context = self._context
         permit = Permit(
-            self._engine.id, self._engine.pool, context.holder.name, fencing_number
+            self._engine.id,
+            self._engine.pool,
+            context.holder.name,
+            fencing_number,
+            pools.configuration_number,
         )
         for _ in range(MAX_CONFLICTS):
             read = await context.objects.read_allowance()
             context.allowance.observe(read.body)
-            if self._has_permit and _holds(read.body, self._engine.id):
+            if self._has_permit and _holds(read.body, permit):
                 return True
             pool = context.situation(self._engine.pool)
             granted = context.allowance.grant(read.body, pool, permit)
@@ -180,9 +187,13 @@
         return False
 
     async def _give_up_rights(self) -> None:
-        """Give the permit and the lease back; what fails here ends by its age."""
+        """Give the permit and the lease back; what fails here ends by its age.
+
+        An engine that may still load keeps its permit, which then passes to the next
+        holder or ends when the engine has arrived.
+        """
         try:
-            if self._has_permit:
+            if self._has_permit and not self._may_load:
                 await self._return_permit()
             step = self._keeper.release_step()
             if step.action is LeaseAction.WRITE:
@@ -204,5 +215,9 @@
                 continue
 
 
-def _holds(body, engine: str) -> bool:
-    return any(one.engine == engine for one in body.permits)
+def _holds(body: AllowanceBody, permit: Permit) -> bool:
+    return any(
+        one.engine == permit.engine
+        and one.configuration_number >= permit.configuration_number
+        for one in body.permits
+    )
--- a/src/acaciapier/engines/observer.py
+++ b/src/acaciapier/engines/observer.py
@@ -20,12 +20,29 @@
 
 @dataclass
 class EngineWatch:
-    """What this holder knows about one engine."""
+    """What this holder knows about one engine.
+
+    Parameters
+    ----------
+    record : EngineRecord
+        The engine.
+    rank : int
+        How many holders come before this one.
+    state : EngineState or None
+        What it reported; None if it could not be reached.
+    polled : bool
+        Whether it was asked yet.
+    compared_with : int
+        Configuration number that the state was compared with.
+    differs_since_s : float or None
+        When it was first seen to differ from that configuration.
+    """
 
     record: EngineRecord
     rank: int
     state: EngineState | None = None
     polled: bool = False
+    compared_with: int = 0
     differs_since_s: float | None = None
 
     @property
@@ -106,6 +123,16 @@
         delay_s = watch.rank * RANK_DELAY_POLLS * to_s(self._limits.poll_ms)
         return self._clock.monotonic_s() - watch.differs_since_s >= delay_s
 
+    def arrived(self, configuration_number: int) -> set[TargetId]:
+        """Return the engines that were seen to run what that configuration wants."""
+        return {
+            key
+            for key, watch in self.watches.items()
+            if watch.state is not None
+            and watch.differs_since_s is None
+            and watch.compared_with == configuration_number
+        }
+
     def needs_load(self, watch: EngineWatch) -> bool:
         """Return whether an engine needs other weights than it has in memory."""
         wanted = self._pools().wanted_for(watch.record.pool)
@@ -140,7 +167,9 @@
         async with limiter:
             watch.state = await self._engines.read_state(watch.record)
         watch.polled = True
-        wanted = self._pools().wanted_for(watch.record.pool)
+        pools = self._pools()
+        watch.compared_with = pools.configuration_number
+        wanted = pools.wanted_for(watch.record.pool)
         if wanted is None or watch.state is None or watch.state.matches(wanted):
             watch.differs_since_s = None
         elif watch.differs_since_s is None:
--- a/tests/engines/fakes.py
+++ b/tests/engines/fakes.py
@@ -68,6 +68,7 @@
         self.checks = checks
         self.reachable = True
         self.numbers = []
+        self.versions = []
         self.loads = 0
         self.loaded_at_s = float("-inf")
 
@@ -82,6 +83,7 @@
         if self.checks and self.numbers and number < max(self.numbers):
             return OrderAnswer(OrderStatus.STALE, max(self.numbers))
         self.numbers.append(number)
+        self.versions.append(wanted.model_version)
         if self.state.needs_load(wanted):
             self.loads += 1
             self.loaded_at_s = trio.current_time() + self.load_s
--- a/tests/engines/test_allowance.py
+++ b/tests/engines/test_allowance.py
@@ -22,7 +22,7 @@
 
 
 def permit(engine, holder="a.1", pool="writers"):
-    return Permit(engine, pool, holder, 1)
+    return Permit(engine, pool, holder, 1, 1)
 
 
 def test_limits_of_fleet_and_pool_and_the_stagger():
@@ -48,9 +48,10 @@
     allowance.observe(body)
     taken = allowance.grant(body, POOL, permit("e1", "b.1"))
     assert [one.holder for one in taken.permits] == ["a.1", "a.1", "b.1"]
-    assert allowance.without_arrived(body, {"e1"}) == body, "young permits stay"
+    assert allowance.without_arrived(body, {"e1"}, 1) == body, "young permits stay"
     clock.advance(10)
-    assert len(allowance.without_arrived(body, {"e1"}).permits) == 2
+    assert allowance.without_arrived(body, {"e1"}, 0) == body, "a newer one stays"
+    assert len(allowance.without_arrived(body, {"e1"}, 1).permits) == 2
     clock.advance(590)
     assert allowance.fleet_room(body) == 0
     clock.advance(1)
