--- a/src/acaciapier/configuration/__init__.py
+++ b/src/acaciapier/configuration/__init__.py
@@ -1,9 +1,10 @@
 """Accepted configuration: its log, its replicas and its distribution."""
 
+from .answers import Accepted, Unavailable
 from .decisions import Conflict, Rejected, VersionMismatch
 from .history import History, NotKept, ObjectVersion
 from .limits import LogLimits
-from .log import Accepted, ConfigurationLog, HeadCorrupt, Unavailable
+from .log import ConfigurationLog, HeadCorrupt
 from .requests import Delete, Patch, Replace, RequestedChange, RequestedEdit
 from .state import EMPTY_STATE, ConfigurationState, ObjectKey, VersionedObject
 
--- a/src/acaciapier/configuration/archive.py
+++ b/src/acaciapier/configuration/archive.py
@@ -110,6 +110,7 @@
 
     async def delete_block(self, first: int) -> None:
         """Delete a history block that is kept no longer."""
+        self._blocks.pop(first, None)
         found = await self._store.get(ARCHIVE_KIND, block_name(first), purpose=PURPOSE)
         if found is not None:
             await self._delete(found.name, found.version)
--- a/src/acaciapier/configuration/log.py
+++ b/src/acaciapier/configuration/log.py
@@ -1,6 +1,5 @@
 """The log of accepted changes: one order, kept by conditional updates alone."""
 
-from dataclasses import dataclass
 from random import Random
 
 import msgspec
@@ -10,22 +9,17 @@
 from ..core.clock import Clock, epoch_ms, to_s
 from ..exceptions import AcaciapierError, StoreUnavailable, VersionConflict
 from ..objects import Change
+from .answers import Accepted, Attempt, Refusal, accepted_of
 from .archive import Archive, ArchiveGap
 from .catchup import catch_up
-from .decisions import Conflict, PatchRecord, Rejected, decide, record_of
+from .decisions import PatchRecord, decide, record_of
 from .interfaces import PURPOSE, Store
 from .ledger import Ledger
 from .limits import LogLimits
-from .records import (
-    HEAD_KIND,
-    HEAD_NAME,
-    Block,
-    Head,
-    from_value,
-    to_value,
-)
+from .records import HEAD_KIND, HEAD_NAME, Head, from_value, to_value
 from .requests import RequestedChange
-from .state import ConfigurationState, ObjectKey
+from .state import ConfigurationState
+from .trimming import HeadTrimmer
 
 MAX_ATTEMPTS = 12
 MAX_GAP_READS = 4
@@ -34,44 +28,6 @@
 DEFAULT_TIMEOUT_MS = 5_000.0
 
 
-@dataclass(frozen=True)
-class Accepted:
-    """The change is in the order, exactly once.
-
-    Parameters
-    ----------
-    number : int
-        Its place.
-    versions : tuple of (ObjectKey, int)
-        New version of each edited object.
-    resent : bool
-        Whether it had been accepted before this call.
-    """
-
-    number: int
-    versions: tuple[tuple[ObjectKey, int], ...]
-    resent: bool
-
-
-@dataclass(frozen=True)
-class Unavailable:
-    """The store did not answer.
-
-    Parameters
-    ----------
-    may_have_landed : bool
-        Whether the change may be in the order; send it again with the same id.
-    at_least_number : int
-        What to name in the resend, so that an older copy cannot refuse it.
-    """
-
-    may_have_landed: bool
-    at_least_number: int
-
-
-Refusal = Conflict | Rejected | Unavailable
-
-
 class HeadCorrupt(AcaciapierError):
     """The head in the object API has a shape that cannot be read."""
 
@@ -108,11 +64,10 @@
         self._store = store
         self._clock = clock
         self._random = random
-        self._limits = limits
         self._ledger = Ledger(limits)
+        self._trimmer = HeadTrimmer(self.archive, self._ledger, limits)
         self._head = Head()
         self._head_version = 0
-        self._starts_of_snapshot: tuple[str, tuple[int, ...]] | None = None
         self._lock = trio.Lock()
 
     @property
@@ -145,7 +100,7 @@
         An answer other than `Unavailable` is final: an accepted change stays in
         the order for good, and a refused one is not in it.
         """
-        attempt = _Attempt(request)
+        attempt = Attempt(request)
         with trio.move_on_after(to_s(timeout_ms)):
             async with self._lock:
                 return await self._submit(attempt)
@@ -153,10 +108,9 @@
 
     async def block_starts(self) -> tuple[int, ...]:
         """Return the first numbers of all kept history blocks, oldest first."""
-        starts = await self._snapshot_starts()
-        return starts + tuple(ref.first for ref in self._head.blocks)
+        return await self._trimmer.block_starts(self._head)
 
-    async def _submit(self, attempt: "_Attempt") -> Result[Accepted, Refusal]:
+    async def _submit(self, attempt: Attempt) -> Result[Accepted, Refusal]:
         for turn in range(MAX_ATTEMPTS):
             try:
                 answer = await self._try_once(attempt)
@@ -167,7 +121,7 @@
                 return answer
         return Err(attempt.unavailable(self.state.number))
 
-    async def _try_once(self, attempt: "_Attempt") -> Result[Accepted, Refusal] | None:
+    async def _try_once(self, attempt: Attempt) -> Result[Accepted, Refusal] | None:
         """Decide and update the head once; return None to try again."""
         if attempt.needs_refresh or self.state.number < attempt.at_least_number:
             await self._refresh()
@@ -182,14 +136,14 @@
             attempt.needs_refresh = True
             return None
         if isinstance(decision.ok_value, PatchRecord):
-            return Ok(_accepted(request, decision.ok_value, attempt.is_resend))
+            return Ok(accepted_of(request, decision.ok_value, attempt.is_resend))
         return await self._append(attempt, decision.ok_value)
 
     async def _append(
-        self, attempt: "_Attempt", change: Change
+        self, attempt: Attempt, change: Change
     ) -> Result[Accepted, Refusal] | None:
         attempt.needs_refresh = True
-        head = await self._next_head(change)
+        head = await self._trimmer.next_head(self._head, change)
         before = attempt.may_have_landed
         attempt.may_have_landed = attempt.is_sent = True
         attempt.at_least_number = max(attempt.at_least_number, change.number - 1)
@@ -204,7 +158,7 @@
         self._adopt(head, version, change)
         if trimmed:
             await self._clean_up()
-        return Ok(_accepted(attempt.request, record_of(change), False))
+        return Ok(accepted_of(attempt.request, record_of(change), False))
 
     async def _put_head(self, head: Head) -> int:
         return await self._store.put(
@@ -231,69 +185,14 @@
             return
         raise StoreUnavailable("the configuration's archive is behind its head")
 
-    async def _next_head(self, change: Change) -> Head:
-        """Return the head with `change`, trimmed first if it has grown."""
-        head = self._head
-        if self._is_full(head):
-            head = await self._trimmed(head)
-        return msgspec.structs.replace(
-            head, number=change.number, recent=(*head.recent, change)
-        )
-
-    def _is_full(self, head: Head) -> bool:
-        waiting = head.unarchived
-        size_bytes = sum(one.encoded_bytes for one in waiting)
-        return (
-            len(waiting) >= self._limits.block_changes
-            or size_bytes > self._limits.block_bytes
-        )
-
-    async def _trimmed(self, head: Head) -> Head:
-        """Write what leaves the head, then return the head without it."""
-        ref = await self.archive.write_block(Block(head.unarchived))
-        is_due = ref.last - head.snapshot.number >= self._limits.snapshot_changes
-        is_whole = ref.last == head.number
-        head = msgspec.structs.replace(head, blocks=(*head.blocks, ref))
-        if is_due and is_whole:
-            head = await self._with_snapshot(head)
-        kept = self._kept_changes(head)
-        return msgspec.structs.replace(head, recent=kept)
-
-    async def _with_snapshot(self, head: Head) -> Head:
-        starts = await self._snapshot_starts()
-        starts += tuple(ref.first for ref in head.blocks)
-        starts = starts[-self._limits.kept_blocks :]
-        ref = await self.archive.write_snapshot(self._ledger.to_parts(starts))
-        self._starts_of_snapshot = (ref.names[0], starts)
-        return msgspec.structs.replace(head, snapshot=ref, blocks=())
-
-    def _kept_changes(self, head: Head) -> tuple[Change, ...]:
-        """Return the unarchived changes and a bounded number before them."""
-        kept = list(head.unarchived)
-        size_bytes = 0
-        for change in reversed(head.recent):
-            if change.number > head.archived_number:
-                continue
-            size_bytes += change.encoded_bytes
-            enough = len(kept) >= self._limits.kept_changes
-            if enough or size_bytes > self._limits.kept_bytes:
-                break
-            kept.insert(0, change)
-        return tuple(kept)
-
-    async def _snapshot_starts(self) -> tuple[int, ...]:
-        names = self._head.snapshot.names
-        if not names:
-            return ()
-        known = self._starts_of_snapshot
-        if known is None or known[0] != names[0]:
-            parts = await self.archive.read_snapshot(self._head.snapshot)
-            known = self._starts_of_snapshot = (names[0], parts[0].block_starts)
-        return known[1]
-
     async def _clean_up(self) -> None:
-        """Delete old snapshots; what is left over goes with the next one."""
+        """Delete old snapshots and blocks, as far as the store answers.
+
+        Snapshots that are left over go with the next one.
+        """
         try:
+            for first in self._trimmer.dropped_starts:
+                await self.archive.delete_block(first)
             await self.archive.delete_old_snapshots(self._head)
         except StoreUnavailable:
             return
@@ -303,30 +202,6 @@
         await trio.sleep(to_s(pause_ms * self._random.uniform(0.5, 1.0)))
 
 
-class _Attempt:
-    """What is known of one submitted change while it is under way."""
-
-    def __init__(self, request: RequestedChange):
-        self.request = request
-        self.at_least_number = request.at_least_number
-        self.needs_refresh = False
-        self.is_sent = False
-        self.may_have_landed = False
-
-    @property
-    def is_resend(self) -> bool:
-        return not self.is_sent
-
-    def unavailable(self, number: int) -> Unavailable:
-        return Unavailable(self.may_have_landed, max(number, self.at_least_number))
-
-
-def _accepted(request: RequestedChange, record: PatchRecord, resent: bool) -> Accepted:
-    keys = [edit.key for edit in request.edits]
-    versions = tuple(zip(keys, record.new_versions, strict=True))
-    return Accepted(record.number, versions, resent)
-
-
 def _read_head(value) -> Head:
     try:
         return from_value(value, Head)
--- a/tests/configuration/test_log.py
+++ b/tests/configuration/test_log.py
@@ -1,5 +1,6 @@
 """Tests of the log of accepted changes against a store with faults."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -184,6 +185,18 @@
     ]  # fmt: skip
 
 
+async def test_history_blocks_that_are_kept_no_longer_are_deleted():
+    store = FakeStore()
+    limits = replace(SMALL, kept_blocks=2)
+    log = log_on(store, limits=limits)
+    await submit_many(log, 60)
+    blocks = [name for _, name in store.objects if name.startswith("block.")]
+    assert sorted(blocks) == [f"block.{n:012d}" for n in await log.block_starts()]
+    assert len(blocks) <= 2 + SMALL.snapshot_changes // SMALL.block_changes
+    changes = await History(log).changes(None, 99)
+    assert 6 <= len(changes) < 60
+
+
 async def test_history_and_undo_reach_back_through_blocks():
     log = log_on(FakeStore())
     await submit_many(log, 20)
