--- /dev/null
+++ b/src/acaciapier_bench/configuration/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the measurement of the configuration on its own."""
+
+import cappa
+
+from .command import ConfigurationCommand
+
+cappa.invoke(ConfigurationCommand)
