--- a/src/acaciapier/admin/operations.py
+++ b/src/acaciapier/admin/operations.py
@@ -47,8 +47,9 @@
         """Return the newest known number and who runs which; works in an outage."""
         status = _wired(self._controls.status, "status")
         instances = tuple(await status.instances())
-        numbers = [one.configuration_number for one in instances]
-        return StatusBody(max(self._log.state.number, *numbers, 0), instances)
+        known = [one.configuration_number for one in instances]
+        newest = max([self._log.state.number, *known])
+        return StatusBody(newest, instances)
 
     async def costs(self, call: Call) -> CostsBody:
         """Return costs by workspace, pipeline and stage."""
