Wait in a drain until callers have been sent their final events

Found by a failed run of the test of the graceful stop on a busy machine: a drain ended once no run was left, while the last answer was still being sent. Drains now count callers' exchanges; a test shows it failing first.

--- a/src/acaciapier/entry/http.py
+++ b/src/acaciapier/entry/http.py
@@ -96,7 +96,8 @@
             message = "the request has no valid workspace token"
             await _send_refusal(send, refusal(Cause.UNAUTHENTICATED, message))
             return
-        await self._serve_requests(request, workspace, receive, send)
+        with self._service.exchange():
+            await self._serve_requests(request, workspace, receive, send)
 
     async def _serve_requests(self, request, workspace, receive, send) -> None:
         request_id = RequestId(request.path.removeprefix(REQUESTS_PATH).lstrip("/"))
--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -2,7 +2,8 @@
 
 import random
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -71,6 +72,7 @@
         self._parts = parts
         self._nursery = nursery
         self._stop_requested = trio.Event()
+        self._open_exchanges = 0
         settings = parts.settings
         self.records = RecordTable(
             parts.clock, settings.keep_ended_ms, settings.keep_ended_claimed_ms
@@ -90,6 +92,15 @@
         """Refuse new requests from the moment that `stop_requested` is set."""
         self._stop_requested = stop_requested
 
+    @contextmanager
+    def exchange(self) -> Iterator[None]:
+        """Count a caller's exchange, so that a drain waits for its end."""
+        self._open_exchanges += 1
+        try:
+            yield
+        finally:
+            self._open_exchanges -= 1
+
     def submit(self, request: CallerRequest) -> RunRecord | FinalEvent:
         """Start a request or join its present run.
 
@@ -160,7 +171,7 @@
             record.cancel_scope.cancel()
 
     def _is_busy(self) -> bool:
-        return len(self.records) > 0
+        return len(self.records) > 0 or self._open_exchanges > 0
 
     def _refuse(
         self, request: CallerRequest, pipeline: Pipeline | None
--- /dev/null
+++ b/tests/path/test_drain.py
@@ -0,0 +1,70 @@
+"""Tests of draining an entry instance."""
+
+import random
+
+import pytest
+import trio
+
+from acaciapier.configuration import EMPTY_STATE
+from acaciapier.core.clock import TrioClock
+from acaciapier.core.ids import PipelineName, RequestId, RunId, WorkspaceId
+from acaciapier.entry.records import RecordKey
+from acaciapier.entry.service import RequestService, ServiceParts
+from acaciapier.pipeline import CallerRequest, FinalEvent, RunIdentity, RunRecord
+from acaciapier.settings.models import PathSettings
+
+KEY = RecordKey(WorkspaceId("sales"), RequestId("r-1"))
+
+
+@pytest.fixture
+async def service(nursery):
+    parts = ServiceParts(
+        executor=None,
+        resumer=None,
+        configuration=lambda: EMPTY_STATE,
+        claimed=None,
+        metrics=None,
+        clock=TrioClock(),
+        random=random.Random(1),
+        settings=PathSettings(),
+    )
+    return RequestService(parts, nursery)
+
+
+def open_record(service):
+    request = CallerRequest(KEY.workspace, KEY.request_id, PipelineName("p"), None, 9)
+    identity = RunIdentity(KEY.request_id, RunId("run-1"), 1)
+    record = RunRecord(request, identity, TrioClock())
+    service.records.add(KEY, record)
+    return record
+
+
+async def test_drain_waits_until_the_final_event_was_read(
+    autojump_clock, service, nursery
+):
+    record = open_record(service)
+    drained = trio.Event()
+
+    async def drain():
+        await service.drain(60_000)
+        drained.set()
+
+    with service.exchange():
+        nursery.start_soon(drain)
+        await trio.sleep(1)
+        record.finish(FinalEvent(outcome="done"))
+        service.records.end(KEY, keep=True)
+        await trio.sleep(1)
+        assert not drained.is_set()
+    await trio.sleep(1)
+    assert drained.is_set()
+
+
+async def test_drain_ends_at_its_limit_and_cancels_what_still_runs(
+    autojump_clock, service
+):
+    record = open_record(service)
+    started_s = trio.current_time()
+    await service.drain(3_000)
+    assert trio.current_time() - started_s == pytest.approx(3.0)
+    assert record.cancel_scope.cancel_called
