--- a/src/acaciapier_bench/policy/measure.py
+++ b/src/acaciapier_bench/policy/measure.py
@@ -178,7 +178,7 @@
                 if request_id in self._used:
                     useful[stage] += spent_ms
         extra = self._fleet.granted
-        first = max(calls - extra["retries"] - extra["hedges"], 1)
+        first = max(len(distinct), 1)
         runs = {request_id for request_id, _ in distinct}
         self.result.calls_per_request = calls / max(len(runs), 1)
         self.result.retry_share = extra["retries"] / first
