--- a/src/acaciapier/engines/instance.py
+++ b/src/acaciapier/engines/instance.py
@@ -14,7 +14,7 @@
 from ..wire.messages.membership import MemberRecord, TargetRecord
 from .client import HttpEngines
 from .controller import EngineController
-from .models import EngineRecord, Holder, WantedPools
+from .models import ControlLimits, EngineRecord, Holder, WantedPools
 
 ROLE = "controller"
 
@@ -51,6 +51,7 @@
             self.clock,
             self._random,
             Holder(identity.instance_id, identity.incarnation),
+            ControlLimits(pool_share_percent=self.settings.rollout_share_percent),
         )
         nursery.start_soon(controller.run)
         nursery.start_soon(self.node.keep_announced, "", app)
@@ -65,11 +66,15 @@
 
 
 class _ListedEngines:
-    """Live engines and controllers; the same objects until membership changes."""
+    """Live engines and controllers; the same objects until something changes.
+
+    What changes them is the membership, or the pools of the configuration.
+    """
 
     def __init__(self, node: FleetNode):
         self._node = node
         self._live: list[EngineRecord] | None = None
+        self._pools: tuple[str, ...] = ()
         self._controllers: list[str] | None = None
 
     def forget(self, change) -> None:
@@ -79,7 +84,9 @@
 
     def live(self) -> Iterable[EngineRecord]:
         """Return the engines of the pools that generate."""
-        if self._live is None:
+        pools = self._generating_pools()
+        if self._live is None or pools != self._pools:
+            self._pools = pools
             self._live = [_engine(record) for record in self._records()]
         return self._live
 
@@ -91,9 +98,12 @@
         return self._controllers
 
     def _records(self) -> Iterable[TargetRecord]:
-        for pool in self._node.configuration().pools:
-            if pool.serves is StageKind.GENERATE:
-                yield from self._node.membership.targets.usable(PoolName(pool.name))
+        for pool in self._pools:
+            yield from self._node.membership.targets.usable(PoolName(pool))
+
+    def _generating_pools(self) -> tuple[str, ...]:
+        pools = self._node.configuration().pools
+        return tuple(p.name for p in pools if p.serves is StageKind.GENERATE)
 
 
 def _holder(member: MemberRecord) -> str:
--- a/src/acaciapier_bench/deployment.py
+++ b/src/acaciapier_bench/deployment.py
@@ -142,9 +142,9 @@
                     nursery.start_soon(self._start_target, pool, number)
         async with trio.open_nursery() as nursery:
             for number in range(1, plan.entries + 1):
-                nursery.start_soon(self._start_instance, "entry", number)
+                nursery.start_soon(self.start_instance, "entry", number)
             for role in plan.others:
-                nursery.start_soon(self._start_instance, role, 1)
+                nursery.start_soon(self.start_instance, role, 1)
         for member in self.entries:
             await self._wait_until_ready(member)
         if "admin" in plan.others:
@@ -259,7 +259,8 @@
         }
         await self._start_standin(name, pool.kind, settings)
 
-    async def _start_instance(self, role: str, number: int) -> None:
+    async def start_instance(self, role: str, number: int) -> None:
+        """Start an instance of a role and do not wait for it."""
         name = f"{role}-{number}"
         port = free_port()
         settings = {
--- a/tests/engines/test_chaos.py
+++ b/tests/engines/test_chaos.py
@@ -132,7 +132,10 @@
 def fixed_schedule(monkeypatch):
     """Let trio run its tasks in the same order each time."""
     monkeypatch.setattr(_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+    state = _run._r.getstate()
     _run._r.seed(0)
+    yield
+    _run._r.setstate(state)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
