--- a/src/acaciapier_bench/configuration/fleet.py
+++ b/src/acaciapier_bench/configuration/fleet.py
@@ -18,6 +18,13 @@
 
 FLEET_KEY = b"bench-fleet-key-0000"
 STATUS_INTERVAL_S = 0.5
+CONFIGURATION_MESSAGES = (
+    "ChangesQuery",
+    "ChangesAnswer",
+    "StateQuery",
+    "StateAnswer",
+    "RumourBatch",
+)
 
 
 @dataclass
@@ -53,6 +60,15 @@
         sent = sum(counters.sent_bytes.values())
         return sent + sum(counters.received_bytes.values())
 
+    @property
+    def configuration_bytes(self) -> int:
+        """Bytes of the messages that carry configuration."""
+        counters = self.network.counters
+        return sum(
+            counters.sent_bytes[name] + counters.received_bytes[name]
+            for name in CONFIGURATION_MESSAGES
+        )
+
 
 class BenchFleet:
     """Daemons in one process, over loopback, with a stand-in of the object API."""
--- a/src/acaciapier_bench/configuration/measure.py
+++ b/src/acaciapier_bench/configuration/measure.py
@@ -118,6 +118,7 @@
     started_s = trio.current_time()
     calls = sum(sum(_calls_by_verb(one.store).values()) for one in fleet.nodes)
     traffic_bytes = sum(node.traffic_bytes for node in fleet.nodes)
+    own_bytes = sum(node.configuration_bytes for node in fleet.nodes)
     asked_s: dict[int, float] = {}
     for turn in range(changes):
         now_s = trio.current_time()
@@ -133,6 +134,7 @@
     )
     calls = sum(sum(_calls_by_verb(one.store).values()) for one in fleet.nodes) - calls
     traffic_bytes = sum(node.traffic_bytes for node in fleet.nodes) - traffic_bytes
+    own_bytes = sum(node.configuration_bytes for node in fleet.nodes) - own_bytes
     return ForceReport(
         len(fleet.nodes),
         changes,
@@ -142,6 +144,7 @@
         len(fleet.nodes) * changes - len(delays_ms),
         calls / took_s,
         traffic_bytes / took_s / len(fleet.nodes),
+        own_bytes / took_s / len(fleet.nodes),
     )
 
 
--- a/src/acaciapier_bench/configuration/reports.py
+++ b/src/acaciapier_bench/configuration/reports.py
@@ -46,6 +46,8 @@
         Calls of all daemons together.
     control_bytes_per_s : float
         Sent and received by one daemon, with its membership's messages.
+    configuration_bytes_per_s : float
+        The part of it in queries, answers and rumours of the configuration.
     """
 
     instances: int
@@ -56,6 +58,7 @@
     missing: int
     store_calls_per_s: float
     control_bytes_per_s: float
+    configuration_bytes_per_s: float
 
 
 class OutageReport(msgspec.Struct):
