Spread each membership word as one rumour, whoever sends it

A trial of 510 nodes that join within 40 s (4 processes) did not come to rest: after 140 s no node knew the whole fleet and the processes were at 85% of a core. Cause: what a comparison of tables brought was published as one rumour of up to 64 words, different for each sender, so rumours grew with the square of the fleet.

Each word is now a rumour by itself and the same bytes from every sender; of a comparison's news at most 16 are spread, suspected instances first.

--- a/src/acaciapier/membership/membership.py
+++ b/src/acaciapier/membership/membership.py
@@ -39,7 +39,7 @@
 STATUS_PERIOD_S = 5.0
 STATUS_PERIOD_PER_MEMBER_S = 0.05
 JOIN_PEERS = 3
-UPDATE_RECORDS = 64
+MAX_SPREAD_RECORDS = 16
 LEAVE_FLUSH_S = 0.5
 
 log = Logger(__name__)
@@ -271,16 +271,19 @@
         return self._network.identity.instance_id
 
     def _take_synced(self, records: Sequence[MemberRecord]) -> None:
-        """Merge records of a comparison; let suspected instances hear of it."""
+        """Merge records of a comparison, and spread a few that were news.
+
+        Suspected instances come first, as they must hear of it to contradict.
+        """
         news = self.roster.take(records)
-        if len(news) > UPDATE_RECORDS:
-            news = [r for r in news if r.state is MemberState.SUSPECT]
-            self._random.shuffle(news)
-        if news:
-            self._spread(news[:UPDATE_RECORDS])
+        self._random.shuffle(news)
+        news.sort(key=lambda record: record.state is not MemberState.SUSPECT)
+        self._spread(news[:MAX_SPREAD_RECORDS])
 
     def _spread(self, records: Sequence[MemberRecord]) -> None:
-        self.rumours.publish(MemberUpdates(tuple(records)))
+        """Publish each word by itself, so that it is one rumour whoever sends it."""
+        for record in records:
+            self.rumours.publish(MemberUpdates((record,)))
 
     def _note_members(self, records: Sequence[MemberRecord]) -> None:
         if any(self._moved(record) for record in records):
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -1,12 +1,14 @@
 """Tests of whole fleets under kills, freezes, cuts and lags, on a mock clock."""
 
+from collections import Counter
+
 import pytest
 import trio
 
 from acaciapier.membership import member_table
 from acaciapier.membership import membership as membership_module
 from acaciapier.membership import rumours as rumours_module
-from acaciapier.wire.messages.membership import MemberState, TargetState
+from acaciapier.wire.messages.membership import MemberState, MemberUpdates, TargetState
 from membership.support import running_fleet, target, until
 
 TWO_REGIONS = {"a1": ("r1", 4), "a2": ("r1", 3), "b1": ("r2", 4), "b2": ("r2", 3)}
@@ -201,3 +203,20 @@
             ),
             30,
         )
+
+
+async def test_many_joins_spread_each_word_in_one_rumour(autojump_clock):
+    # What a comparison of tables brings must not become rumours that differ by
+    # sender: at full size they would grow with the square of the fleet.
+    async with running_fleet(SMALL) as fleet:
+        words = Counter()
+        listener = fleet.nodes["a1-0"].rumours
+        listener.on_new(MemberUpdates, lambda message: words.update(message.records))
+        fleet.board.loss = 0.5
+        for number in range(20):
+            await fleet.start(f"b1-{number}", "b1", "r2", seeds=["a2-0", "a3-0"])
+        fleet.board.loss = 0.0
+        await until(lambda: fleet.all_see(fleet.nodes), 60)
+        await trio.sleep(30)
+        assert len(words) > 10
+        assert max(words.values()) == 1
