Keep pushes of rumours 200 ms apart

While many join at once, each rumour was pushed by itself 10 ms after it came: 17 joins a second at 510 nodes are 85 messages a second for each node. In a burst, pushes now travel in batches, 5 a second at most; a lone rumour is still pushed after 10 ms.

--- a/src/acaciapier/membership/rumours.py
+++ b/src/acaciapier/membership/rumours.py
@@ -27,6 +27,7 @@
 from .rumour_log import RumourLog
 
 COALESCE_MS = 10.0
+PUSH_GAP_MS = 200.0
 COMPARE_PERIOD_MS = 1_000.0
 COMPARE_TIMEOUT_MS = 1_000.0
 MAX_OUTBOX = 1_024
@@ -141,6 +142,7 @@
             await trio.sleep(to_s(COALESCE_MS))
             self._news = trio.Event()
             self.flush()
+            await trio.sleep(to_s(PUSH_GAP_MS))
 
     async def _compare_often(self) -> None:
         while True:
