--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -4,11 +4,18 @@
 
 import cappa
 
+from .claims import ClaimsCommand
+from .configuration.command import ConfigurationCommand
 from .demo import Demo
+from .fleet import FleetCommand
+from .freeze import FreezeCommand
 from .history.poison import PoisonCommand
 from .history.run import HistoryCommand
+from .instance_list import InstanceListCommand
 from .load import LoadCommand
 from .path_cost import PathCommand
+from .policy.command import Policy
+from .transport import TransportCommand
 
 
 @cappa.command(name="acaciapier-bench")
@@ -17,7 +24,18 @@
     """Experiments on local stand-ins, each a small deployment of its own."""
 
     command: cappa.Subcommands[
-        Demo | HistoryCommand | LoadCommand | PathCommand | PoisonCommand
+        ClaimsCommand
+        | ConfigurationCommand
+        | Demo
+        | FleetCommand
+        | FreezeCommand
+        | HistoryCommand
+        | InstanceListCommand
+        | LoadCommand
+        | PathCommand
+        | Policy
+        | PoisonCommand
+        | TransportCommand
     ]
 
 
