Tell the policy of first parts and service times, and peers of strikes before the caller

Both were known to the executor and not reported, so stragglers among engines were found by whole streams only.

--- a/src/acaciapier/app/strikes.py
+++ b/src/acaciapier/app/strikes.py
@@ -17,6 +17,7 @@
 PUBLISH_INTERVAL_MS = 20.0
 ASK_TIMEOUT_MS = 500.0
 PEERS_ASKED = 3
+MAX_PEERS_TOLD = 64
 
 
 class StrikeSharing:
@@ -42,6 +43,7 @@
         self._membership = membership
         membership.rumours.on_new(Strikes, self._merge)
         network.register(AskStrikes, self._answer)
+        network.register(Strikes, self._hear)
 
     async def run(self) -> None:
         """Ask peers once, then publish what is new, for ever."""
@@ -51,16 +53,30 @@
             await trio.sleep(to_s(PUBLISH_INTERVAL_MS))
 
     def publish_new(self) -> None:
-        """Spread the records made here since the last call."""
+        """Spread the records made here since the last call.
+
+        The members of a small fleet are told directly as well, since suspects
+        wait only for a short time before they run again.
+        """
         records = [_to_record(strike) for strike in self._policy.take_new_strikes()]
         for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
             part = records[start : start + MAX_RECORDS_PER_MESSAGE]
-            self._membership.rumours.publish(Strikes(tuple(part)))
+            self._publish(Strikes(tuple(part)))
 
-    async def _ask_peers(self) -> None:
+    def _publish(self, message: Strikes) -> None:
+        self._membership.rumours.publish(message)
+        peers = self._peers()
+        if len(peers) <= MAX_PEERS_TOLD:
+            for peer in peers:
+                self._network.send_soon(peer, message)
+
+    def _peers(self) -> list[InstanceId]:
         own = self._network.identity.instance_id
-        peers = [one.instance for one in self._membership.members()]
-        for peer in [one for one in peers if one != own][:PEERS_ASKED]:
+        members = self._membership.members()
+        return [one.instance for one in members if one.instance != own]
+
+    async def _ask_peers(self) -> None:
+        for peer in self._peers()[:PEERS_ASKED]:
             try:
                 answer = await self._network.call(peer, AskStrikes(), ASK_TIMEOUT_MS)
             except PeerUnavailable:
@@ -71,6 +87,9 @@
     async def _answer(self, peer: InstanceId, message: AskStrikes) -> AllStrikes:
         return AllStrikes(tuple(map(_to_record, self._policy.strikes())))
 
+    async def _hear(self, peer: InstanceId, message: Strikes) -> None:
+        self._merge(message)
+
     def _merge(self, message: Strikes) -> None:
         self._policy.merge_strikes(_to_strikes(message.records))
 
--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -162,6 +162,7 @@
             random=self._random,
             background=nursery,
             pace=StreamPace(self.clock, self.settings.path.flush_interval_ms),
+            after_crash=self._strikes.publish_new,
         )
 
     def _workspace_of_token(self, token: str) -> WorkspaceId | None:
--- a/src/acaciapier/pipeline/attempts.py
+++ b/src/acaciapier/pipeline/attempts.py
@@ -137,12 +137,19 @@
         except trio.Cancelled:
             await stream.aclose()
             raise
+        self._note_first_part()
         if first is None and stream.answer.outcome is not CallOutcome.DONE:
             await stream.aclose()
             return stream.answer
         self.opened = OpenedStream(self.target, self.envelope, stream, first)
         return CallAnswer(CallOutcome.DONE)
 
+    def _note_first_part(self) -> None:
+        elapsed_s = self._services.clock.monotonic_s() - self._started_s
+        self._services.policy.first_part(
+            self.target.target, self._context.fingerprint, to_ms(elapsed_s)
+        )
+
     async def _confirm_crash(self, answer: CallAnswer) -> CallAnswer:
         if answer.outcome is not CallOutcome.CRASHED:
             return answer
@@ -161,8 +168,11 @@
             outcome=answer.outcome,
             elapsed_ms=to_ms(elapsed_s),
             load=load,
+            service_ms=answer.service_ms or None,
         )
         self._services.policy.ended(report, self._context.fingerprint)
+        if answer.outcome is CallOutcome.CRASHED:
+            self._services.after_crash()
 
     def _in_background(self, action: Callable[[], Awaitable[None]]) -> None:
         try:
--- a/src/acaciapier/pipeline/context.py
+++ b/src/acaciapier/pipeline/context.py
@@ -19,6 +19,10 @@
 from .resume import ResumeTokens
 
 
+def _do_nothing() -> None:
+    """Stand for a hook that nobody set."""
+
+
 @dataclass(frozen=True)
 class ExecutorServices:
     """What all runs of an instance share.
@@ -45,6 +49,9 @@
         Where cancellations of lost attempts run.
     pace : StreamPace
         How often open streams are read.
+    after_crash : callable
+        Called after the policy was told of a crashed target, and before the
+        caller learns of it.
     """
 
     policy: PathPolicy
@@ -57,6 +64,7 @@
     random: random.Random
     background: trio.Nursery
     pace: StreamPace
+    after_crash: Callable[[], None] = _do_nothing
 
 
 @dataclass
