--- a/src/acaciapier/entry/http.py
+++ b/src/acaciapier/entry/http.py
@@ -96,7 +96,8 @@
             message = "the request has no valid workspace token"
             await _send_refusal(send, refusal(Cause.UNAUTHENTICATED, message))
             return
-        await self._serve_requests(request, workspace, receive, send)
+        with self._service.exchange():
+            await self._serve_requests(request, workspace, receive, send)
 
     async def _serve_requests(self, request, workspace, receive, send) -> None:
         request_id = RequestId(request.path.removeprefix(REQUESTS_PATH).lstrip("/"))
@@ -207,7 +208,7 @@
         if request.path == "/healthz":
             await send_json(send, 200, {"status": "alive"})
         elif request.path == "/readyz":
-            ready = not self._service.draining
+            ready = self._service.ready
             await send_json(send, 200 if ready else 503, {"ready": ready})
         elif request.path == "/metrics" and self._metrics is not None:
             body = self._metrics.exposition()
