--- a/tests/engines/test_leases.py
+++ b/tests/engines/test_leases.py
@@ -16,7 +16,7 @@
 WHO = strategies.sampled_from(HOLDERS)
 LIMITS = ControlLimits(lease_ms=10_000, renew_ms=3_000)
 RUN = settings(max_examples=120, stateful_step_count=40)
-RUN_UNTIL_FOUND = settings(RUN, phases=[Phase.generate])
+RUN_UNTIL_FOUND = settings(RUN, phases=[Phase.generate], max_examples=3_000)
 
 
 class LeaseMachine(RuleBasedStateMachine):
