Treat a conflict that cannot be read back as one that may have landed

put_recognised met a conflict, failed to read the object, and said that nothing had landed; the conflict may be with the update's own earlier sending, whose answer was lost.

--- a/src/acaciapier/store/readback.py
+++ b/src/acaciapier/store/readback.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..exceptions import StoreUnavailable, VersionConflict
+from ..exceptions import StoreError, StoreUnavailable, VersionConflict
 from .budget import Purpose
 from .client import ObjectStore
 from .models import StoredObject
@@ -42,10 +42,7 @@
     try:
         return await store.put(kind, name, value, if_version, purpose=purpose)
     except VersionConflict as conflict:
-        present = await store.get(kind, name, purpose=purpose)
-        if present is not None and is_ours(present):
-            return present.version
-        raise conflict
+        return await _read_back(store, kind, name, is_ours, conflict, purpose)
     except StoreUnavailable as lost:
         if not lost.may_have_landed:
             raise
@@ -57,13 +54,20 @@
     kind: str,
     name: str,
     is_ours: Callable[[StoredObject], bool],
-    lost: StoreUnavailable,
+    failure: StoreError,
     purpose: Purpose,
 ) -> int:
+    """Return the version present if it holds the update; else raise `failure`.
+
+    If nothing can be read, an earlier sending of the update may have landed, even
+    where this one met a conflict.
+    """
     try:
         present = await store.get(kind, name, purpose=purpose)
-    except StoreUnavailable:
-        raise lost from None
+    except StoreUnavailable as out:
+        raise StoreUnavailable(
+            f"{kind}/{name} cannot be read back", True, out.retry_after_ms
+        ) from failure
     if present is not None and is_ours(present):
         return present.version
-    raise lost
+    raise failure
