--- a/tests/engines/fakes.py
+++ b/tests/engines/fakes.py
@@ -68,6 +68,7 @@
         self.checks = checks
         self.reachable = True
         self.numbers = []
+        self.versions = []
         self.loads = 0
         self.loaded_at_s = float("-inf")
 
@@ -82,6 +83,7 @@
         if self.checks and self.numbers and number < max(self.numbers):
             return OrderAnswer(OrderStatus.STALE, max(self.numbers))
         self.numbers.append(number)
+        self.versions.append(wanted.model_version)
         if self.state.needs_load(wanted):
             self.loads += 1
             self.loaded_at_s = trio.current_time() + self.load_s
@@ -97,6 +99,7 @@
     def __init__(self, engines, controllers=()):
         self.by_id = {one.record.id: one for one in engines}
         self.names = list(controllers)
+        self.reads = 0
         self.pause = trio.Event()
         self.pause.set()
 
@@ -107,6 +110,7 @@
         return self.names
 
     async def read_state(self, engine):
+        self.reads += 1
         await trio.sleep(0.001)
         found = self.by_id[engine.id]
         return found.present() if found.reachable else None
