--- a/src/acaciapier/membership/membership.py
+++ b/src/acaciapier/membership/membership.py
@@ -16,6 +16,7 @@
     MemberUpdates,
     TargetRecord,
 )
+from .address_book import AddressBook
 from .instance_list import InstanceListClient, InstanceListUnavailable
 from .list_schedule import ListSchedule
 from .member_table import ENTRY_ROLE, Member
@@ -92,6 +93,7 @@
         self._random = random
         self._sleep = sleep
         self._clock = clock
+        self._addresses = AddressBook(network)
         own = OwnRecord(make_record(network, address, role))
         self.roster = Roster(own, clock, self._spread, self._note_members)
         self._targets = TargetRoster(clock, self._note_targets)
@@ -111,7 +113,6 @@
         )
         self._candidates = {seed.instance: seed.address for seed in seeds}
         self._seeds = dict(self._candidates)
-        self._known: dict[InstanceId, tuple[str, int]] = {}
         self._subscribers = Subscribers()
         self._status = MemberStatus(own.record.instance_id, own.record.incarnation, 0)
         self._nursery: trio.Nursery | None = None
@@ -286,17 +287,12 @@
             self.rumours.publish(MemberUpdates((record,)))
 
     def _note_members(self, records: Sequence[MemberRecord]) -> None:
-        if any(self._moved(record) for record in records):
-            self._update_addresses()
+        self._addresses.note(records)
         self._subscribers.tell(MembershipChange(members=tuple(records)))
 
     def _note_targets(self, records: Sequence[TargetRecord]) -> None:
         self._subscribers.tell(MembershipChange(targets=tuple(records)))
 
     def _update_addresses(self) -> None:
-        self._known = {**self._candidates, **self.roster.table.addresses()}
-        self._network.set_addresses(self._known)
-
-    def _moved(self, record: MemberRecord) -> bool:
-        known = self._known.get(InstanceId(record.instance_id))
-        return known != (record.host, record.port)
+        known = {**self._candidates, **self.roster.table.addresses()}
+        self._addresses.replace(known)
--- a/src/acaciapier/membership/peers.py
+++ b/src/acaciapier/membership/peers.py
@@ -18,6 +18,7 @@
 NEAR_CONTACTS = 2
 FAR_CONTACTS = 2
 CONTACT_EPOCH_S = 900.0
+REFRESH_GAP_S = 1.0
 LOCAL_FAN_OUT = 3
 REMOTE_FAN_OUT = 2
 REMOTE_PROBE_SHARE = 0.25
@@ -49,6 +50,7 @@
         self._local: list[InstanceId] = []
         self._remote: list[InstanceId] = []
         self._round: list[InstanceId] = []
+        self._refreshed_s = 0.0
         self._offset_s = random.uniform(0, CONTACT_EPOCH_S)
 
     @property
@@ -99,11 +101,19 @@
         return chosen or _sample(self._random, remote, count)
 
     def _refresh(self) -> None:
-        """Compute the lists again after a change of the table or the epoch."""
+        """Compute the lists again after a change of the table or the epoch.
+
+        While changes come fast this happens once a second, as it costs a pass over
+        all instances.
+        """
         now_s = self._clock.monotonic_s() + self._offset_s
         epoch = int(now_s // CONTACT_EPOCH_S)
         if self._key == (self._table.revision, epoch):
             return
+        has_peers = bool(self._local or self._remote)
+        if has_peers and now_s - self._refreshed_s < REFRESH_GAP_S:
+            return
+        self._refreshed_s = now_s
         self._key = (self._table.revision, epoch)
         others = [
             record
--- a/src/acaciapier/wire/network.py
+++ b/src/acaciapier/wire/network.py
@@ -105,6 +105,13 @@
             peer: PeerAddress(*address) for peer, address in addresses.items()
         }
 
+    def add_addresses(
+        self, addresses: Mapping[InstanceId, PeerAddress | tuple[str, int]]
+    ) -> None:
+        """Add or replace the addresses of some peers."""
+        for peer, address in addresses.items():
+            self._connector.addresses[peer] = PeerAddress(*address)
+
     async def serve(
         self,
         host: str | None = None,
--- a/tests/membership/support.py
+++ b/tests/membership/support.py
@@ -85,7 +85,10 @@
         self.handlers[message_type] = handler
 
     def set_addresses(self, addresses):
-        self.addresses = addresses
+        self.addresses = dict(addresses)
+
+    def add_addresses(self, addresses):
+        self.addresses.update(addresses)
 
     async def call(self, peer, message, timeout_ms):
         own = self.identity.instance_id
