Follow a resumed run at its own instance; keep refusals true after lost connections; stop listeners gracefully

Found by failed runs on a busy machine and by a reading of the claims: - a caller that resumed elsewhere lost the end of its answer, because the first instance cancelled the stream at the engine once its grace had passed; the second one now follows the run at the first while that lives; - a recovery in an outage, and any refusal after a cut connection, said not run although an earlier sending may have run; both are unknown now; - a request that arrived at the end of a drain was cut off: the listener is now closed before the process ends, and its exchanges are waited for.

--- a/src/acaciapier/admin/application.py
+++ b/src/acaciapier/admin/application.py
@@ -42,7 +42,7 @@
     --------
     >>> app = AdminApplication(configuration, settings.operators, clock)
     ... # doctest: +SKIP
-    >>> await serve_app(app, settings.listen, shutdown)  # doctest: +SKIP
+    >>> await HttpListener(app, settings.listen).run()  # doctest: +SKIP
     """
 
     def __init__(
--- a/src/acaciapier/admin/instance.py
+++ b/src/acaciapier/admin/instance.py
@@ -10,7 +10,7 @@
 from ..configuration import ConfigurationLog
 from ..core.clock import SystemClock
 from ..core.ids import DataCentreId
-from ..http import serve_app
+from ..http import HttpListener
 from ..policy import PathPolicy, PolicySettings
 from ..settings import AdminSettings
 from .application import AdminApplication
@@ -52,12 +52,11 @@
         application = AdminApplication(
             self._log, self.settings.operators, self.clock, self._controls(sharing)
         )
-        binds = await nursery.start(
-            serve_app, application, self.settings.listen, app.stopped.wait
-        )
-        self.url = binds[0]
+        listener = HttpListener(application, self.settings.listen)
+        self.url = await nursery.start(listener.run)
         nursery.start_soon(self.node.keep_announced, self.url, app)
         self.node.stop_when_drained(app)
+        app.on_stop("close the listener", listener.stop)
         app.on_stop("leave the fleet", self._leave)
 
     async def _leave(self) -> None:
--- a/src/acaciapier/entry/claimed.py
+++ b/src/acaciapier/entry/claimed.py
@@ -17,7 +17,6 @@
     Unavailable,
 )
 from ..core.clock import Clock, to_ms
-from ..core.ids import InstanceId
 from ..core.outcomes import Cause, Outcome
 from ..objects.models import Pipeline
 from ..pipeline import Executor, FinalEvent, RunRecord, refusal
@@ -38,8 +37,6 @@
         Runs what was granted.
     joiner : RunJoiner
         Follows runs of other instances.
-    instance : InstanceId
-        This instance.
     clock : Clock
         Source of time.
     """
@@ -49,13 +46,11 @@
         claims: ClaimService,
         executor: Executor,
         joiner: RunJoiner,
-        instance: InstanceId,
         clock: Clock,
     ):
         self._claims = claims
         self._executor = executor
         self._joiner = joiner
-        self._instance = instance
         self._clock = clock
 
     async def run(self, record: RunRecord, pipeline: Pipeline) -> None:
@@ -112,12 +107,12 @@
 
     @_settle.register
     async def _(self, result: Running, record: RunRecord) -> None:
-        if not await self._follow(record, result.instance):
+        if not await self._joiner.follow(record, result.instance):
             record.finish(gone(record, result.instance))
 
     @_settle.register
     async def _(self, result: Done, record: RunRecord) -> None:
-        if await self._follow(record, result.instance):
+        if await self._joiner.follow(record, result.instance):
             return
         record.finish(
             FinalEvent(
@@ -145,7 +140,8 @@
 
     @_settle.register
     async def _(self, result: Early, record: RunRecord) -> None:
-        outcome = Outcome.NOT_RUN if result.not_run else Outcome.UNKNOWN
+        not_run = result.not_run and not record.request.recover
+        outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
         message = "the time in the id lies too far ahead"
         record.finish(refusal(Cause.BAD_REQUEST, message, outcome=outcome))
 
@@ -158,9 +154,7 @@
     async def _(self, result: Unavailable, record: RunRecord) -> None:
         message = "the request cannot be claimed now"
         retry_after_ms = int(result.retry_after_ms)
-        record.finish(refusal(Cause.STORE_UNAVAILABLE, message, retry_after_ms))
-
-    async def _follow(self, record: RunRecord, holder: InstanceId) -> bool:
-        if holder == self._instance:
-            return False
-        return await self._joiner.follow(record, holder)
+        # An earlier sending of a request that is being recovered may have run.
+        outcome = Outcome.UNKNOWN if record.request.recover else Outcome.NOT_RUN
+        cause = Cause.STORE_UNAVAILABLE
+        record.finish(refusal(cause, message, retry_after_ms, outcome))
--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -11,7 +11,7 @@
 from ..claims import ClaimService
 from ..core.clock import SystemClock
 from ..core.ids import DataCentreId, WorkspaceId
-from ..http import serve_app
+from ..http import HttpListener
 from ..observability import Metrics
 from ..pipeline import Executor, ExecutorServices, ResumeTokens, StreamPace
 from ..policy import PathPolicy, PolicySettings
@@ -46,6 +46,7 @@
         identity = self.node.identity
         self.ledger = Ledger(identity.instance_id, identity.incarnation, self.clock)
         self._random = rng
+        self._listener: HttpListener | None = None
         self._strikes: StrikeSharing | None = None
         self._claims: ClaimService | None = None
         self._accounts: AccountService | None = None
@@ -86,10 +87,8 @@
         nursery.start_soon(self._claims.run)
         nursery.start_soon(self._strikes.run)
         nursery.start_soon(self._accounts.run)
-        binds = await nursery.start(
-            serve_app, http, self.settings.listen, app.stopped.wait
-        )
-        self.url = binds[0]
+        self._listener = HttpListener(http, self.settings.listen)
+        self.url = await nursery.start(self._listener.run)
         nursery.start_soon(self.node.keep_announced, self.url, app)
         self._add_stop_hooks(app, service)
 
@@ -107,6 +106,7 @@
         self.node.stop_when_drained(app)
         app.on_stop("announce that the instance leaves", announce_leaving)
         app.on_stop("drain requests", drain)
+        app.on_stop("close the listener", self._listener.stop)
         app.on_stop("write the outcomes of claims", self._claims.flush)
         app.on_stop("write the accounts", self._accounts.flush)
         app.on_stop("leave the fleet", leave)
@@ -114,12 +114,12 @@
     def _make_service(self, nursery: trio.Nursery) -> RequestService:
         executor = Executor(self._executor_services(nursery))
         joiner = RunJoiner(self.node.network)
-        instance = self.node.identity.instance_id
         parts = ServiceParts(
             executor=executor,
             resumer=StreamResumer(self._transport, self._tokens, self.clock),
+            joiner=joiner,
             configuration=self.node.configuration,
-            claimed=ClaimedRuns(self._claims, executor, joiner, instance, self.clock),
+            claimed=ClaimedRuns(self._claims, executor, joiner, self.clock),
             metrics=self._metrics,
             clock=self.clock,
             random=self._random,
--- a/src/acaciapier/entry/joining.py
+++ b/src/acaciapier/entry/joining.py
@@ -58,6 +58,8 @@
 
     async def follow(self, record: RunRecord, holder: InstanceId) -> bool:
         """Fill `record` until its final event; False if the peer is lost."""
+        if holder == self._network.identity.instance_id:
+            return False
         message = _join_message(record.request)
         stream = self._network.call_stream(holder, message, CONNECT_TIMEOUT_MS)
         try:
--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+import msgspec
 import trio
 
 from ..configuration import ConfigurationState
-from ..core.clock import Clock, epoch_ms, to_ms, to_s
-from ..core.ids import RequestId, RunId, WorkspaceId
+from ..core.clock import Clock, to_ms, to_s
+from ..core.ids import InstanceId, RequestId, RunId, WorkspaceId
 from ..core.outcomes import Cause, Outcome
 from ..objects.models import Pipeline
 from ..observability import Metrics, get_logger
@@ -25,6 +26,7 @@
 )
 from ..settings.models import PathSettings
 from .bodies import has_time
+from .joining import RunJoiner
 from .records import RecordKey, RecordTable
 from .resuming import StreamResumer
 
@@ -49,6 +51,7 @@
 
     executor: Executor
     resumer: StreamResumer
+    joiner: RunJoiner
     configuration: Callable[[], ConfigurationState]
     claimed: ClaimedRuns
     metrics: Metrics | None
@@ -117,7 +120,7 @@
         pipeline = state.route(request.workspace, request.pipeline, request.request_id)
         refused = self._refuse(request, pipeline)
         if refused is not None:
-            return refused
+            return _as_recovery(refused) if request.recover else refused
         request = _with_defaults(request, pipeline)
         record = self._open_record(key, request, state.number)
         self._nursery.start_soon(self._run, key, record, pipeline)
@@ -142,7 +145,7 @@
     def find_for_peer(self, request: CallerRequest) -> RunRecord | FinalEvent:
         """Return the record of a request that a peer wants to follow."""
         present = self.records.get(RecordKey(request.workspace, request.request_id))
-        if present is not None:
+        if present is not None and not _was_cancelled(present):
             return present
         message = f"request {request.request_id} is not held here any more"
         return refusal(Cause.ANSWER_GONE, message, outcome=Outcome.UNKNOWN)
@@ -228,9 +231,18 @@
         return record
 
     async def _run_resumed(self, key: RecordKey, record: RunRecord, claim) -> None:
-        await self._guard(record, self._parts.resumer.run, record, claim)
+        await self._guard(record, self._follow_or_resume, record, claim)
         self._end(key, record)
 
+    async def _follow_or_resume(self, record: RunRecord, claim) -> None:
+        """Follow the run while its instance lives, else read the engine's stream.
+
+        An instance whose caller has left cancels the run after a while, unless
+        somebody follows it.
+        """
+        if not await self._parts.joiner.follow(record, InstanceId(claim.instance)):
+            await self._parts.resumer.run(record, claim)
+
     async def _run(self, key: RecordKey, record: RunRecord, pipeline: Pipeline) -> None:
         if is_claimed(record.request, pipeline):
             await self._guard(record, self._parts.claimed.run, record, pipeline)
@@ -300,12 +312,16 @@
     return any(not stage.repeatable for stage in pipeline.stages)
 
 
+def _as_recovery(refused: FinalEvent) -> FinalEvent:
+    """Return the refusal of a recovery: the request may have run before."""
+    return msgspec.structs.replace(refused, outcome=Outcome.UNKNOWN.value)
+
+
+def _was_cancelled(record: RunRecord) -> bool:
+    return record.final is not None and record.final.cause == Cause.CANCELLED.value
+
+
 def _with_defaults(request: CallerRequest, pipeline: Pipeline) -> CallerRequest:
     if request.deadline_ms:
         return request
     return replace(request, deadline_ms=pipeline.deadline_ms)
-
-
-def now_ms(clock: Clock) -> int:
-    """Return the wall-clock time in milliseconds since the Unix epoch."""
-    return epoch_ms(clock.now())
--- a/src/acaciapier/http/__init__.py
+++ b/src/acaciapier/http/__init__.py
@@ -8,14 +8,14 @@
     send_json,
     watch_disconnect,
 )
-from .server import serve_app
+from .server import HttpListener
 
 __all__ = [
     "BodyError",
+    "HttpListener",
     "HttpRequest",
     "read_body",
     "send_bytes",
     "send_json",
-    "serve_app",
     "watch_disconnect",
 ]
--- a/src/acaciapier/http/server.py
+++ b/src/acaciapier/http/server.py
@@ -1,7 +1,6 @@
 """Serving of ASGI applications by hypercorn on trio."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import trio
 from hypercorn.config import Config
@@ -11,22 +10,68 @@
 
 KEEP_ALIVE_TIMEOUT_S = 30.0
 GRACEFUL_TIMEOUT_S = 5.0
+STOP_SLACK_S = 1.0
 BACKLOG = 1024
+MAX_REQUESTS_PER_CONNECTION = 2**31
 
 
-async def serve_app(
-    app: Callable[..., Awaitable[None]],
-    listen: ListenSettings,
-    shutdown: Callable[[], Awaitable[Any]],
-    *,
-    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve `app` until `shutdown` returns; reports the bound URLs when started."""
+class HttpListener:
+    """Serves an ASGI application until it is stopped.
+
+    Parameters
+    ----------
+    app : callable
+        The ASGI application.
+    listen : ListenSettings
+        Address, and TLS if there is any.
+    """
+
+    def __init__(self, app: Callable[..., Awaitable[None]], listen: ListenSettings):
+        self._app = app
+        self._listen = listen
+        self._stop_requested = trio.Event()
+        self._stopped = trio.Event()
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve; reports the bound URL when started."""
+        bound = _FirstUrl(task_status)
+        try:
+            await serve(
+                self._app,
+                _make_config(self._listen),
+                shutdown_trigger=self._stop_requested.wait,
+                mode="asgi",
+                task_status=bound,
+            )
+        finally:
+            self._stopped.set()
+
+    async def stop(self) -> None:
+        """Accept no connection any more and wait for the exchanges in flight."""
+        self._stop_requested.set()
+        with trio.move_on_after(GRACEFUL_TIMEOUT_S + STOP_SLACK_S):
+            await self._stopped.wait()
+
+
+class _FirstUrl:
+    """Reports the first of the URLs that hypercorn has bound."""
+
+    def __init__(self, task_status: trio.TaskStatus[str]):
+        self._task_status = task_status
+
+    def started(self, urls: list[str]) -> None:
+        self._task_status.started(urls[0])
+
+
+def _make_config(listen: ListenSettings) -> Config:
     config = Config()
     config.bind = [f"{listen.host}:{listen.port}"]
     config.accesslog = None
     config.errorlog = None
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     config.backlog = BACKLOG
     config.include_server_header = False
@@ -34,10 +79,4 @@
         config.certfile = listen.tls.certificate_path
         config.keyfile = listen.tls.key_path
         config.ca_certs = listen.tls.authority_path
-    await serve(
-        app,
-        config,
-        shutdown_trigger=shutdown,
-        mode="asgi",
-        task_status=task_status,
-    )
+    return config
--- a/src/acaciapier/sessions.py
+++ b/src/acaciapier/sessions.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import AsyncIterator, Sequence
 from contextlib import aclosing
+from dataclasses import replace
 from typing import Any
 
 import httpcore
@@ -201,6 +202,7 @@
                     async for part in parts:
                         yield part
                 if not self._send_elsewhere():
+                    self._doubt_refusal()
                     return
                 message = "the instance does not take the request"
             except ConnectionCut as cut:
@@ -272,6 +274,12 @@
             return True
         return False
 
+    def _doubt_refusal(self) -> None:
+        """Take a refusal as unknown if an earlier sending may have arrived."""
+        final = self._builder.final
+        if self._may_have_arrived and final.outcome is Outcome.NOT_RUN:
+            self._builder.finish(replace(final, outcome=Outcome.UNKNOWN))
+
     def _start_over_with_new_id(self) -> None:
         session = self._session
         self.superseded.append(self.request_id)
--- a/tests/configuration/test_admin.py
+++ b/tests/configuration/test_admin.py
@@ -13,7 +13,7 @@
 from acaciapier.configuration import ConfigurationLog, LogLimits
 from acaciapier.configuration.state import token_digest
 from acaciapier.core.clock import SystemClock
-from acaciapier.http import serve_app
+from acaciapier.http import HttpListener
 from acaciapier.settings.models import ListenSettings, OperatorToken
 from acaciapier.store import ObjectStore, StoreBudget
 from acaciapier_standins import ObjectApiSettings, serve_standin
@@ -90,8 +90,9 @@
     controls = FleetControls(fakes, fakes, fakes, fakes)
     app = AdminApplication(log, TOKENS, SystemClock(), controls)
     async with trio.open_nursery() as nursery:
-        urls = await nursery.start(serve_app, app, ListenSettings(), trio.sleep_forever)
-        client = Client(urls[0])
+        listener = HttpListener(app, ListenSettings())
+        url = await nursery.start(listener.run)
+        client = Client(url)
         try:
             yield client
         finally:
--- a/tests/path/test_drain.py
+++ b/tests/path/test_drain.py
@@ -21,6 +21,7 @@
     parts = ServiceParts(
         executor=None,
         resumer=None,
+        joiner=None,
         configuration=lambda: EMPTY_STATE,
         claimed=None,
         metrics=None,
