--- a/src/acaciapier/exceptions.py
+++ b/src/acaciapier/exceptions.py
@@ -33,7 +33,31 @@
 
 
 class StoreUnavailable(StoreError):
-    """The object API did not answer; a change may or may not have landed."""
+    """The object API did not answer, or refused the call.
+
+    Parameters
+    ----------
+    message : str
+        What happened to the call.
+    may_have_landed : bool, default=False
+        Whether a change may have taken effect although its answer was lost.
+    retry_after_ms : float, default=1000.0
+        When the call is worth another try.
+    """
+
+    def __init__(
+        self,
+        message: str = "the object API did not answer",
+        may_have_landed: bool = False,
+        retry_after_ms: float = 1_000.0,
+    ):
+        self.may_have_landed = may_have_landed
+        self.retry_after_ms = retry_after_ms
+        super().__init__(message)
+
+
+class WatchCompacted(StoreError):
+    """The events since the wanted revision are gone; list the objects again."""
 
 
 class VersionConflict(StoreError):
@@ -59,3 +83,34 @@
 
 class PeerUnavailable(AcaciapierError):
     """A peer could not be reached, or did not answer in time."""
+
+
+class RequestError(AcaciapierError):
+    """A request has ended without its whole answer.
+
+    Parameters
+    ----------
+    final : Final
+        The final event, with the cause and when to come back.
+    """
+
+    def __init__(self, final: Any):
+        self.final = final
+        cause = final.cause.value if final.cause else "no cause"
+        super().__init__(f"{final.outcome.value}: {cause}: {final.message}")
+
+
+class NotRun(RequestError):
+    """The request did not run; it may be sent again."""
+
+
+class OutcomeUnknown(RequestError):
+    """The request ran in part, or may have run."""
+
+
+class AnswerGone(RequestError):
+    """The request was done earlier, but its answer is not held any more."""
+
+
+class IncompleteAnswer(AcaciapierError):
+    """An answer does not match the count or the digest of its final event."""
--- a/src/acaciapier/objects/__init__.py
+++ b/src/acaciapier/objects/__init__.py
@@ -1,1 +1,50 @@
 """Declared objects and the checks that span them."""
+
+from .bundle import (
+    MODELS,
+    UnreadableObject,
+    load_bundle,
+    parse_object,
+    parse_objects,
+    parse_stored,
+    read_bundle,
+    stored_value,
+)
+from .changes import Change, DeletedRecord, Edit, ObjectRecord
+from .checks import check_objects, critical_path_ms, place_of
+from .models import (
+    DeclaredObject,
+    FencingMode,
+    Pipeline,
+    RouteRule,
+    Stage,
+    StageKind,
+    TargetPool,
+    Workspace,
+)
+
+__all__ = [
+    "MODELS",
+    "Change",
+    "DeclaredObject",
+    "DeletedRecord",
+    "Edit",
+    "FencingMode",
+    "ObjectRecord",
+    "Pipeline",
+    "RouteRule",
+    "Stage",
+    "StageKind",
+    "TargetPool",
+    "UnreadableObject",
+    "Workspace",
+    "check_objects",
+    "critical_path_ms",
+    "load_bundle",
+    "parse_object",
+    "parse_objects",
+    "parse_stored",
+    "place_of",
+    "read_bundle",
+    "stored_value",
+]
