Check the log of accepted changes against racing operators over real processes

Why: the ledger's own tests decide on planted answers of the store; nothing yet ran several operators and two administration instances as processes under faults.

Four operators patch three fields of two objects through two administration instances, send the same patch id again after a lost or missing answer and now and then after a final one, and write down each answer. Administration instances are killed and stopped, the object API fails, hangs, is slow, loses answers and reads from an older copy.

One injector disturbs the administration instances and another the object API: two on the same process would restart it twice.

The number of an entry is followed by the instance that shows it, since two instances ask at different moments; numbers of administration instances only as they show them of themselves, since another may still know the one before a restart.

Planted histories show that a lost patch, a doubled one, a version used twice, a refused patch in the log, a wrong number or version, a gap, a reverted change and a falling number are each found.

--- a/src/acaciapier_bench/deployment.py
+++ b/src/acaciapier_bench/deployment.py
@@ -118,6 +118,11 @@
         """All entry instances."""
         return [m for m in self.members.values() if m.name.startswith("entry-")]
 
+    @property
+    def admins(self) -> list[Member]:
+        """All administration instances."""
+        return [m for m in self.members.values() if m.name.startswith("admin-")]
+
     @property
     def targets(self) -> list[Member]:
         """All targets."""
@@ -143,12 +148,13 @@
         async with trio.open_nursery() as nursery:
             for number in range(1, plan.entries + 1):
                 nursery.start_soon(self.start_instance, "entry", number)
-            for role in plan.others:
-                nursery.start_soon(self.start_instance, role, 1)
+            for index, role in enumerate(plan.others, start=1):
+                number = plan.others[:index].count(role)
+                nursery.start_soon(self.start_instance, role, number)
         for member in self.entries:
             await self._wait_until_ready(member)
-        if "admin" in plan.others:
-            await self._wait_for_port(self.members["admin-1"])
+        for member in self.admins:
+            await self._wait_for_port(member)
 
     async def stop(self) -> None:
         """Stop everything in reverse order; end what does not stop in time."""
--- a/src/acaciapier_bench/history/faults.py
+++ b/src/acaciapier_bench/history/faults.py
@@ -37,7 +37,7 @@
     rng : random.Random
         Source of times, kinds and victims.
     kinds : sequence of str
-        Names of the faults to cause; see `KINDS`.
+        Names of the faults to cause; see `ALL_KINDS`.
     """
 
     def __init__(self, deployment: Deployment, rng: random.Random, kinds):
@@ -52,7 +52,7 @@
         while True:
             await trio.sleep(self._random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
             kind = self._random.choice(self._kinds)
-            await KINDS[kind](self)
+            await ALL_KINDS[kind](self)
 
     async def kill_entry(self) -> None:
         """Kill an entry instance and start it again."""
@@ -77,6 +77,23 @@
         await trio.sleep(self._random.uniform(0.5, 3.0))
         self._deployment.thaw(name)
 
+    async def kill_admin(self) -> None:
+        """Kill an administration instance and start it again."""
+        name = self._admin()
+        self.log.add(f"kill {name}")
+        with trio.CancelScope(shield=True):
+            await self._deployment.kill(name)
+        await trio.sleep(self._random.uniform(0.2, 1.0))
+        await self._deployment.restart(name)
+
+    async def freeze_admin(self) -> None:
+        """Freeze an administration instance for a while."""
+        name = self._admin()
+        self.log.add(f"freeze {name}")
+        self._deployment.freeze(name)
+        await trio.sleep(self._random.uniform(0.5, 3.0))
+        self._deployment.thaw(name)
+
     async def kill_target(self) -> None:
         """Kill a target and start it again."""
         name = self._target()
@@ -148,6 +165,9 @@
     def _entry(self) -> str:
         return self._random.choice(self._deployment.entries).name
 
+    def _admin(self) -> str:
+        return self._random.choice(self._deployment.admins).name
+
     def _target(self) -> str:
         return self._random.choice(self._deployment.targets).name
 
@@ -169,3 +189,12 @@
     "store-lost": FaultInjector.store_lost,
     "store-stale": FaultInjector.store_stale,
 }
+
+ADMIN_KINDS: dict[str, Callable[[FaultInjector], Awaitable[None]]] = {
+    "kill-admin": FaultInjector.kill_admin,
+    "freeze-admin": FaultInjector.freeze_admin,
+}
+STORE_KINDS = {
+    name: cause for name, cause in KINDS.items() if name.startswith("store-")
+}
+ALL_KINDS = KINDS | ADMIN_KINDS
--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -9,6 +9,7 @@
 from .demo import Demo
 from .fleet import FleetCommand
 from .freeze import FreezeCommand
+from .history.operators import OperatorsCommand
 from .history.poison import PoisonCommand
 from .history.run import HistoryCommand
 from .instance_list import InstanceListCommand
@@ -32,6 +33,7 @@
         | HistoryCommand
         | InstanceListCommand
         | LoadCommand
+        | OperatorsCommand
         | PathCommand
         | Policy
         | PoisonCommand
--- a/src/acaciapier_bench/plans.py
+++ b/src/acaciapier_bench/plans.py
@@ -26,7 +26,8 @@
     entries, engines : int
         Number of entry instances and of model engines.
     others : tuple of str
-        Roles beside the entry: ``admin`` and ``controller``.
+        Roles beside the entry: ``admin`` and ``controller``, each as many times
+        as there are instances.
     seeded : bool
         Whether the example configuration is accepted before the start.
     """
