--- a/src/acaciapier_bench/policy/fleet.py
+++ b/src/acaciapier_bench/policy/fleet.py
@@ -9,11 +9,9 @@
 from acaciapier.core.clock import TrioClock, to_s
 from acaciapier.core.ids import (
     DataCentreId,
-    Fingerprint,
     InstanceId,
     RequestId,
     RunId,
-    TargetId,
 )
 from acaciapier.pipeline.context import ExecutorServices
 from acaciapier.pipeline.executor import Executor
@@ -45,16 +43,22 @@
 class CountingPolicy(PathPolicy):
     """The policy, with a count of the extra calls that it granted.
 
-    It also adds the targets' service times, which the executor does not report.
+    Without `full_reports` it hears neither first parts nor service times.
     """
 
     granted: Counter[str]
-    service_ms: dict[tuple[TargetId, Fingerprint], float]
+    full_reports: bool
+
+    def first_part(self, target, fingerprint, elapsed_ms) -> None:
+        """Take the report over if the variant has full ones."""
+        if self.full_reports:
+            super().first_part(target, fingerprint, elapsed_ms)
 
     def ended(self, report, fingerprint) -> None:
-        """Add how long the target said to have worked."""
-        service_ms = self.service_ms.pop((report.target, fingerprint), None)
-        super().ended(replace(report, service_ms=service_ms), fingerprint)
+        """Take the report over, without the service time if it is a plain one."""
+        if not self.full_reports:
+            report = replace(report, service_ms=None)
+        super().ended(report, fingerprint)
 
     def may_retry(self, pool, typical_ms, remaining_ms) -> bool:
         """Count a granted retry."""
@@ -85,16 +89,12 @@
             clock, random, settings, DataCentreId(self.data_centre)
         )
         self.policy.granted = fleet.granted
-        self.policy.service_ms = {}
+        self.policy.full_reports = VARIANTS[fleet.variant].full_reports
         for workspace in WORKSPACES:
             self.policy.update_workspace(workspace, WORKSPACE_LIMITS)
         self._clock = clock
         self._pipeline = fleet.deployment.pipeline
-        self._fingerprints: dict[str, Fingerprint] = {}
         transport = FakeTransport(fleet.targets, self.data_centre)
-        if VARIANTS[fleet.variant].full_reports:
-            transport.on_first_part = self._hear_first_part
-            transport.on_done = self._hear_done
         self._executor = Executor(
             ExecutorServices(
                 policy=self.policy,
@@ -114,26 +114,14 @@
         """Return how a request ended, or None if this instance was killed."""
         identity = RunIdentity(request.request_id, RunId(request.request_id), 1)
         record = RunRecord(request, identity, self._clock)
-        self._fingerprints[request.request_id] = request.fingerprint
         with trio.CancelScope() as scope:
             self.scopes.add(scope)
             try:
                 await self._executor.run(request, self._pipeline, record)
             finally:
                 self.scopes.discard(scope)
-                del self._fingerprints[request.request_id]
         return record.final
 
-    def _hear_first_part(self, target: str, request_id: str, elapsed_ms: float) -> None:
-        fingerprint = self._fingerprints.get(request_id)
-        if fingerprint is not None:
-            self.policy.first_part(target, fingerprint, elapsed_ms)
-
-    def _hear_done(self, target: str, request_id: str, service_ms: float) -> None:
-        fingerprint = self._fingerprints.get(request_id)
-        if fingerprint is not None:
-            self.policy.service_ms[target, fingerprint] = service_ms
-
     def kill(self) -> None:
         """End the process with all its runs."""
         self.up = False
--- a/src/acaciapier_bench/policy/transport.py
+++ b/src/acaciapier_bench/policy/transport.py
@@ -1,7 +1,6 @@
 """The executor's transport over fake targets."""
 
 import hashlib
-from collections.abc import Callable
 
 import trio
 
@@ -18,9 +17,6 @@
 POISON = "poison"
 POISON_AFTER_MS = 100.0
 
-Listener = Callable[[str, str, float], None]
-"""Receives a target, a request id and a time in milliseconds."""
-
 
 class FakeStream:
     """An engine's stream in `BATCHES` batches spread over its service time."""
@@ -30,20 +26,16 @@
         target: FakeTarget,
         envelope: CallEnvelope,
         guard: trio.CancelScope,
-        sent_s: float,
     ):
         self.answer = CallAnswer(CallOutcome.FAILED)
         self._target = target
         self._envelope = envelope
         self._guard = guard
-        self._sent_s = sent_s
         self._started_s = trio.current_time()
         self._service_ms = target.service_ms()
         self._sent = 0
         self._open = True
         self._poisonous = is_poison(envelope)
-        self.on_first_part: Listener = _ignore
-        self.on_done: Listener = _ignore
 
     async def next_batch(self) -> TokenBatch | None:
         """Return the next batch at its time, or None at the end."""
@@ -71,9 +63,6 @@
             return None
         self._renew_guard()
         self._sent += 1
-        if self._sent == 1:
-            elapsed_ms = to_ms(trio.current_time() - self._sent_s)
-            self.on_first_part(self._target.name, self._envelope.request_id, elapsed_ms)
         return TokenBatch(self._sent - 1, ["x"])
 
     def _renew_guard(self) -> None:
@@ -81,7 +70,6 @@
         self._guard = self._target.guard()
 
     def _end(self) -> None:
-        self.on_done(self._target.name, self._envelope.request_id, self._service_ms)
         answer = CallAnswer(
             CallOutcome.DONE,
             output=hashlib.sha256(b"x" * BATCHES).hexdigest(),
@@ -106,8 +94,6 @@
     def __init__(self, targets: dict[str, FakeTarget], data_centre: str):
         self._targets = targets
         self._data_centre = data_centre
-        self.on_first_part: Listener = _ignore
-        self.on_done: Listener = _ignore
 
     async def call(self, target: TargetView, envelope: CallEnvelope) -> CallAnswer:
         """Run one unary attempt."""
@@ -127,7 +113,6 @@
         if started.cancelled_caught:
             return CallAnswer(CallOutcome.CRASHED)
         await self._travel(fake)
-        self.on_done(fake.name, envelope.request_id, service_ms)
         return CallAnswer(
             CallOutcome.DONE, output=1, service_ms=service_ms, target=fake.body()
         )
@@ -137,15 +122,11 @@
     ) -> FakeStream | CallAnswer:
         """Start a stream."""
         fake = self._targets[target.target]
-        sent_s = trio.current_time()
         await self._travel(fake)
         started = await self._start(fake, target, envelope)
         if isinstance(started, CallAnswer):
             return started
-        stream = FakeStream(fake, envelope, started, sent_s)
-        stream.on_first_part = self.on_first_part
-        stream.on_done = self.on_done
-        return stream
+        return FakeStream(fake, envelope, started)
 
     async def resume_stream(self, target: TargetView, stream_id: str, position: int):
         """Refuse: the fakes' streams are never cut without a crash."""
@@ -192,7 +173,3 @@
     """Return whether a call crashes its target."""
     content = envelope.input
     return isinstance(content, dict) and POISON in content
-
-
-def _ignore(target: str, request_id: str, time_ms: float) -> None:
-    return None
