--- a/src/acaciapier_bench/deployment.py
+++ b/src/acaciapier_bench/deployment.py
@@ -188,15 +188,19 @@
         return await process.wait()
 
     async def restart(self, name: str) -> None:
-        """Start a process again that has ended."""
+        """Start a process again that has ended; leave one that runs."""
         member = self.members[name]
+        if member.process.poll() is None:
+            return
         await self._spawn(member)
         if member in self.entries:
             await self._wait_until_ready(member)
 
     def freeze(self, name: str) -> None:
-        """Stop a process with SIGSTOP."""
+        """Stop a process with SIGSTOP, unless it has ended."""
         member = self.members[name]
+        if member.process.poll() is not None:
+            return
         os.kill(member.process.pid, signal.SIGSTOP)
         member.frozen = True
 
