--- a/src/acaciapier/sessions.py
+++ b/src/acaciapier/sessions.py
@@ -1,33 +1,21 @@
-"""The client's session: sends requests, follows and checks their answers."""
+"""The client's session: owns the connections and sends requests."""
 
 import random
 import ssl
-import uuid
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from contextlib import aclosing
-from dataclasses import replace
 from typing import Any
 
 import httpcore
-import msgspec
 import trio
 
-from .core.clock import Clock, SystemClock, epoch_ms, to_s
-from .core.outcomes import Cause, Outcome
-from .following import AnswerBuilder, ConnectionCut
-from .models import Answer, Final, Part
-from .targets.sse import SseParser
+from .core.clock import Clock, SystemClock
+from .followers import Connector, Follower
+from .models import Answer
+from .request_ids import make_request_id
 
-CONNECT_TIMEOUT_MS = 1_000
-DEFAULT_DEADLINE_MS = 3_000
-ANSWER_SLACK_MS = 2_000
-MAX_RECONNECTS = 5
-FIRST_BACK_OFF_MS = 50
-MAX_BACK_OFF_MS = 1_000
-
-NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-CUT = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
-LOST_STREAM = frozenset((Cause.ANSWER_GONE, Cause.UNKNOWN_REQUEST, Cause.FORBIDDEN))
+MAX_CONNECTIONS = 10_000
+KEEPALIVE_EXPIRY_S = 4.0
 
 
 class Session:
@@ -63,17 +51,22 @@
     ):
         if not urls:
             raise ValueError("a session needs at least one URL")
-        self._urls = [url.rstrip("/") for url in urls]
-        self._headers = [
-            (b"authorization", f"Bearer {token}".encode()),
-            (b"content-type", b"application/json"),
-        ]
-        self._pool = httpcore.AsyncConnectionPool(
-            ssl_context=ssl_context, max_connections=10_000, keepalive_expiry=4.0
+        rng = rng or random.Random()
+        self._connector = Connector(
+            pool=httpcore.AsyncConnectionPool(
+                ssl_context=ssl_context,
+                max_connections=MAX_CONNECTIONS,
+                keepalive_expiry=KEEPALIVE_EXPIRY_S,
+            ),
+            urls=[url.rstrip("/") for url in urls],
+            headers=[
+                (b"authorization", f"Bearer {token}".encode()),
+                (b"content-type", b"application/json"),
+            ],
+            clock=clock or SystemClock(),
+            random=rng,
+            next_url=rng.randrange(len(urls)),
         )
-        self._clock = clock or SystemClock()
-        self._random = rng or random.Random()
-        self._next_url = self._random.randrange(len(self._urls))
 
     async def __aenter__(self) -> "Session":
         return self
@@ -84,7 +77,7 @@
     async def close(self) -> None:
         """Close all connections."""
         with trio.CancelScope(shield=True):
-            await self._pool.aclose()
+            await self._connector.pool.aclose()
 
     async def run(
         self,
@@ -126,9 +119,11 @@
         deadline_ms: int | None = None,
         repeatable: bool = True,
         request_id: str | None = None,
-    ) -> "Follower":
+    ) -> Follower:
         """Return a follower whose `parts` yield the answer as it arrives."""
-        request_id = request_id or make_request_id(self._clock, self._random)
+        request_id = request_id or make_request_id(
+            self._connector.clock, self._connector.random
+        )
         body = {
             "request_id": request_id,
             "pipeline": pipeline,
@@ -137,187 +132,19 @@
         }
         if deadline_ms is not None:
             body["deadline_ms"] = deadline_ms
-        return Follower(self, body)
+        return Follower(self._connector, body)
 
     async def cancel(self, request_id: str) -> bool:
         """Cancel a request on whichever instance runs it."""
+        connector = self._connector
         cancelled = False
-        for url in self._urls:
+        for url in connector.urls:
             path = f"{url}/v1/requests/{request_id}"
             try:
-                response = await self._pool.request(
-                    "DELETE", path, headers=self._headers
+                response = await connector.pool.request(
+                    "DELETE", path, headers=connector.headers
                 )
             except (httpcore.NetworkError, httpcore.TimeoutException):
                 continue
             cancelled = cancelled or response.status == 200
         return cancelled
-
-    def _choose_url(self) -> str:
-        url = self._urls[self._next_url % len(self._urls)]
-        self._next_url += 1
-        return url
-
-
-class Follower:
-    """Follows one request through reconnects to its final event.
-
-    A request that may not be repeated is never sent to run a second time under
-    its id: after a cut connection the system is asked to join its run, or to
-    declare it as not run, and only then it is sent again under a new id.
-    """
-
-    def __init__(self, session: Session, body: dict[str, Any]):
-        self._session = session
-        self._body = body
-        self._builder = AnswerBuilder(body["request_id"])
-        deadline_ms = body.get("deadline_ms") or DEFAULT_DEADLINE_MS
-        now_s = session._clock.monotonic_s()
-        self._give_up_s = now_s + to_s(deadline_ms + ANSWER_SLACK_MS)
-        self._may_have_arrived = False
-        self.superseded: list[str] = []
-        """Earlier ids of the request, each declared as not run."""
-
-    @property
-    def request_id(self) -> str:
-        """Id of the request."""
-        return self._body["request_id"]
-
-    @property
-    def resets(self) -> int:
-        """How often parts had to be discarded because another run started."""
-        return self._builder.resets
-
-    @property
-    def answer(self) -> Answer:
-        """The whole answer; raises what its final event stands for."""
-        return self._builder.answer()
-
-    async def parts(self) -> AsyncIterator[Part]:
-        """Yield parts of the answer as they arrive, through reconnects."""
-        reconnects = 0
-        while True:
-            try:
-                async with aclosing(self._connect()) as parts:
-                    async for part in parts:
-                        yield part
-                if not self._send_elsewhere():
-                    self._doubt_refusal()
-                    return
-                message = "the instance does not take the request"
-            except ConnectionCut as cut:
-                message = str(cut)
-            reconnects += 1
-            if not self._may_reconnect(reconnects):
-                self._builder.finish(self._gave_up(message))
-                return
-            await trio.sleep(to_s(self._back_off_ms(reconnects)))
-
-    async def _connect(self) -> AsyncIterator[Part]:
-        """Send, resume or recover the request over one connection."""
-        session = self._session
-        request = self._next_request(session._choose_url())
-        parser = SseParser()
-        try:
-            async with session._pool.stream(**request) as response:
-                if response.status != 200:
-                    self._builder.finish(_read_refusal(await response.aread()))
-                    return
-                async for chunk in response.aiter_stream():
-                    for event in parser.feed(chunk):
-                        part = self._builder.take(event)
-                        if part is not None:
-                            yield part
-        except NOT_SENT as error:
-            raise ConnectionCut(f"no connection: {error}") from error
-        except CUT as error:
-            self._may_have_arrived = True
-            raise ConnectionCut(str(error) or type(error).__name__) from error
-        if self._builder.final is None:
-            self._may_have_arrived = True
-            raise ConnectionCut("the stream ended before its final event")
-
-    def _next_request(self, url: str) -> dict[str, Any]:
-        session = self._session
-        builder = self._builder
-        timeout = {"connect": to_s(CONNECT_TIMEOUT_MS)}
-        request = {
-            "headers": session._headers,
-            "extensions": {"timeout": timeout},
-        }
-        if builder.resume_token:
-            token = (b"x-resume-token", builder.resume_token.encode())
-            path = f"/v1/requests/{self.request_id}?from={builder.position}"
-            headers = [*session._headers, token]
-            return {**request, "method": "GET", "url": url + path, "headers": headers}
-        builder.reset()
-        body = self._body
-        if self._may_have_arrived and not body["repeatable"]:
-            body = {**body, "recover": True}
-        content = msgspec.json.encode(body)
-        url = f"{url}/v1/requests"
-        return {**request, "method": "POST", "url": url, "content": content}
-
-    def _send_elsewhere(self) -> bool:
-        """Tell whether the final event allows and calls for another sending."""
-        final = self._builder.final
-        if final.cause is Cause.SHUTTING_DOWN and final.outcome is Outcome.NOT_RUN:
-            self._builder.final = None
-            return True
-        if final.outcome is Outcome.NOT_RUN and final.cause is Cause.RECOVERED:
-            self._start_over_with_new_id()
-            return True
-        resumed = bool(self._builder.resume_token)
-        if resumed and final.cause in LOST_STREAM and self._body["repeatable"]:
-            self._builder.final = None
-            self._builder.reset()
-            return True
-        return False
-
-    def _doubt_refusal(self) -> None:
-        """Take a refusal as unknown if an earlier sending may have arrived."""
-        final = self._builder.final
-        if self._may_have_arrived and final.outcome is Outcome.NOT_RUN:
-            self._builder.finish(replace(final, outcome=Outcome.UNKNOWN))
-
-    def _start_over_with_new_id(self) -> None:
-        session = self._session
-        self.superseded.append(self.request_id)
-        request_id = make_request_id(session._clock, session._random)
-        self._body = {**self._body, "request_id": request_id}
-        self._builder = AnswerBuilder(request_id)
-        self._may_have_arrived = False
-
-    def _may_reconnect(self, reconnects: int) -> bool:
-        if reconnects > MAX_RECONNECTS:
-            return False
-        return self._session._clock.monotonic_s() < self._give_up_s
-
-    def _back_off_ms(self, reconnects: int) -> float:
-        longest_ms = min(MAX_BACK_OFF_MS, FIRST_BACK_OFF_MS * 2**reconnects)
-        return self._session._random.uniform(FIRST_BACK_OFF_MS, longest_ms)
-
-    def _gave_up(self, message: str) -> Final:
-        outcome = Outcome.UNKNOWN if self._may_have_arrived else Outcome.NOT_RUN
-        return Final(outcome, Cause.DEADLINE, message, None, 0, "", {})
-
-
-def make_request_id(clock: Clock, rng: random.Random) -> str:
-    """Return a UUID version 7 for the present time.
-
-    Notes
-    -----
-    RFC 9562, section 5.7: 48 bits of Unix time in milliseconds, the version, 12
-    random bits, the variant and 62 random bits.
-    """
-    value = epoch_ms(clock.now()) << 80
-    value |= 0x7 << 76 | rng.getrandbits(12) << 64
-    value |= 0b10 << 62 | rng.getrandbits(62)
-    return str(uuid.UUID(int=value))
-
-
-def _read_refusal(content: bytes) -> Final:
-    try:
-        return Final.of_body(msgspec.json.decode(content))
-    except (msgspec.DecodeError, ValueError) as error:
-        raise ConnectionCut(f"unreadable refusal: {error}") from error
--- a/src/acaciapier_bench/history/callers.py
+++ b/src/acaciapier_bench/history/callers.py
@@ -9,7 +9,8 @@
 
 from acaciapier import AcaciapierError, RequestError, Session
 from acaciapier.core.clock import SystemClock, to_s
-from acaciapier.sessions import Follower, make_request_id
+from acaciapier.followers import Follower
+from acaciapier.request_ids import make_request_id
 
 from .records import CallerRecord
 
--- a/src/acaciapier_bench/load.py
+++ b/src/acaciapier_bench/load.py
@@ -15,7 +15,7 @@
 from acaciapier.core.clock import SystemClock, to_ms
 from acaciapier.core.ids import DataCentreId, Incarnation, PoolName, RegionId, TargetId
 from acaciapier.policy import CallOutcome, TargetView
-from acaciapier.sessions import make_request_id
+from acaciapier.request_ids import make_request_id
 from acaciapier.targets import CallAnswer, CallEnvelope, HttpTransport
 
 MAX_TRACKED_US = 120_000_000
--- a/tests/path/test_claimed.py
+++ b/tests/path/test_claimed.py
@@ -8,7 +8,7 @@
 
 from acaciapier import NotRun, OutcomeUnknown, Session
 from acaciapier.core.clock import SystemClock
-from acaciapier.sessions import make_request_id
+from acaciapier.request_ids import make_request_id
 
 ONCE = {"repeatable": False}
 
