Let a repeatable request run anew after a failed run, and a resumed one be sent again

Found by a reading of the entry's service: a resend after an unknown outcome got the failed run's final event again for 10 s, and a resend to an instance that had resumed the request was refused as another content.

--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -11,8 +11,8 @@
 import trio
 
 from ..configuration import ConfigurationState
-from ..core.clock import Clock, to_ms, to_s
-from ..core.ids import InstanceId, RequestId, RunId, WorkspaceId
+from ..core.clock import Clock, to_s
+from ..core.ids import Fingerprint, InstanceId, RequestId, RunId, WorkspaceId
 from ..core.outcomes import Cause, Outcome
 from ..objects.models import Pipeline
 from ..observability import Metrics, get_logger
@@ -27,6 +27,7 @@
 from ..settings.models import PathSettings
 from .bodies import has_time
 from .joining import RunJoiner
+from .observing import log_end, observe_end
 from .records import RecordKey, RecordTable
 from .resuming import StreamResumer
 
@@ -114,7 +115,7 @@
         """
         key = RecordKey(request.workspace, request.request_id)
         present = self.records.get(key)
-        if present is not None:
+        if present is not None and not _may_run_anew(present):
             return self._join(present, request)
         state = self._parts.configuration()
         pipeline = state.route(request.workspace, request.pipeline, request.request_id)
@@ -199,7 +200,7 @@
     def _join(
         self, record: RunRecord, request: CallerRequest
     ) -> RunRecord | FinalEvent:
-        if record.request.fingerprint != request.fingerprint:
+        if record.fingerprint != request.fingerprint:
             message = f"request {request.request_id} has been sent with other content"
             return refusal(Cause.ID_REUSED, message)
         return record
@@ -222,7 +223,8 @@
             claim.configuration_number,
         )
         request = self._parts.resumer.request_of(claim)
-        record = RunRecord(request, identity, self._parts.clock)
+        fingerprint = Fingerprint(claim.fingerprint)
+        record = RunRecord(request, identity, self._parts.clock, fingerprint)
         key = RecordKey(request.workspace, request.request_id)
         self.records.add(key, record)
         if self._parts.metrics is not None:
@@ -264,37 +266,9 @@
     def _end(self, key: RecordKey, record: RunRecord) -> None:
         final = record.final
         self.records.end(key, keep=final.outcome != Outcome.NOT_RUN.value)
-        self._log_end(record, final)
+        log_end(record)
         if self._parts.metrics is not None:
-            self._observe_end(record, final)
-
-    def _observe_end(self, record: RunRecord, final: FinalEvent) -> None:
-        metrics = self._parts.metrics
-        request = record.request
-        request_class = "repeatable" if request.repeatable else "not_repeatable"
-        elapsed_ms = to_ms(record.ended_s - record.started_s)
-        metrics.request_ended(
-            request.workspace, request_class, final.outcome, elapsed_ms
-        )
-        if record.first_part_s is not None:
-            first_ms = to_ms(record.first_part_s - record.started_s)
-            metrics.first_token(request.workspace, request_class, first_ms)
-        if final.cause is not None:
-            metrics.refused(request.workspace, final.cause)
-
-    def _log_end(self, record: RunRecord, final: FinalEvent) -> None:
-        request = record.request
-        fields = {
-            "workspace": request.workspace,
-            "request_id": request.request_id,
-            "run_id": record.identity.run_id,
-            "pipeline": request.pipeline,
-            "outcome": final.outcome,
-            "cause": final.cause,
-            "elapsed_ms": round(to_ms(record.ended_s - record.started_s), 1),
-            "tokens": final.count,
-        }
-        log.info("request {} has ended", request.request_id, extra=fields)
+            observe_end(record, self._parts.metrics)
 
     def _cancel_abandoned(self) -> None:
         now_s = self._parts.clock.monotonic_s()
@@ -312,6 +286,13 @@
     return any(not stage.repeatable for stage in pipeline.stages)
 
 
+def _may_run_anew(record: RunRecord) -> bool:
+    """Tell whether a request that ended without its answer may run again."""
+    if record.final is None or not record.request.repeatable:
+        return False
+    return record.final.outcome != Outcome.DONE.value
+
+
 def _as_recovery(refused: FinalEvent) -> FinalEvent:
     """Return the refusal of a recovery: the request may have run before."""
     return msgspec.structs.replace(refused, outcome=Outcome.UNKNOWN.value)
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -68,9 +68,9 @@
         """Record the time between two parts of an answer."""
         self._gap.record(elapsed_ms, {"workspace": workspace})
 
-    def stage_ended(self, workspace: str, stage_kind: str, elapsed_ms: float) -> None:
+    def stage_ended(self, workspace: str, stage: str, elapsed_ms: float) -> None:
         """Record the time of a stage."""
-        attributes = {"workspace": workspace, "stage_kind": stage_kind}
+        attributes = {"workspace": workspace, "stage": stage}
         self._stage.record(elapsed_ms, attributes)
 
     def stage_cost(
--- a/src/acaciapier/pipeline/executor.py
+++ b/src/acaciapier/pipeline/executor.py
@@ -234,6 +234,7 @@
             pool=opened.target.pool,
             stream_id=opened.envelope.stream_id,
             expires_ms=now_ms + RESUME_VALIDITY_MS,
+            fingerprint=self._context.fingerprint,
         )
         token = self._services.tokens.seal(claim)
         self._context.record.add_hint(ResumeEvent(token))
--- a/src/acaciapier/pipeline/record.py
+++ b/src/acaciapier/pipeline/record.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..core.clock import Clock
+from ..core.ids import Fingerprint
 from .models import (
     AcceptedEvent,
     CallerRequest,
@@ -33,10 +34,19 @@
         Names of the run.
     clock : Clock
         Source of time.
+    fingerprint : Fingerprint, optional
+        Hash of the content, where `request` does not hold it.
     """
 
-    def __init__(self, request: CallerRequest, identity: RunIdentity, clock: Clock):
+    def __init__(
+        self,
+        request: CallerRequest,
+        identity: RunIdentity,
+        clock: Clock,
+        fingerprint: Fingerprint | None = None,
+    ):
         self.request = request
+        self.fingerprint = fingerprint or request.fingerprint
         self.identity = identity
         self.started_s = clock.monotonic_s()
         self.first_part_s: float | None = None
--- a/src/acaciapier/pipeline/resume.py
+++ b/src/acaciapier/pipeline/resume.py
@@ -27,6 +27,7 @@
     pool: str
     stream_id: str
     expires_ms: int
+    fingerprint: str = ""
 
 
 class ResumeTokens:
--- a/tests/path/test_followers.py
+++ b/tests/path/test_followers.py
@@ -53,3 +53,25 @@
             content=msgspec.json.encode({**REQUEST, "recover": True}),
         )
     assert msgspec.json.decode(response.content)["outcome"] == "unknown"
+
+
+async def test_resend_to_the_instance_that_resumed_gets_the_answer():
+    async with open_world(2, {"step_ms": 20.0}) as world:
+        async with httpcore.AsyncConnectionPool() as pool:
+            _, token = await read_until_parts(pool, world.urls[0], 2)
+            await get_events(pool, world.urls[1], 0, token)
+        async with world.session(entry=1) as session:
+            answer = await session.run("quote", REQUEST["input"], request_id="r-1")
+    assert answer.count == 40
+
+
+async def test_repeatable_request_runs_anew_after_a_failed_run():
+    async with open_world(1) as world, world.session() as session:
+        for name in ("encode-1", "encode-2"):
+            world.standins[name].standin.faults.change({"fail": True})
+        with pytest.raises(OutcomeUnknown):
+            await session.run("quote", {"text": "a"}, request_id="r-1")
+        for name in ("encode-1", "encode-2"):
+            world.standins[name].standin.faults.change({"reset": True})
+        answer = await session.run("quote", {"text": "a"}, request_id="r-1")
+    assert answer.count == 40
