--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -51,6 +51,7 @@
         self._claims: ClaimService | None = None
         self._accounts: AccountService | None = None
         self._metrics = Metrics(settings.instance.id)
+        self._metrics.watch_store(lambda: self.node.store.counts)
         self._transport = HttpTransport()
         self._tokens = ResumeTokens(self.node.keys)
         self._policy = PathPolicy(
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -1,6 +1,10 @@
 """OpenTelemetry metrics, read over HTTP in the Prometheus format."""
 
+from collections.abc import Callable, Iterable
+from typing import Any
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
@@ -32,6 +36,7 @@
             views=[View(instrument_name="*_duration", aggregation=buckets)],
         )
         meter = self._provider.get_meter("acaciapier")
+        self._meter = meter
         self._requests = meter.create_counter("acaciapier_requests")
         self._total = meter.create_histogram("acaciapier_request_duration", "ms")
         self._first = meter.create_histogram("acaciapier_first_token_duration", "ms")
@@ -41,7 +46,6 @@
         self._units = meter.create_counter("acaciapier_stage_units")
         self._service = meter.create_counter("acaciapier_stage_service_ms")
         self._refusals = meter.create_counter("acaciapier_refusals")
-        self._store_calls = meter.create_counter("acaciapier_store_calls")
         self._open = meter.create_up_down_counter("acaciapier_open_requests")
 
     def request_opened(self) -> None:
@@ -98,9 +102,22 @@
         """Count a refusal by its cause."""
         self._refusals.add(1, {"workspace": workspace, "cause": cause})
 
-    def store_called(self, purpose: str, verb: str) -> None:
-        """Count a call of the object API."""
-        self._store_calls.add(1, {"purpose": purpose, "verb": verb})
+    def watch_store(self, counts: Callable[[], dict[Any, Any]]) -> None:
+        """Expose the calls of the object API by purpose and verb.
+
+        Parameters
+        ----------
+        counts : callable
+            Returns the `CallCount` of each purpose and verb, such as
+            `ObjectStore.counts`.
+        """
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for (purpose, verb), count in counts().items():
+                attributes = {"purpose": purpose.value, "verb": verb.value}
+                yield Observation(count.calls, attributes)
+
+        self._meter.create_observable_counter("acaciapier_store_calls", [observe])
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
