--- a/src/acaciapier_bench/history/__init__.py
+++ b/src/acaciapier_bench/history/__init__.py
@@ -1,6 +1,6 @@
 """Histories of concurrent runs: what callers received and what targets ran."""
 
 from .checker import Violation, check_history
-from .records import CallerRecord, History, WorkRecord
+from .records import CallerRecord, History
 
-__all__ = ["CallerRecord", "History", "Violation", "WorkRecord", "check_history"]
+__all__ = ["CallerRecord", "History", "Violation", "check_history"]
--- a/src/acaciapier_bench/history/checker.py
+++ b/src/acaciapier_bench/history/checker.py
@@ -6,9 +6,10 @@
 from enum import Enum
 
 from acaciapier.objects.models import Pipeline
+from acaciapier_standins.book import WorkEntry
 
 from .expected import expected_answer
-from .records import CallerRecord, History, WorkRecord
+from .records import CallerRecord, History
 
 LEAVING_LIMIT_MS = 3_000.0
 PROMPT_FINAL_SLACK_MS = 1_500.0
@@ -171,8 +172,8 @@
 
 def _work_by_request(
     history: History,
-) -> defaultdict[tuple[str, str], list[WorkRecord]]:
-    work: defaultdict[tuple[str, str], list[WorkRecord]] = defaultdict(list)
+) -> defaultdict[tuple[str, str], list[WorkEntry]]:
+    work: defaultdict[tuple[str, str], list[WorkEntry]] = defaultdict(list)
     for record in history.work:
         work[record.workspace, record.request_id].append(record)
     return work
--- a/src/acaciapier_bench/history/records.py
+++ b/src/acaciapier_bench/history/records.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from acaciapier_standins.book import WorkEntry
+
 
 class CallerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """One sending of a request, and what its caller received.
@@ -31,25 +33,6 @@
     finals: int = 1
 
 
-class WorkRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """One piece of work that a target started."""
-
-    number: int
-    target: str
-    incarnation: int
-    request_id: str
-    run_id: str
-    workspace: str
-    pipeline: str
-    stage: str
-    attempt: int
-    started_ms: float
-    ended_ms: float | None = None
-    cancelled: bool = False
-    failed: bool = False
-    units: dict[str, float] = {}
-
-
 class LeavingRecord(msgspec.Struct, frozen=True, kw_only=True):
     """When a target first showed that it leaves."""
 
@@ -62,14 +45,14 @@
     """Everything that a run has written down."""
 
     callers: list[CallerRecord] = []
-    work: list[WorkRecord] = []
+    work: list[WorkEntry] = []
     leaving: list[LeavingRecord] = []
 
 
-def latest_work(lines: Iterable[dict[str, Any]]) -> list[WorkRecord]:
+def latest_work(lines: Iterable[dict[str, Any]]) -> list[WorkEntry]:
     """Return the last line of each piece of work in the books of targets."""
-    latest: dict[tuple[str, int, int], WorkRecord] = {}
+    latest: dict[tuple[str, int, int], WorkEntry] = {}
     for line in lines:
-        record = msgspec.convert(line, WorkRecord)
+        record = msgspec.convert(line, WorkEntry)
         latest[record.target, record.incarnation, record.number] = record
     return list(latest.values())
--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -16,6 +16,7 @@
 from .load import LoadCommand
 from .path_cost import PathCommand
 from .policy.command import Policy
+from .stream_cost import StreamsCommand
 from .transport import TransportCommand
 
 
@@ -37,6 +38,7 @@
         | PathCommand
         | Policy
         | PoisonCommand
+        | StreamsCommand
         | TransportCommand
     ]
 
--- a/src/acaciapier_bench/path_cost.py
+++ b/src/acaciapier_bench/path_cost.py
@@ -25,7 +25,6 @@
 WARM_UP_S = 3.0
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-STREAM_STEPS = (1, 250, 500, 1000)
 
 
 def bench_objects() -> list[dict]:
@@ -78,13 +77,13 @@
     ]
 
 
-def bench_plan(directory: Path, engines: int) -> Plan:
+def bench_plan(directory: Path, engines: int, step_ms: float = ENGINE_STEP_MS) -> Plan:
     """Return a plan with one entry instance and fast targets."""
     bundle = directory / "bench-bundle.json"
     bundle.write_text(json.dumps(bench_objects()))
     fast = {"median_ms": 3.0, "slots": 64, "max_queued": 2_000}
     engine = {
-        "step_ms": ENGINE_STEP_MS,
+        "step_ms": step_ms,
         "step_ms_per_stream": 0.0,
         "slots": 2_000,
         "max_queued": 2_000,
--- a/tests/history/test_checker.py
+++ b/tests/history/test_checker.py
@@ -4,10 +4,11 @@
 import pytest
 
 from acaciapier.objects.models import Pipeline
-from acaciapier_bench.history import CallerRecord, History, WorkRecord, check_history
+from acaciapier_bench.history import CallerRecord, History, check_history
 from acaciapier_bench.history.checker import Condition, check_poison
 from acaciapier_bench.history.expected import expected_answer
 from acaciapier_bench.history.records import LeavingRecord
+from acaciapier_standins.book import WorkEntry
 
 PIPELINE = Pipeline.model_validate(
     {
@@ -46,7 +47,7 @@
 
 
 def make_work(**changes):
-    record = WorkRecord(
+    record = WorkEntry(
         number=1,
         target="t-1",
         incarnation=1,
