--- a/src/acaciapier/app/binary.py
+++ b/src/acaciapier/app/binary.py
@@ -1,5 +1,6 @@
 """Start-up that all binaries of the fleet share."""
 
+import gc
 import random
 import sys
 from collections.abc import Callable
@@ -16,6 +17,9 @@
 
 Settings = TypeVar("Settings", bound=FleetSettings)
 
+COLLECTION_THRESHOLDS = (20_000, 50, 1_000)
+"""New objects before a pass over the youngest, and passes before an older one's."""
+
 
 class Instance(Protocol):
     """The parts of one process."""
@@ -38,6 +42,16 @@
         trio.run(partial(run_instance, settings, make))
 
 
+def spare_collections() -> None:
+    """Let the garbage collector pass over what was loaded at the start.
+
+    Its passes stop the loop, and so each stream, for as long as they take.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
+
+
 async def run_instance(
     settings: Settings, make: Callable[[Settings, random.Random], Instance]
 ) -> None:
@@ -46,5 +60,6 @@
     instance = make(settings, random.Random())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(app.watch_signals)
+        spare_collections()
         await app.run(instance.start)
         nursery.cancel_scope.cancel()
