--- a/src/acaciapier/followers.py
+++ b/src/acaciapier/followers.py
@@ -10,9 +10,9 @@
 import msgspec
 import trio
 
+from .answers import AnswerBuilder, ConnectionCut
 from .core.clock import Clock, to_s
 from .core.outcomes import Cause, Outcome
-from .following import AnswerBuilder, ConnectionCut
 from .models import Answer, Final, Part
 from .request_ids import make_request_id
 from .targets.sse import SseParser
--- a/src/acaciapier_bench/path_cost.py
+++ b/src/acaciapier_bench/path_cost.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -22,7 +23,7 @@
 TOKEN = "bench-token"
 ANSWER_TOKENS = 240
 ENGINE_STEP_MS = 9.0
-WARM_UP_S = 3.0
+DIRECTORY_PREFIX = "acaciapier-"
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -184,11 +185,9 @@
 
 
 async def measure_path(
-    seconds: float, rates: tuple[float, ...], console: Console
+    directory: Path, seconds: float, rates: tuple[float, ...], console: Console
 ) -> list[PathPoint]:
     """Measure a calm load, the given loads and direct calls, in one deployment."""
-    directory = Path(os.path.realpath("/tmp")) / f"acaciapier-path-{os.getpid()}"
-    directory.mkdir()
     plan = bench_plan(directory, engines=3)
     async with Deployment(plan, directory) as deployment:
         await deployment.start()
@@ -247,4 +246,6 @@
     def __call__(self) -> None:
         """Run the measurement."""
         rates = tuple(self.rates or (5.0, 17.0))
-        trio.run(measure_path, self.seconds, rates, Console(width=160))
+        with tempfile.TemporaryDirectory(prefix=DIRECTORY_PREFIX) as directory:
+            console = Console(width=160)
+            trio.run(measure_path, Path(directory), self.seconds, rates, console)
--- a/src/acaciapier_bench/stream_cost.py
+++ b/src/acaciapier_bench/stream_cost.py
@@ -1,6 +1,6 @@
 """Measures what open streams cost one entry instance."""
 
-import os
+import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -15,7 +15,7 @@
 
 from .deployment import Deployment
 from .load import Percentiles, new_histogram, percentiles, record_s
-from .path_cost import TOKEN, ProcessUse, bench_plan
+from .path_cost import DIRECTORY_PREFIX, TOKEN, ProcessUse, bench_plan
 
 STEP_MS = 500.0
 SAMPLE_S = 5.0
@@ -71,10 +71,10 @@
         raise AcaciapierError(f"stream {number} ended with {answer.count} tokens")
 
 
-async def measure_streams(steps: tuple[int, ...], console: Console) -> None:
+async def measure_streams(
+    directory: Path, steps: tuple[int, ...], console: Console
+) -> None:
     """Open streams step by step, and sample the entry at each step."""
-    directory = Path(os.path.realpath("/tmp")) / f"acaciapier-streams-{os.getpid()}"
-    directory.mkdir()
     points: list[StreamPoint] = []
     async with Deployment(bench_plan(directory, 3, STEP_MS), directory) as deployment:
         await deployment.start()
@@ -134,4 +134,5 @@
     def __call__(self) -> None:
         """Run the measurement."""
         steps = tuple(self.steps or DEFAULT_STEPS)
-        trio.run(measure_streams, steps, Console(width=120))
+        with tempfile.TemporaryDirectory(prefix=DIRECTORY_PREFIX) as directory:
+            trio.run(measure_streams, Path(directory), steps, Console(width=120))
