Wait in a drain for peers that follow runs of this instance

Found by a reading of the shutdown: a follower at another instance could be cut off after the run's end and before its final event. The test fails when the exchange is not counted (trial with an empty context in its place).

--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -74,7 +74,7 @@
         self._accounts = self._make_accounts()
         self._claims = self._make_claims()
         service = self._make_service(nursery)
-        join_server = JoinServer(service.find_for_peer)
+        join_server = JoinServer(service.find_for_peer, service.exchange)
         self.node.network.register_stream(JoinRun, join_server.serve)
         http = EntryHttp(
             service,
--- a/src/acaciapier/entry/joining.py
+++ b/src/acaciapier/entry/joining.py
@@ -1,7 +1,7 @@
 """Follows, on one instance, a run that another instance executes."""
 
 from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
+from contextlib import AbstractContextManager, aclosing
 from functools import singledispatch
 
 import msgspec
@@ -83,15 +83,28 @@
     ----------
     find : callable
         Returns the record of a request, or the final event if there is none.
+    exchange : callable
+        Returns a context in which a drain waits for the exchange to end.
     """
 
-    def __init__(self, find: Callable[[CallerRequest], RunRecord | FinalEvent]):
+    def __init__(
+        self,
+        find: Callable[[CallerRequest], RunRecord | FinalEvent],
+        exchange: Callable[[], AbstractContextManager[None]],
+    ):
         self._find = find
+        self._exchange = exchange
 
     async def serve(
         self, peer: InstanceId, message: JoinRun
     ) -> AsyncGenerator[Message, None]:
         """Yield the run's events until the final one."""
+        with self._exchange():
+            async with aclosing(self._events(message)) as events:
+                async for event in events:
+                    yield event
+
+    async def _events(self, message: JoinRun) -> AsyncGenerator[Message, None]:
         found = self._find(_request_of(message))
         if isinstance(found, FinalEvent):
             yield RunFinal(msgspec.json.encode(found))
--- a/tests/path/test_drain.py
+++ b/tests/path/test_drain.py
@@ -8,10 +8,12 @@
 from acaciapier.configuration import EMPTY_STATE
 from acaciapier.core.clock import TrioClock
 from acaciapier.core.ids import PipelineName, RequestId, RunId, WorkspaceId
+from acaciapier.entry.joining import JoinServer
 from acaciapier.entry.records import RecordKey
 from acaciapier.entry.service import RequestService, ServiceParts
 from acaciapier.pipeline import CallerRequest, FinalEvent, RunIdentity, RunRecord
 from acaciapier.settings.models import PathSettings
+from acaciapier.wire.messages.requests import JoinRun
 
 KEY = RecordKey(WorkspaceId("sales"), RequestId("r-1"))
 
@@ -69,3 +71,27 @@
     await service.drain(3_000)
     assert trio.current_time() - started_s == pytest.approx(3.0)
     assert record.cancel_scope.cancel_called
+
+
+async def test_drain_waits_for_peers_that_follow_a_run(
+    autojump_clock, service, nursery
+):
+    record = open_record(service)
+    server = JoinServer(service.find_for_peer, service.exchange)
+    message = JoinRun("sales", "r-1", "p", b"null", 9, True, False)
+    drained = trio.Event()
+
+    async def drain():
+        await service.drain(60_000)
+        drained.set()
+
+    record.finish(FinalEvent(outcome="done"))
+    service.records.end(KEY, keep=True)
+    events = server.serve("entry-2", message)
+    await anext(events)
+    nursery.start_soon(drain)
+    await trio.sleep(1)
+    assert not drained.is_set()
+    await events.aclose()
+    await trio.sleep(1)
+    assert drained.is_set()
