--- a/src/acaciapier/followers.py
+++ b/src/acaciapier/followers.py
@@ -163,7 +163,7 @@
     def _send_elsewhere(self) -> bool:
         """Tell whether the final event allows and calls for another sending."""
         final = self._builder.final
-        if final.cause is Cause.SHUTTING_DOWN and final.outcome is Outcome.NOT_RUN:
+        if final.cause is Cause.SHUTTING_DOWN:
             self._builder.final = None
             return True
         if final.outcome is Outcome.NOT_RUN and final.cause is Cause.RECOVERED:
--- a/tests/path/test_followers.py
+++ b/tests/path/test_followers.py
@@ -3,6 +3,7 @@
 import httpcore
 import msgspec
 import pytest
+import trio
 from path_helpers import TOKEN, open_world
 from test_failures import REQUEST, get_events, read_until_parts
 
@@ -75,3 +76,19 @@
             world.standins[name].standin.faults.change({"reset": True})
         answer = await session.run("quote", {"text": "a"}, request_id="r-1")
     assert answer.count == 40
+
+
+async def test_recovery_goes_on_at_another_instance_if_one_is_stopping():
+    async with open_world(2, {"step_ms": 60.0}) as world, world.session() as session:
+        async with world.session(entry=0) as first, trio.open_nursery() as nursery:
+            nursery.start_soon(first.run, "quote", {"text": "keeps it draining"})
+            await trio.sleep(0.3)
+            world.apps[0].stop()
+            await trio.sleep(0)
+            session._connector.next_url = 0
+            follower = session.follow("book", {"a": 1}, repeatable=False)
+            follower._may_have_arrived = True
+            async for _ in follower.parts():
+                pass
+            assert follower.answer.value is not None
+    assert len(follower.superseded) == 1
