--- a/src/acaciapier_bench/history/operators.py
+++ b/src/acaciapier_bench/history/operators.py
@@ -1,15 +1,12 @@
 """Lets operators race over real processes under faults, and checks the log."""
 
-import os
 import random
-import shutil
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import cappa
-import msgspec
 import trio
 from rich.console import Console
 
@@ -19,6 +16,7 @@
 from .operator_checker import LogViolation, check_operators
 from .operator_records import OperatorHistory
 from .racing import AdminCaller, RacingOperator
+from .seeds import choose_faults, run_seeds
 from .watching import NumberWatcher, read_log, read_objects
 
 ADMINS = 2
@@ -153,35 +151,17 @@
 
     def __call__(self) -> None:
         """Run all seeds; exit with 1 if a condition did not hold."""
-        unknown = set(self.faults or ()) - set(FAULTS)
-        if unknown:
-            raise cappa.Exit(f"unknown faults: {', '.join(sorted(unknown))}", code=2)
-        console = Console(width=150)
-        found = 0
-        for seed in self.seeds or [1]:
-            found += self._run_seed(seed, console)
-        raise cappa.Exit(code=1 if found else 0)
-
-    def _run_seed(self, seed: int, console: Console) -> int:
+        run_seeds("operators", self.seeds or [1], self.keep, self._run, show_result)
+
+    async def _run(self, seed: int, directory: Path) -> OperatorsResult:
         options = OperatorsOptions(
             seed=seed,
             seconds=self.seconds,
             operators=self.operators,
-            kinds=tuple(self.faults or FAULTS),
+            kinds=choose_faults(self.faults, FAULTS),
             timed=self.timed,
         )
-        base = self.keep or Path(os.path.realpath("/tmp"))
-        directory = base / f"operators-{os.getpid()}-{seed}"
-        directory.mkdir(parents=True)
-        result = trio.run(run_operators, options, directory)
-        (directory / "faults.txt").write_text("\n".join(result.faults))
-        (directory / "history.json").write_bytes(msgspec.json.encode(result.history))
-        show_result(result, console)
-        if self.keep is None and not result.violations:
-            shutil.rmtree(directory)
-        else:
-            console.print(f"kept in {directory}")
-        return len(result.violations)
+        return await run_operators(options, directory)
 
 
 def show_result(result: OperatorsResult, console: Console) -> None:
--- a/src/acaciapier_bench/history/run.py
+++ b/src/acaciapier_bench/history/run.py
@@ -1,15 +1,12 @@
 """Runs a history of concurrent processes under faults and checks it."""
 
-import os
 import random
-import shutil
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import cappa
-import msgspec
 import trio
 from rich.console import Console
 
@@ -21,6 +18,7 @@
 from .checker import Violation, check_graceful_stop, check_history
 from .faults import KINDS, FaultInjector
 from .records import History, latest_work
+from .seeds import choose_faults, run_seeds
 
 DEADLINE_MS = 6_000
 WORKSPACES = ("hotels", "agents")
@@ -132,36 +130,18 @@
 
     def __call__(self) -> None:
         """Run all seeds; exit with 1 if a condition did not hold."""
-        unknown = set(self.faults or ()) - set(KINDS)
-        if unknown:
-            raise cappa.Exit(f"unknown faults: {', '.join(sorted(unknown))}", code=2)
-        console = Console(width=150)
-        found = 0
-        for seed in self.seeds or [1]:
-            found += self._run_seed(seed, console)
-        raise cappa.Exit(code=1 if found else 0)
-
-    def _run_seed(self, seed: int, console: Console) -> int:
+        run_seeds("history", self.seeds or [1], self.keep, self._run, show_result)
+
+    async def _run(self, seed: int, directory: Path) -> HistoryResult:
         options = HistoryOptions(
             seed=seed,
             seconds=self.seconds,
             rate_per_s=self.rate_per_s,
-            kinds=tuple(self.faults or KINDS),
+            kinds=choose_faults(self.faults, KINDS),
             entries=self.entries,
             injectors=self.injectors,
         )
-        base = self.keep or Path(os.path.realpath("/tmp"))
-        directory = base / f"history-{os.getpid()}-{seed}"
-        directory.mkdir(parents=True)
-        result = trio.run(run_history, options, directory)
-        (directory / "faults.txt").write_text("\n".join(result.faults))
-        (directory / "history.json").write_bytes(msgspec.json.encode(result.history))
-        show_result(result, console)
-        if self.keep is None and not result.violations:
-            shutil.rmtree(directory)
-        else:
-            console.print(f"kept in {directory}")
-        return len(result.violations)
+        return await run_history(options, directory)
 
 
 def show_result(result: HistoryResult, console: Console) -> None:
