Discard copied parts when the instance of a followed run is lost

Found by a reading of the whole change: a resumed request follows the run at its first instance; if that died in between, the engine's stream was read again from its start on top of the tokens copied so far, so the answer had them twice, with a count and a digest that matched the doubled text. The caller now gets a reset and the whole stream. New records are held in one place.

--- a/src/acaciapier/entry/service.py
+++ b/src/acaciapier/entry/service.py
@@ -211,10 +211,13 @@
         run_id = RunId(str(uuid.UUID(int=self._parts.random.getrandbits(128))))
         identity = RunIdentity(request.request_id, run_id, number)
         record = RunRecord(request, identity, self._parts.clock)
+        self._hold(key, record)
+        return record
+
+    def _hold(self, key: RecordKey, record: RunRecord) -> None:
         self.records.add(key, record)
         if self._parts.metrics is not None:
             self._parts.metrics.request_opened()
-        return record
 
     def _resume(self, claim) -> RunRecord:
         identity = RunIdentity(
@@ -226,9 +229,7 @@
         fingerprint = Fingerprint(claim.fingerprint)
         record = RunRecord(request, identity, self._parts.clock, fingerprint)
         key = RecordKey(request.workspace, request.request_id)
-        self.records.add(key, record)
-        if self._parts.metrics is not None:
-            self._parts.metrics.request_opened()
+        self._hold(key, record)
         self._nursery.start_soon(self._run_resumed, key, record, claim)
         return record
 
@@ -240,10 +241,14 @@
         """Follow the run while its instance lives, else read the engine's stream.
 
         An instance whose caller has left cancels the run after a while, unless
-        somebody follows it.
+        somebody follows it. Parts copied from an instance that is then lost are
+        discarded, since the stream is read from its start.
         """
-        if not await self._parts.joiner.follow(record, InstanceId(claim.instance)):
-            await self._parts.resumer.run(record, claim)
+        if await self._parts.joiner.follow(record, InstanceId(claim.instance)):
+            return
+        if record.count:
+            record.restart(record.identity, "the instance of the run is lost")
+        await self._parts.resumer.run(record, claim)
 
     async def _run(self, key: RecordKey, record: RunRecord, pipeline: Pipeline) -> None:
         if is_claimed(record.request, pipeline):
