--- /dev/null
+++ b/src/acaciapier/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: forwards callers' requests to the platform's workers."""
--- /dev/null
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -0,0 +1,262 @@
+"""The asking side: finds the dispatcher of a service and goes on when it fails."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import trio
+
+from ...core.clock import Clock
+from ...core.ids import InstanceId
+from ...exceptions import AcaciapierError, PeerUnavailable
+from ...wire.messages.base import Message
+from ...wire.messages.gateway import (
+    AcquireWorker,
+    CancelWork,
+    FreeResults,
+    HeldPermits,
+    PermitEnded,
+    PermitStarted,
+    PiecesMade,
+    RunPieces,
+    WorkerGranted,
+    WorkRefused,
+)
+from ..catalogue import Catalogue
+from ..models import Worker, WorkerId
+from ..peers import Peers
+from .dispatcher import HANDED_OVER, OUTCOME_CANCELLED, Dispatcher
+
+MAX_HAND_OVERS = 5
+"""Dispatchers asked for one piece of work before it is refused."""
+
+ANSWER_SLACK_MS = 400.0
+"""How much longer than its work may wait a dispatcher is listened to."""
+
+
+class Refused(AcaciapierError):
+    """The fleet refused work; nothing of it ran.
+
+    Parameters
+    ----------
+    cause : str
+        Why.
+    retry_after_ms : float
+        When to come back.
+    """
+
+    def __init__(self, cause: str, retry_after_ms: float):
+        self.cause = cause
+        self.retry_after_ms = retry_after_ms
+        super().__init__(f"{cause}; retry after {retry_after_ms:.0f} ms")
+
+
+@dataclass(eq=False)
+class Permit:
+    """A place at a worker that this instance holds."""
+
+    name: str
+    service: str
+    worker: Worker
+    prompt_tokens: int
+    output_tokens: int
+    dispatcher: InstanceId
+    taken_s: float
+    outcome: str = OUTCOME_CANCELLED
+
+
+class Desk:
+    """Asks the dispatchers of the fleet on behalf of this instance's requests.
+
+    Parameters
+    ----------
+    peers : Peers
+        The other instances.
+    dispatcher : Dispatcher
+        This instance's own, asked where it is in charge.
+    catalogue : Catalogue
+        Workers.
+    clock : Clock
+        Source of time.
+    log : callable
+        Told decisions, as a kind and fields.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        dispatcher: Dispatcher,
+        catalogue: Catalogue,
+        clock: Clock,
+        log: Callable[..., None],
+    ):
+        self._peers = peers
+        self._own = dispatcher
+        self._catalogue = catalogue
+        self._clock = clock
+        self._log = log
+        self._permits: dict[str, Permit] = {}
+        self._in_charge: dict[str, InstanceId] = {}
+        self._serial = 0
+
+    @property
+    def held_permits(self) -> int:
+        """Number of places that this instance holds."""
+        return len(self._permits)
+
+    def in_charge(self, service: str) -> InstanceId:
+        """Return the instance that decides for a service now."""
+        ranked = self._peers.rank(service, not self._own.stopping)
+        return ranked[0] if ranked else self._peers.own
+
+    async def run_pieces(self, message: RunPieces) -> tuple[str, ...]:
+        """Return the handles of all pieces of a stage, or raise `Refused`."""
+        answer = await self._ask(message.service, message, message.expires_ms)
+        if isinstance(answer, PiecesMade):
+            return answer.handles
+        raise _refusal(answer)
+
+    async def acquire(self, message: AcquireWorker) -> Permit:
+        """Return a place at a worker, or raise `Refused`."""
+        while True:
+            answer = await self._ask(message.service, message, message.expires_ms)
+            if not isinstance(answer, WorkerGranted):
+                raise _refusal(answer)
+            permit = self._hold(message, answer)
+            if permit is not None:
+                return permit
+
+    def started(self, permit: Permit) -> None:
+        """Tell that the first part of an answer has come."""
+        self._tell(
+            permit.dispatcher,
+            PermitStarted(permit.service, permit.name, self._held_ms(permit)),
+        )
+
+    def end(self, permit: Permit, outcome: str | None = None) -> None:
+        """Give a place back."""
+        if self._permits.pop(permit.name, None) is None:
+            return
+        message = PermitEnded(
+            permit.service,
+            permit.name,
+            outcome or permit.outcome,
+            self._held_ms(permit),
+        )
+        self._tell(permit.dispatcher, message)
+
+    def free(self, service: str, handles: Sequence[str]) -> None:
+        """Give up results of a stage service."""
+        if handles:
+            self._tell(self.in_charge(service), FreeResults(service, tuple(handles)))
+
+    def cancel(self, service: str, attempt: str) -> None:
+        """Tell that an attempt's pieces are not wanted any more."""
+        self._tell(self.in_charge(service), CancelWork(service, attempt))
+
+    def new_permit_name(self) -> str:
+        """Return a name that no other permit bears."""
+        self._serial += 1
+        return f"{self._peers.own}/{self._serial}"
+
+    async def _ask(self, service: str, message: Message, wait_ms: float) -> Message:
+        """Ask the instance in charge; go on to the next when it is lost."""
+        start_s = self._clock.monotonic_s()
+        for _ in range(MAX_HAND_OVERS):
+            instance = self.in_charge(service)
+            self._note_in_charge(service, instance)
+            left_ms = wait_ms - (self._clock.monotonic_s() - start_s) * 1_000.0
+            if left_ms <= 0:
+                return WorkRefused("expired", 0.0)
+            try:
+                answer = await self._ask_one(instance, message, left_ms)
+            except PeerUnavailable as error:
+                self._log(
+                    "dispatcher_lost",
+                    service=service,
+                    dispatcher=instance,
+                    reason=str(error),
+                )
+                await trio.sleep(0.01)
+                continue
+            if isinstance(answer, WorkRefused) and answer.cause == HANDED_OVER:
+                if instance != self._peers.own:
+                    self._peers.note_stopping(instance)
+                continue
+            return answer
+        return WorkRefused("no_dispatcher", 500.0)
+
+    async def _ask_one(
+        self, instance: InstanceId, message: Message, left_ms: float
+    ) -> Message:
+        if instance != self._peers.own:
+            return await self._peers.call(instance, message, left_ms + ANSWER_SLACK_MS)
+        if isinstance(message, RunPieces):
+            return await self._own.run_pieces(self._peers.own, message)
+        return await self._own.acquire(self._peers.own, message)
+
+    def _hold(self, message: AcquireWorker, answer: WorkerGranted) -> Permit | None:
+        """Take a granted place; None if the worker is known to have left."""
+        worker = self._catalogue.workers.get(WorkerId(answer.worker))
+        dispatcher = self._in_charge[message.service]
+        if (
+            worker is None
+            or worker.started_ms != answer.started_ms
+            or not self._catalogue.usable(worker)
+        ):
+            ended = PermitEnded(message.service, message.permit, OUTCOME_CANCELLED, 0.0)
+            self._tell(dispatcher, ended)
+            return None
+        permit = Permit(
+            message.permit,
+            message.service,
+            worker,
+            message.prompt_tokens,
+            message.output_tokens,
+            dispatcher,
+            self._clock.monotonic_s(),
+        )
+        self._permits[permit.name] = permit
+        return permit
+
+    def _note_in_charge(self, service: str, instance: InstanceId) -> None:
+        """Tell a new dispatcher which places are held here."""
+        if self._in_charge.get(service) == instance:
+            return
+        first = service not in self._in_charge
+        self._in_charge[service] = instance
+        held = [one for one in self._permits.values() if one.service == service]
+        for permit in held:
+            permit.dispatcher = instance
+        entries = tuple(
+            (one.name, one.worker.key, one.prompt_tokens, one.output_tokens)
+            for one in held
+        )
+        if entries:
+            self._tell(instance, HeldPermits(service, entries))
+        if not first:
+            self._log("dispatcher_changed", service=service, dispatcher=instance)
+
+    def _held_ms(self, permit: Permit) -> float:
+        return (self._clock.monotonic_s() - permit.taken_s) * 1_000.0
+
+    def _tell(self, instance: InstanceId, message: Message) -> None:
+        if instance != self._peers.own:
+            self._peers.send(instance, message)
+            return
+        handler = _OWN_HANDLERS[type(message)]
+        self._own._nursery.start_soon(handler, self._own, self._peers.own, message)
+
+
+_OWN_HANDLERS = {
+    PermitStarted: Dispatcher.permit_started,
+    PermitEnded: Dispatcher.permit_ended,
+    FreeResults: Dispatcher.free_results,
+    CancelWork: Dispatcher.cancel_work,
+    HeldPermits: Dispatcher.held_permits,
+}
+
+
+def _refusal(answer: Message) -> Refused:
+    if isinstance(answer, WorkRefused):
+        return Refused(answer.cause, answer.retry_after_ms)
+    return Refused("unknown_answer", 500.0)
--- /dev/null
+++ b/src/acaciapier/gateway/instance.py
@@ -0,0 +1,269 @@
+"""One gateway process: its parts, their start and their stop."""
+
+import random as random_module
+import time
+from datetime import UTC, datetime
+
+import trio
+
+from ..app.application import Application
+from ..core.clock import to_s
+from ..core.ids import Incarnation, InstanceId
+from ..http.caller import CallerConnection, ConnectionLimits
+from ..observability.metrics import Metrics
+from ..platform.configuration import decode_configuration
+from ..platform.store import PlatformStore
+from ..wire.handshake import PeerIdentity
+from ..wire.keys import FleetKeys
+from ..wire.messages.gateway import (
+    AcquireWorker,
+    Beat,
+    CancelWork,
+    FetchNews,
+    FreeResults,
+    HeldPermits,
+    PermitEnded,
+    PermitStarted,
+    RunPieces,
+)
+from ..wire.network import PeerNetwork
+from .catalogue import Catalogue
+from .dispatch.desk import Desk
+from .dispatch.dispatcher import Dispatcher
+from .models import InputLimits
+from .observing import RequestObserver, StructuredLog
+from .peers import Peers
+from .relay import Relay
+from .settings import GatewaySettings
+from .stage_client import StageClient
+from .status_server import StatusServer
+from .sync import PeerSync, StoreSync, own_record
+from .worker_pool import WorkerConnections, sweep_idle
+
+BACKLOG = 1_024
+"""New connections that may wait; a burst of all callers at once fits."""
+
+ROTATION_MS = 2_500.0
+"""Two missed readiness questions, a second apart, end the flow of new callers."""
+
+STOP_MARGIN_MS = 700.0
+"""Part of the grace time that is kept for closing."""
+
+FREEZE_GAP_MS = 600.0
+"""A loop that stood still for longer has a picture of the past."""
+
+FREEZE_CHECK_MS = 100.0
+"""Period in which a standstill is looked for."""
+
+
+class BootClock:
+    """The system's clocks; the monotonic one counts the time of a suspension."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time as an aware datetime in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic_s(self) -> float:
+        """Return the seconds since the machine's start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class GatewayInstance:
+    """All parts of one gateway process.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        What the deployment says.
+    random : random.Random
+        Source of jitter and choices.
+    """
+
+    def __init__(self, settings: GatewaySettings, random: random_module.Random):
+        self.settings = settings
+        self.clock = BootClock()
+        self.log = StructuredLog(self.clock)
+        self.metrics = Metrics(settings.instance)
+        self._random = random
+        self._stopping = False
+        self._connections: set[CallerConnection] = set()
+
+    async def start(self, app: Application, nursery: trio.Nursery) -> None:
+        """Start all parts in `nursery` and add the stop hooks to `app`."""
+        settings = self.settings
+        nursery.start_soon(self.log.run)
+        self.catalogue = Catalogue(self.clock, decode_configuration, self.log.write)
+        own = own_record(
+            settings.instance,
+            settings.control.host,
+            settings.control.port,
+            settings.data_centre,
+            self.clock,
+        )
+        identity = PeerIdentity(
+            settings.instance,
+            Incarnation(own.started_ms),
+            settings.data_centre,
+            settings.region,
+        )
+        self.network = PeerNetwork(
+            identity, FleetKeys([settings.fleet_key]), self.clock, self._random
+        )
+        self.peers = Peers(
+            settings.instance,
+            self.network,
+            self.clock,
+            self._random,
+            self._make_beat,
+            self.log.write,
+        )
+        worker_connections = WorkerConnections(self.clock)
+        client = StageClient(worker_connections, nursery)
+        self.dispatcher = Dispatcher(
+            self.catalogue, client, self.clock, self.log.write, nursery
+        )
+        self.desk = Desk(
+            self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
+        )
+        self.observer = RequestObserver(self.log, self.metrics)
+        self.relay = Relay(
+            self.catalogue,
+            self.desk,
+            worker_connections,
+            self.clock,
+            self._random,
+            self.observer,
+            nursery,
+        )
+        peer_sync = PeerSync(
+            self.catalogue,
+            self.peers,
+            nursery,
+            self.log.write,
+            self.dispatcher.workers_changed,
+        )
+        self.peers.on_beat = peer_sync.note_beat
+        self.peers.on_down = self.dispatcher.drop_owner
+        self._register_handlers(peer_sync)
+        await nursery.start(
+            self.network.serve, settings.control.host, settings.control.port
+        )
+        self.store = PlatformStore(settings.store.address)
+        self.sync = StoreSync(
+            self.store,
+            self.catalogue,
+            self.peers,
+            own,
+            self.clock,
+            lambda: self._random.uniform(0.7, 1.3),
+            self.log.write,
+            self.dispatcher.workers_changed,
+        )
+        nursery.start_soon(self.sync.run)
+        nursery.start_soon(self.peers.run, nursery)
+        nursery.start_soon(sweep_idle, worker_connections)
+        nursery.start_soon(self._watch_freezes)
+        status = StatusServer(settings.ready, self._is_ready, self.metrics.exposition)
+        await nursery.start(status.run)
+        listeners = await trio.open_tcp_listeners(
+            settings.front.port, host=settings.front.host, backlog=BACKLOG
+        )
+        self._front_scope = trio.CancelScope()
+        nursery.start_soon(self._serve_front, listeners)
+        app.on_stop("stop serving", self._stop)
+        self.log.write(
+            "started",
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            front=f"{settings.front.host}:{settings.front.port}",
+        )
+
+    def _register_handlers(self, peer_sync: PeerSync) -> None:
+        register = self.network.register
+        register(Beat, self._answer_beat)
+        register(FetchNews, peer_sync.answer)
+        register(RunPieces, self.dispatcher.run_pieces)
+        register(AcquireWorker, self.dispatcher.acquire)
+        register(PermitStarted, self.dispatcher.permit_started)
+        register(PermitEnded, self.dispatcher.permit_ended)
+        register(FreeResults, self.dispatcher.free_results)
+        register(CancelWork, self.dispatcher.cancel_work)
+        register(HeldPermits, self.dispatcher.held_permits)
+
+    def _make_beat(self) -> Beat:
+        return Beat(
+            self.catalogue.configuration_revision,
+            self.catalogue.workers_revision,
+            self.catalogue.workers_digest,
+            self._stopping,
+        )
+
+    async def _answer_beat(self, peer: InstanceId, beat: Beat) -> Beat:
+        self.peers.note_beat(peer, beat)
+        return self._make_beat()
+
+    def _is_ready(self) -> bool:
+        return self.catalogue.complete and not self._stopping
+
+    async def _serve_front(self, listeners: list[trio.SocketListener]) -> None:
+        with self._front_scope:
+            async with trio.open_nursery() as nursery:
+                await trio.serve_listeners(
+                    self._serve_caller, listeners, handler_nursery=nursery
+                )
+
+    async def _serve_caller(self, stream: trio.SocketStream) -> None:
+        connection = CallerConnection(
+            stream,
+            self._limits,
+            self.relay.handle,
+            self.clock.monotonic_s,
+            lambda: self._stopping,
+        )
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+    def _limits(self) -> ConnectionLimits:
+        configuration = self.catalogue.configuration
+        limits = configuration.limits if configuration else InputLimits()
+        return ConnectionLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            to_s(limits.header_timeout_ms),
+            to_s(limits.idle_timeout_ms),
+        )
+
+    async def _stop(self) -> None:
+        """Finish what is in flight, for as long as the operators allow."""
+        self._stopping = True
+        self.log.write("stopping", in_flight=self.relay.in_flight)
+        self.dispatcher.stopping = True
+        self.dispatcher.hand_over()
+        self.peers.send_to_all(self._make_beat())
+        deadline_s = self.settings.bounds.stop_grace_ms - STOP_MARGIN_MS
+        with trio.move_on_after(to_s(deadline_s)):
+            await trio.sleep(to_s(ROTATION_MS))
+            while self.relay.in_flight or not all(
+                one.idle for one in self._connections
+            ):
+                await trio.sleep(0.05)
+        with trio.move_on_after(0.3):
+            await self.sync.leave()
+        self._front_scope.cancel()
+        self.log.write("stopped", in_flight=self.relay.in_flight)
+        self.log.flush()
+
+    async def _watch_freezes(self) -> None:
+        """Drop what was decided before the machine stood still."""
+        last_s = self.clock.monotonic_s()
+        while True:
+            await trio.sleep(to_s(FREEZE_CHECK_MS))
+            now_s = self.clock.monotonic_s()
+            gap_ms = (now_s - last_s) * 1_000.0
+            if gap_ms > FREEZE_GAP_MS:
+                self.log.write("stood_still", gap_ms=round(gap_ms))
+                self.dispatcher.hand_over()
+            last_s = now_s
--- /dev/null
+++ b/src/acaciapier/gateway/main.py
@@ -0,0 +1,35 @@
+"""Command line of the gateway binary."""
+
+import os
+import random
+import sys
+
+import trio
+
+from ..app.application import Application
+from ..app.binary import spare_collections
+from ..exceptions import FindingsError
+from ..platform.settings import read_settings, settings_path
+from .instance import GatewayInstance
+
+
+def main() -> None:
+    """Check the settings and run a gateway until a signal stops it."""
+    try:
+        settings = read_settings(settings_path(), os.environ)
+    except FindingsError as problem:
+        sys.exit(str(problem))
+    trio.run(_run, GatewayInstance(settings, random.Random()))
+
+
+async def _run(instance: GatewayInstance) -> None:
+    app = Application(f"gateway {instance.settings.instance}")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(app.watch_signals)
+        spare_collections()
+        await app.run(instance.start)
+        nursery.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/acaciapier/gateway/peers.py
@@ -0,0 +1,223 @@
+"""The other instances: who lives, who is asked first, and what they know."""
+
+import random as random_module
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import trio
+
+from ..core.clock import Clock, to_s
+from ..core.ids import InstanceId
+from ..exceptions import PeerUnavailable
+from ..policy.subset import rendezvous_rank
+from ..wire.connector import PeerAddress
+from ..wire.messages.base import Message
+from ..wire.messages.gateway import Beat
+from ..wire.network import PeerNetwork
+from .models import PeerRecord
+
+BEAT_PERIOD_MS = 200.0
+"""Two missed heartbeats are noticed within half of the tightest objective."""
+
+BEAT_TIMEOUT_MS = 250.0
+"""Round trips take 3 ms; a loop that stands still for longer is as good as gone."""
+
+MISSED_BEATS = 2
+"""One lost answer may be an accident."""
+
+DOWN_BEAT_PERIOD_MS = 1_000.0
+"""A peer that is down is asked less often."""
+
+MAX_BEAT_PEERS = 24
+"""Peers that one instance asks; at more, the rest is known from the list alone."""
+
+
+@dataclass(eq=False)
+class Peer:
+    """One other instance as this one sees it."""
+
+    record: PeerRecord
+    missed: int = 0
+    up: bool = True
+    stopping: bool = False
+    heard: Beat | None = None
+    next_beat_s: float = 0.0
+    calls: set[trio.CancelScope] = field(default_factory=set)
+
+
+class Peers:
+    """Table of the other instances, kept true by heartbeats.
+
+    Parameters
+    ----------
+    own : InstanceId
+        This instance.
+    network : PeerNetwork
+        Connections to the others.
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Choice of peers to ask.
+    make_beat : callable
+        Returns this instance's heartbeat.
+    on_change : callable
+        Told what changed, as a kind and fields for the log.
+    """
+
+    def __init__(
+        self,
+        own: InstanceId,
+        network: PeerNetwork,
+        clock: Clock,
+        random: random_module.Random,
+        make_beat: Callable[[], Beat],
+        on_change: Callable[..., None],
+    ):
+        self.own = own
+        self.on_beat: Callable[[InstanceId, Beat], None] = lambda peer, beat: None
+        self.on_down: Callable[[InstanceId], None] = lambda peer: None
+        self.wanted: Callable[[], Iterable[InstanceId]] = lambda: ()
+        self._network = network
+        self._clock = clock
+        self._random = random
+        self._make_beat = make_beat
+        self._on_change = on_change
+        self._peers: dict[InstanceId, Peer] = {}
+
+    @property
+    def records(self) -> list[PeerRecord]:
+        """Records of all known peers."""
+        return [peer.record for peer in self._peers.values()]
+
+    @property
+    def live_count(self) -> int:
+        """Number of instances that seem to live, this one included."""
+        return 1 + sum(peer.up for peer in self._peers.values())
+
+    def set_records(self, records: Iterable[PeerRecord]) -> None:
+        """Take over the list of instances; a new incarnation begins anew."""
+        fresh = {one.instance: one for one in records if one.instance != self.own}
+        for instance in self._peers.keys() - fresh.keys():
+            self._on_change("peer_removed", peer=instance)
+            self._drop(self._peers.pop(instance))
+        for instance, record in fresh.items():
+            known = self._peers.get(instance)
+            if known is None or known.record != record:
+                if known is not None:
+                    self._drop(known)
+                self._peers[instance] = Peer(record)
+                address = PeerAddress(record.host, record.port)
+                self._network.add_addresses({instance: address})
+                self._on_change("peer_listed", peer=instance, host=record.host)
+
+    def is_up(self, instance: InstanceId) -> bool:
+        """Return whether an instance lives and does not stop."""
+        peer = self._peers.get(instance)
+        return peer is not None and peer.up and not peer.stopping
+
+    def rank(self, key: str, own_usable: bool) -> list[InstanceId]:
+        """Return the instances that may decide for `key`, the first in charge."""
+        members = [one for one in self._peers if self.is_up(one)]
+        if own_usable:
+            members.append(self.own)
+        members.sort(key=lambda one: rendezvous_rank(key, one), reverse=True)
+        return members
+
+    def note_stopping(self, instance: InstanceId) -> None:
+        """Take over a peer's word that it stops."""
+        peer = self._peers.get(instance)
+        if peer is not None and not peer.stopping:
+            peer.stopping = True
+            self._on_change("peer_stopping", peer=instance)
+
+    def note_beat(self, instance: InstanceId, beat: Beat) -> None:
+        """Take over a heartbeat."""
+        peer = self._peers.get(instance)
+        if peer is None:
+            return
+        peer.missed = 0
+        peer.heard = beat
+        if beat.stopping:
+            self.note_stopping(instance)
+        if not peer.up:
+            peer.up = True
+            self._on_change("peer_up", peer=instance)
+        self.on_beat(instance, beat)
+
+    async def call(
+        self, instance: InstanceId, message: Message, timeout_ms: float
+    ) -> Message:
+        """Call a peer; fails as soon as the peer seems to be down.
+
+        Raises
+        ------
+        PeerUnavailable
+            If the peer is down, goes down, or does not answer in time.
+        """
+        peer = self._peers.get(instance)
+        if peer is None or not peer.up:
+            raise PeerUnavailable(f"{instance} is down")
+        with trio.CancelScope() as scope:
+            peer.calls.add(scope)
+            try:
+                return await self._network.call(instance, message, timeout_ms)
+            finally:
+                peer.calls.discard(scope)
+        raise PeerUnavailable(f"{instance} went down")
+
+    def send(self, instance: InstanceId, message: Message) -> None:
+        """Send a message to a peer without waiting; it may be lost."""
+        if instance in self._peers:
+            self._network.send_soon(instance, message)
+
+    def send_to_all(self, message: Message) -> None:
+        """Send a message to every peer that seems to live."""
+        for instance, peer in self._peers.items():
+            if peer.up:
+                self._network.send_soon(instance, message)
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Exchange heartbeats until cancelled."""
+        while True:
+            now_s = self._clock.monotonic_s()
+            for instance, peer in self._due(now_s):
+                period_ms = BEAT_PERIOD_MS if peer.up else DOWN_BEAT_PERIOD_MS
+                peer.next_beat_s = now_s + to_s(period_ms)
+                nursery.start_soon(self._beat, instance, peer)
+            await trio.sleep(to_s(BEAT_PERIOD_MS / 4))
+
+    def _due(self, now_s: float) -> list[tuple[InstanceId, Peer]]:
+        peers = self._peers
+        if len(peers) > MAX_BEAT_PEERS:
+            names = {one for one in self.wanted() if one in peers}
+            extra = self._random.sample(list(peers), 2)
+            peers = {one: peers[one] for one in [*names, *extra]}
+        return [(one, peer) for one, peer in peers.items() if peer.next_beat_s <= now_s]
+
+    async def _beat(self, instance: InstanceId, peer: Peer) -> None:
+        try:
+            answer = await self._network.call(
+                instance, self._make_beat(), BEAT_TIMEOUT_MS
+            )
+        except PeerUnavailable as error:
+            if self._peers.get(instance) is peer:
+                self._missed(instance, peer, str(error))
+            if peer.missed >= MISSED_BEATS:
+                # The connection may be silent for good while a new one works.
+                await self._network.close_connections(instance)
+            return
+        if isinstance(answer, Beat):
+            self.note_beat(instance, answer)
+
+    def _missed(self, instance: InstanceId, peer: Peer, reason: str) -> None:
+        peer.missed += 1
+        if peer.up and peer.missed >= MISSED_BEATS:
+            peer.up = False
+            self._on_change("peer_down", peer=instance, reason=reason)
+            self._drop(peer)
+            self.on_down(instance)
+
+    def _drop(self, peer: Peer) -> None:
+        """Fail the calls that wait for a peer."""
+        for scope in list(peer.calls):
+            scope.cancel()
--- /dev/null
+++ b/src/acaciapier/gateway/pipeline.py
@@ -0,0 +1,218 @@
+"""The stages of one request: run as their inputs come, results freed once read."""
+
+import trio
+
+from ..core.clock import Clock
+from ..wire.messages.gateway import RunPieces
+from .catalogue import Catalogue
+from .dispatch.desk import Desk, Refused
+from .dispatch.stage_queue import LARGE_RESULT_BYTES
+from .models import RequestTerms, RouteRule, ServiceName
+
+FIRST_PART_MS = 120.0
+"""Time from an engine's start to the first part of its answer, beside reading."""
+
+READ_MS_PER_TOKEN = 0.011
+"""Time in which an idle engine reads a prompt token."""
+
+BATCH_SHARE = 0.6
+"""Size of a usual call, as a share of the largest."""
+
+
+class StageTimes:
+    """Expected times of the stages of a route, from the declared ones.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        Configuration.
+    """
+
+    def __init__(self, catalogue: Catalogue):
+        self._catalogue = catalogue
+
+    def engine_ms(self, terms: RequestTerms) -> float:
+        """Return the time to the first part of an answer, without waiting."""
+        return FIRST_PART_MS + READ_MS_PER_TOKEN * terms.prompt_tokens
+
+    def stage_ms(self, service: ServiceName) -> float:
+        """Return the time of a usual call."""
+        configuration = self._catalogue.configuration
+        rule = configuration.services.get(service) if configuration else None
+        if rule is None or rule.batching is None:
+            return 0.0
+        return rule.batching.duration_ms(int(BATCH_SHARE * rule.batching.batch))
+
+    def least_ms(self, service: ServiceName) -> float:
+        """Return the least time of a call."""
+        configuration = self._catalogue.configuration
+        rule = configuration.services.get(service) if configuration else None
+        return rule.batching.call_ms if rule and rule.batching else 0.0
+
+    def after_ms(self, route: RouteRule, counts: tuple[int, ...]) -> dict[int, float]:
+        """Return for each stage the expected time of the stages behind it."""
+        after: dict[int, float] = {}
+        for number in reversed(range(len(route.stages))):
+            readers = [
+                other
+                for other, stage in enumerate(route.stages)
+                if number in stage.after and counts[other]
+            ]
+            after[number] = max(
+                (
+                    after[one] + self.stage_ms(route.stages[one].service)
+                    for one in readers
+                ),
+                default=0.0,
+            )
+        return after
+
+
+class StageRun:
+    """Runs the stages of one request.
+
+    Parameters
+    ----------
+    desk : Desk
+        Where pieces are asked for.
+    times : StageTimes
+        Expected times.
+    clock : Clock
+        Source of time.
+    route : RouteRule
+        Route with the stages.
+    terms : RequestTerms
+        What the request says of itself.
+    due_s, expires_s : float
+        When the first part is wanted, and when the answer is useless.
+    priority : int
+        Rank of the request.
+    value : float
+        What an answer in time is worth.
+    data_centre : str
+        Where large results are best made.
+    """
+
+    def __init__(
+        self,
+        desk: Desk,
+        times: StageTimes,
+        clock: Clock,
+        route: RouteRule,
+        terms: RequestTerms,
+        due_s: float,
+        expires_s: float,
+        priority: int,
+        value: float,
+        data_centre: str,
+    ):
+        self.refused: Refused | None = None
+        self._desk = desk
+        self._times = times
+        self._clock = clock
+        self._route = route
+        self._terms = terms
+        self._due_s = due_s
+        self._expires_s = expires_s
+        self._priority = priority
+        self._value = value
+        self._data_centre = data_centre
+        given = terms.piece_counts
+        self._counts = given + (1,) * (len(route.stages) - len(given))
+        self._handles: dict[int, tuple[str, ...]] = {}
+        self._asked: set[int] = set()
+        self._done = {n: trio.Event() for n in range(len(route.stages))}
+
+    @property
+    def inputs(self) -> tuple[str, ...]:
+        """Handles of all final results, in the order of the stages."""
+        return tuple(h for n in self._route.final_stages for h in self._handles[n])
+
+    def final_results(self) -> list[tuple[str, int]]:
+        """Return the handles of all final results with their sizes."""
+        return [
+            (handle, self._route.stages[number].result_bytes)
+            for number in self._route.final_stages
+            for handle in self._handles.get(number, ())
+        ]
+
+    async def run(self) -> None:
+        """Run all stages.
+
+        Raises
+        ------
+        Refused
+            If one could not be done in time.
+        """
+        after_ms = self._times.after_ms(self._route, self._counts)
+        async with trio.open_nursery() as nursery:
+            for number in range(len(self._route.stages)):
+                nursery.start_soon(self._run_stage, number, after_ms, nursery)
+        if self.refused is not None:
+            raise self.refused
+
+    def release(self) -> None:
+        """Give up everything that was asked for or made; safe to call twice."""
+        for number in sorted(self._asked):
+            service = self._route.stages[number].service
+            handles = self._handles.pop(number, None)
+            if handles is None:
+                self._desk.cancel(service, self._terms.attempt)
+            else:
+                self._desk.free(service, handles)
+        self._asked.clear()
+
+    async def _run_stage(
+        self, number: int, after_ms: dict[int, float], nursery: trio.Nursery
+    ) -> None:
+        stage = self._route.stages[number]
+        for other in stage.after:
+            await self._done[other].wait()
+        if self._counts[number] == 0:
+            self._handles[number] = ()
+            self._done[number].set()
+            return
+        engine_ms = self._times.engine_ms(self._terms)
+        now_s = self._clock.monotonic_s()
+        inputs = tuple(h for other in stage.after for h in self._handles[other])
+        message = RunPieces(
+            service=stage.service,
+            attempt=self._terms.attempt,
+            stage=number,
+            count=self._counts[number],
+            key=self._terms.piece_key,
+            inputs=inputs,
+            result_bytes=stage.result_bytes,
+            due_ms=(self._due_s - now_s) * 1_000.0 - engine_ms - after_ms[number],
+            expires_ms=(self._expires_s - now_s) * 1_000.0
+            - engine_ms
+            - after_ms[number] / 2,
+            priority=self._priority,
+            value=self._value,
+            data_centre=(
+                self._data_centre if stage.result_bytes >= LARGE_RESULT_BYTES else ""
+            ),
+        )
+        self._asked.add(number)
+        try:
+            self._handles[number] = await self._desk.run_pieces(message)
+        except Refused as refused:
+            self.refused = refused
+            nursery.cancel_scope.cancel()
+            return
+        self._done[number].set()
+        self._free_read()
+
+    def _free_read(self) -> None:
+        """Free the results that every stage reading them has read."""
+        for number in list(self._asked):
+            readers = [
+                other
+                for other, stage in enumerate(self._route.stages)
+                if number in stage.after
+            ]
+            if readers and all(self._done[one].is_set() for one in readers):
+                self._asked.discard(number)
+                self._desk.free(
+                    self._route.stages[number].service, self._handles[number]
+                )
--- /dev/null
+++ b/src/acaciapier/gateway/sync.py
@@ -0,0 +1,392 @@
+"""Keeps the catalogue and the list of instances true, from the store and peers."""
+
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from ..core.clock import Clock, epoch_ms, to_s
+from ..core.ids import InstanceId
+from ..exceptions import (
+    PeerUnavailable,
+    StoreError,
+    VersionConflict,
+    WatchCompacted,
+)
+from ..platform import configuration as configuration_format
+from ..platform import workers as worker_format
+from ..platform.store import PlatformStore, Snapshot, StoredObject
+from ..wire.messages.gateway import Beat, FetchNews, News, WorkerEntry
+from .catalogue import Catalogue
+from .models import PeerRecord, Worker, WorkerId, WorkerState
+from .peers import Peers
+
+WATCH_WAIT_MS = 1_500
+"""A watch on a connection that fell silent is noticed within a stable time."""
+
+RETRY_MS = (100.0, 200.0, 400.0, 800.0)
+"""Waits after failures of the store; jittered so that a fleet does not return at
+once."""
+
+NEWS_DELAY_MS = 150.0
+"""Time in which the store's own watch usually brings what a peer knows already."""
+
+NEWS_TIMEOUT_MS = 500.0
+"""A peer that is well answers in a few milliseconds."""
+
+DEAD_AFTER_MS = 12_000.0
+"""An instance that nobody reached for so long is taken off the list: longer than a
+restart, a freeze or a cut usually lasts."""
+
+SWEEP_PERIOD_MS = 2_000.0
+"""Period in which entries of dead instances are looked for."""
+
+OUTAGE_MS = 700.0
+"""Silence of the store after which entries may have lapsed meanwhile."""
+
+OUTAGE_SHADOW_MS = 2_500.0
+"""Time after the store's return in which lapsed entries come back."""
+
+
+class StoreSync:
+    """Follows the platform's store.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        The store.
+    catalogue : Catalogue
+        Where configuration and workers go.
+    peers : Peers
+        Where the list of instances goes.
+    own : PeerRecord
+        This instance's own entry.
+    clock : Clock
+        Source of time.
+    jitter : callable
+        Returns a random factor around 1.
+    log : callable
+        Told changes, as a kind and fields.
+    on_workers : callable
+        Called after workers have changed.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        catalogue: Catalogue,
+        peers: Peers,
+        own: PeerRecord,
+        clock: Clock,
+        jitter: Callable[[], float],
+        log: Callable[..., None],
+        on_workers: Callable[[], None],
+    ):
+        self.stopping = False
+        self._store = store
+        self._catalogue = catalogue
+        self._peers = peers
+        self._own = own
+        self._clock = clock
+        self._jitter = jitter
+        self._log = log
+        self._on_workers = on_workers
+        self._reached_s = clock.monotonic_s()
+        self._returned_s = 0.0
+        self._reachable = True
+        self._records: dict[str, tuple[int, PeerRecord]] = {}
+        self._unreadable: set[tuple[str, int]] = set()
+
+    async def run(self) -> None:
+        """Follow all kinds until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._follow, configuration_format.KIND, self._take_configuration
+            )
+            nursery.start_soon(self._follow, worker_format.KIND, self._take_workers)
+            nursery.start_soon(self._follow, worker_format.PEER_KIND, self._take_peers)
+            nursery.start_soon(self._register)
+            nursery.start_soon(self._sweep_peers)
+
+    async def leave(self) -> None:
+        """Take this instance off the list; others do it later if this fails."""
+        self.stopping = True
+        known = self._records.get(self._own.instance)
+        if known is None:
+            return
+        try:
+            await self._store.delete(
+                worker_format.PEER_KIND, self._own.instance, known[0]
+            )
+        except StoreError as error:
+            self._log("entry_not_removed", reason=str(error))
+
+    async def _follow(self, kind: str, take: Callable[[Snapshot, bool], None]) -> None:
+        """List a kind and then watch it, from the start again when that fails."""
+        failures = 0
+        revision = None
+        while True:
+            try:
+                if revision is None:
+                    snapshot = await self._store.list(kind)
+                    self._note_reached(kind)
+                    take(snapshot, True)
+                else:
+                    snapshot = await self._store.watch(kind, revision, WATCH_WAIT_MS)
+                    self._note_reached(kind)
+                    if snapshot.objects:
+                        take(snapshot, False)
+                revision = max(snapshot.revision, revision or 0)
+                failures = 0
+            except WatchCompacted:
+                self._log("watch_compacted", kind=kind, revision=revision)
+                revision = None
+            except StoreError as error:
+                self._note_lost(kind, str(error))
+                wait_ms = RETRY_MS[min(failures, len(RETRY_MS) - 1)]
+                failures += 1
+                await trio.sleep(to_s(wait_ms) * self._jitter())
+
+    def _take_configuration(self, snapshot: Snapshot, whole: bool) -> None:
+        for one in snapshot.objects:
+            if one.name == configuration_format.NAME and not one.deleted:
+                source = msgspec.json.encode(one.value)
+                self._catalogue.offer_configuration(one.revision, source, "store")
+
+    def _take_workers(self, snapshot: Snapshot, whole: bool) -> None:
+        workers: list[tuple[WorkerId, Worker | None]] = []
+        for one in snapshot.objects:
+            worker = None if one.deleted else self._decode_worker(one)
+            if worker is not None or one.deleted:
+                workers.append((WorkerId(one.name), worker))
+        after_outage = self._after_outage()
+        if whole:
+            listed = [worker for _, worker in workers if worker is not None]
+            self._catalogue.offer_workers(
+                snapshot.revision, listed, "store", after_outage
+            )
+        else:
+            self._catalogue.apply_worker_changes(
+                snapshot.revision, workers, "store", after_outage
+            )
+        self._on_workers()
+
+    def _decode_worker(self, one: StoredObject) -> Worker | None:
+        try:
+            return worker_format.decode_worker(one.name, one.value)
+        except ValueError as error:
+            self._log_unreadable(one, error)
+            return None
+
+    def _take_peers(self, snapshot: Snapshot, whole: bool) -> None:
+        if whole:
+            self._records.clear()
+        for one in snapshot.objects:
+            if one.deleted:
+                self._records.pop(one.name, None)
+                continue
+            try:
+                record = worker_format.decode_peer(one.name, one.value)
+            except ValueError as error:
+                self._log_unreadable(one, error)
+                continue
+            self._records[one.name] = (one.revision, record)
+        self._peers.set_records(record for _, record in self._records.values())
+
+    def _log_unreadable(self, one: StoredObject, error: ValueError) -> None:
+        if (one.name, one.revision) not in self._unreadable:
+            self._unreadable.add((one.name, one.revision))
+            self._log("entry_unreadable", name=one.name, reason=str(error))
+
+    async def _register(self) -> None:
+        """Keep this instance's own entry in the list."""
+        kind, name = worker_format.PEER_KIND, self._own.instance
+        value = worker_format.encode_peer(self._own)
+        while True:
+            known = self._records.get(name)
+            try:
+                if known is None:
+                    await self._store.create(kind, name, value)
+                elif known[1] != self._own:
+                    await self._store.replace(kind, name, value, known[0])
+            except VersionConflict as conflict:
+                await self._replace_own(kind, name, value, conflict.present_version)
+            except StoreError as error:
+                self._log("entry_not_written", reason=str(error))
+            await trio.sleep(to_s(SWEEP_PERIOD_MS) * self._jitter())
+
+    async def _replace_own(self, kind, name, value, revision: int) -> None:
+        try:
+            await self._store.replace(kind, name, value, revision or None)
+        except StoreError as error:
+            self._log("entry_not_written", reason=str(error))
+
+    async def _sweep_peers(self) -> None:
+        """Remove the entries of instances that nobody has reached for long."""
+        down_since_s: dict[InstanceId, float] = {}
+        while True:
+            await trio.sleep(to_s(SWEEP_PERIOD_MS) * self._jitter())
+            now_s = self._clock.monotonic_s()
+            for revision, record in list(self._records.values()):
+                name = record.instance
+                if name == self._own.instance or self._peers.is_up(name):
+                    down_since_s.pop(name, None)
+                    continue
+                since_s = down_since_s.setdefault(name, now_s)
+                if now_s - since_s < to_s(DEAD_AFTER_MS) or not self._reachable:
+                    continue
+                down_since_s.pop(name, None)
+                try:
+                    await self._store.delete(worker_format.PEER_KIND, name, revision)
+                    self._log("entry_of_dead_peer_removed", peer=name)
+                except StoreError as error:
+                    self._log("entry_not_removed", peer=name, reason=str(error))
+
+    def _note_reached(self, kind: str) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s - self._reached_s > to_s(OUTAGE_MS + WATCH_WAIT_MS):
+            self._returned_s = now_s
+        self._reached_s = now_s
+        if not self._reachable:
+            self._reachable = True
+            self._returned_s = now_s
+            self._log("store_regained", kind=kind)
+
+    def _note_lost(self, kind: str, reason: str) -> None:
+        now_s = self._clock.monotonic_s()
+        if self._reachable and now_s - self._reached_s > to_s(OUTAGE_MS):
+            self._reachable = False
+            self._log("store_lost", kind=kind, reason=reason)
+
+    def _after_outage(self) -> bool:
+        """Return whether entries may have lapsed while the store was away."""
+        if self._returned_s == 0.0:
+            return False
+        age_ms = (self._clock.monotonic_s() - self._returned_s) * 1_000.0
+        return age_ms < OUTAGE_SHADOW_MS
+
+
+class PeerSync:
+    """Takes over from peers what the store did not tell yet, and tells them.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        Configuration and workers.
+    peers : Peers
+        The other instances.
+    nursery : trio.Nursery
+        Where news is fetched.
+    log : callable
+        Told failures, as a kind and fields.
+    on_workers : callable
+        Called after workers have changed.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        peers: Peers,
+        nursery: trio.Nursery,
+        log: Callable[..., None],
+        on_workers: Callable[[], None],
+    ):
+        self._catalogue = catalogue
+        self._peers = peers
+        self._nursery = nursery
+        self._log = log
+        self._on_workers = on_workers
+        self._fetching = False
+
+    def note_beat(self, instance: InstanceId, beat: Beat) -> None:
+        """Fetch what a peer knows and this instance does not."""
+        if not self._fetching and self._is_news(beat):
+            self._fetching = True
+            self._nursery.start_soon(self._fetch, instance, beat)
+
+    async def answer(self, peer: InstanceId, message: FetchNews) -> News:
+        """Return what is newer here than at a peer."""
+        catalogue = self._catalogue
+        configuration = workers = None
+        if catalogue.configuration_revision > message.configuration_revision:
+            configuration = catalogue.configuration_source
+        if catalogue.workers_revision > message.workers_revision:
+            workers = tuple(_entry(one) for one in catalogue.workers.values())
+        return News(
+            catalogue.configuration_revision,
+            configuration,
+            catalogue.workers_revision,
+            workers,
+        )
+
+    def _is_news(self, beat: Beat) -> bool:
+        catalogue = self._catalogue
+        if beat.configuration_revision > catalogue.configuration_revision:
+            return True
+        return (
+            beat.workers_revision > catalogue.workers_revision
+            and beat.workers_digest != catalogue.workers_digest
+        )
+
+    async def _fetch(self, instance: InstanceId, beat: Beat) -> None:
+        try:
+            if self._catalogue.complete:
+                await trio.sleep(to_s(NEWS_DELAY_MS))
+            if self._is_news(beat):
+                request = FetchNews(
+                    self._catalogue.configuration_revision,
+                    self._catalogue.workers_revision,
+                )
+                news = await self._peers.call(instance, request, NEWS_TIMEOUT_MS)
+                if isinstance(news, News):
+                    self._take(instance, news)
+        except PeerUnavailable as error:
+            self._log("news_not_fetched", peer=instance, reason=str(error))
+        finally:
+            self._fetching = False
+
+    def _take(self, instance: InstanceId, news: News) -> None:
+        origin = f"peer {instance}"
+        if news.configuration is not None:
+            self._catalogue.offer_configuration(
+                news.configuration_revision, news.configuration, origin
+            )
+        if news.workers is not None:
+            workers = [_worker(one) for one in news.workers]
+            if self._catalogue.offer_workers(news.workers_revision, workers, origin):
+                self._on_workers()
+
+
+def _entry(worker: Worker) -> WorkerEntry:
+    return WorkerEntry(
+        worker.id,
+        worker.service,
+        worker.host,
+        worker.port,
+        worker.data_centre,
+        worker.slots,
+        worker.state.value,
+        worker.started_ms,
+        worker.cold_ms,
+    )
+
+
+def _worker(entry: WorkerEntry) -> Worker:
+    return Worker(
+        entry.id,
+        entry.service,
+        entry.host,
+        entry.port,
+        entry.data_centre,
+        entry.slots,
+        WorkerState(entry.state),
+        entry.started_ms,
+        entry.cold_ms,
+    )
+
+
+def own_record(
+    instance: InstanceId, host: str, port: int, data_centre, clock: Clock
+) -> PeerRecord:
+    """Return this instance's entry, with its start as its incarnation."""
+    return PeerRecord(instance, host, port, data_centre, epoch_ms(clock.now()))
--- /dev/null
+++ b/src/acaciapier/http/caller.py
@@ -0,0 +1,311 @@
+"""One HTTP/1.1 connection of a caller, over which it sends request after request.
+
+A caller that leaves while its request is worked on is noticed at once, and an
+answer that breaks off ends the connection so that it cannot look complete.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from .client import RECEIVE_BYTES, Headers, set_liveness_options
+
+MAX_AHEAD_BYTES = 65_536
+"""Bytes of further requests that are read while one is worked on."""
+
+STATUS_TEXTS = {
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """Bounds on a caller's input."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass
+class IncomingRequest:
+    """A whole request of a caller."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    values: dict[bytes, bytes]
+    """Values by lower-case name."""
+    body: bytes
+    received_s: float
+    """Time of its last byte on the connection's clock."""
+
+
+class CallerGone(Exception):
+    """The caller's connection is gone."""
+
+
+class _Rejected(Exception):
+    """The input is refused with a status, and the connection closed."""
+
+    def __init__(self, status: int):
+        self.status = status
+
+
+class Exchange:
+    """The answer to one request; exactly one of its methods begins it.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+        The caller's connection.
+    """
+
+    def __init__(self, connection: "CallerConnection"):
+        self.started = False
+        self.ended = False
+        self._connection = connection
+
+    async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer."""
+        await self.start(
+            status, [*headers, (b"Content-Length", str(len(body)).encode())]
+        )
+        if body:
+            await self.send(body)
+        await self.end()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer; without a length its body is chunked."""
+        self.started = True
+        await self._connection.send_head(status, headers)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._connection.send_event(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """End the body."""
+        await self._connection.send_event(h11.EndOfMessage())
+        self.ended = True
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer cannot look complete."""
+        self._connection.close()
+
+
+Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
+
+
+class CallerConnection:
+    """Reads a caller's requests and lets a handler answer them one by one.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The accepted stream.
+    limits : callable
+        Returns the limits in force.
+    handler : callable
+        Coroutine that answers a request.
+    clock : callable
+        Returns the present time in seconds.
+    stopping : callable
+        Returns whether connections are to be closed after their answer.
+    """
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        limits: Callable[[], ConnectionLimits],
+        handler: Handler,
+        clock: Callable[[], float],
+        stopping: Callable[[], bool],
+    ):
+        self.idle = True
+        self._stream = stream
+        self._limits = limits
+        self._handler = handler
+        self._clock = clock
+        self._stopping = stopping
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
+        )
+        self._eof = False
+
+    async def serve(self) -> None:
+        """Serve until either side closes."""
+        set_liveness_options(self._stream)
+        try:
+            while await self._serve_one():
+                pass
+        except CallerGone:
+            pass
+        except _Rejected as rejected:
+            await self._reject(rejected.status)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close at once."""
+        self._stream.socket.close()
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        headers = list(headers)
+        if self._stopping():
+            headers.append((b"Connection", b"close"))
+        reason = STATUS_TEXTS.get(status, b"OK" if status == 200 else b"")
+        await self.send_event(
+            h11.Response(status_code=status, headers=headers, reason=reason)
+        )
+
+    async def send_event(self, event) -> None:
+        """Send a part of an answer, or raise `CallerGone`."""
+        try:
+            data = self._parser.send(event)
+            if data:
+                await self._stream.send_all(data)
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.LocalProtocolError,
+        ) as error:
+            raise CallerGone from error
+
+    async def _serve_one(self) -> bool:
+        """Serve one request; tell whether another may follow."""
+        self.idle = True
+        request = await self._read_request()
+        if request is None:
+            return False
+        self.idle = False
+        exchange = Exchange(self)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            try:
+                await self._handler(request, exchange)
+            except CallerGone:
+                self.close()
+            nursery.cancel_scope.cancel()
+        if not exchange.ended or self._stopping():
+            return False
+        if self._parser.our_state is not h11.DONE:
+            return False
+        if self._parser.their_state is not h11.DONE:
+            return False
+        self._parser.start_next_cycle()
+        return True
+
+    async def _read_request(self) -> IncomingRequest | None:
+        limits = self._limits()
+        with trio.move_on_after(limits.idle_timeout_s) as idle:
+            event = self._parser_event()
+            if event is h11.NEED_DATA and not await self._receive():
+                return None
+        if idle.cancelled_caught:
+            return None
+        self.idle = False
+        with trio.move_on_after(limits.header_timeout_s) as scope:
+            while event is h11.NEED_DATA:
+                event = self._parser_event()
+                if event is h11.NEED_DATA and not await self._receive():
+                    return None
+        if scope.cancelled_caught:
+            raise _Rejected(408)
+        if not isinstance(event, h11.Request):
+            return None
+        return await self._read_rest(event, limits)
+
+    async def _read_rest(
+        self, head: h11.Request, limits: ConnectionLimits
+    ) -> IncomingRequest | None:
+        headers = list(head.headers.raw_items())
+        values = {name.lower(): value for name, value in headers}
+        if b"transfer-encoding" in values and b"content-length" in values:
+            raise _Rejected(400)
+        if int(values.get(b"content-length", b"0")) > limits.max_body_bytes:
+            raise _Rejected(413)
+        if self._parser.they_are_waiting_for_100_continue:
+            await self.send_event(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        body = bytearray()
+        while True:
+            event = self._parser_event()
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.max_body_bytes:
+                    raise _Rejected(413)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif event is h11.NEED_DATA:
+                with trio.move_on_after(limits.idle_timeout_s) as scope:
+                    if not await self._receive():
+                        return None
+                if scope.cancelled_caught:
+                    raise _Rejected(408)
+            else:
+                return None
+        return IncomingRequest(
+            bytes(head.method),
+            bytes(head.target),
+            headers,
+            values,
+            bytes(body),
+            self._clock(),
+        )
+
+    def _parser_event(self):
+        try:
+            return self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _Rejected(error.error_status_hint or 400) from error
+
+    async def _receive(self) -> bool:
+        """Read some bytes; False at the end of the input."""
+        try:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGone from error
+        self._parser.receive_data(data)
+        return bool(data)
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel the work when the caller closes its connection."""
+        ahead = 0
+        try:
+            while ahead <= MAX_AHEAD_BYTES:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    break
+                ahead += len(data)
+                self._parser.receive_data(data)
+            else:
+                return
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        scope.cancel()
+
+    async def _reject(self, status: int) -> None:
+        """Answer bad input and close; the caller may be gone already."""
+        try:
+            await self.send_head(
+                status, [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            )
+            await self.send_event(h11.EndOfMessage())
+        except CallerGone:
+            return
--- /dev/null
+++ b/src/acaciapier/http/client.py
@@ -0,0 +1,301 @@
+"""One HTTP/1.1 connection to a server, for one request at a time.
+
+Built on h11, the parser under hypercorn and httpcore: an answer that ends early,
+a second answer and bytes after an answer must be told apart here, which the
+clients above it do not expose.
+"""
+
+import socket
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+import h11
+import trio
+
+from ..exceptions import AcaciapierError
+
+RECEIVE_BYTES = 65_536
+INLINE_BODY_BYTES = 16_384
+"""A body up to this size fits the socket's buffer, so it is sent before reading."""
+
+MAX_ANSWER_HEAD_BYTES = 65_536
+UNACKNOWLEDGED_TIMEOUT_MS = 3_000
+"""A peer that acknowledges nothing for so long counts as gone."""
+
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+Headers = list[tuple[bytes, bytes]]
+
+
+class ConnectFailed(AcaciapierError):
+    """No connection could be opened; nothing was sent."""
+
+
+class ConnectionBroken(AcaciapierError):
+    """The connection ended, or its bytes were no HTTP, before the answer's end."""
+
+
+@dataclass
+class OutgoingRequest:
+    """A request with its whole body; headers that concern framing are added."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+    values: dict[bytes, bytes] = field(default_factory=dict)
+    """Values by lower-case name."""
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header by its lower-case name."""
+        return self.values.get(name)
+
+
+class HttpConnection:
+    """An open connection to a server.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The connected stream.
+    address : str
+        Where it leads, for messages.
+    """
+
+    def __init__(self, stream: trio.SocketStream, address: str):
+        self.address = address
+        self.exchanges = 0
+        self.idle_since_s = 0.0
+        self.keep_alive_ms: float | None = None
+        self._stream = stream
+        self._parser = self._new_parser()
+        self._request: h11.Request | None = None
+        self._unsent = False
+
+    @classmethod
+    async def open(cls, host: str, port: int, timeout_ms: float) -> "HttpConnection":
+        """Connect, or raise `ConnectFailed`."""
+        address = f"{host}:{port}"
+        try:
+            with trio.fail_after(timeout_ms / 1_000.0):
+                raw = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                try:
+                    await raw.connect((host, port))
+                except BaseException:
+                    raw.close()
+                    raise
+        except (OSError, trio.TooSlowError) as error:
+            raise ConnectFailed(f"{address}: {error!r}") from error
+        stream = trio.SocketStream(raw)
+        set_liveness_options(stream)
+        return cls(stream, address)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may follow: the last exchange is whole."""
+        parser = self._parser
+        return (
+            not self._unsent
+            and parser.our_state is h11.DONE
+            and parser.their_state is h11.DONE
+            and not parser.trailing_data[0]
+        )
+
+    def has_unread_input(self) -> bool:
+        """Return whether the server sent something, or closed, while idle."""
+        try:
+            data = self._stream.socket._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return data is not None
+
+    async def send(
+        self, request: OutgoingRequest, background: trio.Nursery | None = None
+    ) -> None:
+        """Send a request.
+
+        With a `background` nursery, a long body is written while the answer is
+        read, since a server may answer before it has read all of it.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection fails; the server may have read the request.
+        """
+        if self.exchanges:
+            self._parser.start_next_cycle()
+        self.exchanges += 1
+        headers = [*request.headers]
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        try:
+            self._request = h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+        except h11.LocalProtocolError as error:
+            raise ConnectionBroken(f"the request cannot be sent: {error}") from error
+        data = self._commit(request.body)
+        if background is None or len(data) <= INLINE_BODY_BYTES:
+            await self._write(data)
+        else:
+            self._unsent = True
+            background.start_soon(self._write_long, data)
+
+    async def receive_head(
+        self, accepts: Callable[[AnswerHead], bool] = lambda head: True
+    ) -> AnswerHead:
+        """Return the head of the answer; skip answers that `accepts` rejects.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the connection ends first or its bytes are no answer.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ConnectionBroken(f"{self.address}: no answer")
+            head = _read_head(event)
+            if accepts(head):
+                self._note_keep_alive(head)
+                return head
+            await self._skip_answer()
+
+    async def receive_body(self) -> AsyncIterator[bytes]:
+        """Yield the answer's body as it arrives; raises `ConnectionBroken`."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ConnectionBroken(f"{self.address}: the answer was cut")
+
+    async def receive_whole_body(self, max_bytes: int) -> bytes:
+        """Return the whole body, or raise `ConnectionBroken`."""
+        body = bytearray()
+        async for data in self.receive_body():
+            body += data
+            if len(body) > max_bytes:
+                raise ConnectionBroken(f"{self.address}: over {max_bytes} bytes")
+        return bytes(body)
+
+    def close(self) -> None:
+        """Close at once."""
+        self._stream.socket.close()
+
+    def _commit(self, body: bytes) -> bytes:
+        """Return the bytes of the request, and let the parser expect its answer."""
+        data = self._parser.send(self._request) or b""
+        if body:
+            data += self._parser.send(h11.Data(data=body)) or b""
+        return data + (self._parser.send(h11.EndOfMessage()) or b"")
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionBroken(f"{self.address}: {error!r}") from error
+
+    async def _write_long(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return  # the reading side reports how the exchange ends
+        self._unsent = False
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionBroken(f"{self.address}: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (OSError, trio.BrokenResourceError) as error:
+                raise ConnectionBroken(f"{self.address}: {error!r}") from error
+            except trio.ClosedResourceError as error:
+                raise ConnectionBroken(f"{self.address}: closed here") from error
+            self._parser.receive_data(data)
+
+    async def _skip_answer(self) -> None:
+        """Read an answer to an earlier request to its end, and expect the next."""
+        async for _ in self.receive_body():
+            pass
+        rest, closed = self._parser.trailing_data
+        if closed:
+            raise ConnectionBroken(f"{self.address}: closed after a stray answer")
+        self._parser = self._new_parser()
+        self._parser.send(self._request)
+        length = dict(self._request.headers).get(b"content-length", b"0")
+        if int(length):
+            self._parser.send(h11.Data(data=bytes(int(length))))
+        self._parser.send(h11.EndOfMessage())
+        if rest:
+            self._parser.receive_data(rest)
+
+    def _note_keep_alive(self, head: AnswerHead) -> None:
+        """Remember for how long the server keeps the idle connection."""
+        for part in (head.get(b"keep-alive") or b"").split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self.keep_alive_ms = int(value) * 1_000.0
+
+    @staticmethod
+    def _new_parser() -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
+        )
+
+
+def set_liveness_options(stream: trio.SocketStream) -> None:
+    """Let the kernel notice a peer that is gone without a word."""
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    stream.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+    )
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+
+
+def _read_head(event: h11.Response) -> AnswerHead:
+    raw = list(event.headers.raw_items())
+    values = {name.lower(): value for name, value in raw}
+    return AnswerHead(event.status_code, raw, values)
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return the headers that do not concern one connection only."""
+    named = set(HOP_HEADERS)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(one.strip().lower() for one in value.split(b","))
+    return [(name, value) for name, value in headers if name.lower() not in named]
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -47,6 +47,9 @@
         self._service = meter.create_counter("acaciapier_stage_service_ms")
         self._refusals = meter.create_counter("acaciapier_refusals")
         self._open = meter.create_up_down_counter("acaciapier_open_requests")
+        self._answers = meter.create_counter("acaciapier_gateway_requests")
+        self._answer_time = meter.create_histogram("acaciapier_gateway_duration", "ms")
+        self._decisions = meter.create_counter("acaciapier_gateway_decisions")
 
     def request_opened(self) -> None:
         """Count a request that starts."""
@@ -102,6 +105,16 @@
         """Count a refusal by its cause."""
         self._refusals.add(1, {"workspace": workspace, "cause": cause})
 
+    def gateway_request(self, route: str, outcome: str, elapsed_ms: float) -> None:
+        """Count a request of the gateway by its route and outcome."""
+        attributes = {"route": route, "outcome": outcome}
+        self._answers.add(1, attributes)
+        self._answer_time.record(elapsed_ms, attributes)
+
+    def gateway_decision(self, kind: str) -> None:
+        """Count a decision of the gateway about a request."""
+        self._decisions.add(1, {"kind": kind})
+
     def watch_store(self, counts: Callable[[], dict[Any, Any]]) -> None:
         """Expose the calls of the object API by purpose and verb.
 
--- /dev/null
+++ b/src/acaciapier/platform/configuration.py
@@ -0,0 +1,158 @@
+"""The operator's configuration as the platform's store holds it."""
+
+from typing import Any
+
+import msgspec
+
+from ..gateway.models import (
+    BatchSpec,
+    EngineSpec,
+    GatewayConfiguration,
+    InputLimits,
+    RequestKind,
+    RouteRule,
+    ServiceName,
+    ServiceRule,
+    StageRule,
+    TenantRule,
+)
+
+KIND = "config"
+NAME = "main"
+BYTES_PER_MB = 1_000_000.0
+MS_PER_S = 1_000.0
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Stage(msgspec.Struct):
+    service: str
+    after: list[int] = []
+    bytes: float = 0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float
+    priority: int = 0
+    max_attempts: int = 1
+    service: str | None = None
+    backends: list[_Backend] = []
+    stages: list[_Stage] = []
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity: int
+
+
+class _Segments(msgspec.Struct):
+    # `batch` bounds the pieces of a call; `slots` and `queue` count calls.
+    batch: int
+    call_ms: float
+    item_ms: float
+    headroom_mb: float
+    handle_s: float
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+    segments: _Segments | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(spec: Any) -> GatewayConfiguration:
+    """Decode the value of the configuration object.
+
+    Raises
+    ------
+    ValueError
+        If it does not have the published form.
+    """
+    try:
+        raw = msgspec.convert(spec, _Configuration, strict=False)
+    except msgspec.ValidationError as error:
+        raise ValueError(f"the configuration is malformed: {error}") from error
+    return GatewayConfiguration(
+        version=raw.version,
+        routes=tuple(_route(one) for one in raw.routes),
+        services={ServiceName(one.name): _service(one) for one in raw.services},
+        tenants=None if raw.tenants is None else tuple(map(_tenant, raw.tenants)),
+        limits=InputLimits(
+            raw.limits.max_header_bytes,
+            raw.limits.max_body_bytes,
+            raw.limits.header_timeout_ms,
+            raw.limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _route(raw: _Route) -> RouteRule:
+    if raw.backends:
+        services = tuple((ServiceName(b.service), b.weight) for b in raw.backends)
+    else:
+        services = ((ServiceName(raw.service or ""), 1.0),)
+    return RouteRule(
+        name=raw.name,
+        host=raw.host.lower(),
+        path_prefix=raw.path_prefix,
+        kind=RequestKind(raw.kind),
+        services=services,
+        timeout_ms=raw.timeout_ms,
+        objective_ms=raw.slo_ms,
+        priority=raw.priority,
+        max_attempts=max(1, raw.max_attempts),
+        public=raw.public,
+        resumable=raw.resumable,
+        stages=tuple(
+            StageRule(ServiceName(s.service), tuple(s.after), int(s.bytes))
+            for s in raw.stages
+        ),
+    )
+
+
+def _service(raw: _Service) -> ServiceRule:
+    engine = raw.engine and EngineSpec(raw.engine.slots, raw.engine.kv_capacity)
+    batching = raw.segments and BatchSpec(
+        batch=raw.segments.batch,
+        call_ms=raw.segments.call_ms,
+        piece_ms=raw.segments.item_ms,
+        result_bytes=raw.segments.headroom_mb * BYTES_PER_MB,
+        result_ttl_ms=raw.segments.handle_s * MS_PER_S,
+    )
+    return ServiceRule(ServiceName(raw.name), raw.max_conns, engine, batching)
+
+
+def _tenant(raw: _Tenant) -> TenantRule:
+    return TenantRule(raw.name, frozenset(raw.api_keys), raw.priority)
--- /dev/null
+++ b/src/acaciapier/platform/settings.py
@@ -0,0 +1,137 @@
+"""The platform's settings file: lines of the form ``a.b=value``."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+from ..core.findings import Findings
+from ..core.ids import DataCentreId, InstanceId, RegionId
+from ..gateway.settings import (
+    Address,
+    GatewayBounds,
+    GatewaySettings,
+    StoreSettings,
+)
+
+PATH_VARIABLE = "ACACIAPIER_BOOT"
+FLEET_KEY_VARIABLE = "ACACIAPIER_FLEET_KEY"
+MS_PER_S = 1_000.0
+MIN_FLEET_KEY_CHARS = 16
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file that the platform names."""
+    return Path(os.environ.get(PATH_VARIABLE, "/etc/acaciapier/node.conf"))
+
+
+def read_settings(path: Path, environment: Mapping[str, str]) -> GatewaySettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    FindingsError
+        With every missing or malformed field.
+    """
+    findings = Findings()
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        findings.add("(whole file)", str(error))
+        findings.raise_if_any(str(path))
+    settings = decode_settings(text, environment, findings)
+    findings.raise_if_any(str(path))
+    return settings
+
+
+def decode_settings(
+    text: str, environment: Mapping[str, str], findings: Findings
+) -> GatewaySettings:
+    """Decode the text of a settings file; problems go to `findings`."""
+    fields = _Fields(_split(text, findings), findings)
+    defaults = GatewayBounds()
+    fleet_key = environment.get(FLEET_KEY_VARIABLE, "")
+    if len(fleet_key) < MIN_FLEET_KEY_CHARS:
+        findings.add(FLEET_KEY_VARIABLE, f"needs {MIN_FLEET_KEY_CHARS} characters")
+    return GatewaySettings(
+        instance=InstanceId(fields.text("node")),
+        data_centre=DataCentreId(fields.text("zone")),
+        region=RegionId(fields.text("region")),
+        front=fields.address("listen.front"),
+        ready=fields.address("listen.ready"),
+        control=fields.address("listen.control"),
+        seeds=fields.addresses("seeds"),
+        store=StoreSettings(
+            fields.address("platform.addr"),
+            fields.number("platform.reads_per_s", 1_000.0),
+            fields.number("platform.writes_per_s", 200.0),
+        ),
+        bounds=GatewayBounds(
+            drain_ms=fields.number("bounds.drain_ms", defaults.drain_ms),
+            stop_grace_ms=fields.number(
+                "bounds.grace_s", defaults.stop_grace_ms / MS_PER_S
+            )
+            * MS_PER_S,
+            stable_ms=fields.number("bounds.stable_ms", defaults.stable_ms),
+            retry_ratio=fields.number("bounds.retry_ratio", defaults.retry_ratio),
+            retry_window_ms=fields.number(
+                "bounds.retry_window_s", defaults.retry_window_ms / MS_PER_S
+            )
+            * MS_PER_S,
+            retry_slack=fields.number("bounds.retry_slack", defaults.retry_slack),
+        ),
+        fleet_key=fleet_key.encode(),
+        max_descriptors=int(fields.number("limits.max_fds", 1_024)),
+    )
+
+
+class _Fields:
+    """Typed access to the fields, which records what is wrong with them."""
+
+    def __init__(self, values: Mapping[str, str], findings: Findings):
+        self._values = values
+        self._findings = findings
+
+    def text(self, name: str) -> str:
+        value = self._values.get(name, "")
+        if not value:
+            self._findings.add(name, "is missing")
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        value = self._values.get(name)
+        if value is None or value == "":
+            return default
+        try:
+            return float(value)
+        except ValueError:
+            self._findings.add(name, f"{value!r} is not a number")
+            return default
+
+    def address(self, name: str) -> Address:
+        value = self.text(name)
+        return self._address(name, value) if value else Address("", 0)
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        values = filter(None, self._values.get(name, "").split(","))
+        return tuple(self._address(name, value) for value in values)
+
+    def _address(self, name: str, value: str) -> Address:
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit():
+            self._findings.add(name, f"{value!r} is not an address")
+            return Address("", 0)
+        return Address(host, int(port))
+
+
+def _split(text: str, findings: Findings) -> dict[str, str]:
+    """Return the fields; blank lines and unknown fields do no harm."""
+    values = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip():
+            continue
+        name, separator, value = line.partition("=")
+        if not separator:
+            findings.add(f"line {number}", "has no '='")
+            continue
+        values[name.strip()] = value.strip()
+    return values
--- /dev/null
+++ b/src/acaciapier/platform/workers.py
@@ -0,0 +1,91 @@
+"""Registered workers, and the system's own instances, in the platform's store."""
+
+from typing import Any
+
+import msgspec
+
+from ..core.ids import DataCentreId, InstanceId
+from ..gateway.models import PeerRecord, Worker, WorkerLoad, WorkerState
+
+KIND = "servers"
+PEER_KIND = "acaciapier-instances"
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str
+    state: WorkerState
+    slots: int = 1
+    cold_left_ms: float = 0.0
+    # Unix milliseconds of the worker's start, which tells its incarnations apart.
+    born: int = 0
+
+
+class _Instance(msgspec.Struct):
+    host: str
+    port: int
+    zone: str
+    started_ms: int
+
+
+def decode_worker(name: str, spec: Any) -> Worker:
+    """Decode the value of a worker's entry.
+
+    Raises
+    ------
+    ValueError
+        If it names no worker that could be used.
+    """
+    try:
+        entry = msgspec.convert(spec, _Entry)
+    except msgspec.ValidationError as error:
+        raise ValueError(f"worker entry {name} is malformed: {error}") from error
+    host, _, port = entry.addr.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"worker entry {name} has no address: {entry.addr!r}")
+    return Worker(
+        id=name,
+        service=entry.service,
+        host=host,
+        port=int(port),
+        data_centre=entry.zone,
+        slots=entry.slots,
+        state=entry.state,
+        started_ms=entry.born,
+        cold_ms=entry.cold_left_ms,
+    )
+
+
+def encode_peer(peer: PeerRecord) -> dict[str, Any]:
+    """Return the value of an instance's own entry."""
+    return {
+        "host": peer.host,
+        "port": peer.port,
+        "zone": peer.data_centre,
+        "started_ms": peer.started_ms,
+    }
+
+
+def decode_peer(name: str, spec: Any) -> PeerRecord:
+    """Decode an instance's entry, or raise `ValueError`."""
+    try:
+        entry = msgspec.convert(spec, _Instance)
+    except msgspec.ValidationError as error:
+        raise ValueError(f"instance entry {name} is malformed: {error}") from error
+    return PeerRecord(
+        InstanceId(name),
+        entry.host,
+        entry.port,
+        DataCentreId(entry.zone),
+        entry.started_ms,
+    )
+
+
+def decode_load(value: str) -> WorkerLoad | None:
+    """Decode the load that an answer tells, None if it is malformed."""
+    try:
+        running, waiting, slots = (int(part) for part in value.split(","))
+    except ValueError:
+        return None
+    return WorkerLoad(running, waiting, slots)
--- /dev/null
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -0,0 +1,141 @@
+"""Messages between gateway instances."""
+
+import msgspec
+
+from .base import Message
+
+
+class Beat(Message, frozen=True):
+    """Heartbeat: what the sender knows and whether it stops; also its answer."""
+
+    configuration_revision: int
+    workers_revision: int
+    workers_digest: int
+    stopping: bool
+
+
+class FetchNews(Message, frozen=True):
+    """Asks for a configuration or workers newer than the given revisions."""
+
+    configuration_revision: int
+    workers_revision: int
+
+
+class WorkerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One worker of a peer's table."""
+
+    id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    state: str
+    started_ms: int
+    cold_ms: float
+
+
+class News(Message, frozen=True):
+    """Answer to `FetchNews`; what is not newer is left out."""
+
+    configuration_revision: int
+    configuration: bytes | None
+    workers_revision: int
+    workers: tuple[WorkerEntry, ...] | None
+
+
+class RunPieces(Message, frozen=True):
+    """Asks a dispatcher to have all pieces of one stage of a request made.
+
+    Times are milliseconds from now: `due_ms` until the results are wanted,
+    `expires_ms` until they are useless.
+    """
+
+    service: str
+    attempt: str
+    stage: int
+    count: int
+    key: str
+    inputs: tuple[str, ...]
+    result_bytes: int
+    due_ms: float
+    expires_ms: float
+    priority: int
+    value: float
+    data_centre: str
+
+
+class PiecesMade(Message, frozen=True):
+    """Handles of all pieces, in order."""
+
+    handles: tuple[str, ...]
+
+
+class WorkRefused(Message, frozen=True):
+    """Nothing was done: why, and when it is worth another try."""
+
+    cause: str
+    retry_after_ms: float
+
+
+class FreeResults(Message, frozen=True):
+    """Gives up results of a stage service."""
+
+    service: str
+    handles: tuple[str, ...]
+
+
+class CancelWork(Message, frozen=True):
+    """The caller of an attempt is gone; its waiting pieces are not wanted."""
+
+    service: str
+    attempt: str
+
+
+class AcquireWorker(Message, frozen=True):
+    """Asks a dispatcher for a place at one worker of a service."""
+
+    service: str
+    permit: str
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[tuple[str, int], ...]
+    input_bytes: tuple[tuple[str, int], ...]
+    priority: int
+    value: float
+    due_ms: float
+    expires_ms: float
+    avoid: tuple[str, ...]
+    repeat: bool
+
+
+class WorkerGranted(Message, frozen=True):
+    """A place at one incarnation of a worker."""
+
+    worker: str
+    started_ms: int
+
+
+class PermitEnded(Message, frozen=True):
+    """Gives a place back and tells how the call ended."""
+
+    service: str
+    permit: str
+    outcome: str
+    elapsed_ms: float
+
+
+class PermitStarted(Message, frozen=True):
+    """The first part of the answer has come."""
+
+    service: str
+    permit: str
+    elapsed_ms: float
+
+
+class HeldPermits(Message, frozen=True):
+    """All places that an instance holds at a service, for a new dispatcher."""
+
+    service: str
+    permits: tuple[tuple[str, str, int, int], ...]
+    """Permit, worker, prompt tokens and output tokens of each."""
--- a/src/acaciapier/wire/network.py
+++ b/src/acaciapier/wire/network.py
@@ -203,6 +203,11 @@
             async for item in stream:
                 yield item
 
+    async def close_connections(self, peer: InstanceId) -> None:
+        """Close all connections to `peer`, so that the next call opens a new one."""
+        for connection in list(self._connections.get(peer, ())):
+            await connection.aclose()
+
     def _send_after_connecting(self, peer: InstanceId, message: Message) -> None:
         if self._nursery is None:
             raise PeerUnavailable("the network is not running")
