--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -19,6 +19,7 @@
     end_to_end_headers,
 )
 from ..platform import requests as terms_format
+from ..policy.subset import rendezvous_rank
 from ..wire.messages.gateway import AcquireWorker
 from .catalogue import Catalogue
 from .dispatch.desk import Desk, Permit, Refused
@@ -308,7 +309,7 @@
         if not workers or not shared:
             return ""
         name = shared[-1].id
-        home = max(workers, key=lambda one: xxhash.xxh3_64_intdigest(name + one.id))
+        home = max(workers, key=lambda one: rendezvous_rank(name, one.id))
         return home.data_centre
 
     async def _acquire(self, state: RequestState) -> Permit:
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -21,8 +21,9 @@
 from .models import PeerRecord, Worker, WorkerId, WorkerState
 from .peers import Peers
 
-WATCH_WAIT_MS = 1_500
-"""A watch on a connection that fell silent is noticed within a stable time."""
+WATCH_WAIT_MS = 8_000
+"""Each watch is a priced call; a connection that fell silent is noticed earlier, by
+the kernel's probes, within a stable time."""
 
 RETRY_MS = (100.0, 200.0, 400.0, 800.0)
 """Waits after failures of the store; jittered so that a fleet does not return at
@@ -244,8 +245,6 @@
 
     def _note_reached(self, kind: str) -> None:
         now_s = self._clock.monotonic_s()
-        if now_s - self._reached_s > to_s(OUTAGE_MS + WATCH_WAIT_MS):
-            self._returned_s = now_s
         self._reached_s = now_s
         if not self._reachable:
             self._reachable = True
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -281,9 +281,9 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
     )
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
 def _read_head(event: h11.Response) -> AnswerHead:
