--- a/src/acaciapier/app/strikes.py
+++ b/src/acaciapier/app/strikes.py
@@ -58,7 +58,7 @@
         The members of a small fleet are told directly as well, since suspects
         wait only for a short time before they run again.
         """
-        records = [_to_record(strike) for strike in self._policy.take_new_strikes()]
+        records = [to_record(strike) for strike in self._policy.take_new_strikes()]
         for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
             part = records[start : start + MAX_RECORDS_PER_MESSAGE]
             self._publish(Strikes(tuple(part)))
@@ -82,19 +82,20 @@
             except PeerUnavailable:
                 continue
             if isinstance(answer, AllStrikes):
-                self._policy.merge_strikes(_to_strikes(answer.records))
+                self._policy.merge_strikes(to_strikes(answer.records))
 
     async def _answer(self, peer: InstanceId, message: AskStrikes) -> AllStrikes:
-        return AllStrikes(tuple(map(_to_record, self._policy.strikes())))
+        return AllStrikes(tuple(map(to_record, self._policy.strikes())))
 
     async def _hear(self, peer: InstanceId, message: Strikes) -> None:
         self._merge(message)
 
     def _merge(self, message: Strikes) -> None:
-        self._policy.merge_strikes(_to_strikes(message.records))
+        self._policy.merge_strikes(to_strikes(message.records))
 
 
-def _to_record(strike: Strike) -> StrikeRecord:
+def to_record(strike: Strike) -> StrikeRecord:
+    """Return the form of a record in messages."""
     return StrikeRecord(
         strike.record_id,
         strike.kind.value,
@@ -106,7 +107,8 @@
     )
 
 
-def _to_strikes(records: Iterable[StrikeRecord]) -> list[Strike]:
+def to_strikes(records: Iterable[StrikeRecord]) -> list[Strike]:
+    """Return the records of a message."""
     return [
         Strike(
             record_id=record.record_id,
--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -46,8 +46,8 @@
         self._decode = decode_configuration
         self._on_change = on_change
         self._by_service: dict[ServiceName, tuple[Worker, ...]] = {}
+        self._data_centres: dict[str, str] = {}
         self._lapsed: dict[WorkerId, float] = {}
-        self._left: dict[str, int] = {}
 
     @property
     def complete(self) -> bool:
@@ -59,6 +59,10 @@
         self._drop_lapsed()
         return self._by_service.get(service, ())
 
+    def locate(self, address: str) -> str:
+        """Return the data centre of the worker at an address, empty if unknown."""
+        return self._data_centres.get(address, "")
+
     def usable(self, worker: Worker) -> bool:
         """Return whether this incarnation of a worker still takes work."""
         known = self.workers.get(worker.id)
@@ -188,6 +192,9 @@
             service: tuple(sorted(workers, key=lambda one: one.id))
             for service, workers in by_service.items()
         }
+        self._data_centres = {
+            one.address: one.data_centre for one in self.workers.values()
+        }
         self.workers_digest = _digest(self.workers)
 
 
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -21,7 +21,9 @@
 )
 from ..catalogue import Catalogue
 from ..models import AttemptId, Piece, ServiceName, ServiceRule, Worker
+from ..settings import GatewayBounds
 from .places import PERMIT_TTL_MS, Place, PlaceBook, PlaceRequest
+from .repeats import RepeatBudget
 from .stage_feeder import StageFeeder
 from .stage_queue import PieceGroup
 
@@ -56,6 +58,8 @@
         Told decisions, as a kind and fields.
     nursery : trio.Nursery
         Where calls run.
+    bounds : GatewayBounds
+        Promises of the operators, for the budget of repeated sends.
     """
 
     def __init__(
@@ -65,7 +69,10 @@
         clock: Clock,
         log: Callable[..., None],
         nursery: trio.Nursery,
+        bounds: GatewayBounds,
     ):
+        self._bounds = bounds
+        self._budgets: dict[str, RepeatBudget] = {}
         self.stopping = False
         self._catalogue = catalogue
         self._client = client
@@ -113,6 +120,7 @@
             priority=message.priority,
             value=message.value,
             data_centre=message.data_centre,
+            transfer_bytes=message.transfer_bytes,
         )
         forecast_ms = feeder.forecast_ms(group)
         if forecast_ms is None or forecast_ms > message.expires_ms:
@@ -154,6 +162,11 @@
         if book is None or not workers:
             return WorkRefused("no_worker", 1_000.0)
         now_s = self._clock.monotonic_s()
+        budget = self._budget(message.service)
+        if not message.repeat:
+            budget.note_first(now_s)
+        elif not budget.spend(now_s):
+            return WorkRefused("repeat_budget", 1_000.0)
         request = PlaceRequest(
             permit=message.permit,
             owner=peer,
@@ -305,6 +318,16 @@
         book.rule = rule
         return book
 
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RepeatBudget(
+                self._bounds.retry_ratio,
+                self._bounds.retry_slack,
+                to_s(self._bounds.retry_window_ms),
+            )
+        return budget
+
     def _rule(self, service: str) -> ServiceRule | None:
         configuration = self._catalogue.configuration
         if configuration is None:
--- a/src/acaciapier/gateway/dispatch/places.py
+++ b/src/acaciapier/gateway/dispatch/places.py
@@ -22,6 +22,13 @@
 CROSS_MS_PER_MB = 25.0
 """Delay that a megabyte of stage results between data centres is held equal to."""
 
+REREAD_MS_PER_TOKEN = 0.1
+"""Delay that a shared token is held equal to that another worker read just before:
+its processor time counts, not only the delay of this request."""
+
+REUSE_WINDOW_S = 7.0
+"""Time after its last use in which a shared part is worth keeping together."""
+
 MEMORY_SHARE = 0.85
 """Share of an engine's memory that requests may fill; the rest keeps prompts."""
 
@@ -37,6 +44,9 @@
 DEFAULT_SERVICE_MS = 50.0
 """Usual time of a call of a plain service, until measured."""
 
+MAX_CHAINS = 5_000
+"""Shared parts that are remembered before old ones are looked for."""
+
 PERMIT_TTL_MS = 30_000.0
 """A place that nobody gave back is free after the longest deadline twice."""
 
@@ -135,6 +145,7 @@
         self._places: dict[str, Place] = {}
         self._held: dict[str, set[str]] = {}
         self._memories: dict[str, PromptMemory] = {}
+        self._last_read_s: dict[tuple[str, ...], float] = {}
         self._waiting: list[PlaceRequest] = []
 
     @property
@@ -187,7 +198,8 @@
         given = []
         self._waiting.sort(key=lambda one: (one.due_s < now_s, one.priority, one.due_s))
         for request in list(self._waiting):
-            worker = self._choose(request, workers, now_s)
+            recent = self._recent_tokens(request, now_s)
+            worker = self._choose(request, workers, recent, now_s)
             if worker is None:
                 continue
             self._waiting.remove(request)
@@ -239,7 +251,11 @@
             del self._memories[key]
 
     def _choose(
-        self, request: PlaceRequest, workers: Sequence[Worker], now_s: float
+        self,
+        request: PlaceRequest,
+        workers: Sequence[Worker],
+        recent: int,
+        now_s: float,
     ) -> Worker | None:
         usable = [
             one
@@ -251,7 +267,7 @@
         quick = [one for one in usable if self.health.pace(one.key) < SLOW_PACE]
         return min(
             quick or usable,
-            key=lambda one: (self._cost(one, request), one.key),
+            key=lambda one: (self._cost(one, request, recent), one.key),
             default=None,
         )
 
@@ -271,14 +287,30 @@
         place = self._places[permit]
         return place.prompt_tokens + place.output_tokens
 
-    def _cost(self, worker: Worker, request: PlaceRequest) -> float:
-        """Return the delay that a request would meet at a worker, in ms."""
+    def _recent_tokens(self, request: PlaceRequest, now_s: float) -> int:
+        """Return how many shared tokens of a prompt some worker read just before."""
+        tokens = 0
+        chain: tuple[str, ...] = ()
+        for name, count in request.parts[:-1]:
+            chain = (*chain, name)
+            if now_s - self._last_read_s.get(chain, -1e9) > REUSE_WINDOW_S:
+                break
+            tokens += count
+        return tokens
+
+    def _cost(self, worker: Worker, request: PlaceRequest, recent: int) -> float:
+        """Return the delay that a request would meet at a worker, in ms.
+
+        `recent` is the number of its shared tokens that were read just before.
+        """
         held = self._held.get(worker.key, ())
         failing = FAILURE_PLACES * self.health.failures(worker.key)
         if self.rule.engine is None:
             return (len(held) + failing) / self.slots(worker) * self.usual_ms
         unread = sum(self._places[permit].unread_tokens for permit in held)
-        own = request.prompt_tokens - self._kept(worker, request)
+        kept = self._kept(worker, request)
+        own = request.prompt_tokens - kept
+        again_ms = max(0, recent - kept) * REREAD_MS_PER_TOKEN
         tokens = unread + own + RUNNING_TOKENS * (len(held) + failing)
         elsewhere = sum(
             size
@@ -286,7 +318,8 @@
             if data_centre != worker.data_centre
         )
         pace = max(1.0, self.health.pace(worker.key))
-        return tokens * self._token_ms * pace + elsewhere / 1e6 * CROSS_MS_PER_MB
+        transfer_ms = elsewhere / 1e6 * CROSS_MS_PER_MB
+        return tokens * self._token_ms * pace + again_ms + transfer_ms
 
     def _kept(self, worker: Worker, request: PlaceRequest) -> int:
         memory = self._memories.get(worker.key)
@@ -309,6 +342,20 @@
                 capacity = self.rule.engine.memory_tokens
                 memory = self._memories[worker.key] = PromptMemory(capacity)
             memory.note(request.parts)
+            self._note_read(request, now_s)
+
+    def _note_read(self, request: PlaceRequest, now_s: float) -> None:
+        chain: tuple[str, ...] = ()
+        for name, _ in request.parts[:-1]:
+            chain = (*chain, name)
+            self._last_read_s[chain] = now_s
+        if len(self._last_read_s) > MAX_CHAINS:
+            oldest_s = now_s - REUSE_WINDOW_S
+            self._last_read_s = {
+                chain: read_s
+                for chain, read_s in self._last_read_s.items()
+                if read_s >= oldest_s
+            }
 
     def _drop_overdue(self, now_s: float) -> None:
         overdue = [p for p, place in self._places.items() if place.until_s < now_s]
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -14,6 +14,10 @@
 LARGE_RESULT_BYTES = 200_000
 """From this size on, a request's results are kept at one worker if they fit."""
 
+LARGE_TRANSFER_BYTES = 1_000_000
+"""From this size on, transfers of a group between data centres are avoided: on the
+users' links they cost more than a late answer is worth."""
+
 TRIAL_PIECES = 2
 """Pieces of the first call to a worker that failed before."""
 
@@ -53,6 +57,8 @@
         What an answer in time is worth.
     data_centre : str
         Where the results are best made.
+    transfer_bytes : int
+        What is transferred between data centres if they are made elsewhere.
     """
 
     owner: str
@@ -63,6 +69,7 @@
     priority: int
     value: float
     data_centre: str = ""
+    transfer_bytes: int = 0
     results: dict[int, PieceResult] = field(default_factory=dict)
     waiting: list[int] = field(default_factory=list)
     tries: int = 0
@@ -95,6 +102,7 @@
     parts: list[tuple[PieceGroup, list[int]]]
     expected_ms: float
     reserved_bytes: float
+    ends_s: float = 0.0
 
     @property
     def size(self) -> int:
@@ -226,7 +234,11 @@
             return None
         free_bytes = self.spec.result_bytes - room.used_bytes(now_s)
         most = TRIAL_PIECES if self.health.on_trial(worker.key) else self.spec.batch
-        ordered = self.order(workers, now_s, worker)
+        ordered = [
+            one
+            for one in self.order(workers, now_s)
+            if not self._better_elsewhere(one, worker, workers, now_s)
+        ]
         pace = max(1.0, self.health.pace(worker.key))
         if pace >= SLOW_PACE:
             ordered = self._slack_enough(ordered, pace, workers, now_s)
@@ -235,13 +247,13 @@
             return None
         size = sum(len(numbers) for _, numbers in parts)
         reserved = sum(len(numbers) * g.result_bytes for g, numbers in parts)
-        call = StageCall(worker, parts, pace * self.spec.duration_ms(size), reserved)
+        expected_ms = pace * self.spec.duration_ms(size)
+        ends_s = now_s + expected_ms / 1_000.0
+        call = StageCall(worker, parts, expected_ms, reserved, ends_s)
         self._start(call, room)
         return call
 
-    def order(
-        self, workers: Sequence[Worker], now_s: float, worker: Worker | None = None
-    ) -> list[PieceGroup]:
+    def order(self, workers: Sequence[Worker], now_s: float) -> list[PieceGroup]:
         """Return the waiting groups, the next first.
 
         Groups that can be in time come by their due times. If they are too many,
@@ -249,20 +261,11 @@
         Hodgson); then come the late ones, by rank and expiry.
         """
         rate = self.rate_per_ms(workers, now_s) or 1e-9
-        call_s = self.spec.duration_ms(self.spec.batch) / 1_000.0
         in_time, late = [], []
         for group in self._groups:
             own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
             (in_time if now_s + own_s <= group.due_s else late).append(group)
-        kept, behind = _keep_valuable(in_time, rate, now_s, call_s)
-        if worker is not None:
-            kept.sort(
-                key=lambda one: (
-                    one.due_s > now_s + 2 * call_s,
-                    _is_elsewhere(one, worker),
-                    one.due_s,
-                )
-            )
+        kept, behind = _keep_valuable(in_time, rate, now_s)
         behind += late
         behind.sort(key=lambda one: (one.priority, one.expires_s))
         return kept + behind
@@ -317,6 +320,47 @@
         for key in self._rooms.keys() - keys:
             del self._rooms[key]
 
+    def _better_elsewhere(
+        self,
+        group: PieceGroup,
+        worker: Worker,
+        workers: Sequence[Worker],
+        now_s: float,
+    ) -> bool:
+        """Return whether a group is to wait for a worker near its data.
+
+        It is, if one of those has it done in time, or if it is late anyway.
+        """
+        if group.transfer_bytes < LARGE_TRANSFER_BYTES:
+            return False
+        if group.data_centre in ("", worker.data_centre):
+            return False
+        near = [
+            one
+            for one in workers
+            if one.data_centre == group.data_centre
+            and self.health.usable(one.key, now_s)
+        ]
+        if not near:
+            return False
+        free_s = min(self._free_at_s(one, now_s) for one in near)
+        ahead = sum(
+            len(one.waiting)
+            for one in self._groups
+            if one.data_centre == group.data_centre and one.due_s < group.due_s
+        )
+        calls_ahead = ahead // (self.spec.batch * len(near))
+        full_s = self.spec.duration_ms(self.spec.batch) / 1_000.0
+        own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
+        done_s = free_s + calls_ahead * full_s + own_s
+        if now_s + own_s > group.due_s:
+            return done_s <= group.expires_s
+        return done_s <= group.due_s
+
+    def _free_at_s(self, worker: Worker, now_s: float) -> float:
+        call = self._busy.get(worker.key)
+        return now_s if call is None else max(now_s, call.ends_s)
+
     def _slack_enough(
         self,
         groups: list[PieceGroup],
@@ -355,14 +399,8 @@
         return room
 
 
-def _is_elsewhere(group: PieceGroup, worker: Worker) -> bool:
-    if group.result_bytes < LARGE_RESULT_BYTES or not group.data_centre:
-        return False
-    return group.data_centre != worker.data_centre
-
-
 def _keep_valuable(
-    groups: Iterable[PieceGroup], rate_per_ms: float, now_s: float, call_s: float
+    groups: Iterable[PieceGroup], rate_per_ms: float, now_s: float
 ) -> tuple[list[PieceGroup], list[PieceGroup]]:
     """Split groups into those that can all be in time, and the rest."""
     kept: list[PieceGroup] = []
@@ -371,7 +409,7 @@
     for group in sorted(groups, key=lambda one: one.due_s):
         kept.append(group)
         pieces += len(group.waiting)
-        while now_s + call_s + pieces / rate_per_ms / 1_000.0 > group.due_s + call_s:
+        while now_s + pieces / rate_per_ms / 1_000.0 > group.due_s:
             least = min(kept, key=lambda one: (-one.priority, one.density))
             kept.remove(least)
             behind.append(least)
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -26,6 +26,7 @@
     PermitStarted,
     RunPieces,
 )
+from ..wire.messages.quarantine import Strikes
 from ..wire.network import PeerNetwork
 from .catalogue import Catalogue
 from .dispatch.desk import Desk
@@ -37,6 +38,7 @@
 from .settings import GatewaySettings
 from .stage_client import StageClient
 from .status_server import StatusServer
+from .suspects import Suspects
 from .sync import PeerSync, StoreSync, own_record
 from .worker_pool import WorkerConnections, sweep_idle
 
@@ -120,7 +122,15 @@
         worker_connections = WorkerConnections(self.clock)
         client = StageClient(worker_connections, nursery)
         self.dispatcher = Dispatcher(
-            self.catalogue, client, self.clock, self.log.write, nursery
+            self.catalogue,
+            client,
+            self.clock,
+            self.log.write,
+            nursery,
+            settings.bounds,
+        )
+        self.suspects = Suspects(
+            self.clock, self._random, self.peers, self.log.write, nursery
         )
         self.desk = Desk(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
@@ -130,6 +140,7 @@
             self.catalogue,
             self.desk,
             worker_connections,
+            self.suspects,
             self.clock,
             self._random,
             self.observer,
@@ -181,6 +192,7 @@
     def _register_handlers(self, peer_sync: PeerSync) -> None:
         register = self.network.register
         register(Beat, self._answer_beat)
+        register(Strikes, self.suspects.hear)
         register(FetchNews, peer_sync.answer)
         register(RunPieces, self.dispatcher.run_pieces)
         register(AcquireWorker, self.dispatcher.acquire)
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -1,12 +1,13 @@
 """The stages of one request: run as their inputs come, results freed once read."""
 
+from collections.abc import Callable
+
 import trio
 
 from ..core.clock import Clock
 from ..wire.messages.gateway import RunPieces
 from .catalogue import Catalogue
 from .dispatch.desk import Desk, Refused
-from .dispatch.stage_queue import LARGE_RESULT_BYTES
 from .models import RequestTerms, RouteRule, ServiceName
 
 FIRST_PART_MS = 120.0
@@ -18,6 +19,13 @@
 BATCH_SHARE = 0.6
 """Size of a usual call, as a share of the largest."""
 
+TIME_WEIGHT = 0.05
+"""Weight of the newest observation in a stage's time; about a second of requests."""
+
+MOST_WAITING = 1.6
+"""Longest stage time that is planned with, as a multiple of the declared one; what
+waits longer is late whatever is planned."""
+
 
 class StageTimes:
     """Expected times of the stages of a route, from the declared ones.
@@ -30,13 +38,26 @@
 
     def __init__(self, catalogue: Catalogue):
         self._catalogue = catalogue
+        self._observed_ms: dict[ServiceName, float] = {}
+
+    def observe(self, service: ServiceName, elapsed_ms: float) -> None:
+        """Learn how long a stage took, its waiting included."""
+        declared_ms = self._declared_ms(service)
+        known_ms = self._observed_ms.get(service, declared_ms)
+        taken_ms = min(max(elapsed_ms, self.least_ms(service)), 2 * declared_ms)
+        self._observed_ms[service] = known_ms + TIME_WEIGHT * (taken_ms - known_ms)
 
     def engine_ms(self, terms: RequestTerms) -> float:
         """Return the time to the first part of an answer, without waiting."""
         return FIRST_PART_MS + READ_MS_PER_TOKEN * terms.prompt_tokens
 
     def stage_ms(self, service: ServiceName) -> float:
-        """Return the time of a usual call."""
+        """Return the time that a stage usually takes, with its waiting."""
+        declared_ms = self._declared_ms(service)
+        observed_ms = self._observed_ms.get(service, declared_ms)
+        return min(observed_ms, MOST_WAITING * declared_ms)
+
+    def _declared_ms(self, service: ServiceName) -> float:
         configuration = self._catalogue.configuration
         rule = configuration.services.get(service) if configuration else None
         if rule is None or rule.batching is None:
@@ -90,7 +111,9 @@
     value : float
         What an answer in time is worth.
     data_centre : str
-        Where large results are best made.
+        Where final results are best made.
+    locate : callable
+        Returns the data centre of a result.
     """
 
     def __init__(
@@ -105,6 +128,7 @@
         priority: int,
         value: float,
         data_centre: str,
+        locate: Callable[[str], str],
     ):
         self.refused: Refused | None = None
         self._desk = desk
@@ -117,6 +141,7 @@
         self._priority = priority
         self._value = value
         self._data_centre = data_centre
+        self._locate = locate
         given = terms.piece_counts
         self._counts = given + (1,) * (len(route.stages) - len(given))
         self._handles: dict[int, tuple[str, ...]] = {}
@@ -175,6 +200,7 @@
         engine_ms = self._times.engine_ms(self._terms)
         now_s = self._clock.monotonic_s()
         inputs = tuple(h for other in stage.after for h in self._handles[other])
+        data_centre, transfer_bytes = self._best_place(number)
         message = RunPieces(
             service=stage.service,
             attempt=self._terms.attempt,
@@ -189,9 +215,8 @@
             - after_ms[number] / 2,
             priority=self._priority,
             value=self._value,
-            data_centre=(
-                self._data_centre if stage.result_bytes >= LARGE_RESULT_BYTES else ""
-            ),
+            data_centre=data_centre,
+            transfer_bytes=transfer_bytes,
         )
         self._asked.add(number)
         try:
@@ -200,9 +225,31 @@
             self.refused = refused
             nursery.cancel_scope.cancel()
             return
+        elapsed_ms = (self._clock.monotonic_s() - now_s) * 1_000.0
+        self._times.observe(stage.service, elapsed_ms)
         self._done[number].set()
         self._free_read()
 
+    def _best_place(self, number: int) -> tuple[str, int]:
+        """Return where a stage is best run, and what is transferred otherwise.
+
+        Its inputs are read by each of its pieces; final results by the engine.
+        """
+        stage = self._route.stages[number]
+        sizes: dict[str, int] = {}
+        for other in stage.after:
+            size = self._route.stages[other].result_bytes * self._counts[number]
+            for handle in self._handles[other]:
+                place = self._locate(handle)
+                sizes[place] = sizes.get(place, 0) + size
+        if number in self._route.final_stages:
+            size = stage.result_bytes * self._counts[number]
+            sizes[self._data_centre] = sizes.get(self._data_centre, 0) + size
+        if not sizes:
+            return "", 0
+        best = max(sizes, key=sizes.__getitem__)
+        return best, sizes[best]
+
     def _free_read(self) -> None:
         """Free the results that every stage reading them has read."""
         for number in list(self._asked):
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -1,12 +1,14 @@
 """One request from its arrival to its answer."""
 
+import math
 import random as random_module
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import trio
 import xxhash
 
-from ..core.clock import Clock
+from ..core.clock import Clock, to_s
 from ..core.ids import Fingerprint
 from ..http.caller import CallerGone, Exchange, IncomingRequest
 from ..http.client import (
@@ -30,9 +32,11 @@
     OUTCOME_FULL,
     OUTCOME_UNREACHABLE,
 )
+from .event_stream import EventSplitter, event_ids
 from .models import AnswerTerms, RequestKind, RequestTerms, RouteRule, Worker
 from .pipeline import StageRun, StageTimes
 from .routing import RouteTable, choose_service, request_priority
+from .suspects import Suspects
 from .worker_pool import WorkerConnections
 
 MAX_SENDS = 4
@@ -53,6 +57,20 @@
 NO_CONFIGURATION_RETRY_S = 1.0
 """An instance without a configuration reads one within about a second."""
 
+BLOCKED_RETRY_S = 5.0
+"""A request that crashes workers is not wanted back soon."""
+
+STREAM_SILENCE_MS = 1_000.0
+"""A resumable stream that is silent for longer goes on elsewhere: three times the
+pause that callers accept, and half of what they wait at least."""
+
+PLAIN_SILENCE_MS = 350.0
+"""A repeatable plain request is sent elsewhere after this time: longer than the
+slowest usual work, and early enough for a second try before the route's timeout."""
+
+FIRST_PART_SILENCE_MS = 1_500.0
+"""The same for the first part of a resumable stream, with its reading."""
+
 VALUE_BASE, VALUE_SIZE_TOKENS, VALUE_MOST = 0.3, 5_000.0, 4.0
 """Value of a generation by its size, from the users' scoring rules; the mean size
 is not known here, so a usual one stands for it."""
@@ -70,11 +88,14 @@
     service: str
     deadline_s: float
     due_s: float
+    fingerprint: Fingerprint
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     stages: StageRun | None = None
+    events: EventSplitter = field(default_factory=EventSplitter)
+    """Events of a resumable stream that were forwarded."""
 
     @property
     def value(self) -> float:
@@ -112,6 +133,8 @@
         Where places and pieces are asked for.
     connections : WorkerConnections
         Connections to workers.
+    suspects : Suspects
+        Requests that crash workers.
     clock : Clock
         Source of time that counts the time in which the machine stood still.
     random : random.Random
@@ -127,6 +150,7 @@
         catalogue: Catalogue,
         desk: Desk,
         connections: WorkerConnections,
+        suspects: Suspects,
         clock: Clock,
         random: random_module.Random,
         observer,
@@ -136,6 +160,7 @@
         self._catalogue = catalogue
         self._desk = desk
         self._connections = connections
+        self._suspects = suspects
         self._clock = clock
         self._random = random
         self._observer = observer
@@ -191,7 +216,11 @@
             service=choose_service(route, self._random),
             deadline_s=start_s + deadline_ms / 1_000.0,
             due_s=start_s + route.objective_ms / 1_000.0,
+            fingerprint=request_fingerprint(request, terms.key),
         )
+        if self._suspects.blocked(state.fingerprint):
+            await self._refuse(exchange, 503, BLOCKED_RETRY_S)
+            return "blocked", {"route": route.name, "fingerprint": state.fingerprint}
         outcome, fields = await self._serve_in_time(state, exchange, deadline_ms)
         fields |= {
             "route": route.name,
@@ -276,17 +305,26 @@
                     state.stages.release()
                     await self._run_stages(state)
             except _Failed as failed:
-                if exchange.started or not state.route.repeatable:
-                    raise
-                if state.runs >= state.route.max_attempts:
+                if not self._may_repeat(state, exchange):
                     raise
                 self._observer.decided(
-                    "repeated", state.terms.attempt, cause=failed.cause
+                    "repeated",
+                    state.terms.attempt,
+                    cause=failed.cause,
+                    runs=state.runs,
+                    after_event=state.events.last_id,
                 )
+                last = Refused(failed.cause, 300.0)
             finally:
                 self._desk.end(permit)
         raise last
 
+    def _may_repeat(self, state: RequestState, exchange: Exchange) -> bool:
+        """Return whether a failed request may run once more, at another worker."""
+        if not state.route.repeatable or state.runs >= state.route.max_attempts:
+            return False
+        return not exchange.started or state.events.last_id is not None
+
     async def _run_stages(self, state: RequestState) -> None:
         state.stages = StageRun(
             self._desk,
@@ -299,6 +337,7 @@
             state.priority,
             state.value,
             self._home_data_centre(state),
+            self._locate,
         )
         await state.stages.run()
 
@@ -334,15 +373,16 @@
         """Return the size of the stage results by their data centre."""
         if state.stages is None:
             return ()
-        centres = {
-            one.address: one.data_centre for one in self._catalogue.workers.values()
-        }
         sizes: dict[str, int] = {}
         for handle, size in state.stages.final_results():
-            centre = centres.get(handle.partition("/")[0], "")
+            centre = self._locate(handle)
             sizes[centre] = sizes.get(centre, 0) + size
         return tuple(sizes.items())
 
+    def _locate(self, handle: str) -> str:
+        """Return the data centre of a stage result."""
+        return self._catalogue.locate(handle.partition("/")[0])
+
     async def _send(
         self, state: RequestState, exchange: Exchange, permit: Permit
     ) -> tuple[str, dict]:
@@ -362,7 +402,13 @@
         except ConnectionBroken as error:
             permit.outcome = OUTCOME_FAILED
             self._note(state, worker, "broken", str(error))
+            self._suspects.broken(state.fingerprint, worker, state.terms.attempt)
             raise _Failed(f"broken: {error}") from error
+        except trio.TooSlowError as error:
+            permit.outcome = OUTCOME_UNREACHABLE
+            self._note(state, worker, "silent", "no part of the answer in time")
+            self._suspects.ended(state.fingerprint, worker, False)
+            raise _Failed("silent") from error
 
     async def _exchange(
         self,
@@ -377,15 +423,20 @@
         outgoing = self._outgoing(state, worker)
         state.runs += 1
         state.may_have_run = True
+        self._suspects.sent(state.fingerprint, worker)
         try:
-            await connection.send(outgoing, self._background)
-            head = await connection.receive_head(
-                lambda head: _answers(head, state.terms.attempt)
-            )
+            with trio.fail_after(self._first_part_s(state)):
+                await connection.send(outgoing, self._background)
+                head = await connection.receive_head(
+                    lambda head: _answers(head, state.terms.attempt)
+                )
         except ConnectionBroken:
             if reused:
                 self._connections.note_reset_on_reuse(worker, idle_ms)
             raise
+        except trio.Cancelled:
+            self._suspects.ended(state.fingerprint, worker, False)
+            raise
         told = terms_format.decode_answer(head)
         if told.not_run:
             await self._not_run(state, permit, connection, head, told)
@@ -395,6 +446,7 @@
                 raise _Failed("an answer without the worker's mark")
             return await self._forward_stream(state, exchange, permit, connection, head)
         body = await connection.receive_whole_body(MAX_PLAIN_ANSWER_BYTES)
+        self._suspects.ended(state.fingerprint, worker, head.status < 500)
         if head.status >= 500:
             permit.outcome = OUTCOME_FAILED
             raise _Failed(f"status {head.status}", (head, body))
@@ -418,6 +470,7 @@
         state.runs -= 1
         state.may_have_run = state.runs > 0
         permit.outcome = OUTCOME_CANCELLED
+        self._suspects.ended(state.fingerprint, permit.worker, False)
         if told.wrong_worker:
             self._catalogue.note_leaving(permit.worker, "answer")
         elif not told.inputs_gone:
@@ -433,24 +486,66 @@
         connection: HttpConnection,
         head: AnswerHead,
     ) -> tuple[str, dict]:
-        """Forward a stream part by part, as it comes."""
-        await exchange.start(head.status, _answer_headers(head, keep_length=True))
-        first = True
-        async for data in connection.receive_body():
-            if first and state.stages is not None:
-                state.stages.release()
-                first = False
+        """Forward a stream part by part, as it comes.
+
+        A stream that goes on from another worker keeps the head of the first.
+        """
+        if not exchange.started:
+            headers = _answer_headers(head, keep_length=not state.route.resumable)
+            await exchange.start(head.status, headers)
+        if state.stages is not None:
+            state.stages.release()
+        parts = connection.receive_body()
+        if state.route.resumable:
+            parts = self._whole_events(state, parts)
+        async for data in parts:
             await exchange.send(data)
         await exchange.end()
+        self._suspects.ended(state.fingerprint, permit.worker, True)
         permit.outcome = OUTCOME_DONE
         return "done", {"worker": permit.worker.id, "status": head.status}
 
+    async def _whole_events(
+        self, state: RequestState, parts: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        """Yield whole events only; raises `trio.TooSlowError` at a long silence."""
+        events = state.events
+        events.drop_rest()
+        after = events.last_id
+        while True:
+            with trio.fail_after(to_s(STREAM_SILENCE_MS)):
+                data = await anext(parts, None)
+            if data is None:
+                break
+            whole = events.feed(data)
+            if whole and after is not None:
+                _check_follows(after, whole)
+                after = None
+            if whole:
+                yield whole
+        if events.has_rest:
+            raise ConnectionBroken("the stream ended within an event")
+
+    def _first_part_s(self, state: RequestState) -> float:
+        """Return how long the head of an answer is waited for."""
+        last_try = state.runs >= state.route.max_attempts
+        if not state.route.repeatable or last_try:
+            return math.inf
+        if state.route.kind is RequestKind.STREAMING:
+            return to_s(FIRST_PART_SILENCE_MS)
+        return to_s(PLAIN_SILENCE_MS)
+
     def _outgoing(self, state: RequestState, worker: Worker) -> OutgoingRequest:
         request = state.request
         left_ms = (state.deadline_s - self._clock.monotonic_s()) * 1_000.0
         inputs = state.stages.inputs if state.stages is not None else ()
         headers = terms_format.forwarded_headers(
-            request.headers, left_ms, worker.id, state.tenant, inputs
+            request.headers,
+            left_ms,
+            worker.id,
+            state.tenant,
+            inputs,
+            state.events.last_id,
         )
         return OutgoingRequest(request.method, request.target, headers, request.body)
 
@@ -466,6 +561,15 @@
     return told.attempt is None or told.attempt == attempt
 
 
+def _check_follows(after: str, data: bytes) -> None:
+    """Check that a resumed stream goes on where the former one broke off."""
+    ids = event_ids(data)
+    if not (ids and after.isdigit() and ids[0].isdigit()):
+        raise ConnectionBroken(f"the event after {after} has no number")
+    if int(ids[0]) != int(after) + 1:
+        raise ConnectionBroken(f"event {ids[0]} follows event {after}")
+
+
 def _answer_headers(head: AnswerHead, keep_length: bool = False) -> Headers:
     headers = end_to_end_headers(head.headers)
     if keep_length:
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -42,8 +42,9 @@
 SWEEP_PERIOD_MS = 2_000.0
 """Period in which entries of dead instances are looked for."""
 
-OUTAGE_MS = 700.0
-"""Silence of the store after which entries may have lapsed meanwhile."""
+OUTAGE_MS = 1_000.0
+"""Length of an outage of the store in which entries may have lapsed; less than the
+three heartbeats after which they do."""
 
 OUTAGE_SHADOW_MS = 2_500.0
 """Time after the store's return in which lapsed entries come back."""
@@ -92,9 +93,8 @@
         self._jitter = jitter
         self._log = log
         self._on_workers = on_workers
-        self._reached_s = clock.monotonic_s()
+        self._lost_s: float | None = None
         self._returned_s = 0.0
-        self._reachable = True
         self._records: dict[str, tuple[int, PeerRecord]] = {}
         self._unreadable: set[tuple[str, int]] = set()
 
@@ -234,7 +234,7 @@
                     down_since_s.pop(name, None)
                     continue
                 since_s = down_since_s.setdefault(name, now_s)
-                if now_s - since_s < to_s(DEAD_AFTER_MS) or not self._reachable:
+                if now_s - since_s < to_s(DEAD_AFTER_MS) or not self.reachable:
                     continue
                 down_since_s.pop(name, None)
                 try:
@@ -243,18 +243,24 @@
                 except StoreError as error:
                     self._log("entry_not_removed", peer=name, reason=str(error))
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call of the store was answered."""
+        return self._lost_s is None
+
     def _note_reached(self, kind: str) -> None:
+        if self._lost_s is None:
+            return
         now_s = self._clock.monotonic_s()
-        self._reached_s = now_s
-        if not self._reachable:
-            self._reachable = True
+        outage_ms = (now_s - self._lost_s) * 1_000.0
+        self._lost_s = None
+        if outage_ms >= OUTAGE_MS:
             self._returned_s = now_s
-            self._log("store_regained", kind=kind)
+        self._log("store_regained", kind=kind, outage_ms=round(outage_ms))
 
     def _note_lost(self, kind: str, reason: str) -> None:
-        now_s = self._clock.monotonic_s()
-        if self._reachable and now_s - self._reached_s > to_s(OUTAGE_MS):
-            self._reachable = False
+        if self._lost_s is None:
+            self._lost_s = self._clock.monotonic_s()
             self._log("store_lost", kind=kind, reason=reason)
 
     def _after_outage(self) -> bool:
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -63,6 +63,7 @@
     priority: int
     value: float
     data_centre: str
+    transfer_bytes: int = 0
 
 
 class PiecesMade(Message, frozen=True):
