--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -116,6 +116,7 @@
             ],
             result_bytes=message.result_bytes,
             due_s=now_s + to_s(message.due_ms),
+            latest_s=now_s + to_s(message.latest_ms),
             expires_s=now_s + to_s(message.expires_ms),
             priority=message.priority,
             value=message.value,
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -20,6 +20,9 @@
 TICK_MS = 40.0
 """Period in which excluded workers and expired groups are looked at."""
 
+REPORT_PERIOD_MS = 1_000.0
+"""Period of the line that tells the load of a service, while there is any."""
+
 FREE_DELAY_MS = 10.0
 """Results that are given up within this time share one call."""
 
@@ -81,6 +84,7 @@
         self._done: dict[PieceGroup, Callable[[PieceGroup, str | None], None]] = {}
         self._to_free: dict[str, list[str]] = {}
         self._ticking = False
+        self._report_s = 0.0
 
     def submit(
         self, group: PieceGroup, done: Callable[[PieceGroup, str | None], None]
@@ -142,8 +146,25 @@
         while self.queue.waiting_pieces:
             await trio.sleep(to_s(TICK_MS))
             self.pump()
+            self._report()
         self._ticking = False
 
+    def _report(self) -> None:
+        """Tell the load of the service from time to time."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._report_s:
+            return
+        self._report_s = now_s + to_s(REPORT_PERIOD_MS)
+        self._log(
+            "stage_load",
+            service=self.service,
+            waiting=self.queue.waiting_pieces,
+            groups=len(self.queue.waiting_groups),
+            calls=self.calls,
+            pieces=self.pieces_sent,
+            workers=self.queue.describe(self._workers(), now_s),
+        )
+
     async def _run(self, call: StageCall) -> None:
         """Make one call, and let its pieces wait again if it fails."""
         self.calls += 1
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -48,7 +48,9 @@
     result_bytes : int
         Size of one result.
     due_s : float
-        When the results are wanted for an answer in time.
+        When the results are wanted for an answer in time, as things usually go.
+    latest_s : float
+        From when on the answer is late in any case.
     expires_s : float
         When they become useless.
     priority : int
@@ -65,6 +67,7 @@
     pieces: list[Piece]
     result_bytes: int
     due_s: float
+    latest_s: float
     expires_s: float
     priority: int
     value: float
@@ -264,7 +267,7 @@
         in_time, late = [], []
         for group in self._groups:
             own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
-            (in_time if now_s + own_s <= group.due_s else late).append(group)
+            (in_time if now_s + own_s <= group.latest_s else late).append(group)
         kept, behind = _keep_valuable(in_time, rate, now_s)
         behind += late
         behind.sort(key=lambda one: (one.priority, one.expires_s))
@@ -313,6 +316,17 @@
                     break
         return by_worker
 
+    def describe(self, workers: Sequence[Worker], now_s: float) -> list[list]:
+        """Return pace, used share of room and usability of each worker."""
+        told = []
+        for worker in workers:
+            room = self._rooms.get(worker.key)
+            used = room.used_bytes(now_s) / self.spec.result_bytes if room else 0.0
+            pace = round(self.health.pace(worker.key), 2)
+            usable = self.health.usable(worker.key, now_s)
+            told.append([worker.id, pace, round(used, 2), usable])
+        return told
+
     def keep_workers(self, workers: Sequence[Worker]) -> None:
         """Forget what is known of workers that are gone."""
         keys = {one.key for one in workers} | self._busy.keys()
@@ -353,9 +367,9 @@
         full_s = self.spec.duration_ms(self.spec.batch) / 1_000.0
         own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
         done_s = free_s + calls_ahead * full_s + own_s
-        if now_s + own_s > group.due_s:
+        if now_s + own_s > group.latest_s:
             return done_s <= group.expires_s
-        return done_s <= group.due_s
+        return done_s <= group.latest_s
 
     def _free_at_s(self, worker: Worker, now_s: float) -> float:
         call = self._busy.get(worker.key)
@@ -381,7 +395,7 @@
         if not others:
             return groups
         need_s = pace * self.spec.duration_ms(TRIAL_PIECES) / 1_000.0
-        return [one for one in groups if now_s + need_s <= one.due_s]
+        return [one for one in groups if now_s + need_s <= one.latest_s]
 
     def _start(self, call: StageCall, room: _WorkerRoom) -> None:
         self._busy[call.worker.key] = call
@@ -409,7 +423,7 @@
     for group in sorted(groups, key=lambda one: one.due_s):
         kept.append(group)
         pieces += len(group.waiting)
-        while now_s + pieces / rate_per_ms / 1_000.0 > group.due_s:
+        while now_s + pieces / rate_per_ms / 1_000.0 > group.latest_s:
             least = min(kept, key=lambda one: (-one.priority, one.density))
             kept.remove(least)
             behind.append(least)
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -1,6 +1,7 @@
 """The stages of one request: run as their inputs come, results freed once read."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -27,6 +28,25 @@
 waits longer is late whatever is planned."""
 
 
+@dataclass(frozen=True)
+class StageWindow:
+    """Times from now, in ms, by which a stage's results are wanted.
+
+    Parameters
+    ----------
+    due_ms : float
+        For an answer in time, if all further stages take as long as usual.
+    latest_ms : float
+        For an answer in time, if they take as little as they can.
+    expires_ms : float
+        For any answer.
+    """
+
+    due_ms: float
+    latest_ms: float
+    expires_ms: float
+
+
 class StageTimes:
     """Expected times of the stages of a route, from the declared ones.
 
@@ -70,23 +90,50 @@
         rule = configuration.services.get(service) if configuration else None
         return rule.batching.call_ms if rule and rule.batching else 0.0
 
-    def after_ms(self, route: RouteRule, counts: tuple[int, ...]) -> dict[int, float]:
-        """Return for each stage the expected time of the stages behind it."""
-        after: dict[int, float] = {}
-        for number in reversed(range(len(route.stages))):
-            readers = [
-                other
-                for other, stage in enumerate(route.stages)
-                if number in stage.after and counts[other]
-            ]
-            after[number] = max(
-                (
-                    after[one] + self.stage_ms(route.stages[one].service)
-                    for one in readers
-                ),
-                default=0.0,
-            )
-        return after
+    def window(
+        self,
+        route: RouteRule,
+        terms: RequestTerms,
+        counts: tuple[int, ...],
+        number: int,
+        due_ms: float,
+        expires_ms: float,
+    ) -> StageWindow:
+        """Return when a stage's results are wanted.
+
+        `due_ms` and `expires_ms` are the time until the first part of the answer
+        is wanted, and until the answer is useless.
+        """
+        engine_ms = self.engine_ms(terms)
+        usual_ms = _longest_ms(route, counts, number, self.stage_ms)
+        least_ms = _longest_ms(route, counts, number, self.least_ms)
+        return StageWindow(
+            due_ms - engine_ms - usual_ms,
+            due_ms - engine_ms - least_ms,
+            expires_ms - engine_ms - least_ms,
+        )
+
+
+def _longest_ms(
+    route: RouteRule,
+    counts: tuple[int, ...],
+    number: int,
+    stage_ms: Callable[[ServiceName], float],
+) -> float:
+    """Return the time of the longest chain of stages behind a stage."""
+    readers = [
+        other
+        for other, stage in enumerate(route.stages)
+        if number in stage.after and counts[other]
+    ]
+    return max(
+        (
+            stage_ms(route.stages[one].service)
+            + _longest_ms(route, counts, one, stage_ms)
+            for one in readers
+        ),
+        default=0.0,
+    )
 
 
 class StageRun:
@@ -169,10 +216,9 @@
         Refused
             If one could not be done in time.
         """
-        after_ms = self._times.after_ms(self._route, self._counts)
         async with trio.open_nursery() as nursery:
             for number in range(len(self._route.stages)):
-                nursery.start_soon(self._run_stage, number, after_ms, nursery)
+                nursery.start_soon(self._run_stage, number, nursery)
         if self.refused is not None:
             raise self.refused
 
@@ -187,9 +233,7 @@
                 self._desk.free(service, handles)
         self._asked.clear()
 
-    async def _run_stage(
-        self, number: int, after_ms: dict[int, float], nursery: trio.Nursery
-    ) -> None:
+    async def _run_stage(self, number: int, nursery: trio.Nursery) -> None:
         stage = self._route.stages[number]
         for other in stage.after:
             await self._done[other].wait()
@@ -197,8 +241,15 @@
             self._handles[number] = ()
             self._done[number].set()
             return
-        engine_ms = self._times.engine_ms(self._terms)
         now_s = self._clock.monotonic_s()
+        window = self._times.window(
+            self._route,
+            self._terms,
+            self._counts,
+            number,
+            (self._due_s - now_s) * 1_000.0,
+            (self._expires_s - now_s) * 1_000.0,
+        )
         inputs = tuple(h for other in stage.after for h in self._handles[other])
         data_centre, transfer_bytes = self._best_place(number)
         message = RunPieces(
@@ -209,10 +260,9 @@
             key=self._terms.piece_key,
             inputs=inputs,
             result_bytes=stage.result_bytes,
-            due_ms=(self._due_s - now_s) * 1_000.0 - engine_ms - after_ms[number],
-            expires_ms=(self._expires_s - now_s) * 1_000.0
-            - engine_ms
-            - after_ms[number] / 2,
+            due_ms=window.due_ms,
+            latest_ms=window.latest_ms,
+            expires_ms=window.expires_ms,
             priority=self._priority,
             value=self._value,
             data_centre=data_centre,
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -48,7 +48,7 @@
     """Asks a dispatcher to have all pieces of one stage of a request made.
 
     Times are milliseconds from now: `due_ms` until the results are wanted,
-    `expires_ms` until they are useless.
+    `latest_ms` until they are late in any case, `expires_ms` until they are useless.
     """
 
     service: str
@@ -59,6 +59,7 @@
     inputs: tuple[str, ...]
     result_bytes: int
     due_ms: float
+    latest_ms: float
     expires_ms: float
     priority: int
     value: float
