--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -244,7 +244,7 @@
             self._peers.send(instance, message)
             return
         handler = _OWN_HANDLERS[type(message)]
-        self._own._nursery.start_soon(handler, self._own, self._peers.own, message)
+        self._own.tell(handler, self._peers.own, message)
 
 
 _OWN_HANDLERS = {
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
 from ..catalogue import Catalogue
 from ..models import AttemptId, Piece, ServiceName, ServiceRule, Worker
 from ..settings import GatewayBounds
+from ..supervision import TaskSupervisor
 from .places import PERMIT_TTL_MS, Place, PlaceBook, PlaceRequest
 from .repeats import RepeatBudget
 from .stage_feeder import StageFeeder
@@ -56,7 +57,7 @@
         Source of time.
     log : callable
         Told decisions, as a kind and fields.
-    nursery : trio.Nursery
+    tasks : TaskSupervisor
         Where calls run.
     bounds : GatewayBounds
         Promises of the operators, for the budget of repeated sends.
@@ -68,7 +69,7 @@
         client,
         clock: Clock,
         log: Callable[..., None],
-        nursery: trio.Nursery,
+        tasks: TaskSupervisor,
         bounds: GatewayBounds,
     ):
         self._bounds = bounds
@@ -78,7 +79,7 @@
         self._client = client
         self._clock = clock
         self._log = log
-        self._nursery = nursery
+        self._tasks = tasks
         self._feeders: dict[str, StageFeeder] = {}
         self._books: dict[str, PlaceBook] = {}
         self._grants: dict[str, Callable[[Worker | None], None]] = {}
@@ -269,6 +270,10 @@
             )
             book.restore(permit, place)
 
+    def tell(self, handler, peer: InstanceId, message: Message) -> None:
+        """Let a handler of this object take a message of this instance's own."""
+        self._tasks.start_soon(handler, self, peer, message)
+
     def drop_owner(self, instance: InstanceId) -> None:
         """Forget what an instance that went down has asked for."""
         for service, book in self._books.items():
@@ -304,7 +309,7 @@
                 self._client,
                 self._clock,
                 self._log,
-                self._nursery,
+                self._tasks,
             )
         feeder.queue.spec = rule.batching
         return feeder
@@ -351,7 +356,7 @@
     def _start_tick(self, service: str) -> None:
         if service not in self._ticking:
             self._ticking.add(service)
-            self._nursery.start_soon(self._tick, service)
+            self._tasks.start_soon(self._tick, service)
 
     async def _tick(self, service: str) -> None:
         book = self._books[service]
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -8,6 +8,7 @@
 from ...exceptions import AcaciapierError
 from ...http.client import ConnectFailed, ConnectionBroken
 from ..models import BatchSpec, PieceFailure, PieceResult, Worker
+from ..supervision import TaskSupervisor
 from .stage_queue import PieceGroup, StageCall, StageQueue
 
 CALL_PATIENCE = 1.7
@@ -58,7 +59,7 @@
         Source of time.
     log : callable
         Told decisions, as a kind and fields.
-    nursery : trio.Nursery
+    tasks : TaskSupervisor
         Where calls run.
     """
 
@@ -70,7 +71,7 @@
         client,
         clock: Clock,
         log: Callable[..., None],
-        nursery: trio.Nursery,
+        tasks: TaskSupervisor,
     ):
         self.service = service
         self.queue = StageQueue(spec)
@@ -80,7 +81,7 @@
         self._client = client
         self._clock = clock
         self._log = log
-        self._nursery = nursery
+        self._tasks = tasks
         self._done: dict[PieceGroup, Callable[[PieceGroup, str | None], None]] = {}
         self._to_free: dict[str, list[str]] = {}
         self._ticking = False
@@ -115,7 +116,7 @@
         for key, names in freed.items():
             self._to_free.setdefault(key, []).extend(names)
         if start:
-            self._nursery.start_soon(self._send_freed)
+            self._tasks.start_soon(self._send_freed)
         self.pump()
 
     def hand_over(self, reason: str) -> None:
@@ -135,12 +136,12 @@
         for worker in idle:
             call = self.queue.next_call(worker, workers, now_s)
             if call is not None:
-                self._nursery.start_soon(self._run, call)
+                self._tasks.start_soon(self._run, call)
 
     def _start_tick(self) -> None:
         if not self._ticking:
             self._ticking = True
-            self._nursery.start_soon(self._tick)
+            self._tasks.start_soon(self._tick)
 
     async def _tick(self) -> None:
         while self.queue.waiting_pieces:
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -343,7 +343,8 @@
     ) -> bool:
         """Return whether a group is to wait for a worker near its data.
 
-        It is, if one of those has it done in time, or if it is late anyway.
+        It is, if one of those has it done in time; a late one waits for a call at
+        most, as its inputs take the room of others.
         """
         if group.transfer_bytes < LARGE_TRANSFER_BYTES:
             return False
@@ -368,7 +369,7 @@
         own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
         done_s = free_s + calls_ahead * full_s + own_s
         if now_s + own_s > group.latest_s:
-            return done_s <= group.expires_s
+            return free_s <= now_s + full_s and not calls_ahead
         return done_s <= group.latest_s
 
     def _free_at_s(self, worker: Worker, now_s: float) -> float:
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -38,6 +38,7 @@
 from .settings import GatewaySettings
 from .stage_client import StageClient
 from .status_server import StatusServer
+from .supervision import TaskSupervisor, run_forever
 from .suspects import Suspects
 from .sync import PeerSync, StoreSync, own_record
 from .worker_pool import WorkerConnections, sweep_idle
@@ -94,6 +95,9 @@
         """Start all parts in `nursery` and add the stop hooks to `app`."""
         settings = self.settings
         nursery.start_soon(self.log.run)
+        self.observer = RequestObserver(self.log, self.metrics)
+        report = self.observer.failed
+        tasks = TaskSupervisor(nursery, report)
         self.catalogue = Catalogue(self.clock, decode_configuration, self.log.write)
         own = own_record(
             settings.instance,
@@ -120,22 +124,21 @@
             self.log.write,
         )
         worker_connections = WorkerConnections(self.clock)
-        client = StageClient(worker_connections, nursery)
+        client = StageClient(worker_connections, tasks)
         self.dispatcher = Dispatcher(
             self.catalogue,
             client,
             self.clock,
             self.log.write,
-            nursery,
+            tasks,
             settings.bounds,
         )
         self.suspects = Suspects(
-            self.clock, self._random, self.peers, self.log.write, nursery
+            self.clock, self._random, self.peers, self.log.write, tasks
         )
         self.desk = Desk(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
         )
-        self.observer = RequestObserver(self.log, self.metrics)
         self.relay = Relay(
             self.catalogue,
             self.desk,
@@ -144,12 +147,12 @@
             self.clock,
             self._random,
             self.observer,
-            nursery,
+            tasks,
         )
         peer_sync = PeerSync(
             self.catalogue,
             self.peers,
-            nursery,
+            tasks,
             self.log.write,
             self.dispatcher.workers_changed,
         )
@@ -170,10 +173,10 @@
             self.log.write,
             self.dispatcher.workers_changed,
         )
-        nursery.start_soon(self.sync.run)
-        nursery.start_soon(self.peers.run, nursery)
-        nursery.start_soon(sweep_idle, worker_connections)
-        nursery.start_soon(self._watch_freezes)
+        for loop in (self.sync.run, self._watch_freezes):
+            nursery.start_soon(run_forever, loop, report)
+        nursery.start_soon(run_forever, self.peers.run, report, tasks)
+        nursery.start_soon(run_forever, sweep_idle, report, worker_connections)
         status = StatusServer(settings.ready, self._is_ready, self.metrics.exposition)
         await nursery.start(status.run)
         listeners = await trio.open_tcp_listeners(
@@ -235,6 +238,8 @@
         self._connections.add(connection)
         try:
             await connection.serve()
+        except Exception as error:
+            self.observer.failed(error)
         finally:
             self._connections.discard(connection)
 
--- a/src/acaciapier/gateway/observing.py
+++ b/src/acaciapier/gateway/observing.py
@@ -47,7 +47,7 @@
         self._second = 0
         self._in_second = 0
 
-    def write(self, kind: str, **fields: Any) -> None:
+    def write(self, kind: str, /, **fields: Any) -> None:
         """Queue one line."""
         if self._over_rate(kind) or len(self._lines) >= MAX_WAITING_LINES:
             self.dropped += 1
@@ -118,7 +118,7 @@
             **fields,
         )
 
-    def decided(self, kind: str, attempt: str, **fields: Any) -> None:
+    def decided(self, kind: str, attempt: str, /, **fields: Any) -> None:
         """Log one decision about a request."""
         self._metrics.gateway_decision(kind)
         self._log.write(kind, request=attempt, **fields)
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -15,6 +15,7 @@
 from ..wire.messages.gateway import Beat
 from ..wire.network import PeerNetwork
 from .models import PeerRecord
+from .supervision import TaskSupervisor
 
 BEAT_PERIOD_MS = 200.0
 """Two missed heartbeats are noticed within half of the tightest objective."""
@@ -176,14 +177,14 @@
             if peer.up:
                 self._network.send_soon(instance, message)
 
-    async def run(self, nursery: trio.Nursery) -> None:
+    async def run(self, tasks: TaskSupervisor) -> None:
         """Exchange heartbeats until cancelled."""
         while True:
             now_s = self._clock.monotonic_s()
             for instance, peer in self._due(now_s):
                 period_ms = BEAT_PERIOD_MS if peer.up else DOWN_BEAT_PERIOD_MS
                 peer.next_beat_s = now_s + to_s(period_ms)
-                nursery.start_soon(self._beat, instance, peer)
+                tasks.start_soon(self._beat, instance, peer)
             await trio.sleep(to_s(BEAT_PERIOD_MS / 4))
 
     def _due(self, now_s: float) -> list[tuple[InstanceId, Peer]]:
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -36,6 +36,7 @@
 from .models import AnswerTerms, RequestKind, RequestTerms, RouteRule, Worker
 from .pipeline import StageRun, StageTimes
 from .routing import RouteTable, choose_service, request_priority
+from .supervision import TaskSupervisor
 from .suspects import Suspects
 from .worker_pool import WorkerConnections
 
@@ -141,7 +142,7 @@
         Choice among a route's services.
     observer : object
         Told what happens to requests: ``ended`` and ``decided``.
-    background : trio.Nursery
+    tasks : TaskSupervisor
         Where long bodies are written.
     """
 
@@ -154,7 +155,7 @@
         clock: Clock,
         random: random_module.Random,
         observer,
-        background: trio.Nursery,
+        tasks: TaskSupervisor,
     ):
         self.in_flight = 0
         self._catalogue = catalogue
@@ -164,7 +165,7 @@
         self._clock = clock
         self._random = random
         self._observer = observer
-        self._background = background
+        self._tasks = tasks
         self._times = StageTimes(catalogue)
         self._table: RouteTable | None = None
 
@@ -426,7 +427,7 @@
         self._suspects.sent(state.fingerprint, worker)
         try:
             with trio.fail_after(self._first_part_s(state)):
-                await connection.send(outgoing, self._background)
+                await connection.send(outgoing, self._tasks)
                 head = await connection.receive_head(
                     lambda head: _answers(head, state.terms.attempt)
                 )
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Sequence
 
-import trio
-
 from ..http.client import OutgoingRequest
 from ..platform import requests as terms_format
 from ..platform import stages as stage_format
 from .dispatch.stage_feeder import WorkerRefused
 from .models import Piece, PieceResult, Worker
+from .supervision import TaskSupervisor
 from .worker_pool import WorkerConnections
 
 MAX_ANSWER_BYTES = 1_000_000
@@ -22,13 +21,13 @@
     ----------
     connections : WorkerConnections
         Connections to workers.
-    background : trio.Nursery
+    tasks : TaskSupervisor
         Where long bodies are written.
     """
 
-    def __init__(self, connections: WorkerConnections, background: trio.Nursery):
+    def __init__(self, connections: WorkerConnections, tasks: TaskSupervisor):
         self._connections = connections
-        self._background = background
+        self._tasks = tasks
 
     async def run(
         self, worker: Worker, pieces: Sequence[tuple[Piece, float]]
@@ -57,7 +56,7 @@
         headers = terms_format.worker_call_headers(worker.id)
         request = OutgoingRequest(b"POST", path, headers, body)
         async with self._connections.lease(worker, repeatable=True) as connection:
-            await connection.send(request, self._background)
+            await connection.send(request, self._tasks)
             head = await connection.receive_head()
             answer = await connection.receive_whole_body(MAX_ANSWER_BYTES)
         told = terms_format.decode_answer(head)
--- a/src/acaciapier/gateway/suspects.py
+++ b/src/acaciapier/gateway/suspects.py
@@ -16,6 +16,7 @@
 from ..wire.messages.quarantine import Strikes
 from .models import Worker
 from .peers import Peers
+from .supervision import TaskSupervisor
 
 CONFIRM_AFTER_MS = 40.0
 """A crashed worker refuses connections at once; one that only reset accepts them."""
@@ -41,7 +42,7 @@
         The other instances.
     log : callable
         Told decisions, as a kind and fields.
-    nursery : trio.Nursery
+    tasks : TaskSupervisor
         Where crashes are confirmed.
     """
 
@@ -51,13 +52,13 @@
         random: random_module.Random,
         peers: Peers,
         log: Callable[..., None],
-        nursery: trio.Nursery,
+        tasks: TaskSupervisor,
     ):
         settings = PolicySettings(strike_expiry_ms=STRIKE_EXPIRY_MS)
         self._quarantine = Quarantine(clock, random, settings)
         self._peers = peers
         self._log = log
-        self._nursery = nursery
+        self._tasks = tasks
 
     def blocked(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request's content may not run."""
@@ -76,7 +77,7 @@
 
     def broken(self, fingerprint: Fingerprint, worker: Worker, attempt: str) -> None:
         """Look whether the worker that broke a request off has crashed."""
-        self._nursery.start_soon(self._confirm, fingerprint, worker, attempt)
+        self._tasks.start_soon(self._confirm, fingerprint, worker, attempt)
 
     async def hear(self, peer: InstanceId, message: Strikes) -> None:
         """Take over the records of a peer."""
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -20,6 +20,7 @@
 from .catalogue import Catalogue
 from .models import PeerRecord, Worker, WorkerId, WorkerState
 from .peers import Peers
+from .supervision import TaskSupervisor
 
 WATCH_WAIT_MS = 8_000
 """Each watch is a priced call; a connection that fell silent is noticed earlier, by
@@ -280,7 +281,7 @@
         Configuration and workers.
     peers : Peers
         The other instances.
-    nursery : trio.Nursery
+    tasks : TaskSupervisor
         Where news is fetched.
     log : callable
         Told failures, as a kind and fields.
@@ -292,13 +293,13 @@
         self,
         catalogue: Catalogue,
         peers: Peers,
-        nursery: trio.Nursery,
+        tasks: TaskSupervisor,
         log: Callable[..., None],
         on_workers: Callable[[], None],
     ):
         self._catalogue = catalogue
         self._peers = peers
-        self._nursery = nursery
+        self._tasks = tasks
         self._log = log
         self._on_workers = on_workers
         self._fetching = False
@@ -307,7 +308,7 @@
         """Fetch what a peer knows and this instance does not."""
         if not self._fetching and self._is_news(beat):
             self._fetching = True
-            self._nursery.start_soon(self._fetch, instance, beat)
+            self._tasks.start_soon(self._fetch, instance, beat)
 
     async def answer(self, peer: InstanceId, message: FetchNews) -> News:
         """Return what is newer here than at a peer."""
