Free a place that is granted twice, and name permits anew for each try

Ruled out: cuts (peers stayed up). Test failed first: test_a_permit_granted_twice_leaves_no_trace_at_the_first_worker.

--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+import msgspec
 import trio
 
-from ...core.clock import Clock
+from ...core.clock import Clock, epoch_ms
 from ...core.ids import InstanceId
 from ...exceptions import AcaciapierError, PeerUnavailable
 from ...wire.messages.base import Message
@@ -29,6 +30,9 @@
 MAX_HAND_OVERS = 5
 """Dispatchers asked for one piece of work before it is refused."""
 
+MAX_UNKNOWN_WORKERS = 4
+"""Places at workers that this instance knows to have left, before it gives up."""
+
 ANSWER_SLACK_MS = 400.0
 """How much longer than its work may wait a dispatcher is listened to."""
 
@@ -97,6 +101,7 @@
         self._permits: dict[str, Permit] = {}
         self._in_charge: dict[str, InstanceId] = {}
         self._serial = 0
+        self._incarnation = epoch_ms(clock.now())
 
     @property
     def held_permits(self) -> int:
@@ -117,13 +122,17 @@
 
     async def acquire(self, message: AcquireWorker) -> Permit:
         """Return a place at a worker, or raise `Refused`."""
-        while True:
+        for _ in range(MAX_UNKNOWN_WORKERS):
+            message = msgspec.structs.replace(message, permit=self._new_permit_name())
             answer = await self._ask(message.service, message, message.expires_ms)
             if not isinstance(answer, WorkerGranted):
                 raise _refusal(answer)
             permit = self._hold(message, answer)
             if permit is not None:
                 return permit
+            avoid = (*message.avoid, answer.worker)
+            message = msgspec.structs.replace(message, avoid=avoid)
+        raise Refused("worker_left", 300.0)
 
     def started(self, permit: Permit) -> None:
         """Tell that the first part of an answer has come."""
@@ -153,10 +162,10 @@
         """Tell that an attempt's pieces are not wanted any more."""
         self._tell(self.in_charge(service), CancelWork(service, attempt))
 
-    def new_permit_name(self) -> str:
+    def _new_permit_name(self) -> str:
         """Return a name that no other permit bears."""
         self._serial += 1
-        return f"{self._peers.own}/{self._serial}"
+        return f"{self._peers.own}/{self._incarnation}/{self._serial}"
 
     async def _ask(self, service: str, message: Message, wait_ms: float) -> Message:
         """Ask the instance in charge; go on to the next when it is lost."""
--- a/src/acaciapier/gateway/dispatch/places.py
+++ b/src/acaciapier/gateway/dispatch/places.py
@@ -326,6 +326,7 @@
         return memory.kept_tokens(request.parts) if memory else 0
 
     def _hold(self, request: PlaceRequest, worker: Worker, now_s: float) -> None:
+        self.ended(request.permit)
         unread = request.prompt_tokens - self._kept(worker, request)
         self._places[request.permit] = Place(
             worker.key,
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -356,7 +356,7 @@
         now_s = self._clock.monotonic_s()
         message = AcquireWorker(
             service=state.service,
-            permit=self._desk.new_permit_name(),
+            permit="",
             prompt_tokens=state.terms.prompt_tokens,
             output_tokens=state.terms.output_tokens,
             parts=tuple((one.id, one.tokens) for one in state.terms.parts),
