--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -95,6 +95,12 @@
         """Places of the services that were decided here."""
         return self._books
 
+    def set_bounds(self, bounds: GatewayBounds) -> None:
+        """Take over changed promises of the operators."""
+        if bounds != self._bounds:
+            self._bounds = bounds
+            self._budgets.clear()
+
     async def run_pieces(self, peer: InstanceId, message: RunPieces) -> Message:
         """Have the pieces of one stage of a request made."""
         if self.stopping:
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -1,7 +1,10 @@
 """One gateway process: its parts, their start and their stop."""
 
 import random as random_module
+import signal
 import time
+from collections.abc import Callable
+from dataclasses import fields
 from datetime import UTC, datetime
 
 import trio
@@ -9,6 +12,7 @@
 from ..app.application import Application
 from ..core.clock import to_s
 from ..core.ids import Incarnation, InstanceId
+from ..exceptions import FindingsError
 from ..http.caller import CallerConnection, ConnectionLimits
 from ..observability.metrics import Metrics
 from ..platform.configuration import decode_configuration
@@ -52,6 +56,10 @@
 STOP_MARGIN_MS = 700.0
 """Part of the grace time that is kept for closing."""
 
+SETTINGS_PERIOD_S = 2.0
+"""Period in which the settings file is read again: the operators' own bound on
+configuration."""
+
 FREEZE_GAP_MS = 600.0
 """A loop that stood still for longer has a picture of the past."""
 
@@ -80,10 +88,18 @@
         What the deployment says.
     random : random.Random
         Source of jitter and choices.
+    reread : callable
+        Reads the settings again; raises `FindingsError`.
     """
 
-    def __init__(self, settings: GatewaySettings, random: random_module.Random):
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        random: random_module.Random,
+        reread: Callable[[], GatewaySettings],
+    ):
         self.settings = settings
+        self._reread = reread
         self.clock = BootClock()
         self.log = StructuredLog(self.clock)
         self.metrics = Metrics(settings.instance)
@@ -173,7 +189,8 @@
             self.log.write,
             self.dispatcher.workers_changed,
         )
-        for loop in (self.sync.run, self._watch_freezes):
+        nursery.start_soon(self._watch_reload_signal)
+        for loop in (self.sync.run, self._watch_freezes, self._watch_settings):
             nursery.start_soon(run_forever, loop, report)
         nursery.start_soon(run_forever, self.peers.run, report, tasks)
         nursery.start_soon(run_forever, sweep_idle, report, worker_connections)
@@ -273,6 +290,34 @@
         self.log.write("stopped", in_flight=self.relay.in_flight)
         self.log.flush()
 
+    async def _watch_reload_signal(self) -> None:
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                self._reload("signal")
+
+    async def _watch_settings(self) -> None:
+        """Notice settings that change without a signal."""
+        while True:
+            await trio.sleep(SETTINGS_PERIOD_S)
+            self._reload("period")
+
+    def _reload(self, reason: str) -> None:
+        """Take over changed settings; addresses hold until the next start."""
+        try:
+            settings = self._reread()
+        except FindingsError as problem:
+            self.log.write("settings_rejected", reason=reason, error=str(problem))
+            return
+        changed = [
+            one.name
+            for one in fields(settings)
+            if getattr(settings, one.name) != getattr(self.settings, one.name)
+        ]
+        if reason == "signal" or changed:
+            self.log.write("settings_reloaded", reason=reason, changed=changed)
+        self.settings = settings
+        self.dispatcher.set_bounds(settings.bounds)
+
     async def _watch_freezes(self) -> None:
         """Drop what was decided before the machine stood still."""
         last_s = self.clock.monotonic_s()
--- a/src/acaciapier/gateway/main.py
+++ b/src/acaciapier/gateway/main.py
@@ -3,6 +3,7 @@
 import os
 import random
 import sys
+from functools import partial
 
 import trio
 
@@ -15,11 +16,12 @@
 
 def main() -> None:
     """Check the settings and run a gateway until a signal stops it."""
+    reread = partial(read_settings, settings_path(), os.environ)
     try:
-        settings = read_settings(settings_path(), os.environ)
+        settings = reread()
     except FindingsError as problem:
         sys.exit(str(problem))
-    trio.run(_run, GatewayInstance(settings, random.Random()))
+    trio.run(_run, GatewayInstance(settings, random.Random(), reread))
 
 
 async def _run(instance: GatewayInstance) -> None:
