--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -113,6 +113,19 @@
         ranked = self._peers.rank(service, not self._own.stopping)
         return ranked[0] if ranked else self._peers.own
 
+    def wait_ms(self, service: str, priority: int) -> float:
+        """Return how long new work would wait at a service, as last heard."""
+        instance = self.in_charge(service)
+        if instance == self._peers.own:
+            told = self._own.service_waits()
+        else:
+            told = self._peers.waits_of(instance)
+        for one in told:
+            if one.service == service:
+                ahead = [ms for rank, ms in one.waits_ms if rank <= priority]
+                return max(ahead, default=0.0)
+        return 0.0
+
     async def run_pieces(self, message: RunPieces) -> tuple[str, ...]:
         """Return the handles of all pieces of a stage, or raise `Refused`."""
         answer = await self._ask(message.service, message, message.expires_ms)
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
     PermitStarted,
     PiecesMade,
     RunPieces,
+    ServiceWait,
     WorkerGranted,
     WorkRefused,
 )
@@ -276,6 +277,14 @@
             )
             book.restore(permit, place)
 
+    def service_waits(self) -> tuple[ServiceWait, ...]:
+        """Return the waits of the stage services with work that waits here."""
+        return tuple(
+            ServiceWait(service, feeder.waits_ms())
+            for service, feeder in self._feeders.items()
+            if feeder.queue.waiting_pieces
+        )
+
     def tell(self, handler, peer: InstanceId, message: Message) -> None:
         """Let a handler of this object take a message of this instance's own."""
         self._tasks.start_soon(handler, self, peer, message)
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -86,6 +86,7 @@
         self._to_free: dict[str, list[str]] = {}
         self._ticking = False
         self._report_s = 0.0
+        self._hopeless_s = 0.0
 
     def submit(
         self, group: PieceGroup, done: Callable[[PieceGroup, str | None], None]
@@ -101,6 +102,10 @@
         now_s = self._clock.monotonic_s()
         return self.queue.forecast_ms(group, self._workers(), now_s)
 
+    def waits_ms(self) -> tuple[tuple[int, float], ...]:
+        """Return how long new groups of each rank would wait."""
+        return self.queue.waits_ms(self._workers(), self._clock.monotonic_s())
+
     def cancel(self, attempt: str) -> None:
         """Give up the groups of an attempt."""
         for group in self.queue.cancel(attempt):
@@ -129,8 +134,10 @@
         now_s = self._clock.monotonic_s()
         workers = self._workers()
         self.queue.keep_workers(workers)
-        for group in self.queue.take_hopeless(now_s):
-            self._finish(group, "expired")
+        if now_s >= self._hopeless_s:
+            self._hopeless_s = now_s + to_s(TICK_MS)
+            for group in self.queue.take_hopeless(workers, now_s):
+                self._finish(group, "hopeless")
         idle = [one for one in workers if not self.queue.busy(one)]
         idle.sort(key=lambda one: self.queue.health.pace(one.key))
         for worker in idle:
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -24,9 +24,15 @@
 MAX_TRIES = 4
 """Calls in which a piece may take part; each costs a call's time."""
 
-MIN_CALL_SHARE = 0.35
-"""A call that other workers can take is left to them below this share of a batch
-when this worker is slow."""
+HOPELESS_SHARE = 0.8
+"""Share of the work before a group that is surely done before it: some of it may
+be cancelled, or prove lighter than declared."""
+
+RANK_S = 0.3
+"""What a rank of urgency is worth in time when more work waits than one call."""
+
+MEASURE_S = 1.0
+"""Time over which the rate of a service is measured while work waits."""
 
 SLOW_PACE = 2.0
 """A worker that needs more than twice the expected time is used last."""
@@ -132,6 +138,30 @@
         return self.reserved_bytes + sum(size for size, _ in self.results.values())
 
 
+class _Throughput:
+    """Rate at which pieces were made while more were waiting all the time."""
+
+    def __init__(self):
+        self.rate_per_ms: float | None = None
+        self._since_s: float | None = None
+        self._pieces = 0
+
+    def note(self, pieces: int, waiting: int, enough: int, now_s: float) -> None:
+        """Note made pieces, and how many wait; `enough` keep all workers busy."""
+        if waiting < enough:
+            self._since_s = None
+            self.rate_per_ms = None
+            return
+        if self._since_s is None:
+            self._since_s, self._pieces = now_s, 0
+            return
+        self._pieces += pieces
+        elapsed_s = now_s - self._since_s
+        if elapsed_s >= MEASURE_S:
+            self.rate_per_ms = self._pieces / elapsed_s / 1_000.0
+            self._since_s, self._pieces = now_s, 0
+
+
 class StageQueue:
     """Pieces that wait for the workers of one stage service.
 
@@ -147,6 +177,7 @@
         self._groups: list[PieceGroup] = []
         self._busy: dict[str, StageCall] = {}
         self._rooms: dict[str, _WorkerRoom] = {}
+        self._measure = _Throughput()
 
     @property
     def waiting_pieces(self) -> int:
@@ -170,9 +201,10 @@
             for one in workers
             if self.health.usable(one.key, now_s)
         ]
-        return sum(full / pace for pace in paces if pace < SLOW_PACE) or sum(
-            full / pace for pace in paces
-        )
+        declared = sum(full / pace for pace in paces if pace < SLOW_PACE)
+        declared = declared or sum(full / pace for pace in paces)
+        measured = self._measure.rate_per_ms
+        return declared if measured is None else min(declared, measured)
 
     def forecast_ms(
         self, group: PieceGroup, workers: Sequence[Worker], now_s: float
@@ -211,19 +243,46 @@
         groups, self._groups = self._groups, []
         return groups
 
-    def take_hopeless(self, now_s: float) -> list[PieceGroup]:
-        """Take out the groups that can no longer be done before they expire."""
-        least_s = self.spec.call_ms / 1_000.0
-        hopeless = [one for one in self._groups if now_s + least_s > one.expires_s]
-        hopeless += [
-            one
-            for one in self._groups
-            if one.tries >= MAX_TRIES and one not in hopeless
-        ]
+    def take_hopeless(
+        self, workers: Sequence[Worker], now_s: float
+    ) -> list[PieceGroup]:
+        """Take out the groups that cannot be done before they expire.
+
+        Those are known as soon as too much work is before them, so that their
+        callers need not wait in vain.
+        """
+        rate = self.rate_per_ms(workers, now_s)
+        hopeless = []
+        ahead = 0
+        for group in self.order(workers, now_s):
+            pieces = len(group.waiting)
+            need_ms = self.spec.duration_ms(pieces)
+            if rate > 0:
+                need_ms = max(need_ms, HOPELESS_SHARE * (ahead + pieces) / rate)
+            if group.tries >= MAX_TRIES or now_s + need_ms / 1_000.0 > group.expires_s:
+                hopeless.append(group)
+            else:
+                ahead += pieces
         if hopeless:
             self._groups = [one for one in self._groups if one not in hopeless]
         return hopeless
 
+    def waits_ms(
+        self, workers: Sequence[Worker], now_s: float
+    ) -> tuple[tuple[int, float], ...]:
+        """Return how long a new group of each rank would wait for its call."""
+        rate = self.rate_per_ms(workers, now_s)
+        if rate <= 0:
+            return ()
+        waits = []
+        pieces = 0
+        for priority in sorted({one.priority for one in self._groups}):
+            pieces += sum(
+                len(one.waiting) for one in self._groups if one.priority == priority
+            )
+            waits.append((priority, pieces / rate))
+        return tuple(waits)
+
     def next_call(
         self, worker: Worker, workers: Sequence[Worker], now_s: float
     ) -> StageCall | None:
@@ -237,11 +296,7 @@
             return None
         free_bytes = self.spec.result_bytes - room.used_bytes(now_s)
         most = TRIAL_PIECES if self.health.on_trial(worker.key) else self.spec.batch
-        ordered = [
-            one
-            for one in self.order(workers, now_s)
-            if not self._better_elsewhere(one, worker, workers, now_s)
-        ]
+        ordered = self._not_better_elsewhere(worker, workers, now_s)
         pace = max(1.0, self.health.pace(worker.key))
         if pace >= SLOW_PACE:
             ordered = self._slack_enough(ordered, pace, workers, now_s)
@@ -278,6 +333,9 @@
     ) -> list[PieceGroup]:
         """Take over the answer to a call; return the groups that are done."""
         room = self._end(call)
+        made = sum(one.handle is not None for one in results)
+        enough = self.spec.batch * (len(self._busy) + 1)
+        self._measure.note(made, self.waiting_pieces, enough, now_s)
         until_s = now_s + self.spec.result_ttl_ms / 1_000.0
         done = []
         for (group, number), result in zip(call.items(), results, strict=True):
@@ -334,43 +392,42 @@
         for key in self._rooms.keys() - keys:
             del self._rooms[key]
 
-    def _better_elsewhere(
-        self,
-        group: PieceGroup,
-        worker: Worker,
-        workers: Sequence[Worker],
-        now_s: float,
-    ) -> bool:
-        """Return whether a group is to wait for a worker near its data.
+    def _not_better_elsewhere(
+        self, worker: Worker, workers: Sequence[Worker], now_s: float
+    ) -> list[PieceGroup]:
+        """Return the waiting groups in order, less those that wait for another worker.
 
-        It is, if one of those has it done in time; a late one waits for a call at
-        most, as its inputs take the room of others.
+        A group waits for a worker near its data if the next call there has room
+        for it and ends in time.
         """
-        if group.transfer_bytes < LARGE_TRANSFER_BYTES:
-            return False
-        if group.data_centre in ("", worker.data_centre):
-            return False
-        near = [
-            one
-            for one in workers
-            if one.data_centre == group.data_centre
-            and self.health.usable(one.key, now_s)
-        ]
-        if not near:
-            return False
-        free_s = min(self._free_at_s(one, now_s) for one in near)
-        ahead = sum(
-            len(one.waiting)
-            for one in self._groups
-            if one.data_centre == group.data_centre and one.due_s < group.due_s
-        )
-        calls_ahead = ahead // (self.spec.batch * len(near))
-        full_s = self.spec.duration_ms(self.spec.batch) / 1_000.0
-        own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
-        done_s = free_s + calls_ahead * full_s + own_s
-        if now_s + own_s > group.latest_s:
-            return free_s <= now_s + full_s and not calls_ahead
-        return done_s <= group.latest_s
+        near: dict[str, list[float]] = {}
+        for one in workers:
+            if self.health.usable(one.key, now_s):
+                free_s = self._free_at_s(one, now_s)
+                near.setdefault(one.data_centre, []).append(free_s)
+        room = {place: self.spec.batch * len(free) for place, free in near.items()}
+        chosen = []
+        for group in self.order(workers, now_s):
+            place, pieces = group.data_centre, len(group.waiting)
+            if (
+                group.transfer_bytes < LARGE_TRANSFER_BYTES
+                or place == worker.data_centre
+                or place not in near
+            ):
+                chosen.append(group)
+                continue
+            room[place] -= pieces
+            done_s = min(near[place]) + self.spec.duration_ms(pieces) / 1_000.0
+            if room[place] < 0 or done_s > self._wanted_s(group, now_s):
+                chosen.append(group)
+        return chosen
+
+    def _wanted_s(self, group: PieceGroup, now_s: float) -> float:
+        """Return until when a group may wait for a worker near its data."""
+        if now_s + self.spec.call_ms / 1_000.0 <= group.latest_s:
+            return group.latest_s
+        # It is late anyway, but its inputs take the room of others.
+        return now_s + 2 * self.spec.duration_ms(self.spec.batch) / 1_000.0
 
     def _free_at_s(self, worker: Worker, now_s: float) -> float:
         call = self._busy.get(worker.key)
@@ -417,19 +474,28 @@
 def _keep_valuable(
     groups: Iterable[PieceGroup], rate_per_ms: float, now_s: float
 ) -> tuple[list[PieceGroup], list[PieceGroup]]:
-    """Split groups into those that can all be in time, and the rest."""
+    """Split groups into those that can all be in time, and the rest.
+
+    A group that would miss the time at which it is wanted puts less urgent ones
+    behind; one that would be late in any case, the least valuable of all.
+    """
     kept: list[PieceGroup] = []
     behind: list[PieceGroup] = []
     pieces = 0
-    for group in sorted(groups, key=lambda one: one.due_s):
+    for group in sorted(groups, key=lambda one: one.due_s + RANK_S * one.priority):
         kept.append(group)
         pieces += len(group.waiting)
-        while now_s + pieces / rate_per_ms / 1_000.0 > group.latest_s:
+        while kept:
+            done_s = now_s + pieces / rate_per_ms / 1_000.0
+            if done_s <= group.due_s:
+                break
             least = min(kept, key=lambda one: (-one.priority, one.density))
+            if least.priority <= group.priority and done_s <= group.latest_s:
+                break
             kept.remove(least)
             behind.append(least)
             pieces -= len(least.waiting)
-            if least is group or not kept:
+            if least is group:
                 break
     return kept, behind
 
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -228,6 +228,7 @@
             self.catalogue.workers_revision,
             self.catalogue.workers_digest,
             self._stopping,
+            self.dispatcher.service_waits(),
         )
 
     async def _answer_beat(self, peer: InstanceId, beat: Beat) -> Beat:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -12,7 +12,7 @@
 from ..policy.subset import rendezvous_rank
 from ..wire.connector import PeerAddress
 from ..wire.messages.base import Message
-from ..wire.messages.gateway import Beat
+from ..wire.messages.gateway import Beat, ServiceWait
 from ..wire.network import PeerNetwork
 from .models import PeerRecord
 from .supervision import TaskSupervisor
@@ -116,6 +116,11 @@
         peer = self._peers.get(instance)
         return peer is not None and peer.up and not peer.stopping
 
+    def waits_of(self, instance: InstanceId) -> tuple[ServiceWait, ...]:
+        """Return the waits that a peer told last."""
+        peer = self._peers.get(instance)
+        return peer.heard.waits if peer is not None and peer.heard else ()
+
     def rank(self, key: str, own_usable: bool) -> list[InstanceId]:
         """Return the instances that may decide for `key`, the first in charge."""
         members = [one for one in self._peers if self.is_up(one)]
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -23,6 +23,9 @@
 TIME_WEIGHT = 0.05
 """Weight of the newest observation in a stage's time; about a second of requests."""
 
+MIN_RETRY_MS = 250.0
+"""Shortest time after which a refused request is asked back: about a call."""
+
 MOST_WAITING = 1.6
 """Longest stage time that is planned with, as a multiple of the declared one; what
 waits longer is late whatever is planned."""
@@ -208,6 +211,25 @@
             for handle in self._handles.get(number, ())
         ]
 
+    def forecast_ms(self) -> float:
+        """Return the time to the first part of the answer, with all waiting."""
+
+        def stage_ms(service: ServiceName) -> float:
+            wait_ms = self._desk.wait_ms(service, self._priority)
+            return self._times.least_ms(service) + wait_ms
+
+        first = [
+            number
+            for number, stage in enumerate(self._route.stages)
+            if not stage.after and self._counts[number]
+        ]
+        chains_ms = (
+            stage_ms(self._route.stages[number].service)
+            + _longest_ms(self._route, self._counts, number, stage_ms)
+            for number in first
+        )
+        return max(chains_ms, default=0.0) + self._times.engine_ms(self._terms)
+
     async def run(self) -> None:
         """Run all stages.
 
@@ -216,6 +238,10 @@
         Refused
             If one could not be done in time.
         """
+        left_ms = (self._expires_s - self._clock.monotonic_s()) * 1_000.0
+        forecast_ms = self.forecast_ms()
+        if forecast_ms > left_ms:
+            raise Refused("overload", MIN_RETRY_MS + forecast_ms - left_ms)
         async with trio.open_nursery() as nursery:
             for number in range(len(self._route.stages)):
                 nursery.start_soon(self._run_stage, number, nursery)
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -5,6 +5,13 @@
 from .base import Message
 
 
+class ServiceWait(msgspec.Struct, frozen=True, array_like=True):
+    """How long new work of each rank would wait at a service."""
+
+    service: str
+    waits_ms: tuple[tuple[int, float], ...]
+
+
 class Beat(Message, frozen=True):
     """Heartbeat: what the sender knows and whether it stops; also its answer."""
 
@@ -12,6 +19,7 @@
     workers_revision: int
     workers_digest: int
     stopping: bool
+    waits: tuple[ServiceWait, ...] = ()
 
 
 class FetchNews(Message, frozen=True):
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -67,6 +67,7 @@
     done: set[int] = field(default_factory=set)
     asked: set[int] = field(default_factory=set)
     handles: dict[int, list[str]] = field(default_factory=dict)
+    zones: dict[int, str] = field(default_factory=dict)
 
 
 def make_route(name, priority, objective_ms, timeout_ms, stages) -> RouteRule:
@@ -141,6 +142,7 @@
         self.calls = Counter()
         self.pieces = Counter()
         self.bursts = []
+        self.moved_bytes = 0
         self._events = []
         self._order = itertools.count()
         self._groups = {}
@@ -224,17 +226,30 @@
             self.now_s + window.expires_ms / 1_000,
             kind.route.priority,
             kind.value,
+            *self._best_place(request, number),
         )
         self._groups[group] = (request, number, self.now_s)
         self.queues[stage.service].add(group)
         self._pump(stage.service)
 
+    def _best_place(self, request, number):
+        """Return where a stage is best run, and what is transferred otherwise."""
+        stages = request.kind.route.stages
+        if not stages[number].after:
+            if stages[number].result_bytes < MB:
+                return "", 0
+            size = stages[number].result_bytes * request.counts[number]
+            return "abc"[id(request) // 64 % 3], size
+        before = stages[number].after[0]
+        handles = request.counts[before] * request.counts[number]
+        return request.zones[before], stages[before].result_bytes * handles
+
     def _terms(self, kind):
         return RequestTerms(AttemptId("x"), None, None, kind.prompt_tokens, 80)
 
     def _pump(self, service):
         queue = self.queues[service]
-        for group in queue.take_hopeless(self.now_s):
+        for group in queue.take_hopeless(self.workers[service], self.now_s):
             request, _, _ = self._groups.pop(group)
             self.outcomes[request.kind.route.name].lost += 1
         for worker in self.workers[service]:
@@ -252,8 +267,11 @@
         for group in queue.finish(call, handles, self.now_s):
             request, number, since_s = self._groups.pop(group)
             self.times.observe(ServiceName(service), (self.now_s - since_s) * 1_000)
+            if group.data_centre not in ("", call.worker.data_centre):
+                self.moved_bytes += group.transfer_bytes
             self.stage_ms[service] += (self.now_s - since_s) * 1_000
             request.done.add(number)
+            request.zones[number] = call.worker.data_centre
             request.handles[number] = [one.handle for one in group.results.values()]
             self._free_read(request)
             self._go_on(request)
