--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -22,7 +22,7 @@
 """Pieces of the first call to a worker that failed before."""
 
 MAX_TRIES = 4
-"""Calls in which a piece may take part; each costs a call's time."""
+"""Calls that may fail for a group; each costs a call's time."""
 
 HOPELESS_SHARE = 0.8
 """Share of the work before a group that is surely done before it: some of it may
@@ -31,6 +31,10 @@
 RANK_S = 0.3
 """What a rank of urgency is worth in time when more work waits than one call."""
 
+EXPIRES_SOON_CALLS = 4.0
+"""A group that was put behind is taken along when it expires within so many calls:
+the rest of its stages needs about three."""
+
 MEASURE_S = 1.0
 """Time over which the rate of a service is measured while work waits."""
 
@@ -233,14 +237,13 @@
         gone = [one for one in self._groups if one.attempt == attempt]
         for call in self._busy.values():
             gone += [g for g, _ in call.parts if g.attempt == attempt and g not in gone]
-        for group in gone:
-            group.cancelled = True
-        self._groups = [one for one in self._groups if not one.cancelled]
+        self._drop(gone)
         return gone
 
     def take_all(self) -> list[PieceGroup]:
         """Take every waiting group out, for another dispatcher."""
-        groups, self._groups = self._groups, []
+        groups = list(self._groups)
+        self._drop(groups)
         return groups
 
     def take_hopeless(
@@ -263,10 +266,15 @@
                 hopeless.append(group)
             else:
                 ahead += pieces
-        if hopeless:
-            self._groups = [one for one in self._groups if one not in hopeless]
+        self._drop(hopeless)
         return hopeless
 
+    def _drop(self, groups: Iterable[PieceGroup]) -> None:
+        """Take groups out, also those of which some pieces are in a call."""
+        for group in groups:
+            group.cancelled = True
+        self._groups = [one for one in self._groups if not one.cancelled]
+
     def waits_ms(
         self, workers: Sequence[Worker], now_s: float
     ) -> tuple[tuple[int, float], ...]:
@@ -296,11 +304,13 @@
             return None
         free_bytes = self.spec.result_bytes - room.used_bytes(now_s)
         most = TRIAL_PIECES if self.health.on_trial(worker.key) else self.spec.batch
-        ordered = self._not_better_elsewhere(worker, workers, now_s)
+        kept, behind = self._not_better_elsewhere(worker, workers, now_s)
         pace = max(1.0, self.health.pace(worker.key))
         if pace >= SLOW_PACE:
-            ordered = self._slack_enough(ordered, pace, workers, now_s)
-        parts = _fill(ordered, most, free_bytes)
+            kept = self._slack_enough(kept, pace, workers, now_s)
+            behind = self._slack_enough(behind, pace, workers, now_s)
+        parts = _fill(kept, most, free_bytes)
+        parts += self._fill_up(parts, kept, behind, most, free_bytes, now_s)
         if not parts:
             return None
         size = sum(len(numbers) for _, numbers in parts)
@@ -312,21 +322,29 @@
         return call
 
     def order(self, workers: Sequence[Worker], now_s: float) -> list[PieceGroup]:
-        """Return the waiting groups, the next first.
+        """Return the waiting groups, the next first."""
+        kept, behind = self.split(workers, now_s)
+        return kept + behind
+
+    def split(
+        self, workers: Sequence[Worker], now_s: float
+    ) -> tuple[list[PieceGroup], list[PieceGroup]]:
+        """Return the groups that can be in time, and those put behind them.
 
         Groups that can be in time come by their due times. If they are too many,
         those with the least value a piece are put behind (after Moore and
         Hodgson); then come the late ones, by rank and expiry.
         """
         rate = self.rate_per_ms(workers, now_s) or 1e-9
-        in_time, late = [], []
+        in_time, behind = [], []
         for group in self._groups:
             own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
-            (in_time if now_s + own_s <= group.latest_s else late).append(group)
-        kept, behind = _keep_valuable(in_time, rate, now_s)
-        behind += late
+            late = now_s + own_s > group.latest_s
+            (behind if late else in_time).append(group)
+        kept, put_behind = _keep_valuable(in_time, rate, now_s)
+        behind += put_behind
         behind.sort(key=lambda one: (one.priority, one.expires_s))
-        return kept + behind
+        return kept, behind
 
     def finish(
         self, call: StageCall, results: Sequence[PieceResult], now_s: float
@@ -344,8 +362,9 @@
                 group.results[number] = result
             else:
                 group.waiting.append(number)
-        for group, _ in call.parts:
-            if group.done:
+        for group, numbers in call.parts:
+            group.tries += any(one not in group.results for one in numbers)
+            if group.done and not group.cancelled:
                 done.append(group)
             elif group.waiting and not group.cancelled and group not in self._groups:
                 self._groups.append(group)
@@ -355,6 +374,7 @@
         """Let all pieces of a failed call wait again."""
         self._end(call)
         for group, numbers in call.parts:
+            group.tries += 1
             group.waiting += numbers
             if not group.cancelled and group not in self._groups:
                 self._groups.append(group)
@@ -394,8 +414,8 @@
 
     def _not_better_elsewhere(
         self, worker: Worker, workers: Sequence[Worker], now_s: float
-    ) -> list[PieceGroup]:
-        """Return the waiting groups in order, less those that wait for another worker.
+    ) -> tuple[list[PieceGroup], list[PieceGroup]]:
+        """Return `split`, less the groups that wait for another worker.
 
         A group waits for a worker near its data if the next call there has room
         for it and ends in time.
@@ -406,8 +426,9 @@
                 free_s = self._free_at_s(one, now_s)
                 near.setdefault(one.data_centre, []).append(free_s)
         room = {place: self.spec.batch * len(free) for place, free in near.items()}
+        kept, behind = self.split(workers, now_s)
         chosen = []
-        for group in self.order(workers, now_s):
+        for group in kept + behind:
             place, pieces = group.data_centre, len(group.waiting)
             if (
                 group.transfer_bytes < LARGE_TRANSFER_BYTES
@@ -420,7 +441,44 @@
             done_s = min(near[place]) + self.spec.duration_ms(pieces) / 1_000.0
             if room[place] < 0 or done_s > self._wanted_s(group, now_s):
                 chosen.append(group)
-        return chosen
+        return (
+            [one for one in kept if one in chosen],
+            [one for one in behind if one in chosen],
+        )
+
+    def _fill_up(
+        self,
+        parts: list[tuple[PieceGroup, list[int]]],
+        kept: list[PieceGroup],
+        behind: list[PieceGroup],
+        most: int,
+        free_bytes: float,
+        now_s: float,
+    ) -> list[tuple[PieceGroup, list[int]]]:
+        """Return pieces of groups put behind that a call takes besides.
+
+        They make the call longer, so they are taken only as far as the others
+        can bear it, or if they expire soon.
+        """
+        size = sum(len(numbers) for _, numbers in parts)
+        free_bytes -= sum(len(numbers) * g.result_bytes for g, numbers in parts)
+        most -= size
+        if most <= 0 or not behind:
+            return []
+        if parts:
+            taken = {group for group, _ in parts}
+            due_s = min(group.due_s for group, _ in parts)
+            slack_ms = (due_s - now_s) * 1_000.0 - self.spec.duration_ms(size)
+            bearable = int(max(0.0, slack_ms) / self.spec.piece_ms)
+            if any(one not in taken for one in kept):
+                bearable = 0
+            soon_s = now_s + EXPIRES_SOON_CALLS * self.spec.duration_ms(most) / 1_000.0
+            pressing = [one for one in behind if one.expires_s <= soon_s]
+            if bearable < most and pressing:
+                behind = pressing[:1]
+            else:
+                most = min(most, bearable)
+        return _fill(behind, most, free_bytes)
 
     def _wanted_s(self, group: PieceGroup, now_s: float) -> float:
         """Return until when a group may wait for a worker near its data."""
@@ -461,7 +519,6 @@
         for group, numbers in call.parts:
             taken = set(numbers)
             group.waiting = [one for one in group.waiting if one not in taken]
-            group.tries += 1
         self._groups = [one for one in self._groups if one.waiting]
 
     def _end(self, call: StageCall) -> _WorkerRoom:
