Refuse late arrivals at a stopping instance and answer all before the end

Idle connections are now closed and later requests refused at once after the rotation time; what is still in flight at the end gets its final answer.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -53,8 +53,14 @@
 ROTATION_MS = 2_500.0
 """Two missed readiness questions, a second apart, end the flow of new callers."""
 
-STOP_MARGIN_MS = 700.0
-"""Part of the grace time that is kept for closing."""
+STOP_MARGIN_MS = 900.0
+"""Part of the grace time that is kept for final answers and closing."""
+
+STOP_POLL_S = 0.05
+"""Period in which the end of the last connection is looked for."""
+
+FINAL_ANSWERS_S = 0.2
+"""Time in which final answers reach callers: a round trip and the loop's delay."""
 
 SETTINGS_PERIOD_S = 2.0
 """Period in which the settings file is read again: the operators' own bound on
@@ -200,6 +206,7 @@
             settings.front.port, host=settings.front.host, backlog=BACKLOG
         )
         self._front_scope = trio.CancelScope()
+        self._listening_scope = trio.CancelScope()
         nursery.start_soon(self._serve_front, listeners)
         app.on_stop("stop serving", self._stop)
         self.log.write(
@@ -241,9 +248,12 @@
     async def _serve_front(self, listeners: list[trio.SocketListener]) -> None:
         with self._front_scope:
             async with trio.open_nursery() as nursery:
-                await trio.serve_listeners(
-                    self._serve_caller, listeners, handler_nursery=nursery
-                )
+                with self._listening_scope:
+                    await trio.serve_listeners(
+                        self._serve_caller, listeners, handler_nursery=nursery
+                    )
+                for listener in listeners:
+                    await listener.aclose()
 
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
@@ -278,13 +288,18 @@
         self.dispatcher.stopping = True
         self.dispatcher.hand_over()
         self.peers.send_to_all(self._make_beat())
-        deadline_s = self.settings.bounds.stop_grace_ms - STOP_MARGIN_MS
-        with trio.move_on_after(to_s(deadline_s)):
+        grace_ms = self.settings.bounds.stop_grace_ms - STOP_MARGIN_MS
+        with trio.move_on_after(to_s(grace_ms)):
             await trio.sleep(to_s(ROTATION_MS))
-            while self.relay.in_flight or not all(
-                one.idle for one in self._connections
-            ):
-                await trio.sleep(0.05)
+            self.relay.closing = True
+            self._listening_scope.cancel()
+            for connection in list(self._connections):
+                if connection.idle:
+                    connection.close()
+            while self._connections:
+                await trio.sleep(STOP_POLL_S)
+        self.relay.end_all()
+        await trio.sleep(FINAL_ANSWERS_S)
         with trio.move_on_after(0.3):
             await self.sync.leave()
         self._front_scope.cancel()
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -158,6 +158,8 @@
         tasks: TaskSupervisor,
     ):
         self.in_flight = 0
+        self.closing = False
+        self._scopes: set[trio.CancelScope] = set()
         self._catalogue = catalogue
         self._desk = desk
         self._connections = connections
@@ -169,6 +171,11 @@
         self._times = StageTimes(catalogue)
         self._table: RouteTable | None = None
 
+    def end_all(self) -> None:
+        """Give every request in flight its final answer now."""
+        for scope in list(self._scopes):
+            scope.cancel()
+
     async def handle(self, request: IncomingRequest, exchange: Exchange) -> None:
         """Answer one request."""
         self.in_flight += 1
@@ -191,6 +198,9 @@
     async def _handle(
         self, request: IncomingRequest, exchange: Exchange, start_s: float
     ) -> tuple[str, dict]:
+        if self.closing:
+            await self._refuse(exchange, 503, MIN_RETRY_AFTER_S)
+            return "refused", {"cause": "stopping"}
         table = self._route_table()
         if table is None:
             await self._refuse(exchange, 503, NO_CONFIGURATION_RETRY_S)
@@ -245,7 +255,8 @@
     ) -> tuple[str, dict]:
         """Serve until the deadline, and give a final answer then."""
         result: tuple[str, dict] = ("deadline", {"cause": "deadline"})
-        with trio.move_on_after(deadline_ms / 1_000.0):
+        with trio.move_on_after(deadline_ms / 1_000.0) as scope:
+            self._scopes.add(scope)
             try:
                 result = await self._serve(state, exchange)
             except Refused as refused:
@@ -253,9 +264,12 @@
             except _Failed as failed:
                 result = await self._answer_failed(state, exchange, failed)
             finally:
+                self._scopes.discard(scope)
                 if state.stages is not None:
                     state.stages.release()
             return result
+        if self.closing:
+            result = ("stopped", {"cause": "stopping"})
         if exchange.started:
             exchange.abort()
         elif state.may_have_run:
