Free results across dispatchers and make large ones as late as they are read

Results of a stage that nothing follows waited there for the longest other chain. Ruled out: rate of the workers (0.6 of it wanted). Also: a peer that refuses connections or cuts one counts as down at once (200 calls had met the connector's pause), and calls that fail quickly no longer count as a good pace.

--- a/src/acaciapier/exceptions.py
+++ b/src/acaciapier/exceptions.py
@@ -85,6 +85,10 @@
     """A peer could not be reached, or did not answer in time."""
 
 
+class PeerTimeout(PeerUnavailable):
+    """A peer was reached but did not answer in time."""
+
+
 class RequestError(AcaciapierError):
     """A request has ended without its whole answer.
 
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -255,7 +255,7 @@
 
     async def free_results(self, peer: InstanceId, message: FreeResults) -> None:
         """Give up results."""
-        feeder = self._feeders.get(message.service)
+        feeder = self._feeder(message.service)
         if feeder is not None:
             feeder.free(message.handles)
 
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -114,7 +114,7 @@
 
     def free(self, handles) -> None:
         """Give up results."""
-        freed = self.queue.free(handles)
+        freed = self.queue.free(handles, self._workers())
         if not freed:
             return
         start = not self._to_free
@@ -224,8 +224,9 @@
     ) -> None:
         failures = [one.failure for one in results if one.failure is not None]
         spec = self.queue.spec
-        ratio = elapsed_ms / spec.duration_ms(call.size)
-        self.queue.health.succeeded(call.worker.key, ratio)
+        if not failures:
+            ratio = elapsed_ms / spec.duration_ms(call.size)
+            self.queue.health.succeeded(call.worker.key, ratio)
         if PieceFailure.NO_ROOM in failures:
             self.queue.note_no_room(call.worker, now_s)
         if failures:
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from ..models import BatchSpec, Piece, PieceResult, Worker
+from ..models import BatchSpec, Piece, PieceFailure, PieceResult, Worker
 from .health import WorkerHealth
 
 LARGE_RESULT_BYTES = 200_000
@@ -356,14 +356,17 @@
         self._measure.note(made, self.waiting_pieces, enough, now_s)
         until_s = now_s + self.spec.result_ttl_ms / 1_000.0
         done = []
+        failed = set()
         for (group, number), result in zip(call.items(), results, strict=True):
+            if result.failure not in (None, PieceFailure.NO_ROOM):
+                failed.add(group)
             if result.handle is not None:
                 room.results[result.handle] = (group.result_bytes, until_s)
                 group.results[number] = result
             else:
                 group.waiting.append(number)
-        for group, numbers in call.parts:
-            group.tries += any(one not in group.results for one in numbers)
+        for group, _ in call.parts:
+            group.tries += group in failed
             if group.done and not group.cancelled:
                 done.append(group)
             elif group.waiting and not group.cancelled and group not in self._groups:
@@ -384,14 +387,23 @@
         room = self._rooms.setdefault(worker.key, _WorkerRoom())
         room.blocked_until_s = now_s + NO_ROOM_MS / 1_000.0
 
-    def free(self, handles: Iterable[str]) -> dict[str, list[str]]:
-        """Forget results; return the handles by the key of their worker."""
+    def free(
+        self, handles: Iterable[str], workers: Sequence[Worker]
+    ) -> dict[str, list[str]]:
+        """Forget results; return the handles by the key of their worker.
+
+        Results that another dispatcher had made are known by their address.
+        """
+        keys = {one.address: one.key for one in workers}
         by_worker: dict[str, list[str]] = {}
         for handle in handles:
-            for key, room in self._rooms.items():
-                if room.results.pop(handle, None) is not None:
-                    by_worker.setdefault(key, []).append(handle)
-                    break
+            key = keys.get(handle.partition("/")[0])
+            if key is None:
+                continue
+            by_worker.setdefault(key, []).append(handle)
+            room = self._rooms.get(key)
+            if room is not None:
+                room.results.pop(handle, None)
         return by_worker
 
     def describe(self, workers: Sequence[Worker], now_s: float) -> list[list]:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -8,9 +8,10 @@
 
 from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId
-from ..exceptions import PeerUnavailable
+from ..exceptions import PeerTimeout, PeerUnavailable
 from ..policy.subset import rendezvous_rank
 from ..wire.connector import PeerAddress
+from ..wire.dispatch import CallFailed
 from ..wire.messages.base import Message
 from ..wire.messages.gateway import Beat, ServiceWait
 from ..wire.network import PeerNetwork
@@ -167,6 +168,14 @@
             peer.calls.add(scope)
             try:
                 return await self._network.call(instance, message, timeout_ms)
+            except (CallFailed, PeerTimeout):
+                raise
+            except PeerUnavailable as error:
+                # Nobody listens, or the connection was cut: the process ended.
+                peer.missed = MISSED_BEATS
+                peer.next_beat_s = 0.0
+                self._missed(instance, peer, str(error))
+                raise
             finally:
                 peer.calls.discard(scope)
         raise PeerUnavailable(f"{instance} went down")
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from ..core.clock import Clock
+from ..core.clock import Clock, to_s
 from ..wire.messages.gateway import RunPieces
 from .catalogue import Catalogue
 from .dispatch.desk import Desk, Refused
@@ -23,6 +23,13 @@
 TIME_WEIGHT = 0.05
 """Weight of the newest observation in a stage's time; about a second of requests."""
 
+LARGE_RESULTS_BYTES = 1_000_000
+"""From this size on, results are made as late as their reader allows."""
+
+START_MARGIN = 1.6
+"""A stage that is put off starts this multiple of its usual time before its results
+are read: its time varies by half."""
+
 MIN_RETRY_MS = 250.0
 """Shortest time after which a refused request is asked back: about a call."""
 
@@ -93,6 +100,28 @@
         rule = configuration.services.get(service) if configuration else None
         return rule.batching.call_ms if rule and rule.batching else 0.0
 
+    def start_delay_ms(
+        self, route: RouteRule, counts: tuple[int, ...], number: int
+    ) -> float:
+        """Return how long the start of a stage is put off.
+
+        Large results take their worker's room until the engine reads them, so
+        they are made when the longest other chain of stages is nearly done.
+        """
+        if number not in route.final_stages:
+            return 0.0
+        stage = route.stages[number]
+        if stage.result_bytes * counts[number] < LARGE_RESULTS_BYTES:
+            return 0.0
+        others_ms = (
+            self.stage_ms(other.service)
+            + _longest_ms(route, counts, one, self.stage_ms)
+            for one, other in enumerate(route.stages)
+            if one != number and not other.after and counts[one]
+        )
+        own_ms = START_MARGIN * self.stage_ms(stage.service)
+        return max(0.0, max(others_ms, default=0.0) - own_ms)
+
     def window(
         self,
         route: RouteRule,
@@ -267,6 +296,9 @@
             self._handles[number] = ()
             self._done[number].set()
             return
+        if not stage.after:
+            delay_ms = self._times.start_delay_ms(self._route, self._counts, number)
+            await trio.sleep(to_s(delay_ms))
         now_s = self._clock.monotonic_s()
         window = self._times.window(
             self._route,
--- a/src/acaciapier/wire/network.py
+++ b/src/acaciapier/wire/network.py
@@ -10,7 +10,7 @@
 
 from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId
-from ..exceptions import PeerUnavailable
+from ..exceptions import PeerTimeout, PeerUnavailable
 from .acceptor import HANDSHAKE_TIMEOUT_S, Acceptor
 from .codec import MessageRegistry
 from .connection import Connection
@@ -155,7 +155,7 @@
         with trio.move_on_after(to_s(timeout_ms)):
             connection = await self._connect(peer)
             return await connection.call(message)
-        raise PeerUnavailable(f"{peer} did not answer within {timeout_ms:g} ms")
+        raise PeerTimeout(f"{peer} did not answer within {timeout_ms:g} ms")
 
     async def send(self, peer: InstanceId, message: Message) -> None:
         """Send `message` to `peer` once, without an answer; it may be dropped."""
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -263,7 +263,8 @@
 
     def _finish(self, service, call):
         queue = self.queues[service]
-        handles = [PieceResult(f"h/{next(self._order)}") for _ in call.items()]
+        address = call.worker.address
+        handles = [PieceResult(f"{address}/{next(self._order)}") for _ in call.items()]
         for group in queue.finish(call, handles, self.now_s):
             request, number, since_s = self._groups.pop(group)
             self.times.observe(ServiceName(service), (self.now_s - since_s) * 1_000)
@@ -287,7 +288,7 @@
 
     def _free(self, request, number):
         service = request.kind.route.stages[number].service
-        self.queues[service].free(request.handles.pop(number))
+        self.queues[service].free(request.handles.pop(number), self.workers[service])
         self._at(HOP_S, self._pump, service)
 
     def _end(self, request):
