--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -101,6 +101,10 @@
         await self._connection.send_event(h11.EndOfMessage())
         self.ended = True
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes beside the protocol; stand-ins play faulty servers so."""
+        await self._connection.send_raw(data)
+
     def abort(self) -> None:
         """Close the connection, so that the answer cannot look complete."""
         self._connection.close()
@@ -176,14 +180,16 @@
         """Send a part of an answer, or raise `CallerGone`."""
         try:
             data = self._parser.send(event)
-            if data:
-                await self._stream.send_all(data)
-        except (
-            OSError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            h11.LocalProtocolError,
-        ) as error:
+        except h11.LocalProtocolError as error:
+            raise CallerGone from error
+        if data:
+            await self.send_raw(data)
+
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes as they are, or raise `CallerGone`."""
+        try:
+            await self._stream.send_all(data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGone from error
 
     async def _serve_one(self) -> bool:
--- /dev/null
+++ b/src/acaciapier_standins/platform/platform.py
@@ -0,0 +1,141 @@
+"""A whole platform in one process: store, workers and settings of gateways."""
+
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import trio
+
+from acaciapier.http.caller import CallerConnection, ConnectionLimits
+
+from .store import StandInStore
+from .workers import Book, StandInWorker
+
+LIMITS = ConnectionLimits(65_536, 8_000_000, 10.0, 60.0)
+HOST = "127.0.0.1"
+
+
+class StandInPlatform:
+    """Listens on loopback ports and keeps the registrations of its workers.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Where connections are served.
+    """
+
+    def __init__(self, nursery: trio.Nursery):
+        self.store = StandInStore()
+        self.book = Book()
+        self.workers: dict[str, StandInWorker] = {}
+        self.store_port = 0
+        self._results: dict[str, str] = {}
+        self._nursery = nursery
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._entries: dict[str, dict[str, Any]] = {}
+
+    async def start(self) -> None:
+        """Start the store."""
+        self.store_port = await self._listen("store", self.store.answer)
+
+    async def add_worker(self, name: str, service: str, **fields: Any) -> StandInWorker:
+        """Start and register a worker."""
+        worker = StandInWorker(name, "", self.book, results=self._results, **fields)
+        port = await self._listen(name, worker.answer)
+        worker.address = f"{HOST}:{port}"
+        self.workers[name] = worker
+        self._entries[name] = {
+            "service": service,
+            "addr": worker.address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": int(time.time() * 1_000),
+        }
+        self.register(name)
+        return worker
+
+    def register(self, name: str, **changes: Any) -> None:
+        """Write a worker's entry, with some fields changed."""
+        self._entries[name] |= changes
+        self.store.put("servers", name, dict(self._entries[name]))
+
+    def crash(self, name: str) -> None:
+        """Close a worker's connections and its port."""
+        self._scopes[name].cancel()
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Put a configuration in force."""
+        self.store.put("config", "main", configuration)
+
+    def settings_text(self, node: str, ports: Sequence[int], seeds: str = "") -> str:
+        """Return the settings file of a gateway on three ports."""
+        front, ready, control = ports
+        return "\n".join(
+            [
+                f"node={node}",
+                "zone=zone-a",
+                "region=region-1",
+                f"listen.front={HOST}:{front}",
+                f"listen.ready={HOST}:{ready}",
+                f"listen.control={HOST}:{control}",
+                f"seeds={seeds}",
+                f"platform.addr={HOST}:{self.store_port}",
+                "bounds.grace_s=8",
+                "a.field.of.the.future=1",
+            ]
+        )
+
+    async def _listen(self, name: str, answer) -> int:
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        scope = self._scopes[name] = trio.CancelScope()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            connection = CallerConnection(
+                stream, lambda: LIMITS, answer, time.monotonic, lambda: False
+            )
+            await connection.serve()
+
+        async def run() -> None:
+            with scope:
+                await trio.serve_listeners(serve, listeners)
+
+        self._nursery.start_soon(run)
+        return listeners[0].socket.getsockname()[1]
+
+
+def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return one route of a configuration."""
+    return {
+        "name": name,
+        "host": "orders.example",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2_000,
+        "slo_ms": 500,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+def configuration(
+    version: int, routes: list[dict[str, Any]], services: list[dict[str, Any]], **more
+) -> dict[str, Any]:
+    """Return a configuration with usual limits."""
+    limits = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 1_000_000,
+        "header_timeout_ms": 1_000,
+        "idle_timeout_ms": 5_000,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+        **more,
+    }
--- /dev/null
+++ b/src/acaciapier_standins/platform/workers.py
@@ -0,0 +1,207 @@
+"""Stand-ins of the platform's workers: plain, streaming and of stages."""
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import trio
+
+from acaciapier.http.caller import Exchange, IncomingRequest
+
+RUN_PATH = b"/api/stage-run"
+FREE_PATH = b"/api/stage-free"
+
+
+@dataclass
+class WorkerFaults:
+    """What a worker does wrong with the next requests."""
+
+    status: int | None = None
+    not_run: bool = False
+    cut_after: int | None = None
+    """Events, or parts of a body, after which the connection is closed."""
+    mute: bool = False
+    silent_after: int | None = None
+    extra_answer: bool = False
+    unmarked: bool = False
+    delay_s: float = 0.0
+
+
+@dataclass
+class Run:
+    """One request that a worker began to work on."""
+
+    worker: str
+    attempt: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    started_s: float
+    ended_s: float | None = None
+    complete: bool = False
+
+
+@dataclass
+class Book:
+    """What all workers have run; the truth to check callers' answers against."""
+
+    runs: list[Run] = field(default_factory=list)
+    pieces: Counter = field(default_factory=Counter)
+    freed: int = 0
+
+    def runs_of(self, attempt: str) -> list[Run]:
+        """Return the runs of an attempt."""
+        return [run for run in self.runs if run.attempt == attempt]
+
+
+class StandInWorker:
+    """One worker.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    address : str
+        Where it listens.
+    book : Book
+        Where its runs are noted.
+    kind : str
+        ``plain``, ``stream`` or ``stage``.
+    events : int
+        Events of a stream.
+    gap_s : float
+        Time between events, or of plain work.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        book: Book,
+        kind: str = "plain",
+        events: int = 4,
+        gap_s: float = 0.01,
+        results: dict[str, str] | None = None,
+    ):
+        self.name = name
+        self.address = address
+        self.faults = WorkerFaults()
+        self._book = book
+        self._kind = kind
+        self._events = events
+        self._gap_s = gap_s
+        self._serial = 0
+        self._results = {} if results is None else results
+
+    async def answer(self, request: IncomingRequest, exchange: Exchange) -> None:
+        """Answer one request."""
+        headers = {
+            name.decode().lower(): value.decode("latin-1")
+            for name, value in request.headers
+        }
+        if headers.get("expect-instance", self.name) != self.name:
+            await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
+        elif request.target == RUN_PATH:
+            await self._run_pieces(request, exchange)
+        elif request.target == FREE_PATH:
+            handles = json.loads(request.body)["handles"]
+            self._book.freed += len(handles)
+            for handle in handles:
+                self._results.pop(handle, None)
+            await exchange.respond(200, [])
+        else:
+            await self._work(request, headers, exchange)
+
+    async def _run_pieces(self, request: IncomingRequest, exchange: Exchange) -> None:
+        if self.faults.not_run:
+            await exchange.respond(503, [(b"Not-Run", b"1")])
+            return
+        await trio.sleep(self._gap_s + self.faults.delay_s)
+        if self.faults.mute:
+            await trio.sleep_forever()
+        answers = [self._make(item) for item in json.loads(request.body)["items"]]
+        body = json.dumps({"items": answers}).encode()
+        await exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+
+    def _make(self, item: dict[str, Any]) -> dict[str, str]:
+        inputs = item.get("inputs", [])
+        if any(self._results.get(one) != item["id"] for one in inputs):
+            return {"reason": "gone"}
+        self._serial += 1
+        handle = f"{self.address}/{self._serial:x}"
+        self._results[handle] = item["id"]
+        self._book.pieces[item["id"], item["stage"], item["segment"]] += 1
+        return {"handle": handle}
+
+    async def _work(
+        self, request: IncomingRequest, headers: dict[str, str], exchange: Exchange
+    ) -> None:
+        faults = self.faults
+        attempt = headers.get("attempt-id", "")
+        if faults.not_run:
+            await exchange.respond(503, [(b"Not-Run", b"1")])
+            return
+        inputs = [one for one in headers.get("inputs", "").split(",") if one]
+        if any(self._results.get(one) != attempt for one in inputs):
+            await exchange.respond(409, [(b"Not-Run", b"1")])
+            return
+        run = Run(
+            self.name,
+            attempt,
+            request.target.decode(),
+            request.body,
+            headers,
+            trio.current_time(),
+        )
+        self._book.runs.append(run)
+        try:
+            await trio.sleep(faults.delay_s)
+            if faults.mute:
+                await trio.sleep_forever()
+            if self._kind == "stream":
+                await self._stream(run, headers, exchange)
+            else:
+                await self._plain(run, exchange)
+            run.complete = exchange.ended
+        finally:
+            run.ended_s = trio.current_time()
+
+    async def _plain(self, run: Run, exchange: Exchange) -> None:
+        await trio.sleep(self._gap_s)
+        if self.faults.cut_after is not None:
+            await exchange.start(200, [*self._marks(run), (b"Content-Length", b"1000")])
+            await exchange.send(b"half")
+            exchange.abort()
+            return
+        status = self.faults.status or 200
+        body = f"{self.name} did {run.attempt}".encode()
+        await exchange.respond(status, self._marks(run), body)
+        if self.faults.extra_answer:
+            await exchange.send_raw(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: stray\r\nServer-Seal: x\r\n"
+                b"Content-Length: 5\r\n\r\nstray"
+            )
+
+    async def _stream(self, run: Run, headers, exchange: Exchange) -> None:
+        first = int(headers.get("last-event-id", "0")) + 1
+        kind = (b"Content-Type", b"text/event-stream")
+        await exchange.start(200, [*self._marks(run), kind])
+        for number in range(first, self._events + 1):
+            sent = number - first
+            if sent == self.faults.silent_after:
+                await trio.sleep_forever()
+            event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
+            if sent == self.faults.cut_after:
+                await exchange.send(event[: len(event) // 2])
+                exchange.abort()
+                return
+            await exchange.send(event)
+            await trio.sleep(self._gap_s)
+        await exchange.end()
+
+    def _marks(self, run: Run) -> list[tuple[bytes, bytes]]:
+        marks = [(b"Attempt-Id", run.attempt.encode())]
+        if not self.faults.unmarked:
+            marks.append((b"Server-Seal", f"seal-{self.name}".encode()))
+        return marks
