Let a starting instance learn from seeds; test serving over the stand-in platform

Found by a new test: an instance that starts while the store turns it away knew neither configuration nor peers. It now asks the seeds of its settings. Also found: a refusal of a large body was lost to a reset, as its rest was unread.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -177,6 +177,7 @@
             tasks,
             self.log.write,
             self.dispatcher.workers_changed,
+            own,
         )
         self.peers.on_beat = peer_sync.note_beat
         self.peers.on_down = self.dispatcher.drop_owner
@@ -195,6 +196,7 @@
             self.log.write,
             self.dispatcher.workers_changed,
         )
+        tasks.start_soon(peer_sync.join, settings.seeds)
         nursery.start_soon(self._watch_reload_signal)
         for loop in (self.sync.run, self._watch_freezes, self._watch_settings):
             nursery.start_soon(run_forever, loop, report)
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -16,6 +16,7 @@
 from ..wire.messages.gateway import Beat, ServiceWait
 from ..wire.network import PeerNetwork
 from .models import PeerRecord
+from .settings import Address
 from .supervision import TaskSupervisor
 
 BEAT_PERIOD_MS = 200.0
@@ -24,6 +25,9 @@
 BEAT_TIMEOUT_MS = 250.0
 """Round trips take 3 ms; a loop that stands still for longer is as good as gone."""
 
+JOIN_TIMEOUT_MS = 500.0
+"""A seed that is well answers the handshake in three round trips."""
+
 MISSED_BEATS = 2
 """One lost answer may be an accident."""
 
@@ -112,6 +116,12 @@
                 self._network.add_addresses({instance: address})
                 self._on_change("peer_listed", peer=instance, host=record.host)
 
+    def add_records(self, records: Iterable[PeerRecord]) -> None:
+        """Take over instances that a peer knows, beside those known here."""
+        known = {one.instance: one for one in self.records}
+        merged = {one.instance: one for one in records} | known
+        self.set_records(merged.values())
+
     def is_up(self, instance: InstanceId) -> bool:
         """Return whether an instance lives and does not stop."""
         peer = self._peers.get(instance)
@@ -151,6 +161,23 @@
             self._on_change("peer_up", peer=instance)
         self.on_beat(instance, beat)
 
+    async def join(self, address: Address) -> InstanceId:
+        """Connect to the instance at an address, whoever it is.
+
+        Raises
+        ------
+        PeerUnavailable
+            If nobody answers there.
+        """
+        where = PeerAddress(address.host, address.port)
+        return await self._network.join(where, JOIN_TIMEOUT_MS)
+
+    async def ask(
+        self, instance: InstanceId, message: Message, timeout_ms: float
+    ) -> Message:
+        """Call an instance that may not be listed yet; raises `PeerUnavailable`."""
+        return await self._network.call(instance, message, timeout_ms)
+
     async def call(
         self, instance: InstanceId, message: Message, timeout_ms: float
     ) -> Message:
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -1,6 +1,6 @@
 """Keeps the catalogue and the list of instances true, from the store and peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import trio
@@ -16,10 +16,17 @@
 from ..platform import configuration as configuration_format
 from ..platform import workers as worker_format
 from ..platform.store import PlatformStore, Snapshot, StoredObject
-from ..wire.messages.gateway import Beat, FetchNews, News, WorkerEntry
+from ..wire.messages.gateway import (
+    Beat,
+    FetchNews,
+    News,
+    PeerEntry,
+    WorkerEntry,
+)
 from .catalogue import Catalogue
 from .models import PeerRecord, Worker, WorkerId, WorkerState
 from .peers import Peers
+from .settings import Address
 from .supervision import TaskSupervisor
 
 WATCH_WAIT_MS = 8_000
@@ -33,6 +40,9 @@
 NEWS_DELAY_MS = 150.0
 """Time in which the store's own watch usually brings what a peer knows already."""
 
+JOIN_PERIOD_MS = 400.0
+"""Time in which the store usually answers a starting instance."""
+
 NEWS_TIMEOUT_MS = 500.0
 """A peer that is well answers in a few milliseconds."""
 
@@ -287,6 +297,8 @@
         Told failures, as a kind and fields.
     on_workers : callable
         Called after workers have changed.
+    own : PeerRecord
+        This instance's own entry.
     """
 
     def __init__(
@@ -296,7 +308,9 @@
         tasks: TaskSupervisor,
         log: Callable[..., None],
         on_workers: Callable[[], None],
+        own: PeerRecord,
     ):
+        self._own = own
         self._catalogue = catalogue
         self._peers = peers
         self._tasks = tasks
@@ -304,6 +318,28 @@
         self._on_workers = on_workers
         self._fetching = False
 
+    async def join(self, seeds: Sequence[Address]) -> None:
+        """Learn from seeds while the store has told nothing yet."""
+        while not self._catalogue.complete:
+            await trio.sleep(to_s(JOIN_PERIOD_MS))
+            for seed in seeds:
+                if self._catalogue.complete:
+                    return
+                await self._join_at(seed)
+
+    async def _join_at(self, seed: Address) -> None:
+        try:
+            instance = await self._peers.join(seed)
+            if instance == self._peers.own:
+                return
+            request = FetchNews(0, 0, True)
+            news = await self._peers.ask(instance, request, NEWS_TIMEOUT_MS)
+        except PeerUnavailable as error:
+            self._log("seed_unreachable", host=seed.host, reason=str(error))
+            return
+        if isinstance(news, News):
+            self._take(instance, news)
+
     def note_beat(self, instance: InstanceId, beat: Beat) -> None:
         """Fetch what a peer knows and this instance does not."""
         if not self._fetching and self._is_news(beat):
@@ -318,11 +354,16 @@
             configuration = catalogue.configuration_source
         if catalogue.workers_revision > message.workers_revision:
             workers = tuple(_entry(one) for one in catalogue.workers.values())
+        peers = ()
+        if message.wants_peers:
+            known = [*self._peers.records, self._own]
+            peers = tuple(PeerEntry(*_fields(one)) for one in known)
         return News(
             catalogue.configuration_revision,
             configuration,
             catalogue.workers_revision,
             workers,
+            peers,
         )
 
     def _is_news(self, beat: Beat) -> bool:
@@ -357,12 +398,18 @@
             self._catalogue.offer_configuration(
                 news.configuration_revision, news.configuration, origin
             )
+        if news.peers:
+            self._peers.add_records(PeerRecord(*_fields(one)) for one in news.peers)
         if news.workers is not None:
             workers = [_worker(one) for one in news.workers]
             if self._catalogue.offer_workers(news.workers_revision, workers, origin):
                 self._on_workers()
 
 
+def _fields(one: PeerEntry | PeerRecord) -> tuple:
+    return one.instance, one.host, one.port, one.data_centre, one.started_ms
+
+
 def _entry(worker: Worker) -> WorkerEntry:
     return WorkerEntry(
         worker.id,
--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -15,6 +15,9 @@
 MAX_AHEAD_BYTES = 65_536
 """Bytes of further requests that are read while one is worked on."""
 
+LINGER_S = 1.0
+"""Time in which a caller whose input is refused can read why."""
+
 STATUS_TEXTS = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -313,5 +316,16 @@
                 status, [(b"Content-Length", b"0"), (b"Connection", b"close")]
             )
             await self.send_event(h11.EndOfMessage())
+            await self._linger()
         except CallerGone:
             return
+
+    async def _linger(self) -> None:
+        """Read on for a moment, as closing with unread input resets the answer."""
+        with trio.move_on_after(LINGER_S):
+            try:
+                await self._stream.send_eof()
+                while await self._stream.receive_some(RECEIVE_BYTES):
+                    pass
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                return
--- a/src/acaciapier/wire/connector.py
+++ b/src/acaciapier/wire/connector.py
@@ -100,8 +100,21 @@
         self._failures.pop(peer, None)
         return opened
 
+    async def open_at(self, address: PeerAddress) -> tuple[HandshakeChannel, Session]:
+        """Return a connection to whichever instance listens at `address`.
+
+        Raises
+        ------
+        PeerUnavailable
+            If nobody does who holds a fleet key.
+        """
+        try:
+            return await self._open(None, address)
+        except (OSError, trio.BrokenResourceError, ProtocolError) as error:
+            raise PeerUnavailable(f"nobody at {address}: {error}") from error
+
     async def _open(
-        self, peer: InstanceId, address: PeerAddress
+        self, peer: InstanceId | None, address: PeerAddress
     ) -> tuple[HandshakeChannel, Session]:
         stream: trio.abc.Stream = await trio.open_tcp_stream(*address)
         limit_unacknowledged(stream)
@@ -112,7 +125,7 @@
         channel = HandshakeChannel(stream)
         try:
             session = await open_session(channel, self._identity, self._keys)
-            if session.peer.instance_id != peer:
+            if peer is not None and session.peer.instance_id != peer:
                 raise ProtocolError(f"{session.peer.instance_id} answers for {peer}")
         except BaseException:
             await trio.aclose_forcefully(stream)
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -27,6 +27,17 @@
 
     configuration_revision: int
     workers_revision: int
+    wants_peers: bool = False
+
+
+class PeerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One instance of a peer's table."""
+
+    instance: str
+    host: str
+    port: int
+    data_centre: str
+    started_ms: int
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -50,6 +61,7 @@
     configuration: bytes | None
     workers_revision: int
     workers: tuple[WorkerEntry, ...] | None
+    peers: tuple[PeerEntry, ...] = ()
 
 
 class RunPieces(Message, frozen=True):
--- a/src/acaciapier/wire/network.py
+++ b/src/acaciapier/wire/network.py
@@ -203,6 +203,23 @@
             async for item in stream:
                 yield item
 
+    async def join(self, address: PeerAddress, timeout_ms: float) -> InstanceId:
+        """Connect to the instance at `address`, whoever it is, and return its id.
+
+        Raises
+        ------
+        PeerUnavailable
+            If nobody answers there in time.
+        """
+        opened = None
+        with trio.move_on_after(to_s(timeout_ms)):
+            opened = await self._connector.open_at(address)
+        if opened is None or self._nursery is None:
+            raise PeerUnavailable(f"nobody at {address} in {timeout_ms:g} ms")
+        channel, session = opened
+        self._nursery.start_soon(self._run, self._adopt(channel, session))
+        return session.peer.instance_id
+
     async def close_connections(self, peer: InstanceId) -> None:
         """Close all connections to `peer`, so that the next call opens a new one."""
         for connection in list(self._connections.get(peer, ())):
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,188 @@
+"""A gateway over the stand-in platform, and a raw caller."""
+
+import random
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from acaciapier.app.application import Application
+from acaciapier.core.findings import Findings
+from acaciapier.gateway.instance import GatewayInstance
+from acaciapier.platform.settings import FLEET_KEY_VARIABLE, decode_settings
+from acaciapier_standins.platform.platform import (
+    HOST,
+    StandInPlatform,
+    configuration,
+    route,
+)
+
+ENVIRONMENT = {FLEET_KEY_VARIABLE: "a-key-for-tests-only"}
+SEGMENTS = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 8,
+    "call_ms": 5.0,
+    "item_ms": 0.5,
+    "headroom_mb": 10.0,
+    "handle_s": 4.0,
+    "link_mbps": 10_000,
+}
+ENGINE = {"slots": 16, "kv_capacity": 100_000}
+SERVICES = [
+    {"name": "book", "max_conns": 100},
+    {"name": "model", "max_conns": 100, "engine": ENGINE},
+    {"name": "encode", "max_conns": 100, "segments": SEGMENTS},
+    {"name": "search", "max_conns": 100, "segments": SEGMENTS},
+]
+STAGES = [
+    {"service": "encode", "after": [], "bytes": 1_000},
+    {"service": "search", "after": [0], "bytes": 1_000},
+]
+ROUTES = [
+    route("lookup", "idempotent", "book"),
+    route("confirm", "non_idempotent", "book", max_attempts=1),
+    route("chat", "streaming", "model", max_attempts=1),
+    route("mail", "streaming", "model", resumable=True),
+    route("staged", "streaming", "model", stages=STAGES),
+]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+@dataclass
+class Answer:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Caller:
+    """One kept connection of a caller."""
+
+    def __init__(self, port: int):
+        self._port = port
+        self._stream = None
+        self._parser = h11.Connection(h11.CLIENT)
+
+    async def ask(
+        self, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> Answer:
+        """Send a request and return its answer."""
+        await self.send(method, path, body, **headers)
+        return await self.receive()
+
+    async def send(self, method: str, path: str, body: bytes = b"", **headers: str):
+        """Send a request."""
+        if self._stream is None:
+            self._stream = await trio.open_tcp_stream(HOST, self._port)
+        elif self._parser.our_state is h11.DONE:
+            self._parser.start_next_cycle()
+        fields = [("Host", "orders.example"), ("Content-Length", str(len(body)))]
+        fields += [(name.replace("_", "-"), one) for name, one in headers.items()]
+        data = self._parser.send(
+            h11.Request(method=method, target=path, headers=fields)
+        )
+        if body:
+            data += self._parser.send(h11.Data(data=body))
+        data += self._parser.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+    async def receive(self) -> Answer:
+        """Return the answer to the last request."""
+        answer = Answer(0, {}, b"", False)
+        try:
+            while True:
+                event = await self._next()
+                if isinstance(event, h11.Response):
+                    answer.status = event.status_code
+                    answer.headers = {
+                        name.decode(): value.decode() for name, value in event.headers
+                    }
+                elif isinstance(event, h11.Data):
+                    answer.body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    answer.whole = True
+                    return answer
+                else:
+                    return answer
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            return answer
+
+    async def aclose(self) -> None:
+        """Leave."""
+        if self._stream is not None:
+            await trio.aclose_forcefully(self._stream)
+
+    async def _next(self):
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            self._parser.receive_data(await self._stream.receive_some(65_536))
+        return event
+
+
+class Deployment:
+    """Gateways and the platform they run on."""
+
+    def __init__(self, platform: StandInPlatform, nursery: trio.Nursery):
+        self.platform = platform
+        self.gateways: list[GatewayInstance] = []
+        self._nursery = nursery
+
+    async def add_gateway(self, seeds: str = "") -> GatewayInstance:
+        """Start one more gateway and wait until it is ready."""
+        node = f"edge-{len(self.gateways) + 1}"
+        text = self.platform.settings_text(node, free_ports(3), seeds)
+        findings = Findings()
+        settings = decode_settings(text, ENVIRONMENT, findings)
+        findings.raise_if_any(node)
+        gateway = GatewayInstance(settings, random.Random(1), lambda: settings)
+        gateway.app = Application(node)
+        await self._nursery.start(gateway.app.run, gateway.start)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def until(self, condition, timeout_s: float = 5.0) -> None:
+        """Wait until `condition` holds."""
+        with trio.fail_after(timeout_s):
+            while not condition():
+                await trio.sleep(0.01)
+
+    def caller(self, number: int = 0) -> Caller:
+        """Return a new caller of one gateway."""
+        return Caller(self.gateways[number].settings.front.port)
+
+
+@asynccontextmanager
+async def deployment(gateways: int = 1, **more):
+    """Run gateways over a platform with two workers of each service."""
+    async with trio.open_nursery() as nursery:
+        platform = StandInPlatform(nursery)
+        await platform.start()
+        platform.configure(configuration(1, ROUTES, SERVICES, **more))
+        kinds = {"book": "plain", "model": "stream", "encode": "stage"}
+        for service in ("book", "model", "encode", "search"):
+            for number in (1, 2):
+                kind = kinds.get(service, "stage")
+                await platform.add_worker(f"{service}-{number}", service, kind=kind)
+        found = Deployment(platform, nursery)
+        for _ in range(gateways):
+            await found.add_gateway()
+        for gateway in found.gateways:
+            await found.until(lambda one=gateway: len(one.catalogue.workers) == 8)
+            await found.until(lambda one=gateway: one.peers.live_count == gateways)
+        yield found
+        nursery.cancel_scope.cancel()
