Bound the size of a whole request head, not only of an incomplete one

Found by test_oversized_and_malformed_input_gets_a_clear_status, which failed in the commit before: a head of 20 KB that came in one read was accepted.

--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -15,6 +15,9 @@
 MAX_AHEAD_BYTES = 65_536
 """Bytes of further requests that are read while one is worked on."""
 
+HEADER_OVERHEAD = 4
+"""Bytes of a header line beside its name and value."""
+
 LINGER_S = 1.0
 """Time in which a caller whose input is refused can read why."""
 
@@ -244,6 +247,10 @@
     ) -> IncomingRequest | None:
         headers = list(head.headers.raw_items())
         values = {name.lower(): value for name, value in headers}
+        # The parser bounds a head only while it is incomplete.
+        size = sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
+        if size > limits.max_header_bytes:
+            raise _Rejected(431)
         if b"transfer-encoding" in values and b"content-length" in values:
             raise _Rejected(400)
         if int(values.get(b"content-length", b"0")) > limits.max_body_bytes:
