--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -21,6 +21,9 @@
 TICK_MS = 40.0
 """Period in which excluded workers and expired groups are looked at."""
 
+FREE_PATIENCE_MS = 1_000.0
+"""Time after which freeing results is given up; they last four times as long."""
+
 REPORT_PERIOD_MS = 1_000.0
 """Period of the line that tells the load of a service, while there is any."""
 
@@ -264,15 +267,21 @@
         for key, handles in freed.items():
             if key not in by_key:
                 continue
+            self._tasks.start_soon(self._free_at, by_key[key], handles)
+
+    async def _free_at(self, worker: Worker, handles: list[str]) -> None:
+        """Free results of one worker; it drops them itself after their time."""
+        reason = f"no answer in {FREE_PATIENCE_MS:g} ms"
+        with trio.move_on_after(to_s(FREE_PATIENCE_MS)):
             try:
-                with trio.move_on_after(to_s(CALL_PATIENCE_MS)):
-                    await self._client.free(by_key[key], handles)
+                await self._client.free(worker, handles)
+                return
             except (ConnectFailed, ConnectionBroken, WorkerRefused) as error:
-                # The worker drops them itself after their time to live.
-                self._log(
-                    "results_not_freed",
-                    service=self.service,
-                    worker=by_key[key].id,
-                    results=len(handles),
-                    reason=str(error),
-                )
+                reason = str(error)
+        self._log(
+            "results_not_freed",
+            service=self.service,
+            worker=worker.id,
+            results=len(handles),
+            reason=reason,
+        )
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -11,9 +11,6 @@
 from ..models import BatchSpec, Piece, PieceFailure, PieceResult, Worker
 from .health import WorkerHealth
 
-LARGE_RESULT_BYTES = 200_000
-"""From this size on, a request's results are kept at one worker if they fit."""
-
 LARGE_TRANSFER_BYTES = 1_000_000
 """From this size on, transfers of a group between data centres are avoided: on the
 users' links they cost more than a late answer is worth."""
@@ -31,6 +28,15 @@
 RANK_S = 0.3
 """What a rank of urgency is worth in time when more work waits than one call."""
 
+ROOM_SHARE = 1.0
+"""Share of a worker's room that is used at first: sizes of results are approximate."""
+
+LEAST_ROOM_SHARE = 0.85
+"""Least share that refusals for want of room lower it to."""
+
+ROOM_STEP_DOWN, ROOM_STEP_UP = 0.02, 0.004
+"""Changes of that share after a refusal, and after a call without one."""
+
 EXPIRES_SOON_CALLS = 4.0
 """A group that was put behind is taken along when it expires within so many calls:
 the rest of its stages needs about three."""
@@ -134,6 +140,7 @@
     reserved_bytes: float = 0.0
     results: dict[str, tuple[float, float]] = field(default_factory=dict)
     blocked_until_s: float = 0.0
+    share: float = ROOM_SHARE
 
     def used_bytes(self, now_s: float) -> float:
         expired = [h for h, (_, until_s) in self.results.items() if until_s <= now_s]
@@ -302,7 +309,7 @@
         room = self._rooms.setdefault(worker.key, _WorkerRoom())
         if room.blocked_until_s > now_s:
             return None
-        free_bytes = self.spec.result_bytes - room.used_bytes(now_s)
+        free_bytes = room.share * self.spec.result_bytes - room.used_bytes(now_s)
         most = TRIAL_PIECES if self.health.on_trial(worker.key) else self.spec.batch
         kept, behind = self._not_better_elsewhere(worker, workers, now_s)
         pace = max(1.0, self.health.pace(worker.key))
@@ -356,6 +363,7 @@
         self._measure.note(made, self.waiting_pieces, enough, now_s)
         until_s = now_s + self.spec.result_ttl_ms / 1_000.0
         done = []
+        room.share = min(ROOM_SHARE, room.share + ROOM_STEP_UP)
         failed = set()
         for (group, number), result in zip(call.items(), results, strict=True):
             if result.failure not in (None, PieceFailure.NO_ROOM):
@@ -386,6 +394,7 @@
         """Send nothing to a worker that had no room for a moment."""
         room = self._rooms.setdefault(worker.key, _WorkerRoom())
         room.blocked_until_s = now_s + NO_ROOM_MS / 1_000.0
+        room.share = max(LEAST_ROOM_SHARE, room.share - ROOM_STEP_DOWN)
 
     def free(
         self, handles: Iterable[str], workers: Sequence[Worker]
@@ -572,7 +581,7 @@
 def _fill(
     groups: Iterable[PieceGroup], most: int, free_bytes: float
 ) -> list[tuple[PieceGroup, list[int]]]:
-    """Fill a call with pieces, in order; groups with large results stay whole."""
+    """Fill a call with pieces, in order; the last group may be split."""
     parts = []
     for group in groups:
         if most <= 0:
@@ -581,9 +590,6 @@
         count = min(len(group.waiting), most, fits)
         if count <= 0:
             continue
-        if count < len(group.waiting) and parts:
-            if group.result_bytes >= LARGE_RESULT_BYTES:
-                continue
         parts.append((group, group.waiting[:count]))
         most -= count
         free_bytes -= count * group.result_bytes
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -64,6 +64,7 @@
     kind: Kind
     start_s: float
     counts: tuple[int, ...]
+    serial: int
     done: set[int] = field(default_factory=set)
     asked: set[int] = field(default_factory=set)
     handles: dict[int, list[str]] = field(default_factory=dict)
@@ -177,7 +178,7 @@
             return
         self._at(self.random.expovariate(self._rate(kind)), self._arrive, kind, until_s)
         counts = tuple(self._count(*one) for one in kind.pieces)
-        request = Request(kind, self.now_s, counts)
+        request = Request(kind, self.now_s, counts, next(self._order))
         self.outcomes[kind.route.name].asked += 1
         self._go_on(request)
 
@@ -239,7 +240,7 @@
             if stages[number].result_bytes < MB:
                 return "", 0
             size = stages[number].result_bytes * request.counts[number]
-            return "abc"[id(request) // 64 % 3], size
+            return "abc"[request.serial % 3], size
         before = stages[number].after[0]
         handles = request.counts[before] * request.counts[number]
         return request.zones[before], stages[before].result_bytes * handles
