--- a/src/acaciapier/gateway/status_server.py
+++ b/src/acaciapier/gateway/status_server.py
@@ -11,9 +11,9 @@
     Exchange,
     IncomingRequest,
 )
+from ..platform.requests import READY_PATH
 from .settings import Address
 
-READY_PATH = b"/api/readyz"
 METRICS_PATH = b"/metrics"
 LIMITS = ConnectionLimits(8_192, 0, 3.0, 15.0)
 """Questions have no body; the times are those of callers."""
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -6,6 +6,7 @@
 from ..http.client import AnswerHead, Headers, end_to_end_headers
 from .workers import decode_load
 
+READY_PATH = b"/api/readyz"
 ATTEMPT = b"attempt-id"
 DEADLINE = b"deadline-ms"
 KEY = b"key"
