--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -16,6 +16,7 @@
 from .load import LoadCommand
 from .path_cost import PathCommand
 from .policy.command import Policy
+from .soak.command import SoakCommand
 from .stream_cost import StreamsCommand
 from .transport import TransportCommand
 
@@ -38,6 +39,7 @@
         | PathCommand
         | Policy
         | PoisonCommand
+        | SoakCommand
         | StreamsCommand
         | TransportCommand
     ]
--- /dev/null
+++ b/src/acaciapier_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real gateway processes under faults from outside."""
--- /dev/null
+++ b/src/acaciapier_bench/soak/checker.py
@@ -0,0 +1,106 @@
+"""Checks the promises of the platform's rules from what both ends saw."""
+
+from collections.abc import Iterable
+
+from acaciapier_standins.platform.workers import Book, Run
+
+from .callers import Received
+
+UNREPEATABLE = frozenset({"confirm", "chat"})
+STREAMS = frozenset({"chat", "mail", "staged"})
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+EVENTS = 4
+DRAIN_S = 2.0
+LEFT_S = 0.5
+LEFT_SLACK_S = 0.4
+MOST_LATE_ENDS = 3
+SERVED_AFTER = 0.25
+
+
+def check(
+    records: Iterable[Received],
+    book: Book,
+    drained_s: dict[str, float],
+    calm_from_s: float,
+) -> list[str]:
+    """Return a line for each broken promise.
+
+    Parameters
+    ----------
+    records : iterable of Received
+        What callers got.
+    book : Book
+        What workers ran.
+    drained_s : dict of str to float
+        When workers were reported as draining.
+    calm_from_s : float
+        From when on all faults were over and recovery had its time.
+    """
+    records = list(records)
+    known = {one.attempt: one for one in records}
+    runs: dict[str, list[Run]] = {}
+    for run in book.runs:
+        runs.setdefault(run.attempt, []).append(run)
+    found = [f"a run of {name!r}, which nobody sent" for name in runs.keys() - known]
+    for record in records:
+        found += _check_one(record, runs.get(record.attempt, []))
+    found += _check_drains(book, drained_s)
+    found += _check_left(records, runs)
+    found += _check_recovery(records, calm_from_s)
+    return found
+
+
+def _check_one(record: Received, runs: list[Run]) -> list[str]:
+    found = []
+    if record.kind in UNREPEATABLE and len(runs) > 1:
+        found.append(f"{record.attempt} ran {len(runs)} times")
+    if record.whole and record.status in PROMISES_NOT_RUN:
+        if record.kind in UNREPEATABLE and runs:
+            found.append(f"{record.attempt} was said not to have run, and ran")
+    if record.whole and record.status == 200:
+        found += _check_body(record)
+    for run in runs:
+        if run.path != f"/{record.kind}/1":
+            found.append(f"{record.attempt} ran with path {run.path}")
+    return found
+
+
+def _check_body(record: Received) -> list[str]:
+    if not record.seal:
+        return [f"{record.attempt}: a success without a worker's mark"]
+    if record.kind not in STREAMS:
+        ok = record.body.endswith(f" did {record.attempt}".encode())
+    else:
+        numbers = range(1, EVENTS + 1)
+        want = "".join(f"id: {n}\ndata: {record.attempt} {n}\n\n" for n in numbers)
+        ok = record.body == want.encode()
+    return [] if ok else [f"{record.attempt}: a wrong body, {record.body[:80]!r}"]
+
+
+def _check_drains(book: Book, drained_s: dict[str, float]) -> list[str]:
+    return [
+        f"{run.attempt} reached {run.worker} after it was reported as draining"
+        for run in book.runs
+        if run.started_s > drained_s.get(run.worker, run.started_s) + DRAIN_S
+    ]
+
+
+def _check_left(records: list[Received], runs: dict[str, list[Run]]) -> list[str]:
+    late = [
+        record.attempt
+        for record in records
+        if record.left
+        for run in runs.get(record.attempt, [])
+        if run.ended_s is None or run.ended_s > record.ended_s + LEFT_S + LEFT_SLACK_S
+    ]
+    if len(late) <= MOST_LATE_ENDS:
+        return []
+    return [f"work went on after the callers of {late} had left"]
+
+
+def _check_recovery(records: list[Received], calm_from_s: float) -> list[str]:
+    after = [one for one in records if one.sent_s > calm_from_s and not one.left]
+    served = sum(one.whole and one.status == 200 for one in after)
+    if after and served < SERVED_AFTER * len(after):
+        return [f"{served} of {len(after)} requests served after the faults"]
+    return []
--- /dev/null
+++ b/src/acaciapier_bench/soak/command.py
@@ -0,0 +1,51 @@
+"""The subcommand `soak`."""
+
+import random
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from .run import SoakPlan, run_soak
+
+
+@cappa.command(name="soak")
+@dataclass
+class SoakCommand:
+    """Run real gateways under random faults and check the platform's promises."""
+
+    seed: Annotated[list[int], cappa.Arg(long=True, help="Seeds to run.")] = field(
+        default_factory=list
+    )
+    fresh_minutes: Annotated[
+        float, cappa.Arg(long=True, help="Run fresh seeds for so long.")
+    ] = 0.0
+    seconds: Annotated[float, cappa.Arg(long=True, help="Length of the faults.")] = 8.0
+    gateways: Annotated[int, cappa.Arg(long=True, help="Gateway processes.")] = 3
+    callers: Annotated[int, cappa.Arg(long=True, help="Callers.")] = 8
+    keep: Annotated[
+        Path | None, cappa.Arg(long=True, help="Folder for settings and logs.")
+    ] = None
+
+    def __call__(self) -> None:
+        """Run all seeds; exit with 1 if a promise was broken."""
+        broken = False
+        for seed in self._seeds():
+            plan = SoakPlan(seed, self.seconds, self.gateways, self.callers)
+            folder = self.keep / str(seed) if self.keep else None
+            report = run_soak(plan, folder)
+            print(report.summary(), flush=True)
+            for line in report.broken:
+                print(f"  {line}", flush=True)
+            broken = broken or bool(report.broken)
+        if broken:
+            sys.exit(1)
+
+    def _seeds(self):
+        yield from self.seed
+        until_s = time.monotonic() + 60.0 * self.fresh_minutes
+        while time.monotonic() < until_s:
+            yield random.SystemRandom().randrange(1_000_000)
--- /dev/null
+++ b/src/acaciapier_bench/soak/proxy.py
@@ -0,0 +1,80 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+from dataclasses import dataclass
+
+import trio
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+
+
+@dataclass
+class LinkFaults:
+    """What a link does to its connections at the moment."""
+
+    delay_s: float = 0.0
+    cut_to_server: bool = False
+    cut_to_client: bool = False
+    refuse: bool = False
+
+
+class Link:
+    """Forwards connections to one server.
+
+    Parameters
+    ----------
+    port : int
+        Port of the server.
+    """
+
+    def __init__(self, port: int):
+        self.faults = LinkFaults()
+        self.port = 0
+        self._server_port = port
+        self._open: set[trio.CancelScope] = set()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Forward until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    def reset_all(self) -> None:
+        """Break every open connection."""
+        for scope in list(self._open):
+            scope.cancel()
+
+    async def _serve(self, client: trio.SocketStream) -> None:
+        if self.faults.refuse:
+            return
+        try:
+            server = await trio.open_tcp_stream(HOST, self._server_port)
+        except OSError:
+            return
+        with trio.CancelScope() as scope:
+            self._open.add(scope)
+            try:
+                async with client, server, trio.open_nursery() as nursery:
+                    nursery.start_soon(self._pass, client, server, True)
+                    nursery.start_soon(self._pass, server, client, False)
+            except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                pass
+            finally:
+                self._open.discard(scope)
+
+    async def _pass(self, source, sink, to_server: bool) -> None:
+        while data := await source.receive_some(CHUNK_BYTES):
+            if self.faults.delay_s:
+                await trio.sleep(self.faults.delay_s)
+            cut = self.faults.cut_to_server if to_server else self.faults.cut_to_client
+            while cut:
+                await trio.sleep(0.05)
+                cut = (
+                    self.faults.cut_to_server
+                    if to_server
+                    else self.faults.cut_to_client
+                )
+            await sink.send_all(data)
+        # One side has ended: the other is to notice at once.
+        raise trio.BrokenResourceError("the connection ended")
--- /dev/null
+++ b/src/acaciapier_bench/soak/run.py
@@ -0,0 +1,328 @@
+"""One seeded soak: gateways as processes, faults in series that overlap."""
+
+import os
+import random as random_module
+import signal
+import subprocess
+import sys
+import tempfile
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from acaciapier_standins.platform.platform import (
+    StandInPlatform,
+    configuration,
+    route,
+)
+
+from .callers import HOST, Received, SoakCaller
+from .checker import check
+from .proxy import Link
+
+RECOVERY_S = 4.0
+"""Time after the last fault in which the deployment recovers."""
+
+FAULTS = (
+    "kill",
+    "pause",
+    "term",
+    "hup",
+    "store_down",
+    "store_silent",
+    "store_slow",
+    "store_cut",
+    "store_reset",
+    "worker_cut",
+    "worker_reset",
+    "worker_mute",
+    "worker_crash",
+    "drain",
+    "extra",
+    "break",
+    "config",
+    "compact",
+)
+SEGMENTS = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 8,
+    "call_ms": 20.0,
+    "item_ms": 1.0,
+    "headroom_mb": 10.0,
+    "handle_s": 4.0,
+    "link_mbps": 10_000,
+}
+SERVICES = [
+    {"name": "book", "max_conns": 100},
+    {
+        "name": "model",
+        "max_conns": 100,
+        "engine": {"slots": 16, "kv_capacity": 100_000},
+    },
+    {"name": "encode", "max_conns": 100, "segments": SEGMENTS},
+    {"name": "search", "max_conns": 100, "segments": SEGMENTS},
+]
+STAGES = [
+    {"service": "encode", "after": [], "bytes": 1_000},
+    {"service": "search", "after": [0], "bytes": 1_000},
+]
+ROUTES = [
+    route("lookup", "idempotent", "book"),
+    route("confirm", "non_idempotent", "book", max_attempts=1),
+    route("chat", "streaming", "model", max_attempts=1),
+    route("mail", "streaming", "model", resumable=True),
+    route("staged", "streaming", "model", stages=STAGES),
+]
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """Size and seed of one soak."""
+
+    seed: int
+    seconds: float = 8.0
+    gateways: int = 3
+    callers: int = 8
+
+
+@dataclass
+class SoakReport:
+    """What one soak saw."""
+
+    plan: SoakPlan
+    faults: list[str] = field(default_factory=list)
+    records: list[Received] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def summary(self) -> str:
+        """Return one line."""
+        done = sum(one.whole and one.status == 200 for one in self.records)
+        return (
+            f"seed {self.plan.seed}: {done} of {len(self.records)} requests done, "
+            f"{len(self.faults)} faults, {len(self.broken)} promises broken"
+        )
+
+
+class Soak:
+    """Runs one plan.
+
+    Parameters
+    ----------
+    plan : SoakPlan
+        Size and seed.
+    folder : Path
+        Where settings and logs of the gateways go.
+    """
+
+    def __init__(self, plan: SoakPlan, folder: Path):
+        self.report = SoakReport(plan)
+        self._plan = plan
+        self._folder = folder
+        self._random = random_module.Random(plan.seed)
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._ports: dict[str, tuple[int, int, int]] = {}
+        self._drained_s: dict[str, float] = {}
+        self._links: dict[str, Link] = {}
+        self._version = 1
+
+    async def run(self) -> SoakReport:
+        """Run the soak and check it."""
+        async with trio.open_nursery() as nursery:
+            try:
+                await self._start(nursery)
+                await self._play()
+            finally:
+                self._end_processes()
+            nursery.cancel_scope.cancel()
+        return self.report
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._platform = StandInPlatform(nursery)
+        await self._platform.start()
+        self._store_link = Link(self._platform.store_port)
+        await nursery.start(self._store_link.run)
+        self._platform.configure(configuration(1, ROUTES, SERVICES))
+        kinds = {"book": "plain", "model": "stream"}
+        for service in ("book", "model", "encode", "search"):
+            for number in (1, 2, 3):
+                kind = kinds.get(service, "stage")
+                await self._add_worker(f"{service}-{number}", service, kind)
+        for number in range(self._plan.gateways):
+            name = f"edge-{number + 1}"
+            self._ports[name] = tuple(_free_ports(3))
+            self._write_settings(name)
+            self._start_gateway(name)
+        with trio.fail_after(20.0):
+            for name in self._ports:
+                while not await self._is_ready(name):
+                    await trio.sleep(0.1)
+
+    async def _add_worker(self, name: str, service: str, kind: str) -> None:
+        worker = await self._platform.add_worker(name, service, kind=kind)
+        link = self._links[name] = Link(int(worker.address.rpartition(":")[2]))
+        await self._nursery.start(link.run)
+        worker.address = f"{HOST}:{link.port}"
+        self._platform.register(name, addr=worker.address)
+
+    def _write_settings(self, name: str) -> None:
+        first = next(iter(self._ports.values()))
+        seeds = f"{HOST}:{first[2]}"
+        text = self._platform.settings_text(name, self._ports[name], seeds)
+        store = f"platform.addr={HOST}:"
+        text = text.replace(
+            f"{store}{self._platform.store_port}", f"{store}{self._store_link.port}"
+        )
+        (self._folder / f"{name}.conf").write_text(text)
+
+    def _start_gateway(self, name: str) -> None:
+        environment = os.environ | {
+            "ACACIAPIER_BOOT": str(self._folder / f"{name}.conf"),
+            "ACACIAPIER_FLEET_KEY": "the-key-of-the-soak",
+            "PYTHONPATH": os.pathsep.join(sys.path),
+        }
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "acaciapier.gateway.main"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def _is_ready(self, name: str) -> bool:
+        try:
+            stream = await trio.open_tcp_stream(HOST, self._ports[name][1])
+        except OSError:
+            return False
+        async with stream:
+            await stream.send_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+            return b" 200 " in await stream.receive_some(1_000)
+
+    async def _play(self) -> None:
+        start_s = trio.current_time()
+        faults_end_s = start_s + self._plan.seconds
+        calm_from_s = faults_end_s + RECOVERY_S
+        until_s = calm_from_s + 2.0
+        fronts = {name: ports[0] for name, ports in self._ports.items()}
+        async with trio.open_nursery() as nursery:
+            for number in range(self._plan.callers):
+                caller = SoakCaller(
+                    f"c{number}",
+                    fronts,
+                    random_module.Random(self._plan.seed * 1_000 + number),
+                    self.report.records,
+                )
+                nursery.start_soon(caller.run, until_s)
+            while trio.current_time() < faults_end_s:
+                await trio.sleep(self._random.expovariate(2.0))
+                nursery.start_soon(self._inject, self._random.choice(FAULTS))
+        self.report.broken = check(
+            self.report.records, self._platform.book, self._drained_s, calm_from_s
+        )
+
+    async def _inject(self, kind: str) -> None:
+        length_s = self._random.uniform(0.3, 2.5)
+        self.report.faults.append(kind)
+        name = self._random.choice(sorted(self._ports))
+        worker = self._random.choice(sorted(self._links))
+        if kind in ("kill", "pause", "term", "hup"):
+            await self._harm_process(kind, name, length_s)
+        elif kind.startswith("store"):
+            await self._harm_store(kind, length_s)
+        elif kind == "config":
+            self._version += self._random.randint(1, 5)
+            self._platform.configure(configuration(self._version, ROUTES, SERVICES))
+        elif kind == "compact":
+            self._platform.store.compact()
+        else:
+            await self._harm_worker(kind, worker, length_s)
+
+    async def _harm_process(self, kind: str, name: str, length_s: float) -> None:
+        process = self._processes[name]
+        with suppress(ProcessLookupError):
+            if kind == "hup":
+                process.send_signal(signal.SIGHUP)
+            elif kind == "pause":
+                process.send_signal(signal.SIGSTOP)
+                await trio.sleep(length_s)
+                process.send_signal(signal.SIGCONT)
+            elif kind == "kill":
+                process.kill()
+            else:
+                process.terminate()
+                await trio.sleep(length_s)
+        if process.poll() is not None and self._processes[name] is process:
+            self._start_gateway(name)
+
+    async def _harm_store(self, kind: str, length_s: float) -> None:
+        faults, link = self._platform.store.faults, self._store_link
+        if kind == "store_down":
+            faults.down = True
+        elif kind == "store_silent":
+            faults.silent = True
+        elif kind == "store_slow":
+            faults.delay_s = 0.3
+        elif kind == "store_cut":
+            link.faults.cut_to_client = True
+        else:
+            link.reset_all()
+        await trio.sleep(length_s)
+        faults.down = faults.silent = link.faults.cut_to_client = False
+        faults.delay_s = 0.0
+
+    async def _harm_worker(self, kind: str, name: str, length_s: float) -> None:
+        worker, link = self._platform.workers[name], self._links[name]
+        if kind == "worker_reset":
+            link.reset_all()
+        elif kind == "worker_cut":
+            link.faults.cut_to_server = True
+        elif kind == "worker_mute":
+            worker.faults.mute = True
+        elif kind == "worker_crash":
+            link.faults.refuse = True
+            link.reset_all()
+        elif kind == "drain":
+            self._drained_s.setdefault(name, trio.current_time())
+            self._platform.register(name, state="draining")
+            service, _, number = name.partition("-")
+            kinds = {"book": "plain", "model": "stream"}
+            fresh = f"{service}-{number}x"
+            if fresh not in self._links:
+                await self._add_worker(fresh, service, kinds.get(service, "stage"))
+        elif kind == "extra":
+            worker.faults.extra_answer = True
+        else:
+            worker.faults.cut_after = 2
+        await trio.sleep(length_s)
+        worker.faults.mute = worker.faults.extra_answer = False
+        worker.faults.cut_after = None
+        link.faults.cut_to_server = link.faults.refuse = False
+
+    def _end_processes(self) -> None:
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [trio.socket.socket() for _ in range(count)]
+    for one in sockets:
+        one._sock.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def run_soak(plan: SoakPlan, folder: Path | None = None) -> SoakReport:
+    """Run one soak; settings and logs stay in `folder` if one is given."""
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        return trio.run(Soak(plan, folder).run)
+    with tempfile.TemporaryDirectory() as made:
+        return trio.run(Soak(plan, Path(made)).run)
