Let machines of large capacity decide for services

Instances now tell their capacity, ranks are kept until membership changes, and beats at many machines go to the instances in charge.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -32,6 +32,9 @@
 TICK_MS = 25.0
 """Period in which waiting requests are looked at: a sixth of the tightest aim."""
 
+WAITS_PERIOD_MS = 100.0
+"""Period in which the waits that heartbeats tell are worked out: half of a beat."""
+
 MIN_RETRY_MS = 250.0
 """Shortest time after which a refused request is asked back."""
 
@@ -73,6 +76,8 @@
         tasks: TaskSupervisor,
         bounds: GatewayBounds,
     ):
+        self._waits: tuple[ServiceWait, ...] = ()
+        self._waits_s = -1.0
         self._bounds = bounds
         self._budgets: dict[str, RepeatBudget] = {}
         self.stopping = False
@@ -279,11 +284,15 @@
 
     def service_waits(self) -> tuple[ServiceWait, ...]:
         """Return the waits of the stage services with work that waits here."""
-        return tuple(
-            ServiceWait(service, feeder.waits_ms())
-            for service, feeder in self._feeders.items()
-            if feeder.queue.waiting_pieces
-        )
+        now_s = self._clock.monotonic_s()
+        if now_s - self._waits_s >= to_s(WAITS_PERIOD_MS):
+            self._waits_s = now_s
+            self._waits = tuple(
+                ServiceWait(service, feeder.waits_ms())
+                for service, feeder in self._feeders.items()
+                if feeder.queue.waiting_pieces
+            )
+        return self._waits
 
     def tell(self, handler, peer: InstanceId, message: Message) -> None:
         """Let a handler of this object take a message of this instance's own."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -10,7 +10,7 @@
 import trio
 
 from ..app.application import Application
-from ..core.clock import to_s
+from ..core.clock import epoch_ms, to_s
 from ..core.ids import Incarnation, InstanceId
 from ..exceptions import FindingsError
 from ..http.caller import CallerConnection, ConnectionLimits
@@ -35,7 +35,7 @@
 from .catalogue import Catalogue
 from .dispatch.desk import Desk
 from .dispatch.dispatcher import Dispatcher
-from .models import InputLimits
+from .models import InputLimits, PeerRecord
 from .observing import RequestObserver, StructuredLog
 from .peers import Peers
 from .relay import Relay
@@ -44,7 +44,7 @@
 from .status_server import StatusServer
 from .supervision import TaskSupervisor, run_forever
 from .suspects import Suspects
-from .sync import PeerSync, StoreSync, own_record
+from .sync import PeerSync, StoreSync
 from .worker_pool import WorkerConnections, sweep_idle
 
 BACKLOG = 1_024
@@ -121,12 +121,13 @@
         report = self.observer.failed
         tasks = TaskSupervisor(nursery, report)
         self.catalogue = Catalogue(self.clock, decode_configuration, self.log.write)
-        own = own_record(
+        own = PeerRecord(
             settings.instance,
             settings.control.host,
             settings.control.port,
             settings.data_centre,
-            self.clock,
+            epoch_ms(self.clock.now()),
+            settings.link_mbps * settings.cores,
         )
         identity = PeerIdentity(
             settings.instance,
@@ -138,7 +139,7 @@
             identity, FleetKeys([settings.fleet_key]), self.clock, self._random
         )
         self.peers = Peers(
-            settings.instance,
+            own,
             self.network,
             self.clock,
             self._random,
@@ -180,6 +181,7 @@
             own,
         )
         self.peers.on_beat = peer_sync.note_beat
+        self.peers.wanted = self._wanted_peers
         self.peers.on_down = self.dispatcher.drop_owner
         self._register_handlers(peer_sync)
         await nursery.start(
@@ -231,6 +233,15 @@
         register(CancelWork, self.dispatcher.cancel_work)
         register(HeldPermits, self.dispatcher.held_permits)
 
+    def _wanted_peers(self) -> set[InstanceId]:
+        """Return the instances that decide for a service, and the next in rank."""
+        configuration = self.catalogue.configuration
+        services = configuration.services if configuration else ()
+        usable = not self._stopping
+        return {
+            one for service in services for one in self.peers.rank(service, usable)[:2]
+        }
+
     def _make_beat(self) -> Beat:
         return Beat(
             self.catalogue.configuration_revision,
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -205,13 +205,29 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerRecord:
-    """One registered instance of the system."""
+    """One registered instance of the system.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Its name.
+    host, port
+        Where other instances connect.
+    data_centre : DataCentreId
+        Where it is.
+    started_ms : int
+        Unix time of its start in milliseconds, its incarnation.
+    capacity : float
+        Speed of its machine's link in Mbit/s times its cores; machines of little
+        capacity decide for a service only if there is no other.
+    """
 
     instance: InstanceId
     host: str
     port: int
     data_centre: DataCentreId
     started_ms: int
+    capacity: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -25,6 +25,10 @@
 BEAT_TIMEOUT_MS = 250.0
 """Round trips take 3 ms; a loop that stands still for longer is as good as gone."""
 
+LARGE_SHARE = 0.5
+"""Share of the largest capacity from which a machine may decide for a service: the
+calls of one stage service fill a slow link."""
+
 JOIN_TIMEOUT_MS = 500.0
 """A seed that is well answers the handshake in three round trips."""
 
@@ -56,7 +60,7 @@
 
     Parameters
     ----------
-    own : InstanceId
+    own_record : PeerRecord
         This instance.
     network : PeerNetwork
         Connections to the others.
@@ -72,14 +76,16 @@
 
     def __init__(
         self,
-        own: InstanceId,
+        own_record: PeerRecord,
         network: PeerNetwork,
         clock: Clock,
         random: random_module.Random,
         make_beat: Callable[[], Beat],
         on_change: Callable[..., None],
     ):
-        self.own = own
+        self.own = own_record.instance
+        self._own_record = own_record
+        self._ranks: dict[tuple[str, bool], list[InstanceId]] = {}
         self.on_beat: Callable[[InstanceId, Beat], None] = lambda peer, beat: None
         self.on_down: Callable[[InstanceId], None] = lambda peer: None
         self.wanted: Callable[[], Iterable[InstanceId]] = lambda: ()
@@ -103,6 +109,7 @@
     def set_records(self, records: Iterable[PeerRecord]) -> None:
         """Take over the list of instances; a new incarnation begins anew."""
         fresh = {one.instance: one for one in records if one.instance != self.own}
+        self._ranks.clear()
         for instance in self._peers.keys() - fresh.keys():
             self._on_change("peer_removed", peer=instance)
             self._drop(self._peers.pop(instance))
@@ -134,17 +141,32 @@
 
     def rank(self, key: str, own_usable: bool) -> list[InstanceId]:
         """Return the instances that may decide for `key`, the first in charge."""
-        members = [one for one in self._peers if self.is_up(one)]
+        known = self._ranks.get((key, own_usable))
+        if known is None:
+            known = self._ranks[key, own_usable] = self._make_rank(key, own_usable)
+        return known
+
+    def _make_rank(self, key: str, own_usable: bool) -> list[InstanceId]:
+        """Rank by hash, machines of little capacity behind all others."""
+        members = [p.record for one, p in self._peers.items() if self.is_up(one)]
         if own_usable:
-            members.append(self.own)
-        members.sort(key=lambda one: rendezvous_rank(key, one), reverse=True)
-        return members
+            members.append(self._own_record)
+        most = max((one.capacity for one in members), default=0.0)
+        members.sort(
+            key=lambda one: (
+                one.capacity >= LARGE_SHARE * most,
+                rendezvous_rank(key, one.instance),
+            ),
+            reverse=True,
+        )
+        return [one.instance for one in members]
 
     def note_stopping(self, instance: InstanceId) -> None:
         """Take over a peer's word that it stops."""
         peer = self._peers.get(instance)
         if peer is not None and not peer.stopping:
             peer.stopping = True
+            self._ranks.clear()
             self._on_change("peer_stopping", peer=instance)
 
     def note_beat(self, instance: InstanceId, beat: Beat) -> None:
@@ -158,6 +180,7 @@
             self.note_stopping(instance)
         if not peer.up:
             peer.up = True
+            self._ranks.clear()
             self._on_change("peer_up", peer=instance)
         self.on_beat(instance, beat)
 
@@ -255,6 +278,7 @@
         peer.missed += 1
         if peer.up and peer.missed >= MISSED_BEATS:
             peer.up = False
+            self._ranks.clear()
             self._on_change("peer_down", peer=instance, reason=reason)
             self._drop(peer)
             self.on_down(instance)
--- a/src/acaciapier/gateway/settings.py
+++ b/src/acaciapier/gateway/settings.py
@@ -60,6 +60,10 @@
         Shared secret of the instances.
     max_descriptors : int
         Open files that the process may have.
+    link_mbps : float
+        Speed of the machine's link.
+    cores : float
+        Processor share, in cores.
     """
 
     instance: InstanceId
@@ -73,3 +77,5 @@
     bounds: GatewayBounds
     fleet_key: bytes
     max_descriptors: int
+    link_mbps: float = 1_000.0
+    cores: float = 1.0
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from ..core.clock import Clock, epoch_ms, to_s
+from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId
 from ..exceptions import (
     PeerUnavailable,
@@ -407,7 +407,14 @@
 
 
 def _fields(one: PeerEntry | PeerRecord) -> tuple:
-    return one.instance, one.host, one.port, one.data_centre, one.started_ms
+    return (
+        one.instance,
+        one.host,
+        one.port,
+        one.data_centre,
+        one.started_ms,
+        one.capacity,
+    )
 
 
 def _entry(worker: Worker) -> WorkerEntry:
@@ -436,10 +443,3 @@
         entry.started_ms,
         entry.cold_ms,
     )
-
-
-def own_record(
-    instance: InstanceId, host: str, port: int, data_centre, clock: Clock
-) -> PeerRecord:
-    """Return this instance's entry, with its start as its incarnation."""
-    return PeerRecord(instance, host, port, data_centre, epoch_ms(clock.now()))
--- a/src/acaciapier/platform/settings.py
+++ b/src/acaciapier/platform/settings.py
@@ -81,6 +81,10 @@
         ),
         fleet_key=fleet_key.encode(),
         max_descriptors=int(fields.number("limits.max_fds", 1_024)),
+        link_mbps=fields.number("limits.link_mbps", 1_000.0),
+        # The share is that of one core, each core as fast as `cores` usual ones.
+        cores=fields.number("limits.cpu_share", 1.0)
+        * fields.number("limits.cores", 1.0),
     )
 
 
--- a/src/acaciapier/platform/workers.py
+++ b/src/acaciapier/platform/workers.py
@@ -27,6 +27,7 @@
     port: int
     zone: str
     started_ms: int
+    capacity: float = 1.0
 
 
 def decode_worker(name: str, spec: Any) -> Worker:
@@ -64,6 +65,7 @@
         "port": peer.port,
         "zone": peer.data_centre,
         "started_ms": peer.started_ms,
+        "capacity": peer.capacity,
     }
 
 
@@ -79,6 +81,7 @@
         entry.port,
         DataCentreId(entry.zone),
         entry.started_ms,
+        entry.capacity,
     )
 
 
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -38,6 +38,7 @@
     port: int
     data_centre: str
     started_ms: int
+    capacity: float = 1.0
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, array_like=True):
