--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -33,6 +33,19 @@
 """Each watch is a priced call; a connection that fell silent is noticed earlier, by
 the kernel's probes, within a stable time."""
 
+WORKERS_PAUSE_MS = 250.0
+"""Pause after a change of workers, in which further ones gather: an eighth of the
+time in which a leaving worker is to get no more requests."""
+
+PEERS_PAUSE_MS = 2_000.0
+"""The same for instances: heartbeats tell who lives, the list only who there is."""
+
+REGISTER_PERIOD_MS = 5_000.0
+"""Period in which this instance looks whether its entry is still there."""
+
+SWEEPERS = 2
+"""Instances that remove the entry of a dead one: the first in rank, and one more."""
+
 RETRY_MS = (100.0, 200.0, 400.0, 800.0)
 """Waits after failures of the store; jittered so that a fleet does not return at
 once."""
@@ -112,11 +125,12 @@
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._follow, configuration_format.KIND, self._take_configuration
-            )
-            nursery.start_soon(self._follow, worker_format.KIND, self._take_workers)
-            nursery.start_soon(self._follow, worker_format.PEER_KIND, self._take_peers)
+            for kind, take, pause_ms in (
+                (configuration_format.KIND, self._take_configuration, 0.0),
+                (worker_format.KIND, self._take_workers, WORKERS_PAUSE_MS),
+                (worker_format.PEER_KIND, self._take_peers, PEERS_PAUSE_MS),
+            ):
+                nursery.start_soon(self._follow, kind, take, pause_ms)
             nursery.start_soon(self._register)
             nursery.start_soon(self._sweep_peers)
 
@@ -133,7 +147,9 @@
         except StoreError as error:
             self._log("entry_not_removed", reason=str(error))
 
-    async def _follow(self, kind: str, take: Callable[[Snapshot, bool], None]) -> None:
+    async def _follow(
+        self, kind: str, take: Callable[[Snapshot, bool], None], pause_ms: float
+    ) -> None:
         """List a kind and then watch it, from the start again when that fails."""
         failures = 0
         revision = None
@@ -148,6 +164,7 @@
                     self._note_reached(kind)
                     if snapshot.objects:
                         take(snapshot, False)
+                        await trio.sleep(to_s(pause_ms) * self._jitter())
                 revision = max(snapshot.revision, revision or 0)
                 failures = 0
             except WatchCompacted:
@@ -225,7 +242,7 @@
                 await self._replace_own(kind, name, value, conflict.present_version)
             except StoreError as error:
                 self._log("entry_not_written", reason=str(error))
-            await trio.sleep(to_s(SWEEP_PERIOD_MS) * self._jitter())
+            await trio.sleep(to_s(REGISTER_PERIOD_MS) * self._jitter())
 
     async def _replace_own(self, kind, name, value, revision: int) -> None:
         try:
@@ -247,6 +264,9 @@
                 since_s = down_since_s.setdefault(name, now_s)
                 if now_s - since_s < to_s(DEAD_AFTER_MS) or not self.reachable:
                     continue
+                sweepers = self._peers.rank(name, not self.stopping)[:SWEEPERS]
+                if self._own.instance not in sweepers:
+                    continue
                 down_since_s.pop(name, None)
                 try:
                     await self._store.delete(worker_format.PEER_KIND, name, revision)
