Let a stopping instance decide for itself when no other is left

Test failed first: test_a_stopping_instance_decides_for_itself_if_there_is_no_other. The soak did not restart stopped processes, which is mended as well.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -65,6 +65,8 @@
         Where calls run.
     bounds : GatewayBounds
         Promises of the operators, for the budget of repeated sends.
+    own : InstanceId
+        This instance, which still asks itself while it stops if no other is left.
     """
 
     def __init__(
@@ -75,7 +77,9 @@
         log: Callable[..., None],
         tasks: TaskSupervisor,
         bounds: GatewayBounds,
+        own: InstanceId,
     ):
+        self._own = own
         self._waits: tuple[ServiceWait, ...] = ()
         self._waits_s = -1.0
         self._bounds = bounds
@@ -109,7 +113,7 @@
 
     async def run_pieces(self, peer: InstanceId, message: RunPieces) -> Message:
         """Have the pieces of one stage of a request made."""
-        if self.stopping:
+        if self.stopping and peer != self._own:
             return WorkRefused(HANDED_OVER, 0.0)
         feeder = self._feeder(message.service)
         if feeder is None:
@@ -169,7 +173,7 @@
 
     async def acquire(self, peer: InstanceId, message: AcquireWorker) -> Message:
         """Give a place at a worker as soon as there is one."""
-        if self.stopping:
+        if self.stopping and peer != self._own:
             return WorkRefused(HANDED_OVER, 0.0)
         book = self._book(message.service)
         workers = self._catalogue.workers_of(ServiceName(message.service))
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -155,6 +155,7 @@
             self.log.write,
             tasks,
             settings.bounds,
+            settings.instance,
         )
         self.suspects = Suspects(
             self.clock, self._random, self.peers, self.log.write, tasks
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -25,6 +25,9 @@
 RECOVERY_S = 4.0
 """Time after the last fault in which the deployment recovers."""
 
+RESTART_AFTER_S = 0.3
+"""Pause after which the platform starts a process again."""
+
 FAULTS = (
     "kill",
     "pause",
@@ -207,6 +210,7 @@
         calm_from_s = faults_end_s + RECOVERY_S
         until_s = calm_from_s + 2.0
         fronts = {name: ports[0] for name, ports in self._ports.items()}
+        self._nursery.start_soon(self._restart_ended)
         async with trio.open_nursery() as nursery:
             for number in range(self._plan.callers):
                 caller = SoakCaller(
@@ -253,9 +257,14 @@
                 process.kill()
             else:
                 process.terminate()
-                await trio.sleep(length_s)
-        if process.poll() is not None and self._processes[name] is process:
-            self._start_gateway(name)
+
+    async def _restart_ended(self) -> None:
+        """Start processes again that have ended, as the platform does."""
+        while True:
+            await trio.sleep(RESTART_AFTER_S)
+            for name, process in list(self._processes.items()):
+                if process.poll() is not None:
+                    self._start_gateway(name)
 
     async def _harm_store(self, kind: str, length_s: float) -> None:
         faults, link = self._platform.store.faults, self._store_link
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -322,3 +322,18 @@
         caller = world.caller()
         answer = await caller.ask("GET", "/lookup/1", Filler="x" * 20_000)
         assert answer.status == 431
+
+
+async def test_a_stopping_instance_decides_for_itself_if_there_is_no_other():
+    async with deployment() as world:
+        world.gateways[0].app.stop()
+        await world.until(lambda: world.gateways[0].dispatcher.stopping)
+        answer = await world.caller().ask(
+            "POST",
+            "/staged/1",
+            b"{}",
+            Attempt_Id="a1",
+            Chunk_Count="1,1",
+            Chunk_Key="k",
+        )
+        assert (answer.status, answer.body) == (200, EVENTS)
