--- a/src/acaciapier/cli/check.py
+++ b/src/acaciapier/cli/check.py
@@ -1,5 +1,6 @@
 """The command that checks files without calling anything."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Literal
@@ -12,6 +13,7 @@
 from ..core.findings import Finding
 from ..exceptions import FindingsError
 from ..objects import load_bundle
+from ..platform.settings import read_settings
 from ..settings.files import load_settings
 from ..settings.models import AdminSettings, ControllerSettings, EntrySettings
 from .exits import ExitCode
@@ -35,7 +37,7 @@
 
     file: Annotated[str, cappa.Arg(help="JSON with comments")]
     settings_of: Annotated[
-        Literal["entry", "admin", "controller"] | None,
+        Literal["entry", "admin", "controller", "gateway"] | None,
         cappa.Arg(long="--as", help="check the settings of this binary"),
     ] = None
 
@@ -56,7 +58,9 @@
         session.show(done, done.message)
 
     def _check(self) -> None:
-        if self.settings_of is not None:
+        if self.settings_of == "gateway":
+            read_settings(Path(self.file), os.environ)
+        elif self.settings_of is not None:
             load_settings(self.file, MODELS[self.settings_of])
         elif _holds_an_object(Path(self.file)):
             load_settings(self.file, EntrySettings)
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -188,7 +188,7 @@
         await nursery.start(
             self.network.serve, settings.control.host, settings.control.port
         )
-        self.store = PlatformStore(settings.store.address)
+        self.store = PlatformStore(settings.store.address, self.metrics.gateway_store)
         self.sync = StoreSync(
             self.store,
             self.catalogue,
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -49,6 +49,7 @@
         self._open = meter.create_up_down_counter("acaciapier_open_requests")
         self._answers = meter.create_counter("acaciapier_gateway_requests")
         self._answer_time = meter.create_histogram("acaciapier_gateway_duration", "ms")
+        self._store_calls = meter.create_counter("acaciapier_gateway_store_calls")
         self._decisions = meter.create_counter("acaciapier_gateway_decisions")
 
     def request_opened(self) -> None:
@@ -115,6 +116,10 @@
         """Count a decision of the gateway about a request."""
         self._decisions.add(1, {"kind": kind})
 
+    def gateway_store(self, verb: str) -> None:
+        """Count a call of the platform's store by the gateway."""
+        self._store_calls.add(1, {"verb": verb})
+
     def watch_store(self, counts: Callable[[], dict[Any, Any]]) -> None:
         """Expose the calls of the object API by purpose and verb.
 
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from .support import SERVICES, deployment, route
+from .support import SERVICES, Caller, deployment, route
 
 EVENTS = b"".join(f"id: {n}\ndata: a1 {n}\n\n".encode() for n in range(1, 5))
 
@@ -337,3 +337,18 @@
             Chunk_Key="k",
         )
         assert (answer.status, answer.body) == (200, EVENTS)
+
+
+async def test_readiness_and_metrics_are_served_beside_the_front():
+    async with deployment() as world:
+        await world.caller().ask("GET", "/lookup/1", Attempt_Id="a1")
+        status = Caller(world.gateways[0].settings.ready.port)
+        assert (await status.ask("GET", "/api/readyz")).status == 200
+        metrics = (await status.ask("GET", "/metrics")).body.decode()
+        assert "acaciapier_gateway_requests_total" in metrics
+        assert "acaciapier_gateway_duration" in metrics
+        assert "acaciapier_gateway_store_calls_total" in metrics
+        assert 'verb="watch"' in metrics
+        world.gateways[0].app.stop()
+        await world.until(lambda: world.gateways[0].dispatcher.stopping)
+        assert (await status.ask("GET", "/api/readyz")).status == 503
