--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -24,10 +24,10 @@
 from ..models import AttemptId, Piece, ServiceName, ServiceRule, Worker
 from ..settings import GatewayBounds
 from ..supervision import TaskSupervisor
+from .piece_groups import PieceGroup
 from .places import PERMIT_TTL_MS, Place, PlaceBook, PlaceRequest
 from .repeats import RepeatBudget
 from .stage_feeder import StageFeeder
-from .stage_queue import PieceGroup
 
 TICK_MS = 25.0
 """Period in which waiting requests are looked at: a sixth of the tightest aim."""
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -9,7 +9,8 @@
 from ...http.client import ConnectFailed, ConnectionBroken
 from ..models import BatchSpec, PieceFailure, PieceResult, Worker
 from ..supervision import TaskSupervisor
-from .stage_queue import PieceGroup, StageCall, StageQueue
+from .piece_groups import PieceGroup, StageCall
+from .stage_queue import StageQueue
 
 CALL_PATIENCE = 1.7
 """A call that takes longer than this multiple of its expected time is given up:
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -6,10 +6,12 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
 
-from ..models import BatchSpec, Piece, PieceFailure, PieceResult, Worker
+from ..models import BatchSpec, PieceFailure, PieceResult, Worker
 from .health import WorkerHealth
+from .piece_groups import PieceGroup, StageCall
+from .stage_order import fill, keep_valuable
+from .stage_rooms import Throughput, WorkerRoom
 
 LARGE_TRANSFER_BYTES = 1_000_000
 """From this size on, transfers of a group between data centres are avoided: on the
@@ -25,153 +27,13 @@
 """Share of the work before a group that is surely done before it: some of it may
 be cancelled, or prove lighter than declared."""
 
-RANK_S = 0.3
-"""What a rank of urgency is worth in time when more work waits than one call."""
-
-ROOM_SHARE = 1.0
-"""Share of a worker's room that is used at first: sizes of results are approximate."""
-
-LEAST_ROOM_SHARE = 0.85
-"""Least share that refusals for want of room lower it to."""
-
-ROOM_STEP_DOWN, ROOM_STEP_UP = 0.02, 0.004
-"""Changes of that share after a refusal, and after a call without one."""
-
 EXPIRES_SOON_CALLS = 4.0
 """A group that was put behind is taken along when it expires within so many calls:
 the rest of its stages needs about three."""
 
-MEASURE_S = 1.0
-"""Time over which the rate of a service is measured while work waits."""
-
 SLOW_PACE = 2.0
 """A worker that needs more than twice the expected time is used last."""
 
-NO_ROOM_MS = 150.0
-"""Pause of a worker that had no room: about the time of one call."""
-
-
-@dataclass(eq=False)
-class PieceGroup:
-    """All pieces of one stage of one request.
-
-    Parameters
-    ----------
-    owner : str
-        Instance that serves the request.
-    pieces : list of Piece
-        The pieces, in order.
-    result_bytes : int
-        Size of one result.
-    due_s : float
-        When the results are wanted for an answer in time, as things usually go.
-    latest_s : float
-        From when on the answer is late in any case.
-    expires_s : float
-        When they become useless.
-    priority : int
-        Rank of the request, 0 first.
-    value : float
-        What an answer in time is worth.
-    data_centre : str
-        Where the results are best made.
-    transfer_bytes : int
-        What is transferred between data centres if they are made elsewhere.
-    """
-
-    owner: str
-    pieces: list[Piece]
-    result_bytes: int
-    due_s: float
-    latest_s: float
-    expires_s: float
-    priority: int
-    value: float
-    data_centre: str = ""
-    transfer_bytes: int = 0
-    results: dict[int, PieceResult] = field(default_factory=dict)
-    waiting: list[int] = field(default_factory=list)
-    tries: int = 0
-    cancelled: bool = False
-
-    def __post_init__(self):
-        self.waiting = list(range(len(self.pieces)))
-
-    @property
-    def attempt(self) -> str:
-        """Attempt that the pieces belong to."""
-        return self.pieces[0].attempt
-
-    @property
-    def done(self) -> bool:
-        """Whether every piece has its result."""
-        return len(self.results) == len(self.pieces)
-
-    @property
-    def density(self) -> float:
-        """Value of a piece."""
-        return self.value / len(self.pieces)
-
-
-@dataclass(eq=False)
-class StageCall:
-    """One call to a worker: numbers of pieces by group."""
-
-    worker: Worker
-    parts: list[tuple[PieceGroup, list[int]]]
-    expected_ms: float
-    reserved_bytes: float
-    ends_s: float = 0.0
-
-    @property
-    def size(self) -> int:
-        """Number of pieces."""
-        return sum(len(numbers) for _, numbers in self.parts)
-
-    def items(self) -> list[tuple[PieceGroup, int]]:
-        """Return all pieces in the order in which they are sent."""
-        return [(group, n) for group, numbers in self.parts for n in numbers]
-
-
-@dataclass
-class _WorkerRoom:
-    """Results that lie at one worker."""
-
-    reserved_bytes: float = 0.0
-    results: dict[str, tuple[float, float]] = field(default_factory=dict)
-    blocked_until_s: float = 0.0
-    share: float = ROOM_SHARE
-
-    def used_bytes(self, now_s: float) -> float:
-        expired = [h for h, (_, until_s) in self.results.items() if until_s <= now_s]
-        for handle in expired:
-            del self.results[handle]
-        return self.reserved_bytes + sum(size for size, _ in self.results.values())
-
-
-class _Throughput:
-    """Rate at which pieces were made while more were waiting all the time."""
-
-    def __init__(self):
-        self.rate_per_ms: float | None = None
-        self._since_s: float | None = None
-        self._pieces = 0
-
-    def note(self, pieces: int, waiting: int, enough: int, now_s: float) -> None:
-        """Note made pieces, and how many wait; `enough` keep all workers busy."""
-        if waiting < enough:
-            self._since_s = None
-            self.rate_per_ms = None
-            return
-        if self._since_s is None:
-            self._since_s, self._pieces = now_s, 0
-            return
-        self._pieces += pieces
-        elapsed_s = now_s - self._since_s
-        if elapsed_s >= MEASURE_S:
-            self.rate_per_ms = self._pieces / elapsed_s / 1_000.0
-            self._since_s, self._pieces = now_s, 0
-
 
 class StageQueue:
     """Pieces that wait for the workers of one stage service.
@@ -187,8 +49,8 @@
         self.health = WorkerHealth()
         self._groups: list[PieceGroup] = []
         self._busy: dict[str, StageCall] = {}
-        self._rooms: dict[str, _WorkerRoom] = {}
-        self._measure = _Throughput()
+        self._rooms: dict[str, WorkerRoom] = {}
+        self._measure = Throughput()
 
     @property
     def waiting_pieces(self) -> int:
@@ -306,7 +168,7 @@
             return None
         if not self.health.usable(worker.key, now_s):
             return None
-        room = self._rooms.setdefault(worker.key, _WorkerRoom())
+        room = self._rooms.setdefault(worker.key, WorkerRoom())
         if room.blocked_until_s > now_s:
             return None
         free_bytes = room.share * self.spec.result_bytes - room.used_bytes(now_s)
@@ -316,7 +178,7 @@
         if pace >= SLOW_PACE:
             kept = self._slack_enough(kept, pace, workers, now_s)
             behind = self._slack_enough(behind, pace, workers, now_s)
-        parts = _fill(kept, most, free_bytes)
+        parts = fill(kept, most, free_bytes)
         parts += self._fill_up(parts, kept, behind, most, free_bytes, now_s)
         if not parts:
             return None
@@ -348,7 +210,7 @@
             own_s = self.spec.duration_ms(len(group.waiting)) / 1_000.0
             late = now_s + own_s > group.latest_s
             (behind if late else in_time).append(group)
-        kept, put_behind = _keep_valuable(in_time, rate, now_s)
+        kept, put_behind = keep_valuable(in_time, rate, now_s)
         behind += put_behind
         behind.sort(key=lambda one: (one.priority, one.expires_s))
         return kept, behind
@@ -363,7 +225,7 @@
         self._measure.note(made, self.waiting_pieces, enough, now_s)
         until_s = now_s + self.spec.result_ttl_ms / 1_000.0
         done = []
-        room.share = min(ROOM_SHARE, room.share + ROOM_STEP_UP)
+        room.accept()
         failed = set()
         for (group, number), result in zip(call.items(), results, strict=True):
             if result.failure not in (None, PieceFailure.NO_ROOM):
@@ -392,9 +254,8 @@
 
     def note_no_room(self, worker: Worker, now_s: float) -> None:
         """Send nothing to a worker that had no room for a moment."""
-        room = self._rooms.setdefault(worker.key, _WorkerRoom())
-        room.blocked_until_s = now_s + NO_ROOM_MS / 1_000.0
-        room.share = max(LEAST_ROOM_SHARE, room.share - ROOM_STEP_DOWN)
+        room = self._rooms.setdefault(worker.key, WorkerRoom())
+        room.refuse(now_s)
 
     def free(
         self, handles: Iterable[str], workers: Sequence[Worker]
@@ -499,7 +360,7 @@
                 behind = pressing[:1]
             else:
                 most = min(most, bearable)
-        return _fill(behind, most, free_bytes)
+        return fill(behind, most, free_bytes)
 
     def _wanted_s(self, group: PieceGroup, now_s: float) -> float:
         """Return until when a group may wait for a worker near its data."""
@@ -534,7 +395,7 @@
         need_s = pace * self.spec.duration_ms(TRIAL_PIECES) / 1_000.0
         return [one for one in groups if now_s + need_s <= one.latest_s]
 
-    def _start(self, call: StageCall, room: _WorkerRoom) -> None:
+    def _start(self, call: StageCall, room: WorkerRoom) -> None:
         self._busy[call.worker.key] = call
         room.reserved_bytes += call.reserved_bytes
         for group, numbers in call.parts:
@@ -542,55 +403,8 @@
             group.waiting = [one for one in group.waiting if one not in taken]
         self._groups = [one for one in self._groups if one.waiting]
 
-    def _end(self, call: StageCall) -> _WorkerRoom:
+    def _end(self, call: StageCall) -> WorkerRoom:
         del self._busy[call.worker.key]
-        room = self._rooms.setdefault(call.worker.key, _WorkerRoom())
+        room = self._rooms.setdefault(call.worker.key, WorkerRoom())
         room.reserved_bytes = max(0.0, room.reserved_bytes - call.reserved_bytes)
         return room
-
-
-def _keep_valuable(
-    groups: Iterable[PieceGroup], rate_per_ms: float, now_s: float
-) -> tuple[list[PieceGroup], list[PieceGroup]]:
-    """Split groups into those that can all be in time, and the rest.
-
-    A group that would miss the time at which it is wanted puts less urgent ones
-    behind; one that would be late in any case, the least valuable of all.
-    """
-    kept: list[PieceGroup] = []
-    behind: list[PieceGroup] = []
-    pieces = 0
-    for group in sorted(groups, key=lambda one: one.due_s + RANK_S * one.priority):
-        kept.append(group)
-        pieces += len(group.waiting)
-        while kept:
-            done_s = now_s + pieces / rate_per_ms / 1_000.0
-            if done_s <= group.due_s:
-                break
-            least = min(kept, key=lambda one: (-one.priority, one.density))
-            if least.priority <= group.priority and done_s <= group.latest_s:
-                break
-            kept.remove(least)
-            behind.append(least)
-            pieces -= len(least.waiting)
-            if least is group:
-                break
-    return kept, behind
-
-
-def _fill(
-    groups: Iterable[PieceGroup], most: int, free_bytes: float
-) -> list[tuple[PieceGroup, list[int]]]:
-    """Fill a call with pieces, in order; the last group may be split."""
-    parts = []
-    for group in groups:
-        if most <= 0:
-            break
-        fits = int(free_bytes // group.result_bytes) if group.result_bytes else most
-        count = min(len(group.waiting), most, fits)
-        if count <= 0:
-            continue
-        parts.append((group, group.waiting[:count]))
-        most -= count
-        free_bytes -= count * group.result_bytes
-    return parts
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -45,6 +45,7 @@
 from .supervision import TaskSupervisor, run_forever
 from .suspects import Suspects
 from .sync import PeerSync, StoreSync
+from .worker_exchange import WorkerExchange
 from .worker_pool import WorkerConnections, sweep_idle
 
 BACKLOG = 1_024
@@ -163,16 +164,24 @@
         self.desk = Desk(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
         )
-        self.relay = Relay(
+        workers = WorkerExchange(
             self.catalogue,
             self.desk,
             worker_connections,
             self.suspects,
             self.clock,
-            self._random,
             self.observer,
             tasks,
         )
+        self.relay = Relay(
+            self.catalogue,
+            self.desk,
+            workers,
+            self.suspects,
+            self.clock,
+            self._random,
+            self.observer,
+        )
         peer_sync = PeerSync(
             self.catalogue,
             self.peers,
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 
 from acaciapier.core.clock import ManualClock
-from acaciapier.gateway.dispatch.stage_queue import PieceGroup, StageQueue
+from acaciapier.gateway.dispatch.piece_groups import PieceGroup
+from acaciapier.gateway.dispatch.stage_queue import StageQueue
 from acaciapier.gateway.models import (
     AttemptId,
     BatchSpec,
--- a/tests/gateway/test_stage_queue.py
+++ b/tests/gateway/test_stage_queue.py
@@ -3,7 +3,8 @@
 import msgspec
 import pytest
 
-from acaciapier.gateway.dispatch.stage_queue import PieceGroup, StageQueue
+from acaciapier.gateway.dispatch.piece_groups import PieceGroup
+from acaciapier.gateway.dispatch.stage_queue import StageQueue
 from acaciapier.gateway.models import (
     AttemptId,
     BatchSpec,
