--- /dev/null
+++ b/tests/gateway/test_suspects.py
@@ -0,0 +1,69 @@
+"""Requests that crash the workers that run them."""
+
+import trio
+
+from .support import deployment
+
+
+async def crash_by(world, caller, attempt: str, body: bytes):
+    """Send a request; the worker that runs it crashes."""
+    for number in (1, 2, 3, 4):
+        worker = world.platform.workers.get(f"book-{number}")
+        if worker is not None:
+            worker.faults.mute = True
+    await caller.send("POST", "/confirm/1", body, Attempt_Id=attempt)
+    await world.until(lambda: world.platform.book.runs_of(attempt))
+    name = world.platform.book.runs_of(attempt)[0].worker
+    world.platform.crash(name)
+    answer = await caller.receive()
+    world.platform.store.delete("servers", name)
+    await trio.sleep(0.2)
+    for worker in world.platform.workers.values():
+        worker.faults.mute = False
+    return answer
+
+
+async def test_a_content_that_crashed_two_workers_runs_on_no_third():
+    async with deployment(gateways=2) as world:
+        for number in (3, 4):
+            await world.platform.add_worker(f"book-{number}", "book")
+        first = await crash_by(world, world.caller(0), "a1", b"poison")
+        second = await crash_by(world, world.caller(1), "a2", b"poison")
+        assert (first.status, second.status) == (502, 502)
+        for number in (0, 1):
+            attempt = f"b{number}"
+            answer = await world.caller(number).ask(
+                "POST", "/confirm/1", b"poison", Attempt_Id=attempt
+            )
+            assert answer.status == 503
+            assert not world.platform.book.runs_of(attempt)
+
+
+async def test_other_contents_run_on_while_one_is_blocked():
+    async with deployment() as world:
+        for number in (3, 4):
+            await world.platform.add_worker(f"book-{number}", "book")
+        await crash_by(world, world.caller(), "a1", b"poison")
+        await crash_by(world, world.caller(), "a2", b"poison")
+        answer = await world.caller().ask(
+            "POST", "/confirm/1", b"harmless", Attempt_Id="a3"
+        )
+        assert answer.status == 200
+
+
+async def test_a_reset_of_a_worker_that_lives_is_no_strike():
+    async with deployment() as world:
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.cut_after = 0
+        for number in range(4):
+            answer = await world.caller().ask(
+                "POST", "/confirm/1", b"same", Attempt_Id=f"a{number}"
+            )
+            assert answer.status == 502
+            await trio.sleep(0.15)
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.cut_after = None
+        answer = await world.caller().ask(
+            "POST", "/confirm/1", b"same", Attempt_Id="a9"
+        )
+        assert answer.status == 200
