--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak."""
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,86 @@
+"""The soak's checker catches planted faults, and a short seeded run passes."""
+
+import pytest
+
+from acaciapier_bench.soak.callers import Received
+from acaciapier_bench.soak.checker import check
+from acaciapier_bench.soak.run import SoakPlan, run_soak
+from acaciapier_standins.platform.workers import Book, Run
+
+STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
+
+
+def received(kind="lookup", **fields) -> Received:
+    known = {
+        "ended_s": 1.0,
+        "status": 200,
+        "whole": True,
+        "body": b"w did a",
+        "seal": "s",
+    }
+    return Received("a", kind, "edge-1", 0.0, **(known | fields))
+
+
+def ran(kind="lookup", worker="w", started_s=0.1, ended_s=0.5) -> Run:
+    return Run(worker, "a", f"/{kind}/1", b"", {}, started_s, ended_s)
+
+
+def broken(record, *runs, drained_s=None, calm_from_s=1e9) -> list[str]:
+    return check([record], Book(list(runs)), drained_s or {}, calm_from_s)
+
+
+def test_a_good_history_has_no_findings():
+    assert broken(received(), ran()) == []
+    assert broken(received("chat", body=STREAM), ran("chat")) == []
+    assert broken(received("confirm", status=503, body=b"")) == []
+
+
+@pytest.mark.parametrize(
+    ("record", "runs", "kwargs"),
+    [
+        (received("confirm"), (ran("confirm"), ran("confirm")), {}),
+        (received("chat", status=503, body=b""), (ran("chat"),), {}),
+        (received(body=b"w did b"), (ran(),), {}),
+        (received(seal=""), (ran(),), {}),
+        (received("mail", body=STREAM[:-20]), (ran("mail"),), {}),
+        (received("mail", body=STREAM + STREAM[-20:]), (ran("mail"),), {}),
+        (received(), (ran("other"),), {}),
+        (received(), (ran(started_s=9.0),), {"drained_s": {"w": 5.0}}),
+        (received(status=502, body=b""), (), {"calm_from_s": -1.0}),
+    ],
+    ids=[
+        "ran twice",
+        "said not to have run",
+        "answer of another",
+        "no mark",
+        "cut stream that looks whole",
+        "doubled event",
+        "changed path",
+        "run after the drain",
+        "no recovery",
+    ],
+)
+def test_a_planted_fault_is_found(record, runs, kwargs):
+    assert len(broken(record, *runs, **kwargs)) == 1
+
+
+def test_a_run_that_nobody_sent_is_found():
+    assert len(check([], Book([ran()]), {}, 1e9)) == 1
+
+
+def test_work_for_callers_who_left_is_found():
+    records, runs = [], []
+    for number in range(5):
+        record = received(left=True, whole=False, status=0, ended_s=1.0)
+        record.attempt = f"a{number}"
+        run = ran(ended_s=5.0)
+        run.attempt = record.attempt
+        records.append(record)
+        runs.append(run)
+    assert len(check(records, Book(runs), {}, 1e9)) == 1
+
+
+def test_a_short_seeded_soak_keeps_all_promises():
+    report = run_soak(SoakPlan(seed=4, seconds=5.0, gateways=3, callers=5))
+    assert report.broken == []
+    assert report.records
