--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -95,16 +95,6 @@
         self._grants: dict[str, Callable[[Worker | None], None]] = {}
         self._ticking: set[str] = set()
 
-    @property
-    def feeders(self) -> dict[str, StageFeeder]:
-        """Feeders of the stage services that were decided here."""
-        return self._feeders
-
-    @property
-    def books(self) -> dict[str, PlaceBook]:
-        """Places of the services that were decided here."""
-        return self._books
-
     def set_bounds(self, bounds: GatewayBounds) -> None:
         """Take over changed promises of the operators."""
         if bounds != self._bounds:
--- a/src/acaciapier/gateway/dispatch/health.py
+++ b/src/acaciapier/gateway/dispatch/health.py
@@ -42,11 +42,6 @@
         state = self._states.get(key)
         return state is not None and state.exclusion_ms > 0
 
-    def usable_again_s(self, key: str) -> float:
-        """Return when the exclusion of a worker ends."""
-        state = self._states.get(key)
-        return 0.0 if state is None else state.excluded_until_s
-
     def pace(self, key: str) -> float:
         """Return how many times the expected time a worker needs."""
         state = self._states.get(key)
--- a/src/acaciapier/gateway/dispatch/places.py
+++ b/src/acaciapier/gateway/dispatch/places.py
@@ -50,9 +50,6 @@
 PERMIT_TTL_MS = 30_000.0
 """A place that nobody gave back is free after the longest deadline twice."""
 
-BURST_RETRY_MS = 300.0
-"""Least time after which a refused request may find a place."""
-
 
 @dataclass(eq=False)
 class PlaceRequest:
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -12,11 +12,8 @@
 
 import trio
 
-from acaciapier_standins.platform.platform import (
-    StandInPlatform,
-    configuration,
-    route,
-)
+from acaciapier_standins.platform.example import KINDS, ROUTES, services
+from acaciapier_standins.platform.platform import StandInPlatform, configuration
 
 from .callers import HOST, Received, SoakCaller
 from .checker import check
@@ -48,37 +45,7 @@
     "config",
     "compact",
 )
-SEGMENTS = {
-    "slots": 1,
-    "queue": 2,
-    "batch": 8,
-    "call_ms": 20.0,
-    "item_ms": 1.0,
-    "headroom_mb": 10.0,
-    "handle_s": 4.0,
-    "link_mbps": 10_000,
-}
-SERVICES = [
-    {"name": "book", "max_conns": 100},
-    {
-        "name": "model",
-        "max_conns": 100,
-        "engine": {"slots": 16, "kv_capacity": 100_000},
-    },
-    {"name": "encode", "max_conns": 100, "segments": SEGMENTS},
-    {"name": "search", "max_conns": 100, "segments": SEGMENTS},
-]
-STAGES = [
-    {"service": "encode", "after": [], "bytes": 1_000},
-    {"service": "search", "after": [0], "bytes": 1_000},
-]
-ROUTES = [
-    route("lookup", "idempotent", "book"),
-    route("confirm", "non_idempotent", "book", max_attempts=1),
-    route("chat", "streaming", "model", max_attempts=1),
-    route("mail", "streaming", "model", resumable=True),
-    route("staged", "streaming", "model", stages=STAGES),
-]
+SERVICES = services(call_ms=20.0, item_ms=1.0)
 
 
 @dataclass(frozen=True)
@@ -149,10 +116,8 @@
         self._store_link = Link(self._platform.store_port)
         await nursery.start(self._store_link.run)
         self._platform.configure(configuration(1, ROUTES, SERVICES))
-        kinds = {"book": "plain", "model": "stream"}
-        for service in ("book", "model", "encode", "search"):
+        for service, kind in KINDS.items():
             for number in (1, 2, 3):
-                kind = kinds.get(service, "stage")
                 await self._add_worker(f"{service}-{number}", service, kind)
         for number in range(self._plan.gateways):
             name = f"edge-{number + 1}"
@@ -297,10 +262,9 @@
             self._drained_s.setdefault(name, trio.current_time())
             self._platform.register(name, state="draining")
             service, _, number = name.partition("-")
-            kinds = {"book": "plain", "model": "stream"}
             fresh = f"{service}-{number}x"
             if fresh not in self._links:
-                await self._add_worker(fresh, service, kinds.get(service, "stage"))
+                await self._add_worker(fresh, service, KINDS[service])
         elif kind == "extra":
             worker.faults.extra_answer = True
         else:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -12,42 +12,11 @@
 from acaciapier.core.findings import Findings
 from acaciapier.gateway.instance import GatewayInstance
 from acaciapier.platform.settings import FLEET_KEY_VARIABLE, decode_settings
-from acaciapier_standins.platform.platform import (
-    HOST,
-    StandInPlatform,
-    configuration,
-    route,
-)
+from acaciapier_standins.platform.example import KINDS, ROUTES, services
+from acaciapier_standins.platform.platform import HOST, StandInPlatform, configuration
 
 ENVIRONMENT = {FLEET_KEY_VARIABLE: "a-key-for-tests-only"}
-SEGMENTS = {
-    "slots": 1,
-    "queue": 2,
-    "batch": 8,
-    "call_ms": 5.0,
-    "item_ms": 0.5,
-    "headroom_mb": 10.0,
-    "handle_s": 4.0,
-    "link_mbps": 10_000,
-}
-ENGINE = {"slots": 16, "kv_capacity": 100_000}
-SERVICES = [
-    {"name": "book", "max_conns": 100},
-    {"name": "model", "max_conns": 100, "engine": ENGINE},
-    {"name": "encode", "max_conns": 100, "segments": SEGMENTS},
-    {"name": "search", "max_conns": 100, "segments": SEGMENTS},
-]
-STAGES = [
-    {"service": "encode", "after": [], "bytes": 1_000},
-    {"service": "search", "after": [0], "bytes": 1_000},
-]
-ROUTES = [
-    route("lookup", "idempotent", "book"),
-    route("confirm", "non_idempotent", "book", max_attempts=1),
-    route("chat", "streaming", "model", max_attempts=1),
-    route("mail", "streaming", "model", resumable=True),
-    route("staged", "streaming", "model", stages=STAGES),
-]
+SERVICES = services(call_ms=5.0, item_ms=0.5)
 
 
 def free_ports(count: int) -> list[int]:
@@ -173,10 +142,8 @@
         platform = StandInPlatform(nursery)
         await platform.start()
         platform.configure(configuration(1, ROUTES, SERVICES, **more))
-        kinds = {"book": "plain", "model": "stream", "encode": "stage"}
-        for service in ("book", "model", "encode", "search"):
+        for service, kind in KINDS.items():
             for number in (1, 2):
-                kind = kinds.get(service, "stage")
                 await platform.add_worker(f"{service}-{number}", service, kind=kind)
         found = Deployment(platform, nursery)
         for _ in range(gateways):
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -2,7 +2,9 @@
 
 import trio
 
-from .support import SERVICES, Caller, deployment, route
+from acaciapier_standins.platform.platform import route
+
+from .support import SERVICES, Caller, deployment
 
 EVENTS = b"".join(f"id: {n}\ndata: a1 {n}\n\n".encode() for n in range(1, 5))
 
