Wait for a silent stream that no other worker may go on with

Found by reading: the last allowed run of a resumable stream was cut after 1,000 ms of silence, though nothing could follow. Test failed first: test_a_stream_that_no_other_worker_may_run_is_not_cut_for_its_silence.

--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -212,16 +212,24 @@
     async def _whole_events(
         self, state: RequestState, parts: AsyncIterator[bytes]
     ) -> AsyncIterator[bytes]:
-        """Yield whole events only; raises `trio.TooSlowError` at a long silence."""
+        """Yield whole events only.
+
+        Raises `trio.TooSlowError` at a long silence, if another worker may go on.
+        """
         events = state.events
+        last_run = state.runs >= state.route.max_attempts
+        silence_s = math.inf if last_run else to_s(STREAM_SILENCE_MS)
         events.drop_rest()
         after = events.last_id
         while True:
-            with trio.fail_after(to_s(STREAM_SILENCE_MS)):
+            with trio.fail_after(silence_s):
                 data = await anext(parts, None)
             if data is None:
                 break
-            whole = events.feed(data)
+            try:
+                whole = events.feed(data)
+            except ValueError as error:
+                raise ConnectionBroken(str(error)) from error
             if whole and after is not None:
                 _check_follows(after, whole)
                 after = None
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -26,6 +26,8 @@
     extra_answer: bool = False
     unmarked: bool = False
     delay_s: float = 0.0
+    pause_s: float = 0.0
+    """Pause of a stream before its second event."""
 
 
 @dataclass
@@ -191,6 +193,8 @@
             sent = number - first
             if sent == self.faults.silent_after:
                 await trio.sleep_forever()
+            if sent == 1:
+                await trio.sleep(self.faults.pause_s)
             event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
             if sent == self.faults.cut_after:
                 await exchange.send(event[: len(event) // 2])
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from acaciapier_standins.platform.platform import route
+from acaciapier_standins.platform.platform import configuration, route
 
 from .support import SERVICES, Caller, deployment
 
@@ -86,6 +86,20 @@
         assert (answer.body, answer.whole) == (EVENTS, True)
 
 
+async def test_a_stream_that_no_other_worker_may_run_is_not_cut_for_its_silence():
+    async with deployment() as world:
+        once = route("once", "streaming", "model", resumable=True, max_attempts=1)
+        once["timeout_ms"] = 4_000
+        world.platform.configure(configuration(2, [once], SERVICES))
+        await world.until(
+            lambda: world.gateways[0].catalogue.configuration.version == 2
+        )
+        for number in (1, 2):
+            world.platform.workers[f"model-{number}"].faults.pause_s = 1.3
+        answer = await world.caller().ask("POST", "/once/1", b"{}", Attempt_Id="a1")
+        assert (answer.status, answer.body, answer.whole) == (200, EVENTS, True)
+
+
 async def test_a_stream_that_may_not_run_twice_breaks_off_visibly():
     async with deployment() as world:
         for number in (1, 2):
