Learn an engine's pace from its first parts

Cause: the pace of an engine came from whole answers measured against the mean of its service. A chat lasts ten times as long as a quote, so the pace followed the mix of requests and not the engine; and an engine once found slow was given nothing any more, so it was never found to have recovered.

Ruled out: reports of load as the measure (some 100 ms old, and the same for a slow engine with few requests).

Now the time to the first part is compared with what an engine usually needs for the tokens ahead of it, relative to its service, and a slow engine gets one request every 1.5 s.

Before: test_a_slow_engine_is_told_apart_though_answers_differ_in_length fails (10 of 100 requests went to the slow engine; at most 5 are allowed). After: it passes.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -226,7 +226,8 @@
         """Learn that an answer has begun."""
         book = self._books.get(message.service)
         if book is not None:
-            book.started(message.permit, message.elapsed_ms)
+            now_s = self._clock.monotonic_s()
+            book.started(message.permit, message.elapsed_ms, now_s)
 
     async def permit_ended(self, peer: InstanceId, message: PermitEnded) -> None:
         """Take a place back, and learn from how the call ended."""
@@ -238,7 +239,7 @@
             return
         now_s = self._clock.monotonic_s()
         if message.outcome == OUTCOME_DONE:
-            book.note_time(place.worker, message.elapsed_ms)
+            book.note_time(place.worker, message.elapsed_ms, now_s)
         elif message.outcome == OUTCOME_FAILED:
             book.health.failed(place.worker)
         elif message.outcome in (OUTCOME_UNREACHABLE, OUTCOME_FULL):
--- a/src/acaciapier/gateway/dispatch/health.py
+++ b/src/acaciapier/gateway/dispatch/health.py
@@ -11,6 +11,14 @@
 RATIO_WEIGHT = 0.3
 """Weight of the newest call in a worker's pace; three calls outweigh the past."""
 
+RECOVERY_WEIGHT = 0.6
+"""The same for a call that is faster than the pace: a worker of four times the usual
+time is used again after one usual call."""
+
+TRIAL_AFTER_S = 1.5
+"""A slow worker gets one request after this time without an answer of it: about as
+long as its late one makes a caller wait."""
+
 FAILURE_WEIGHT = 0.15
 """Weight of the newest call in a worker's share of failures."""
 
@@ -21,6 +29,7 @@
     exclusion_ms: float = 0.0
     pace: float = 1.0
     failures: float = 0.0
+    pace_of_s: float = 0.0
 
 
 class WorkerHealth:
@@ -47,17 +56,28 @@
         state = self._states.get(key)
         return 1.0 if state is None else state.pace
 
+    def note_pace(self, key: str, ratio: float, now_s: float) -> None:
+        """Learn a worker's pace from a call of `ratio` times the expected time."""
+        state = self._states.setdefault(key, _State())
+        weight = RATIO_WEIGHT if ratio > state.pace else RECOVERY_WEIGHT
+        state.pace += weight * (ratio - state.pace)
+        state.pace_of_s = now_s
+
+    def pace_is_old(self, key: str, now_s: float) -> bool:
+        """Return whether a worker's pace was not seen for a while."""
+        state = self._states.get(key)
+        return state is None or now_s - state.pace_of_s >= TRIAL_AFTER_S
+
     def failures(self, key: str) -> float:
         """Return the recent share of failed calls."""
         state = self._states.get(key)
         return 0.0 if state is None else state.failures
 
-    def succeeded(self, key: str, ratio: float) -> None:
-        """Take over a good call that took `ratio` times the expected time."""
+    def succeeded(self, key: str) -> None:
+        """Take over a good call."""
         state = self._states.setdefault(key, _State())
         state.exclusion_ms = 0.0
         state.excluded_until_s = 0.0
-        state.pace += RATIO_WEIGHT * (ratio - state.pace)
         state.failures *= 1.0 - FAILURE_WEIGHT
 
     def failed(self, key: str) -> None:
--- a/src/acaciapier/gateway/dispatch/places.py
+++ b/src/acaciapier/gateway/dispatch/places.py
@@ -38,6 +38,16 @@
 SLOW_PACE = 2.5
 """A worker that needs more than this multiple of the others' time is used last."""
 
+FIRST_PART_MS = 100.0
+"""Time from an idle engine's start to the first part of its answer, beside reading."""
+
+READ_MS_PER_TOKEN = 0.011
+"""Time in which an engine reads a prompt token, by the users' sheets."""
+
+BESIDE_MS = 0.25
+"""What a request that runs beside it adds to the first part: four steps, each longer
+by a twentieth of a ms."""
+
 TIME_WEIGHT = 0.05
 """Weight of the newest call in the service's usual time."""
 
@@ -83,6 +93,8 @@
     unread_tokens: float
     until_s: float
     started: bool = False
+    expected_ms: float = 0.0
+    """Time to the first part of the answer, as an engine usually needs."""
 
 
 class PromptMemory:
@@ -139,6 +151,7 @@
         self.health = WorkerHealth()
         self.usual_ms = DEFAULT_SERVICE_MS
         self._token_ms = DEFAULT_TOKEN_MS
+        self._first_part_ratio = 1.0
         self._places: dict[str, Place] = {}
         self._held: dict[str, set[str]] = {}
         self._memories: dict[str, PromptMemory] = {}
@@ -204,7 +217,7 @@
             given.append((request, worker))
         return given
 
-    def started(self, permit: str, elapsed_ms: float) -> None:
+    def started(self, permit: str, elapsed_ms: float, now_s: float) -> None:
         """Note the first part of an answer, and learn from its time."""
         place = self._places.get(permit)
         if place is None or place.started:
@@ -214,6 +227,12 @@
             observed = min(elapsed_ms / place.unread_tokens, 10 * DEFAULT_TOKEN_MS)
             self._token_ms += TIME_WEIGHT * (observed - self._token_ms)
         place.unread_tokens = 0.0
+        if place.expected_ms > 0:
+            ratio = elapsed_ms / place.expected_ms
+            usual = self._first_part_ratio
+            self.health.note_pace(place.worker, ratio / max(usual, 0.1), now_s)
+            change = min(ratio, SLOW_PACE * usual) - usual
+            self._first_part_ratio += TIME_WEIGHT * change
 
     def ended(self, permit: str) -> Place | None:
         """Free a place; None if it is not held."""
@@ -222,10 +241,15 @@
             self._held[place.worker].discard(permit)
         return place
 
-    def note_time(self, key: str, elapsed_ms: float) -> None:
-        """Learn the usual time, and a worker's pace, from a good call."""
+    def note_time(self, key: str, elapsed_ms: float, now_s: float) -> None:
+        """Learn the usual time from a good call, and a plain worker's pace.
+
+        An engine's pace shows in its first parts: whole answers differ in length.
+        """
         self.usual_ms += TIME_WEIGHT * (elapsed_ms - self.usual_ms)
-        self.health.succeeded(key, elapsed_ms / max(self.usual_ms, 1.0))
+        self.health.succeeded(key)
+        if self.rule.engine is None:
+            self.health.note_pace(key, elapsed_ms / max(self.usual_ms, 1.0), now_s)
 
     def restore(self, permit: str, place: Place) -> None:
         """Count a place that another dispatcher gave."""
@@ -261,13 +285,21 @@
         ]
         fresh = [one for one in usable if one.id not in request.avoid]
         usable = fresh or usable
-        quick = [one for one in usable if self.health.pace(one.key) < SLOW_PACE]
+        quick = [one for one in usable if self._is_quick(one, now_s)]
         return min(
             quick or usable,
             key=lambda one: (self._cost(one, request, recent), one.key),
             default=None,
         )
 
+    def _is_quick(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a worker is not slow, or is due to be tried again."""
+        if self.health.pace(worker.key) < SLOW_PACE:
+            return True
+        held = self._held.get(worker.key, ())
+        waits = any(not self._places[permit].started for permit in held)
+        return not waits and self.health.pace_is_old(worker.key, now_s)
+
     def _has_room(self, worker: Worker, request: PlaceRequest) -> bool:
         held = self._held.get(worker.key, ())
         if self.health.on_trial(worker.key) and held:
@@ -325,6 +357,7 @@
     def _hold(self, request: PlaceRequest, worker: Worker, now_s: float) -> None:
         self.ended(request.permit)
         unread = request.prompt_tokens - self._kept(worker, request)
+        expected_ms = self._first_part_ms(worker, unread)
         self._places[request.permit] = Place(
             worker.key,
             request.owner,
@@ -332,6 +365,7 @@
             request.output_tokens,
             unread,
             now_s + PERMIT_TTL_MS / 1_000.0,
+            expected_ms=expected_ms,
         )
         self._held.setdefault(worker.key, set()).add(request.permit)
         if self.rule.engine is not None:
@@ -342,6 +376,14 @@
             memory.note(request.parts)
             self._note_read(request, now_s)
 
+    def _first_part_ms(self, worker: Worker, unread: float) -> float:
+        """Return when an engine usually sends the first part; 0 for other workers."""
+        if self.rule.engine is None:
+            return 0.0
+        held = self._held.get(worker.key, ())
+        unread += sum(self._places[permit].unread_tokens for permit in held)
+        return FIRST_PART_MS + READ_MS_PER_TOKEN * unread + BESIDE_MS * len(held)
+
     def _note_read(self, request: PlaceRequest, now_s: float) -> None:
         chain: tuple[str, ...] = ()
         for name, _ in request.parts[:-1]:
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -230,7 +230,8 @@
         spec = self.queue.spec
         if not failures:
             ratio = elapsed_ms / spec.duration_ms(call.size)
-            self.queue.health.succeeded(call.worker.key, ratio)
+            self.queue.health.succeeded(call.worker.key)
+            self.queue.health.note_pace(call.worker.key, ratio, now_s)
         if PieceFailure.NO_ROOM in failures:
             self.queue.note_no_room(call.worker, now_s)
         if failures:
--- a/tests/gateway/test_places.py
+++ b/tests/gateway/test_places.py
@@ -1,5 +1,9 @@
 """Places at workers: who is sent where, and what is kept of it."""
 
+import heapq
+import math
+from collections import Counter
+
 from acaciapier.gateway.dispatch.places import PlaceBook, PlaceRequest
 from acaciapier.gateway.models import (
     EngineSpec,
@@ -10,6 +14,7 @@
 )
 
 ENGINE = ServiceRule(ServiceName("model"), 500, EngineSpec(4, 100_000))
+ROOMY = ServiceRule(ServiceName("model"), 500, EngineSpec(96, 600_000))
 PLAIN = ServiceRule(ServiceName("book"), 110)
 
 
@@ -66,7 +71,7 @@
     parts = (("tools", 2_000), ("customer", 3_000), ("own", 500))
     book.add(request("p1", prompt_tokens=5_500, parts=parts))
     (_, first) = book.assign(workers, 0.0)[0]
-    book.started("p1", 60.0)
+    book.started("p1", 60.0, 0.1)
     book.add(request("p2", prompt_tokens=5_500, parts=parts))
     (_, second) = book.assign(workers, 1.0)[0]
     assert second is first
@@ -94,3 +99,56 @@
     book.add(request("p1", expires_s=0.5))
     assert [one.permit for one in book.take_expired(0.6)] == ["p1"]
     assert book.waiting == 0
+
+
+def play_requests(book, workers, first_ms, from_s: float, count: int) -> Counter:
+    """Place `count` quotes and chats; return how many each worker got."""
+    chosen: Counter[str] = Counter()
+    events: list[tuple[float, str, Worker, float]] = []
+
+    def play_until(until_s: float) -> None:
+        while events and events[0][0] <= until_s:
+            now_s, name, worker, output_ms = heapq.heappop(events)
+            if name.endswith("/first"):
+                permit = name.removesuffix("/first")
+                book.started(permit, first_ms(worker.id), now_s)
+            else:
+                book.ended(name)
+                whole_ms = first_ms(worker.id) + output_ms
+                book.note_time(worker.key, whole_ms, now_s)
+
+    for number in range(count):
+        now_s = from_s + 0.02 * number
+        play_until(now_s)
+        name = f"p{from_s}/{number}"
+        book.add(request(name, prompt_tokens=1_000, due_s=now_s, expires_s=now_s + 5))
+        (_, worker) = book.assign(workers, now_s)[0]
+        chosen[worker.id] += 1
+        first_s = now_s + first_ms(worker.id) / 1_000.0
+        output_ms = 600.0 if number % 3 == 0 else 20.0
+        end_s = first_s + output_ms / 1_000.0
+        heapq.heappush(events, (first_s, f"{name}/first", worker, output_ms))
+        heapq.heappush(events, (end_s, name, worker, output_ms))
+    play_until(math.inf)
+    return chosen
+
+
+def test_a_slow_engine_is_told_apart_though_answers_differ_in_length():
+    """Answers engines that turn slow among requests of all lengths."""
+    book, workers = PlaceBook(ROOMY), [worker(1), worker(2), worker(3)]
+    play_requests(book, workers, lambda _: 115.0, 0.0, 60)
+    slow_ms = {"w2": 500.0}
+    play_requests(book, workers, lambda one: slow_ms.get(one, 115.0), 2.0, 60)
+    chosen = play_requests(book, workers, lambda one: slow_ms.get(one, 115.0), 4.0, 100)
+    assert chosen["w2"] <= 5
+    assert min(chosen["w1"], chosen["w3"]) >= 25
+
+
+def test_an_engine_that_recovered_is_used_again():
+    book, workers = PlaceBook(ROOMY), [worker(1), worker(2)]
+    for _ in range(6):
+        book.health.note_pace(workers[0].key, 4.0, 0.0)
+    early = play_requests(book, workers, lambda _: 115.0, 0.1, 30)
+    assert early["w1"] == 0
+    later = play_requests(book, workers, lambda _: 115.0, 2.0, 60)
+    assert later["w1"] >= 20
