Tell a new dispatcher which stage results are held

Ruled out: broadcasting each release to all instances (messages would grow with the fleet); asking the workers (their protocol has no such question).

Each instance now sends the results that it holds to a dispatcher that it asks for the first time, or again, and these replace what that dispatcher counted for it.

Before: test_a_new_dispatcher_does_not_fill_a_room_that_is_taken and test_a_dispatcher_that_comes_back_forgets_what_another_one_freed fail. After: they pass.

--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -15,6 +15,7 @@
     CancelWork,
     FreeResults,
     HeldPermits,
+    HeldResults,
     PermitEnded,
     PermitStarted,
     PiecesMade,
@@ -99,6 +100,7 @@
         self._clock = clock
         self._log = log
         self._permits: dict[str, Permit] = {}
+        self._results: dict[str, dict[str, int]] = {}
         self._in_charge: dict[str, InstanceId] = {}
         self._serial = 0
         self._incarnation = epoch_ms(clock.now())
@@ -130,6 +132,8 @@
         """Return the handles of all pieces of a stage, or raise `Refused`."""
         answer = await self._ask(message.service, message, message.expires_ms)
         if isinstance(answer, PiecesMade):
+            held = self._results.setdefault(message.service, {})
+            held.update(dict.fromkeys(answer.handles, message.result_bytes))
             return answer.handles
         raise _refusal(answer)
 
@@ -168,6 +172,9 @@
 
     def free(self, service: str, handles: Sequence[str]) -> None:
         """Give up results of a stage service."""
+        held = self._results.get(service, {})
+        for handle in handles:
+            held.pop(handle, None)
         if handles:
             self._tell(self.in_charge(service), FreeResults(service, tuple(handles)))
 
@@ -241,11 +248,14 @@
         return permit
 
     def _note_in_charge(self, service: str, instance: InstanceId) -> None:
-        """Tell a new dispatcher which places are held here."""
+        """Tell a new dispatcher which places and results are held here."""
         if self._in_charge.get(service) == instance:
             return
         first = service not in self._in_charge
         self._in_charge[service] = instance
+        if service in self._results:
+            results = tuple(self._results[service].items())
+            self._tell(instance, HeldResults(service, results))
         held = [one for one in self._permits.values() if one.service == service]
         for permit in held:
             permit.dispatcher = instance
@@ -275,6 +285,7 @@
     FreeResults: Dispatcher.free_results,
     CancelWork: Dispatcher.cancel_work,
     HeldPermits: Dispatcher.held_permits,
+    HeldResults: Dispatcher.held_results,
 }
 
 
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
     CancelWork,
     FreeResults,
     HeldPermits,
+    HeldResults,
     PermitEnded,
     PermitStarted,
     PiecesMade,
@@ -277,6 +278,12 @@
             )
             book.restore(permit, place)
 
+    async def held_results(self, peer: InstanceId, message: HeldResults) -> None:
+        """Count the results that an instance holds from an earlier dispatcher."""
+        feeder = self._feeder(message.service)
+        if feeder is not None:
+            feeder.replace_results(peer, message.results)
+
     def service_waits(self) -> tuple[ServiceWait, ...]:
         """Return the waits of the stage services with work that waits here."""
         now_s = self._clock.monotonic_s()
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -128,6 +128,11 @@
             self._tasks.start_soon(self._send_freed)
         self.pump()
 
+    def replace_results(self, owner: str, results: Sequence[tuple[str, int]]) -> None:
+        """Take over which results an instance holds."""
+        now_s = self._clock.monotonic_s()
+        self.queue.replace_results(owner, results, self._workers(), now_s)
+
     def hand_over(self, reason: str) -> None:
         """Give all waiting groups back to their owners."""
         for group in self.queue.take_all():
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -11,7 +11,7 @@
 from .health import WorkerHealth
 from .piece_groups import PieceGroup, StageCall
 from .stage_order import fill, keep_valuable
-from .stage_rooms import Throughput, WorkerRoom
+from .stage_rooms import StoredResult, Throughput, WorkerRoom
 
 LARGE_TRANSFER_BYTES = 1_000_000
 """From this size on, transfers of a group between data centres are avoided: on the
@@ -231,7 +231,9 @@
             if result.failure not in (None, PieceFailure.NO_ROOM):
                 failed.add(group)
             if result.handle is not None:
-                room.results[result.handle] = (group.result_bytes, until_s)
+                room.results[result.handle] = StoredResult(
+                    group.result_bytes, until_s, group.owner
+                )
                 group.results[number] = result
             else:
                 group.waiting.append(number)
@@ -264,10 +266,10 @@
 
         Results that another dispatcher had made are known by their address.
         """
-        keys = {one.address: one.key for one in workers}
+        keys = _keys_by_address(workers)
         by_worker: dict[str, list[str]] = {}
         for handle in handles:
-            key = keys.get(handle.partition("/")[0])
+            key = keys.get(_address(handle))
             if key is None:
                 continue
             by_worker.setdefault(key, []).append(handle)
@@ -276,6 +278,28 @@
                 room.results.pop(handle, None)
         return by_worker
 
+    def replace_results(
+        self,
+        owner: str,
+        results: Iterable[tuple[str, int]],
+        workers: Sequence[Worker],
+        now_s: float,
+    ) -> None:
+        """Take over which results an instance holds, whoever had them made.
+
+        Answers changes of dispatcher: a new one would fill rooms that are taken,
+        and one that comes back would count results that another one freed.
+        """
+        for room in self._rooms.values():
+            room.drop_owner(owner)
+        keys = _keys_by_address(workers)
+        until_s = now_s + self.spec.result_ttl_ms / 1_000.0
+        for handle, size_bytes in results:
+            key = keys.get(_address(handle))
+            if key is not None:
+                room = self._rooms.setdefault(key, WorkerRoom())
+                room.results[handle] = StoredResult(size_bytes, until_s, owner)
+
     def describe(self, workers: Sequence[Worker], now_s: float) -> list[list]:
         """Return pace, used share of room and usability of each worker."""
         told = []
@@ -408,3 +432,12 @@
         room = self._rooms.setdefault(call.worker.key, WorkerRoom())
         room.reserved_bytes = max(0.0, room.reserved_bytes - call.reserved_bytes)
         return room
+
+
+def _address(handle: str) -> str:
+    """Return the address of the worker at which a result lies."""
+    return handle.partition("/")[0]
+
+
+def _keys_by_address(workers: Sequence[Worker]) -> dict[str, str]:
+    return {one.address: one.key for one in workers}
--- a/src/acaciapier/gateway/dispatch/stage_rooms.py
+++ b/src/acaciapier/gateway/dispatch/stage_rooms.py
@@ -18,21 +18,34 @@
 """Time over which the rate of a service is measured while work waits."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoredResult:
+    """One result at a worker, which drops it at `until_s`."""
+
+    size_bytes: float
+    until_s: float
+    owner: str
+
+
 @dataclass
 class WorkerRoom:
     """Results that lie at one worker."""
 
     reserved_bytes: float = 0.0
-    results: dict[str, tuple[float, float]] = field(default_factory=dict)
+    results: dict[str, StoredResult] = field(default_factory=dict)
     blocked_until_s: float = 0.0
     share: float = ROOM_SHARE
 
     def used_bytes(self, now_s: float) -> float:
         """Return the room that is taken; results end after their time to live."""
-        expired = [h for h, (_, until_s) in self.results.items() if until_s <= now_s]
+        expired = [h for h, one in self.results.items() if one.until_s <= now_s]
         for handle in expired:
             del self.results[handle]
-        return self.reserved_bytes + sum(size for size, _ in self.results.values())
+        return self.reserved_bytes + sum(r.size_bytes for r in self.results.values())
+
+    def drop_owner(self, owner: str) -> None:
+        """Forget the results of an instance."""
+        self.results = {h: r for h, r in self.results.items() if r.owner != owner}
 
     def refuse(self, now_s: float) -> None:
         """Note that the worker had no room: use less of it, and none for a moment."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -26,6 +26,7 @@
     FetchNews,
     FreeResults,
     HeldPermits,
+    HeldResults,
     PermitEnded,
     PermitStarted,
     RunPieces,
@@ -242,6 +243,7 @@
         register(FreeResults, self.dispatcher.free_results)
         register(CancelWork, self.dispatcher.cancel_work)
         register(HeldPermits, self.dispatcher.held_permits)
+        register(HeldResults, self.dispatcher.held_results)
 
     def _wanted_peers(self) -> set[InstanceId]:
         """Return the instances that decide for a service, and the next in rank."""
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -156,6 +156,14 @@
     elapsed_ms: float
 
 
+class HeldResults(Message, frozen=True):
+    """All stage results that an instance holds at a service, for a new dispatcher."""
+
+    service: str
+    results: tuple[tuple[str, int], ...]
+    """Handle and size in bytes of each."""
+
+
 class HeldPermits(Message, frozen=True):
     """All places that an instance holds at a service, for a new dispatcher."""
 
--- a/tests/gateway/test_stage_queue.py
+++ b/tests/gateway/test_stage_queue.py
@@ -115,6 +115,29 @@
     assert queue.free([handle], [worker]) == {worker.key: [handle]}
 
 
+def test_a_new_dispatcher_does_not_fill_a_room_that_is_taken():
+    spec = BatchSpec(8, 100.0, 10.0, 4_000, 4_000.0)
+    queue, worker = StageQueue(spec), make_worker("s", 1)
+    held = [(f"{worker.address}/{number}", 1_000) for number in range(4)]
+    queue.replace_results("edge-1", held, [worker], 0.0)
+    queue.add(group("a"))
+    assert queue.next_call(worker, [worker], 0.1) is None
+    queue.free([handle for handle, _ in held], [worker])
+    assert names(queue.next_call(worker, [worker], 0.2)) == ["a"]
+
+
+def test_a_dispatcher_that_comes_back_forgets_what_another_one_freed():
+    spec = BatchSpec(8, 100.0, 10.0, 4_000, 4_000.0)
+    queue, worker = StageQueue(spec), make_worker("s", 1)
+    queue.add(group("a"))
+    call = queue.next_call(worker, [worker], 0.0)
+    queue.finish(call, results(call), 0.2)
+    queue.add(group("b"))
+    assert queue.next_call(worker, [worker], 0.3) is None
+    queue.replace_results("edge-1", [], [worker], 0.4)
+    assert names(queue.next_call(worker, [worker], 0.4)) == ["b"]
+
+
 def test_want_of_room_is_no_failed_try():
     queue, worker = StageQueue(SPEC), make_worker("s", 1)
     queue.add(group("a"))
