Split a stage's queue once for all calls that start together

Cause: the split into groups that can be in time and the rest was worked out for the hopeless ones and again for each idle worker, and membership was looked up in lists: with ten workers and hundreds of waiting groups a pump cost many times what it needs.

Ruled out: an ordered structure that is kept between calls (due times pass, so the split changes with the clock).

The split now holds for one moment and is dropped when groups come or go.

--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -51,6 +51,8 @@
         self._busy: dict[str, StageCall] = {}
         self._rooms: dict[str, WorkerRoom] = {}
         self._measure = Throughput()
+        self._split: tuple[list[PieceGroup], list[PieceGroup]] | None = None
+        self._split_s = 0.0
 
     @property
     def waiting_pieces(self) -> int:
@@ -100,6 +102,7 @@
     def add(self, group: PieceGroup) -> None:
         """Let a group wait."""
         self._groups.append(group)
+        self._split = None
 
     def cancel(self, attempt: str) -> list[PieceGroup]:
         """Take the groups of an attempt out; return them."""
@@ -142,6 +145,7 @@
         """Take groups out, also those of which some pieces are in a call."""
         for group in groups:
             group.cancelled = True
+        self._split = None
         self._groups = [one for one in self._groups if not one.cancelled]
 
     def waits_ms(
@@ -202,8 +206,18 @@
 
         Groups that can be in time come by their due times. If they are too many,
         those with the least value a piece are put behind (after Moore and
-        Hodgson); then come the late ones, by rank and expiry.
+        Hodgson); then come the late ones, by rank and expiry. The split holds for
+        all calls that start at one moment.
         """
+        if self._split is None or self._split_s != now_s:
+            self._split = self._make_split(workers, now_s)
+            self._split_s = now_s
+        kept, behind = self._split
+        return [g for g in kept if g.waiting], [g for g in behind if g.waiting]
+
+    def _make_split(
+        self, workers: Sequence[Worker], now_s: float
+    ) -> tuple[list[PieceGroup], list[PieceGroup]]:
         rate = self.rate_per_ms(workers, now_s) or 1e-9
         in_time, behind = [], []
         for group in self._groups:
@@ -219,6 +233,7 @@
         self, call: StageCall, results: Sequence[PieceResult], now_s: float
     ) -> list[PieceGroup]:
         """Take over the answer to a call; return the groups that are done."""
+        self._split = None
         room = self._end(call)
         made = sum(one.handle is not None for one in results)
         enough = self.spec.batch * (len(self._busy) + 1)
@@ -247,6 +262,7 @@
 
     def fail(self, call: StageCall) -> None:
         """Let all pieces of a failed call wait again."""
+        self._split = None
         self._end(call)
         for group, numbers in call.parts:
             group.tries += 1
@@ -333,7 +349,7 @@
                 near.setdefault(one.data_centre, []).append(free_s)
         room = {place: self.spec.batch * len(free) for place, free in near.items()}
         kept, behind = self.split(workers, now_s)
-        chosen = []
+        chosen = set()
         for group in kept + behind:
             place, pieces = group.data_centre, len(group.waiting)
             if (
@@ -341,12 +357,12 @@
                 or place == worker.data_centre
                 or place not in near
             ):
-                chosen.append(group)
+                chosen.add(group)
                 continue
             room[place] -= pieces
             done_s = min(near[place]) + self.spec.duration_ms(pieces) / 1_000.0
             if room[place] < 0 or done_s > self._wanted_s(group, now_s):
-                chosen.append(group)
+                chosen.add(group)
         return (
             [one for one in kept if one in chosen],
             [one for one in behind if one in chosen],
