Refuse a stream that would begin after its caller has left

Cause: requests were held and worked on until their deadline, but callers of streams leave earlier if no part of the answer has come: after four objectives, eight longest pauses or 2 s, whichever is longest. What was done for them after that was thrown away, and they were never told to come back.

Ruled out: the deadline alone as the limit for hopeless work (known before, and what this replaces).

Stages and places are now asked for only as long as the caller stays; what cannot begin by then is refused at once with a time to come back.

--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -62,6 +62,8 @@
     public: bool
     resumable: bool
     stages: tuple[StageRule, ...]
+    pause_ms: float = 0.0
+    """Longest pause between events of a stream in which it is still in time."""
 
     @property
     def repeatable(self) -> bool:
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -11,8 +11,15 @@
 from ..wire.messages.gateway import AcquireWorker
 from .catalogue import Catalogue
 from .dispatch.desk import Desk, Permit, Refused
+from .models import RequestKind
 from .pipeline import StageRun, StageTimes
-from .request_state import Failed, NotRunThere, RequestState, request_fingerprint
+from .request_state import (
+    Failed,
+    NotRunThere,
+    RequestState,
+    caller_patience_ms,
+    request_fingerprint,
+)
 from .routing import RouteTable, choose_service, request_priority
 from .suspects import Suspects
 from .worker_exchange import WorkerExchange, answer_headers
@@ -136,6 +143,7 @@
             service=choose_service(route, self._random),
             deadline_s=start_s + deadline_ms / 1_000.0,
             due_s=start_s + route.objective_ms / 1_000.0,
+            leaves_s=start_s + caller_patience_ms(route, deadline_ms) / 1_000.0,
             fingerprint=request_fingerprint(request, terms.key),
         )
         if self._suspects.blocked(state.fingerprint):
@@ -257,7 +265,7 @@
             state.route,
             state.terms,
             state.due_s,
-            state.deadline_s,
+            state.leaves_s,
             state.priority,
             state.value,
             self._home_data_centre(state),
@@ -287,12 +295,20 @@
             priority=state.priority,
             value=state.value,
             due_ms=(state.due_s - now_s) * 1_000.0,
-            expires_ms=(state.deadline_s - now_s) * 1_000.0,
+            expires_ms=(self._last_start_s(state) - now_s) * 1_000.0,
             avoid=tuple(state.tried),
             repeat=state.sends > 0,
         )
         return await self._desk.acquire(message)
 
+    def _last_start_s(self, state: RequestState) -> float:
+        """Return when a worker must begin for its answer to be of use."""
+        if state.route.kind is not RequestKind.STREAMING:
+            return state.deadline_s
+        if state.events.last_id is not None:
+            return state.deadline_s
+        return state.leaves_s - self._times.engine_ms(state.terms) / 1_000.0
+
     def _input_bytes(self, state: RequestState) -> tuple[tuple[str, int], ...]:
         """Return the size of the stage results by their data centre."""
         if state.stages is None:
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -15,6 +15,25 @@
 """Value of a generation by its size, from the users' scoring rules; the mean size
 is not known here, so a usual one stands for it."""
 
+LEAST_PATIENCE_MS = 2_000.0
+"""Callers wait for a stream's first event at least so long."""
+
+OBJECTIVES_WAITED, PAUSES_WAITED = 4.0, 8.0
+"""Objectives, or longest pauses, for which callers wait for a stream's first event;
+with the former from the users' page on callers."""
+
+
+def caller_patience_ms(route: RouteRule, deadline_ms: float) -> float:
+    """Return after which time without a part of the answer a caller leaves."""
+    if route.kind is not RequestKind.STREAMING:
+        return deadline_ms
+    waited_ms = max(
+        LEAST_PATIENCE_MS,
+        OBJECTIVES_WAITED * route.objective_ms,
+        PAUSES_WAITED * route.pause_ms,
+    )
+    return min(deadline_ms, waited_ms)
+
 
 @dataclass(eq=False)
 class RequestState:
@@ -28,6 +47,8 @@
     service: str
     deadline_s: float
     due_s: float
+    leaves_s: float
+    """When the caller leaves if no part of the answer has come."""
     fingerprint: Fingerprint
     sends: int = 0
     runs: int = 0
--- a/src/acaciapier/platform/configuration.py
+++ b/src/acaciapier/platform/configuration.py
@@ -41,6 +41,8 @@
     kind: str
     timeout_ms: float
     slo_ms: float
+    # The longest pause between events of a stream, not a time a token.
+    itl_target_ms: float = 0.0
     priority: int = 0
     max_attempts: int = 1
     service: str | None = None
@@ -131,6 +133,7 @@
         services=services,
         timeout_ms=raw.timeout_ms,
         objective_ms=raw.slo_ms,
+        pause_ms=raw.itl_target_ms,
         priority=raw.priority,
         max_attempts=max(1, raw.max_attempts),
         public=raw.public,
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -1,8 +1,10 @@
 """What an instance believes: configuration, workers, peers, budgets."""
 
 import random
+from dataclasses import replace
 
 import msgspec
+import pytest
 
 from acaciapier.core.clock import ManualClock
 from acaciapier.core.ids import DataCentreId, InstanceId
@@ -11,10 +13,13 @@
 from acaciapier.gateway.event_stream import EventSplitter, event_ids
 from acaciapier.gateway.models import PeerRecord, Worker, WorkerState
 from acaciapier.gateway.peers import Peers
+from acaciapier.gateway.request_state import caller_patience_ms
 from acaciapier.gateway.routing import RouteTable
 from acaciapier.platform.configuration import decode_configuration
 from acaciapier_standins.platform.platform import configuration, route
 
+from .stage_load import make_route
+
 
 def worker(name: str, state=WorkerState.READY, started_ms: int = 1) -> Worker:
     return Worker(name, "book", "10.0.0.1", 80, "a", 4, state, started_ms)
@@ -164,3 +169,20 @@
     else:
         peers.note_stopping(first)
         assert first not in peers.rank("encode", True)
+
+
+@pytest.mark.parametrize(
+    "objective_ms, pause_ms, deadline_ms, patience_ms",
+    [
+        (920.0, 300.0, 6_000.0, 3_680.0),
+        (150.0, 300.0, 6_000.0, 2_400.0),
+        (150.0, 100.0, 6_000.0, 2_000.0),
+        (1_500.0, 300.0, 5_000.0, 5_000.0),
+    ],
+)
+def test_callers_of_streams_leave_before_their_deadline(
+    objective_ms, pause_ms, deadline_ms, patience_ms
+):
+    rule = make_route("quote", 1, objective_ms, deadline_ms, [])
+    rule = replace(rule, pause_ms=pause_ms)
+    assert caller_patience_ms(rule, deadline_ms) == patience_ms
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from acaciapier_standins.platform.example import services
 from acaciapier_standins.platform.platform import configuration, route
 
 from .support import ROUTES, SERVICES, Caller, deployment
@@ -151,6 +152,29 @@
         assert not world.platform.book.runs
 
 
+async def test_a_stream_that_begins_after_its_caller_left_is_refused_at_once():
+    async with deployment() as world:
+        slow = services(call_ms=1_200.0, item_ms=0.5)
+        staged = ROUTES[-1] | {"timeout_ms": 9_000}
+        world.platform.configure(configuration(2, [staged], slow))
+        await world.until(
+            lambda: world.gateways[0].catalogue.configuration.version == 2
+        )
+        with trio.fail_after(1.0):
+            answer = await world.caller().ask(
+                "POST",
+                "/staged/1",
+                b"{}",
+                Attempt_Id="a1",
+                Chunk_Count="1,1",
+                Chunk_Key="k",
+                Deadline_Ms="9000",
+            )
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert not world.platform.book.pieces
+
+
 async def test_a_second_answer_on_a_kept_connection_belongs_to_nobody():
     async with deployment() as world:
         for number in (1, 2):
