Admit requests before their stages, as many as can be in time

Cause: in a burst every request was begun.

The dispatcher of the last stage of a chain now lets requests in by the work inside against the rate at which it is done. One that would be late waits outside, holds no room, and begins when there is time to spare; the hopeless are refused at once.

--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -13,6 +13,7 @@
 from ...wire.messages.gateway import (
     AcquireWorker,
     CancelWork,
+    EnterStages,
     FreeResults,
     HeldPermits,
     HeldResults,
@@ -20,6 +21,7 @@
     PermitStarted,
     PiecesMade,
     RunPieces,
+    StagesEntered,
     WorkerGranted,
     WorkRefused,
 )
@@ -128,6 +130,12 @@
                 return max(ahead, default=0.0)
         return 0.0
 
+    async def enter_stages(self, message: EnterStages) -> None:
+        """Wait until a request may begin its stages, or raise `Refused`."""
+        answer = await self._ask(message.service, message, message.expires_ms)
+        if not isinstance(answer, StagesEntered):
+            raise _refusal(answer)
+
     async def run_pieces(self, message: RunPieces) -> tuple[str, ...]:
         """Return the handles of all pieces of a stage, or raise `Refused`."""
         answer = await self._ask(message.service, message, message.expires_ms)
@@ -219,9 +227,7 @@
     ) -> Message:
         if instance != self._peers.own:
             return await self._peers.call(instance, message, left_ms + ANSWER_SLACK_MS)
-        if isinstance(message, RunPieces):
-            return await self._own.run_pieces(self._peers.own, message)
-        return await self._own.acquire(self._peers.own, message)
+        return await _OWN_QUESTIONS[type(message)](self._own, self._peers.own, message)
 
     def _hold(self, message: AcquireWorker, answer: WorkerGranted) -> Permit | None:
         """Take a granted place; None if the worker is known to have left."""
@@ -279,6 +285,12 @@
         self._own.tell(handler, self._peers.own, message)
 
 
+_OWN_QUESTIONS = {
+    AcquireWorker: Dispatcher.acquire,
+    EnterStages: Dispatcher.enter_stages,
+    RunPieces: Dispatcher.run_pieces,
+}
+
 _OWN_HANDLERS = {
     PermitStarted: Dispatcher.permit_started,
     PermitEnded: Dispatcher.permit_ended,
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 from ...wire.messages.gateway import (
     AcquireWorker,
     CancelWork,
+    EnterStages,
     FreeResults,
     HeldPermits,
     HeldResults,
@@ -25,6 +26,8 @@
 from ..models import AttemptId, Piece, ServiceName, ServiceRule, Worker
 from ..settings import GatewayBounds
 from ..supervision import TaskSupervisor
+from .admission import StageAdmission
+from .pending import Pending
 from .piece_groups import PieceGroup
 from .places import PERMIT_TTL_MS, Place, PlaceBook, PlaceRequest
 from .repeats import RepeatBudget
@@ -92,8 +95,9 @@
         self._log = log
         self._tasks = tasks
         self._feeders: dict[str, StageFeeder] = {}
+        self._admissions: dict[str, StageAdmission] = {}
         self._books: dict[str, PlaceBook] = {}
-        self._grants: dict[str, Callable[[Worker | None], None]] = {}
+        self._grants: dict[str, Pending[Worker | None]] = {}
         self._ticking: set[str] = set()
 
     def set_bounds(self, bounds: GatewayBounds) -> None:
@@ -102,6 +106,24 @@
             self._bounds = bounds
             self._budgets.clear()
 
+    async def enter_stages(self, peer: InstanceId, message: EnterStages) -> Message:
+        """Let a request begin a chain of stages that ends with a service."""
+        if self.stopping and peer != self._own:
+            return WorkRefused(HANDED_OVER, 0.0)
+        feeder = self._feeder(message.service)
+        if feeder is None:
+            return WorkRefused("unknown_service", 1_000.0)
+        admission = self._admissions.get(message.service)
+        if admission is None:
+            admission = self._admissions[message.service] = StageAdmission(
+                message.service,
+                feeder.capacity_per_ms,
+                self._clock,
+                self._log,
+                self._tasks,
+            )
+        return await admission.enter(peer, message)
+
     async def run_pieces(self, peer: InstanceId, message: RunPieces) -> Message:
         """Have the pieces of one stage of a request made."""
         if self.stopping and peer != self._own:
@@ -138,6 +160,11 @@
                 MIN_RETRY_MS + (forecast_ms or 0.0) / 2,
             )
         reason = await self._wait_for_pieces(feeder, group)
+        admission = self._admissions.get(message.service)
+        if admission is not None and reason is None:
+            admission.finish(message.attempt, message.stage)
+        elif admission is not None:
+            admission.remove(message.attempt)
         if reason is None:
             handles = (group.results[n].handle for n in range(message.count))
             return PiecesMade(tuple(handles))
@@ -147,20 +174,13 @@
     async def _wait_for_pieces(
         self, feeder: StageFeeder, group: PieceGroup
     ) -> str | None:
-        finished = trio.Event()
-        reasons: list[str | None] = []
-
-        def done(_: PieceGroup, reason: str | None) -> None:
-            reasons.append(reason)
-            finished.set()
-
-        feeder.submit(group, done)
+        done: Pending[str | None] = Pending()
+        feeder.submit(group, lambda _, reason: done.give(reason))
         try:
-            await finished.wait()
+            return await done.wait()
         except trio.Cancelled:
             feeder.cancel(group.attempt)
             raise
-        return reasons[0]
 
     async def acquire(self, peer: InstanceId, message: AcquireWorker) -> Message:
         """Give a place at a worker as soon as there is one."""
@@ -201,27 +221,18 @@
     async def _wait_for_place(
         self, book: PlaceBook, service: str, request: PlaceRequest
     ) -> Worker | None:
-        granted = trio.Event()
-        workers: list[Worker | None] = []
-
-        def grant(worker: Worker | None) -> None:
-            workers.append(worker)
-            granted.set()
-
-        self._grants[request.permit] = grant
+        grant = self._grants[request.permit] = Pending()
         book.add(request)
         self._assign(service)
         try:
-            if not workers:
-                self._start_tick(service)
-                await granted.wait()
+            self._start_tick(service)
+            return await grant.wait()
         except trio.Cancelled:
             book.cancel(request.permit)
             book.ended(request.permit)
             raise
         finally:
             self._grants.pop(request.permit, None)
-        return workers[0]
 
     async def permit_started(self, peer: InstanceId, message: PermitStarted) -> None:
         """Learn that an answer has begun."""
@@ -265,6 +276,9 @@
         feeder = self._feeders.get(message.service)
         if feeder is not None:
             feeder.cancel(message.attempt)
+        admission = self._admissions.get(message.service)
+        if admission is not None:
+            admission.remove(message.attempt)
 
     async def held_permits(self, peer: InstanceId, message: HeldPermits) -> None:
         """Count the places that an instance holds from an earlier dispatcher."""
@@ -302,6 +316,8 @@
 
     def drop_owner(self, instance: InstanceId) -> None:
         """Forget what an instance that went down has asked for."""
+        for admission in self._admissions.values():
+            admission.remove_owner(instance)
         for service, book in self._books.items():
             book.drop_owner(instance)
             self._assign(service)
@@ -318,9 +334,11 @@
         """Give all that waits back, since this instance stops or slept."""
         for feeder in self._feeders.values():
             feeder.hand_over(HANDED_OVER)
+        for admission in self._admissions.values():
+            admission.hand_over(HANDED_OVER)
         for book in self._books.values():
             for request in book.take_all():
-                self._grants[request.permit](None)
+                self._grants[request.permit].give(None)
 
     def _feeder(self, service: str) -> StageFeeder | None:
         rule = self._rule(service)
@@ -370,14 +388,14 @@
         book = self._books[service]
         now_s = self._clock.monotonic_s()
         for request in book.take_expired(now_s):
-            self._grants[request.permit](None)
+            self._grants[request.permit].give(None)
         workers = self._catalogue.workers_of(ServiceName(service))
         for request, worker in book.assign(workers, now_s):
             grant = self._grants.get(request.permit)
             if grant is None:
                 book.ended(request.permit)
             else:
-                grant(worker)
+                grant.give(worker)
 
     def _start_tick(self, service: str) -> None:
         if service not in self._ticking:
--- a/src/acaciapier/gateway/dispatch/stage_feeder.py
+++ b/src/acaciapier/gateway/dispatch/stage_feeder.py
@@ -106,6 +106,10 @@
         now_s = self._clock.monotonic_s()
         return self.queue.forecast_ms(group, self._workers(), now_s)
 
+    def capacity_per_ms(self) -> float:
+        """Return how many pieces the workers can make in a millisecond."""
+        return self.queue.capacity_per_ms(self._workers(), self._clock.monotonic_s())
+
     def waits_ms(self) -> tuple[tuple[int, float], ...]:
         """Return how long new groups of each rank would wait."""
         return self.queue.waits_ms(self._workers(), self._clock.monotonic_s())
--- /dev/null
+++ b/src/acaciapier/gateway/dispatch/stage_gate.py
@@ -0,0 +1,200 @@
+"""Which requests may begin a chain of stages, and when.
+
+Answers bursts beyond what the stages can do. Without it every request is begun,
+results of early stages fill the rooms of their workers, and nearly all requests are
+late together. With it, as many are inside the chain as can be done in time; the
+others wait before it, hold no room, and are begun when there is time to spare.
+"""
+
+from dataclasses import dataclass
+
+from .stage_rooms import Throughput
+
+MARGIN_MS = 150.0
+"""What a forecast may be wrong by: about the time of one call."""
+
+RANK_MS = 60.0
+"""What a rank of urgency is worth in time: less urgent requests stop being begun this
+much earlier when the chain fills up, so that the urgent ones stay in time."""
+
+SATURATED_MS = 700.0
+"""Work inside a chain, as time, from which on its rate is measured: with less, the
+rate is that of the arrivals. A chain of three usual calls takes as long."""
+
+HOPELESS_SHARE = 0.8
+"""Share of the work before a request that is surely done before it."""
+
+LEAST_SHARE = 0.8
+"""Share of the usual time that a request needs at least."""
+
+OVERDUE_S = 1.0
+"""A request that nobody reported as done counts so long after its expiry."""
+
+
+@dataclass(eq=False)
+class GateEntry:
+    """A request before or inside a chain of stages.
+
+    Parameters
+    ----------
+    attempt : str
+        Attempt of the request.
+    owner : str
+        Instance that serves it.
+    stage : int
+        Number of the last stage of its chain.
+    pieces : int
+        Pieces of that stage.
+    due_s : float
+        When that stage is to be done for an answer in time.
+    expires_s : float
+        When its results become useless.
+    usual_ms : float
+        Time that the chain usually takes.
+    priority : int
+        Rank of the request, 0 first.
+    """
+
+    attempt: str
+    owner: str
+    stage: int
+    pieces: int
+    due_s: float
+    expires_s: float
+    usual_ms: float
+    priority: int
+
+
+class StageGate:
+    """Admission to the chains that end with one stage service."""
+
+    def __init__(self):
+        self._waiting: list[GateEntry] = []
+        self._inside: dict[str, GateEntry] = {}
+        self._pieces_inside = 0
+        self._measure = Throughput()
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests before the chain."""
+        return len(self._waiting)
+
+    @property
+    def pieces_inside(self) -> int:
+        """Pieces of the last stage that are still to be made for begun requests."""
+        return self._pieces_inside
+
+    def add(self, entry: GateEntry) -> None:
+        """Let a request wait before the chain."""
+        self._waiting.append(entry)
+
+    def remove(self, attempt: str) -> list[GateEntry]:
+        """Forget a request that is given up; return it if it was waiting."""
+        waiting = [one for one in self._waiting if one.attempt == attempt]
+        self._waiting = [one for one in self._waiting if one.attempt != attempt]
+        self._take_out(attempt)
+        return waiting
+
+    def remove_owner(self, owner: str) -> list[GateEntry]:
+        """Forget the requests of an instance; return those that were waiting."""
+        known = [*self._waiting, *self._inside.values()]
+        attempts = [one.attempt for one in known if one.owner == owner]
+        return [entry for attempt in attempts for entry in self.remove(attempt)]
+
+    def take_all(self) -> list[GateEntry]:
+        """Take every waiting request out, for another dispatcher."""
+        waiting, self._waiting = self._waiting, []
+        return waiting
+
+    def finish(
+        self, attempt: str, stage: int, capacity_per_ms: float, now_s: float
+    ) -> None:
+        """Note that a stage of a request is done; only the last one counts."""
+        entry = self._inside.get(attempt)
+        if entry is not None and entry.stage == stage:
+            self._take_out(attempt)
+            saturated = int(capacity_per_ms * SATURATED_MS)
+            self._measure.note(entry.pieces, self._pieces_inside, saturated, now_s)
+
+    def take_admitted(self, capacity_per_ms: float, now_s: float) -> list[GateEntry]:
+        """Take out the requests that may begin now.
+
+        `capacity_per_ms` is the number of pieces that the workers of the last stage
+        make in a millisecond.
+        """
+        self._drop_overdue(now_s)
+        admitted = []
+        rate = self._rate_per_ms(capacity_per_ms)
+        while self._waiting and rate > 0:
+            entry = self._next(rate, now_s)
+            if entry is None:
+                break
+            self._waiting.remove(entry)
+            self._take_out(entry.attempt)
+            self._inside[entry.attempt] = entry
+            self._pieces_inside += entry.pieces
+            admitted.append(entry)
+        return admitted
+
+    def take_hopeless(self, capacity_per_ms: float, now_s: float) -> list[GateEntry]:
+        """Take out the requests that cannot be done before they expire."""
+        rate = self._rate_per_ms(capacity_per_ms)
+        hopeless = []
+        ahead = self._pieces_inside
+        for entry in sorted(self._waiting, key=_late_order):
+            need_ms = LEAST_SHARE * entry.usual_ms
+            if rate > 0:
+                work = HOPELESS_SHARE * (ahead + entry.pieces)
+                need_ms = max(need_ms, work / rate)
+            if now_s + need_ms / 1_000.0 > entry.expires_s:
+                hopeless.append(entry)
+            else:
+                ahead += entry.pieces
+        self._waiting = [one for one in self._waiting if one not in hopeless]
+        return hopeless
+
+    def clear_ms(self, capacity_per_ms: float) -> float:
+        """Return when all that waits and is inside now will be done."""
+        rate = self._rate_per_ms(capacity_per_ms)
+        waiting = sum(one.pieces for one in self._waiting)
+        return (self._pieces_inside + waiting) / rate if rate > 0 else 0.0
+
+    def _next(self, rate: float, now_s: float) -> GateEntry | None:
+        """Return the request to begin next: one in time, else a late one."""
+        busy_ms = self._pieces_inside / rate
+        in_time = [one for one in self._waiting if self._in_time(one, busy_ms, now_s)]
+        if in_time:
+            return min(in_time, key=lambda one: one.due_s + _rank_s(one))
+        late = min(self._waiting, key=_late_order)
+        return late if busy_ms <= late.usual_ms else None
+
+    def _in_time(self, entry: GateEntry, busy_ms: float, now_s: float) -> bool:
+        need_ms = max(busy_ms, entry.usual_ms) + MARGIN_MS
+        return now_s + need_ms / 1_000.0 + _rank_s(entry) <= entry.due_s
+
+    def _rate_per_ms(self, capacity_per_ms: float) -> float:
+        measured = self._measure.rate_per_ms
+        return capacity_per_ms if measured is None else min(capacity_per_ms, measured)
+
+    def _take_out(self, attempt: str) -> GateEntry | None:
+        entry = self._inside.pop(attempt, None)
+        if entry is not None:
+            self._pieces_inside -= entry.pieces
+        return entry
+
+    def _drop_overdue(self, now_s: float) -> None:
+        overdue = [
+            one.attempt
+            for one in self._inside.values()
+            if one.expires_s + OVERDUE_S <= now_s
+        ]
+        for attempt in overdue:
+            self._take_out(attempt)
+
+
+def _rank_s(entry: GateEntry) -> float:
+    return RANK_MS * entry.priority / 1_000.0
+
+
+def _late_order(entry: GateEntry) -> tuple[int, float]:
+    return entry.priority, entry.expires_s
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -70,6 +70,12 @@
 
     def rate_per_ms(self, workers: Sequence[Worker], now_s: float) -> float:
         """Return how many pieces the usable workers make in a millisecond."""
+        declared = self.capacity_per_ms(workers, now_s)
+        measured = self._measure.rate_per_ms
+        return declared if measured is None else min(declared, measured)
+
+    def capacity_per_ms(self, workers: Sequence[Worker], now_s: float) -> float:
+        """Return the same by what the workers declare and their pace."""
         full = self.spec.batch / self.spec.duration_ms(self.spec.batch)
         paces = [
             max(1.0, self.health.pace(one.key))
@@ -77,9 +83,7 @@
             if self.health.usable(one.key, now_s)
         ]
         declared = sum(full / pace for pace in paces if pace < SLOW_PACE)
-        declared = declared or sum(full / pace for pace in paces)
-        measured = self._measure.rate_per_ms
-        return declared if measured is None else min(declared, measured)
+        return declared or sum(full / pace for pace in paces)
 
     def forecast_ms(
         self, group: PieceGroup, workers: Sequence[Worker], now_s: float
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -23,6 +23,7 @@
     AcquireWorker,
     Beat,
     CancelWork,
+    EnterStages,
     FetchNews,
     FreeResults,
     HeldPermits,
@@ -239,6 +240,7 @@
         register(Beat, self._answer_beat)
         register(Strikes, self.suspects.hear)
         register(FetchNews, peer_sync.answer)
+        register(EnterStages, self.dispatcher.enter_stages)
         register(RunPieces, self.dispatcher.run_pieces)
         register(AcquireWorker, self.dispatcher.acquire)
         register(PermitStarted, self.dispatcher.permit_started)
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -6,7 +6,7 @@
 import trio
 
 from ..core.clock import Clock, to_s
-from ..wire.messages.gateway import RunPieces
+from ..wire.messages.gateway import EnterStages, RunPieces
 from .catalogue import Catalogue
 from .dispatch.desk import Desk, Refused
 from .models import RequestTerms, RouteRule, ServiceName
@@ -100,6 +100,16 @@
         rule = configuration.services.get(service) if configuration else None
         return rule.batching.call_ms if rule and rule.batching else 0.0
 
+    def chain_ms(self, route: RouteRule, counts: tuple[int, ...], number: int) -> float:
+        """Return how long the chain that ends with a stage takes by declared times."""
+        stage = route.stages[number]
+        before_ms = (
+            self.chain_ms(route, counts, other)
+            for other in stage.after
+            if counts[other]
+        )
+        return max(before_ms, default=0.0) + self._declared_ms(stage.service)
+
     def start_delay_ms(
         self, route: RouteRule, counts: tuple[int, ...], number: int
     ) -> float:
@@ -210,6 +220,8 @@
         locate: Callable[[str], str],
     ):
         self.refused: Refused | None = None
+        self.admission_ms = 0.0
+        """Time that the request waited before its stages."""
         self._desk = desk
         self._times = times
         self._clock = clock
@@ -271,12 +283,58 @@
         forecast_ms = self.forecast_ms()
         if forecast_ms > left_ms:
             raise Refused("overload", MIN_RETRY_MS + forecast_ms - left_ms)
+        await self._enter()
         async with trio.open_nursery() as nursery:
             for number in range(len(self._route.stages)):
                 nursery.start_soon(self._run_stage, number, nursery)
         if self.refused is not None:
             raise self.refused
 
+    async def _enter(self) -> None:
+        """Wait until the longest chain of stages may begin.
+
+        Requests without a chain wait only in the queues of their stages.
+        """
+        number = self._chain_end()
+        if number is None:
+            return
+        now_s = self._clock.monotonic_s()
+        window = self._window(number, now_s)
+        service = self._route.stages[number].service
+        self._asked.add(number)
+        try:
+            await self._desk.enter_stages(
+                EnterStages(
+                    service=service,
+                    attempt=self._terms.attempt,
+                    stage=number,
+                    count=self._counts[number],
+                    due_ms=window.due_ms,
+                    expires_ms=window.expires_ms,
+                    usual_ms=self._times.chain_ms(self._route, self._counts, number),
+                    priority=self._priority,
+                )
+            )
+        except Refused:
+            self._asked.discard(number)
+            raise
+        finally:
+            self.admission_ms = (self._clock.monotonic_s() - now_s) * 1_000.0
+
+    def _chain_end(self) -> int | None:
+        """Return the last stage of the longest chain; None if there is no chain."""
+        ends = [
+            number
+            for number in self._route.final_stages
+            if self._counts[number]
+            and any(self._counts[one] for one in self._route.stages[number].after)
+        ]
+        return max(
+            ends,
+            key=lambda one: self._times.chain_ms(self._route, self._counts, one),
+            default=None,
+        )
+
     def release(self) -> None:
         """Give up everything that was asked for or made; safe to call twice."""
         for number in sorted(self._asked):
@@ -300,14 +358,7 @@
             delay_ms = self._times.start_delay_ms(self._route, self._counts, number)
             await trio.sleep(to_s(delay_ms))
         now_s = self._clock.monotonic_s()
-        window = self._times.window(
-            self._route,
-            self._terms,
-            self._counts,
-            number,
-            (self._due_s - now_s) * 1_000.0,
-            (self._expires_s - now_s) * 1_000.0,
-        )
+        window = self._window(number, now_s)
         inputs = tuple(h for other in stage.after for h in self._handles[other])
         data_centre, transfer_bytes = self._best_place(number)
         message = RunPieces(
@@ -338,6 +389,16 @@
         self._done[number].set()
         self._free_read()
 
+    def _window(self, number: int, now_s: float) -> StageWindow:
+        return self._times.window(
+            self._route,
+            self._terms,
+            self._counts,
+            number,
+            (self._due_s - now_s) * 1_000.0,
+            (self._expires_s - now_s) * 1_000.0,
+        )
+
     def _best_place(self, number: int) -> tuple[str, int]:
         """Return where a stage is best run, and what is transferred otherwise.
 
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -157,6 +157,8 @@
             "priority": state.priority,
             "sends": state.sends,
         }
+        if state.stages is not None:
+            fields["admission_ms"] = round(state.stages.admission_ms)
         return outcome, fields
 
     def _route_table(self) -> RouteTable | None:
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -66,6 +66,28 @@
     peers: tuple[PeerEntry, ...] = ()
 
 
+class EnterStages(Message, frozen=True):
+    """Asks the dispatcher of a chain's last stage whether a request may begin.
+
+    `count` is the number of its pieces in that stage. Times are milliseconds from now:
+    `due_ms` until that stage is to be done, `expires_ms` until it is useless;
+    `usual_ms` is how long the chain usually takes.
+    """
+
+    service: str
+    attempt: str
+    stage: int
+    count: int
+    due_ms: float
+    expires_ms: float
+    usual_ms: float
+    priority: int
+
+
+class StagesEntered(Message, frozen=True):
+    """A request may begin its stages."""
+
+
 class RunPieces(Message, frozen=True):
     """Asks a dispatcher to have all pieces of one stage of a request made.
 
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -12,6 +12,7 @@
 
 from acaciapier.core.clock import ManualClock
 from acaciapier.gateway.dispatch.piece_groups import PieceGroup
+from acaciapier.gateway.dispatch.stage_gate import GateEntry, StageGate
 from acaciapier.gateway.dispatch.stage_queue import StageQueue
 from acaciapier.gateway.models import (
     AttemptId,
@@ -29,8 +30,10 @@
     WorkerState,
 )
 from acaciapier.gateway.pipeline import StageTimes
+from acaciapier.gateway.request_state import caller_patience_ms
 
 HOP_S = 0.004
+TICK_S = 0.025
 ENGINE_S = 0.16
 MB = 1_000_000
 
@@ -144,10 +147,19 @@
         self.calls = Counter()
         self.pieces = Counter()
         self.bursts = []
+        self.patient = False
+        """Whether callers stay until their deadline without any part of an answer."""
         self.moved_bytes = 0
         self._events = []
         self._order = itertools.count()
         self._groups = {}
+        self.gates: dict[str, StageGate] = {}
+        self._entries: dict[GateEntry, Request] = {}
+        self._ticking: set[str] = set()
+
+    def add_gates(self) -> None:
+        """Let chains of stages begin only as the dispatchers admit them."""
+        self.gates = {name: StageGate() for name in self.specs}
 
     def run(self, seconds: float) -> dict[str, Outcome]:
         """Play arrivals for `seconds`, and all that follows from them."""
@@ -181,7 +193,48 @@
         counts = tuple(self._count(*one) for one in kind.pieces)
         request = Request(kind, self.now_s, counts, next(self._order))
         self.outcomes[kind.route.name].asked += 1
-        self._go_on(request)
+        last = len(kind.route.stages) - 1
+        if self.gates and kind.route.stages[last].after:
+            self._at(HOP_S, self._enter, request, last)
+        else:
+            self._go_on(request)
+
+    def _enter(self, request, number):
+        """Wait before the chain that ends with a stage."""
+        kind, service = request.kind, request.kind.route.stages[number].service
+        window = self._window(request, number)
+        entry = GateEntry(
+            str(id(request)),
+            "x",
+            number,
+            request.counts[number],
+            self.now_s + window.due_ms / 1_000,
+            self.now_s + window.expires_ms / 1_000,
+            self.times.chain_ms(kind.route, request.counts, number),
+            kind.route.priority,
+        )
+        self._entries[entry] = request
+        self.gates[service].add(entry)
+        self._update_gate(service)
+
+    def _update_gate(self, service):
+        gate = self.gates[service]
+        capacity = self._capacity(service)
+        for entry in gate.take_admitted(capacity, self.now_s):
+            self._go_on(self._entries.pop(entry))
+        for entry in gate.take_hopeless(capacity, self.now_s):
+            self.outcomes[self._entries.pop(entry).kind.route.name].lost += 1
+        if gate.waiting and service not in self._ticking:
+            self._ticking.add(service)
+            self._at(TICK_S, self._tick_gate, service)
+
+    def _tick_gate(self, service):
+        self._ticking.discard(service)
+        self._update_gate(service)
+
+    def _capacity(self, service):
+        workers = self.workers[service]
+        return self.queues[service].capacity_per_ms(workers, self.now_s)
 
     def _count(self, share, mean) -> int:
         if self.random.random() >= share:
@@ -207,15 +260,7 @@
     def _submit(self, request, number):
         kind = request.kind
         stage = kind.route.stages[number]
-        elapsed_ms = (self.now_s - request.start_s) * 1_000
-        window = self.times.window(
-            kind.route,
-            self._terms(kind),
-            request.counts,
-            number,
-            kind.route.objective_ms - elapsed_ms,
-            kind.route.timeout_ms - elapsed_ms,
-        )
+        window = self._window(request, number)
         group = PieceGroup(
             "x",
             [
@@ -234,6 +279,21 @@
         self.queues[stage.service].add(group)
         self._pump(stage.service)
 
+    def _window(self, request, number):
+        kind = request.kind
+        stays_ms = kind.route.timeout_ms
+        if not self.patient:
+            stays_ms = caller_patience_ms(kind.route, stays_ms)
+        elapsed_ms = (self.now_s - request.start_s) * 1_000
+        return self.times.window(
+            kind.route,
+            self._terms(kind),
+            request.counts,
+            number,
+            kind.route.objective_ms - elapsed_ms,
+            stays_ms - elapsed_ms,
+        )
+
     def _best_place(self, request, number):
         """Return where a stage is best run, and what is transferred otherwise."""
         stages = request.kind.route.stages
@@ -253,6 +313,8 @@
         queue = self.queues[service]
         for group in queue.take_hopeless(self.workers[service], self.now_s):
             request, _, _ = self._groups.pop(group)
+            if self.gates:
+                self.gates[service].remove(str(id(request)))
             self.outcomes[request.kind.route.name].lost += 1
         for worker in self.workers[service]:
             call = queue.next_call(worker, self.workers[service], self.now_s)
@@ -269,6 +331,10 @@
         handles = [PieceResult(f"{address}/{next(self._order)}") for _ in call.items()]
         for group in queue.finish(call, handles, self.now_s):
             request, number, since_s = self._groups.pop(group)
+            if self.gates:
+                gate, capacity = self.gates[service], self._capacity(service)
+                gate.finish(str(id(request)), number, capacity, self.now_s)
+                self._update_gate(service)
             self.times.observe(ServiceName(service), (self.now_s - since_s) * 1_000)
             if group.data_centre not in ("", call.worker.data_centre):
                 self.moved_bytes += group.transfer_bytes
@@ -334,3 +400,30 @@
         "desk": BatchSpec(84, 150.0, 1.486, 1.4e6, 4_000.0),
     }
     return StageLoad(specs, {"blank": 3, "lathe": 3, "desk": 4}, kinds, seed)
+
+
+def vetting_desk(seed: int = 1) -> StageLoad:
+    """Return the load of 72 machines that draft dossiers and summaries."""
+    lookup = ("registry", (), 8_000)
+    chain = [("sanctions", (0,), 60_000), ("portal", (1,), 6_000)]
+    papers = ("registry", (), 3 * MB)
+    dossier = make_route(
+        "dossier",
+        1,
+        1_600,
+        8_000,
+        [papers, lookup, ("sanctions", (1,), 60_000), ("portal", (2,), 6_000)],
+    )
+    summary = make_route("summary", 0, 1_500, 5_000, [lookup, *chain])
+    chat = make_route("chat", 2, 800, 15_000, [papers])
+    kinds = [
+        Kind(dossier, 78.8, ((0.4, 1.5), (1, 1), (1, 6), (1, 16)), 3.4, 9_000),
+        Kind(summary, 92.0, ((1, 1), (1, 6), (1, 16)), 1.9),
+        Kind(chat, 41.3, ((0.7, 2.5),), 0.87, 700),
+    ]
+    specs = {
+        "registry": BatchSpec(13, 150.0, 7.0, 58.5e6, 4_000.0),
+        "sanctions": BatchSpec(60, 150.0, 2.13, 10.3e6, 4_000.0),
+        "portal": BatchSpec(96, 150.0, 1.3, 1.7e6, 4_000.0),
+    }
+    return StageLoad(specs, {"registry": 9, "sanctions": 8, "portal": 11}, kinds, seed)
--- a/tests/gateway/test_stage_queue.py
+++ b/tests/gateway/test_stage_queue.py
@@ -187,6 +187,7 @@
 def play(burst, seed, queue=StageQueue):
     load = order_desk(seed=seed)
     load.bursts = [burst]
+    load.patient = True
     load.queues = {name: queue(spec) for name, spec in load.specs.items()}
     return load.run(12)
 
