Take configurations from the store, and from peers only if it is late

All of 82 machines but four learned of it by heartbeats and fetched it from the few large machines, which also decide for the services, with a time-out of 500 ms over links of 10 Mbit/s: the fetches failed and were tried again, the links were full, and a quarter of the requests were served in seconds 28 to 32.

Each machine watches the configuration itself, which changes seldom. A newer one that a peer tells of is fetched from there only when the store has not brought it within 700 ms, with 2 s to hand it over.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -205,6 +205,7 @@
             self.log.write,
             self.dispatcher.workers_changed,
             own,
+            self.clock,
         )
         self.peers.on_beat = peer_sync.note_beat
         self.peers.wanted = self._wanted_peers
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -70,6 +70,14 @@
 NEWS_DELAY_MS = 150.0
 """Time in which the store's own watch usually brings what a peer knows already."""
 
+CONFIGURATION_DELAY_MS = 700.0
+"""Time in which the store's own watch brings a large configuration over a slow link.
+Only what is still missing then is fetched from a peer: a megabyte for each of 80
+machines would fill the links of those that decide."""
+
+CONFIGURATION_TIMEOUT_MS = 2_000.0
+"""Time in which a peer hands a large configuration over a slow link."""
+
 JOIN_PERIOD_MS = 400.0
 """Time in which the store usually answers a starting instance."""
 
@@ -181,8 +189,10 @@
                     self._note_reached(kind)
                     take(snapshot, True)
                 else:
-                    await self._rely_on_peers()
-                    snapshot = await self._store.watch(kind, revision, self._wait_ms())
+                    if kind != configuration_format.KIND:
+                        await self._rely_on_peers()
+                    wait_ms = self._wait_ms(kind)
+                    snapshot = await self._store.watch(kind, revision, wait_ms)
                     self._note_reached(kind)
                     if snapshot.objects:
                         take(snapshot, False)
@@ -209,12 +219,15 @@
                 break
             await trio.sleep(to_s(RELAY_CHECK_MS))
 
-    def _wait_ms(self) -> int:
+    def _wait_ms(self, kind: str) -> int:
         """Return how long a watch may wait for a change."""
         if not self._followers.large_fleet:
             return WATCH_WAIT_MS
-        close = self._followers.follow_closely()
-        return FOLLOWER_WAIT_MS if close else RELAYED_WAIT_MS
+        if self._followers.follow_closely():
+            return FOLLOWER_WAIT_MS
+        if kind == configuration_format.KIND:
+            return WATCH_WAIT_MS
+        return RELAYED_WAIT_MS
 
     def _take_configuration(self, snapshot: Snapshot, whole: bool) -> None:
         for one in snapshot.objects:
@@ -359,6 +372,8 @@
         Called after workers have changed.
     own : PeerRecord
         This instance's own entry.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
@@ -369,6 +384,7 @@
         log: Callable[..., None],
         on_workers: Callable[[], None],
         own: PeerRecord,
+        clock: Clock,
     ):
         self._own = own
         self._catalogue = catalogue
@@ -377,6 +393,9 @@
         self._log = log
         self._on_workers = on_workers
         self._fetching = False
+        self._clock = clock
+        self._missed_since: tuple[int, float] | None = None
+        """Known configuration, and since when a newer one was heard of."""
         self._entries: tuple[WorkerEntry, ...] = ()
         self._entries_of: tuple[int, int] | None = None
 
@@ -404,7 +423,9 @@
 
     def note_beat(self, instance: InstanceId, beat: Beat) -> None:
         """Fetch what a peer knows and this instance does not."""
-        if not self._fetching and self._is_news(beat):
+        if self._fetching:
+            return
+        if self._has_configuration(beat) or self._has_workers(beat):
             self._fetching = True
             self._tasks.start_soon(self._fetch, instance, beat)
 
@@ -437,10 +458,21 @@
             self._entries = tuple(map(_worker_entry, catalogue.workers.values()))
         return self._entries
 
-    def _is_news(self, beat: Beat) -> bool:
-        catalogue = self._catalogue
-        if beat.configuration_revision > catalogue.configuration_revision:
+    def _has_configuration(self, beat: Beat) -> bool:
+        """Return whether a peer has a configuration that the store does not bring."""
+        known = self._catalogue.configuration_revision
+        if beat.configuration_revision <= known:
+            return False
+        if not self._catalogue.complete:
             return True
+        now_s = self._clock.monotonic_s()
+        if self._missed_since is None or self._missed_since[0] != known:
+            self._missed_since = (known, now_s)
+        return now_s - self._missed_since[1] >= to_s(CONFIGURATION_DELAY_MS)
+
+    def _has_workers(self, beat: Beat) -> bool:
+        """Return whether a peer has other workers of a newer revision."""
+        catalogue = self._catalogue
         return (
             beat.workers_revision > catalogue.workers_revision
             and beat.workers_digest != catalogue.workers_digest
@@ -450,14 +482,18 @@
         try:
             if self._catalogue.complete:
                 await trio.sleep(to_s(NEWS_DELAY_MS))
-            if self._is_news(beat):
-                request = FetchNews(
-                    self._catalogue.configuration_revision,
-                    self._catalogue.workers_revision,
-                )
-                news = await self._peers.call(instance, request, NEWS_TIMEOUT_MS)
-                if isinstance(news, News):
-                    self._take(instance, news)
+            configuration = self._has_configuration(beat)
+            if not configuration and not self._has_workers(beat):
+                return
+            known = self._catalogue.configuration_revision
+            request = FetchNews(
+                known if configuration else beat.configuration_revision,
+                self._catalogue.workers_revision,
+            )
+            timeout_ms = CONFIGURATION_TIMEOUT_MS if configuration else NEWS_TIMEOUT_MS
+            news = await self._peers.call(instance, request, timeout_ms)
+            if isinstance(news, News):
+                self._take(instance, news)
         except PeerUnavailable as error:
             self._log("news_not_fetched", peer=instance, reason=str(error))
         finally:
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -15,7 +15,9 @@
 from acaciapier.gateway.peers import Peers
 from acaciapier.gateway.request_state import caller_patience_ms
 from acaciapier.gateway.routing import RouteTable
+from acaciapier.gateway.sync import PeerSync
 from acaciapier.platform.configuration import decode_configuration
+from acaciapier.wire.messages.gateway import Beat
 from acaciapier_standins.platform.platform import configuration, route
 
 from .stage_load import make_route
@@ -186,3 +188,57 @@
     rule = make_route("quote", 1, objective_ms, deadline_ms, [])
     rule = replace(rule, pause_ms=pause_ms)
     assert caller_patience_ms(rule, deadline_ms) == patience_ms
+
+
+class StartedTasks:
+    """Counts tasks instead of running them."""
+
+    def __init__(self):
+        self.started = 0
+
+    def start_soon(self, *args) -> None:
+        self.started += 1
+
+
+def make_peer_sync() -> tuple[PeerSync, Catalogue, ManualClock, StartedTasks]:
+    catalogue, clock, _ = make_catalogue()
+    catalogue.offer_configuration(1, stored(1), "store")
+    catalogue.offer_workers(1, [worker("w1")], "store")
+    tasks = StartedTasks()
+    sync = PeerSync(
+        catalogue, None, tasks, lambda *a, **k: None, lambda: None, None, clock
+    )
+    return sync, catalogue, clock, tasks
+
+
+def beat_of(revision: int, catalogue: Catalogue) -> Beat:
+    known = catalogue.workers_revision, catalogue.workers_digest
+    return Beat(revision, *known, False)
+
+
+def test_a_configuration_is_fetched_from_a_peer_only_if_the_store_is_late():
+    sync, catalogue, clock, tasks = make_peer_sync()
+    sync.note_beat("edge-2", beat_of(2, catalogue))
+    clock.advance(0.5)
+    sync.note_beat("edge-2", beat_of(2, catalogue))
+    assert tasks.started == 0
+    clock.advance(0.3)
+    sync.note_beat("edge-2", beat_of(2, catalogue))
+    assert tasks.started == 1
+
+
+def test_in_a_storm_of_versions_no_peer_is_asked_while_the_store_brings_them():
+    sync, catalogue, clock, tasks = make_peer_sync()
+    for revision in range(2, 12):
+        sync.note_beat("edge-2", beat_of(revision, catalogue))
+        clock.advance(0.35)
+        catalogue.offer_configuration(revision, stored(revision), "store")
+    assert tasks.started == 0
+
+
+def test_in_a_storm_of_versions_an_instance_without_the_store_asks_a_peer():
+    sync, catalogue, clock, tasks = make_peer_sync()
+    for revision in range(2, 6):
+        sync.note_beat("edge-2", beat_of(revision, catalogue))
+        clock.advance(0.35)
+    assert tasks.started == 1
