Give the expected times of stages a module of their own

pipeline.py held the times of all routes and the run of one request; a reader looking for either had to read both. Moved without a change of behaviour. The simulated load now refuses hopeless requests at ticks, as the product does.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -12,7 +12,7 @@
 from .catalogue import Catalogue
 from .dispatch.desk import Desk, Permit, Refused
 from .models import RequestKind
-from .pipeline import StageRun, StageTimes
+from .pipeline import StageRun
 from .request_state import (
     Failed,
     NotRunThere,
@@ -21,6 +21,7 @@
     request_fingerprint,
 )
 from .routing import RouteTable, choose_service, request_priority
+from .stage_times import StageTimes
 from .suspects import Suspects
 from .worker_exchange import WorkerExchange, answer_headers
 
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -29,8 +29,8 @@
     Worker,
     WorkerState,
 )
-from acaciapier.gateway.pipeline import StageTimes
 from acaciapier.gateway.request_state import caller_patience_ms
+from acaciapier.gateway.stage_times import StageTimes
 
 HOP_S = 0.004
 TICK_S = 0.025
@@ -256,12 +256,8 @@
 
     def _update_gate(self, service):
         gate = self.gates[service]
-        capacity = self._capacity(service)
-        for entry in gate.take_admitted(capacity, self.now_s):
+        for entry in gate.take_admitted(self._capacity(service), self.now_s):
             self._go_on(self._entries.pop(entry))
-        after_ms = 250 + gate.clear_ms(capacity) / 2
-        for entry in gate.take_hopeless(capacity, self.now_s):
-            self._refuse(self._entries.pop(entry), after_ms)
         if gate.waiting and service not in self._ticking:
             self._ticking.add(service)
             self._at(TICK_S, self._tick_gate, service)
@@ -269,6 +265,10 @@
     def _tick_gate(self, service):
         self._ticking.discard(service)
         self._update_gate(service)
+        gate, capacity = self.gates[service], self._capacity(service)
+        after_ms = 250 + gate.clear_ms(capacity) / 2
+        for entry in gate.take_hopeless(capacity, self.now_s):
+            self._refuse(self._entries.pop(entry), after_ms)
 
     def _capacity(self, service):
         workers = self.workers[service]
