Soak: put a proxy between instances, too

The soak cut, delayed and reset connections to the store and to workers only; connections between instances were harmed by signals alone. Each instance is now reached by the others through a link of its own (the stand-in store translates the address that an instance registers, as a network would), and four kinds of fault act on it: cut either way, slow, reset.

--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -9,9 +9,11 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import trio
 
+from acaciapier.platform.workers import PEER_KIND
 from acaciapier_standins.platform.example import KINDS, ROUTES, services
 from acaciapier_standins.platform.platform import StandInPlatform, configuration
 
@@ -35,6 +37,10 @@
     "store_slow",
     "store_cut",
     "store_reset",
+    "peer_cut",
+    "peer_deaf",
+    "peer_slow",
+    "peer_reset",
     "worker_cut",
     "worker_reset",
     "worker_mute",
@@ -96,6 +102,7 @@
         self._ports: dict[str, tuple[int, int, int]] = {}
         self._drained_s: dict[str, float] = {}
         self._links: dict[str, Link] = {}
+        self._peer_links: dict[str, Link] = {}
         self._version = 1
 
     async def run(self) -> SoakReport:
@@ -115,6 +122,7 @@
         await self._platform.start()
         self._store_link = Link(self._platform.store_port)
         await nursery.start(self._store_link.run)
+        self._platform.store.translate = self._translate
         self._platform.configure(configuration(1, ROUTES, SERVICES))
         for service, kind in KINDS.items():
             for number in (1, 2, 3):
@@ -122,6 +130,8 @@
         for number in range(self._plan.gateways):
             name = f"edge-{number + 1}"
             self._ports[name] = tuple(_free_ports(3))
+            self._peer_links[name] = Link(self._ports[name][2])
+            await nursery.start(self._peer_links[name].run)
             self._write_settings(name)
             self._start_gateway(name)
         with trio.fail_after(20.0):
@@ -129,6 +139,12 @@
                 while not await self._is_ready(name):
                     await trio.sleep(0.1)
 
+    def _translate(self, kind: str, name: str, spec: Any) -> Any:
+        """Let gateways reach one another by their links."""
+        if kind != PEER_KIND or name not in self._peer_links:
+            return spec
+        return spec | {"port": self._peer_links[name].port}
+
     async def _add_worker(self, name: str, service: str, kind: str) -> None:
         worker = await self._platform.add_worker(name, service, kind=kind)
         link = self._links[name] = Link(int(worker.address.rpartition(":")[2]))
@@ -201,6 +217,8 @@
             await self._harm_process(kind, name, length_s)
         elif kind.startswith("store"):
             await self._harm_store(kind, length_s)
+        elif kind.startswith("peer"):
+            await self._harm_peer(kind, name, length_s)
         elif kind == "config":
             self._version += self._random.randint(1, 5)
             self._platform.configure(configuration(self._version, ROUTES, SERVICES))
@@ -247,6 +265,17 @@
         faults.down = faults.silent = link.faults.cut_to_client = False
         faults.delay_s = 0.0
 
+    async def _harm_peer(self, kind: str, name: str, length_s: float) -> None:
+        link = self._peer_links[name]
+        if kind == "peer_reset":
+            link.reset_all()
+        link.faults.cut_to_server = kind == "peer_cut"
+        link.faults.cut_to_client = kind == "peer_deaf"
+        link.faults.delay_s = 0.15 if kind == "peer_slow" else 0.0
+        await trio.sleep(length_s)
+        link.faults.cut_to_server = link.faults.cut_to_client = False
+        link.faults.delay_s = 0.0
+
     async def _harm_worker(self, kind: str, name: str, length_s: float) -> None:
         worker, link = self._platform.workers[name], self._links[name]
         if kind == "worker_reset":
--- a/src/acaciapier_standins/platform/store.py
+++ b/src/acaciapier_standins/platform/store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store: revisions, lists, watches and conditions."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -44,6 +45,8 @@
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._changed = trio.Event()
+        self.translate: Callable[[str, str, Any], Any] = lambda kind, name, spec: spec
+        """Changes what callers write, as a network that translates addresses does."""
 
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Create or replace an object; return its revision."""
@@ -151,7 +154,7 @@
         wanted = body["metadata"].get("rev")
         if known is not None and wanted not in (None, known["metadata"]["rev"]):
             return 409, known
-        self.put(kind, name, body["spec"])
+        self.put(kind, name, self.translate(kind, name, body["spec"]))
         return 200, self._objects[kind][name]
 
     def _note(self, kind: str, one: dict[str, Any], gone: bool) -> None:
