--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -225,7 +225,8 @@
         book.add(request)
         self._assign(service)
         try:
-            self._start_tick(service)
+            if book.waiting:
+                self._start_tick(service)
             return await grant.wait()
         except trio.Cancelled:
             book.cancel(request.permit)
