Take questions back from a dispatcher that seems lost

Cause: an instance that loses its dispatcher asks the next one. The former may live on (frozen for less than it takes to notice, cut one way): it then granted places to questions that nobody waits for and counted them for 30 s, and made pieces and kept room in chains for them. With 18 places at a small service, half a second of questions fills all of them.

Ruled out: shorter lives of places (a stream may hold one for 15 s).

A message that takes the question back is sent to the dispatcher that seems lost; a place is then freed, or its waiting request answered.

Before: test_a_place_asked_of_a_dispatcher_that_seemed_lost_is_free_again hangs. After: it passes.

--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import singledispatch
 
 import msgspec
 import trio
@@ -213,6 +214,8 @@
                     dispatcher=instance,
                     reason=str(error),
                 )
+                # It may live on and would count the work as wanted.
+                self._peers.send(instance, _withdrawal(message))
                 await trio.sleep(0.01)
                 continue
             if isinstance(answer, WorkRefused) and answer.cause == HANDED_OVER:
@@ -301,6 +304,23 @@
 }
 
 
+@singledispatch
+def _withdrawal(message: Message) -> Message:
+    """Return the message that takes a question to a dispatcher back."""
+    raise TypeError(f"{type(message).__name__} is no question to a dispatcher")
+
+
+@_withdrawal.register
+def _(message: AcquireWorker) -> Message:
+    return PermitEnded(message.service, message.permit, OUTCOME_CANCELLED, 0.0)
+
+
+@_withdrawal.register(EnterStages)
+@_withdrawal.register(RunPieces)
+def _(message: EnterStages | RunPieces) -> Message:
+    return CancelWork(message.service, message.attempt)
+
+
 def _refusal(answer: Message) -> Refused:
     if isinstance(answer, WorkRefused):
         return Refused(answer.cause, answer.retry_after_ms)
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -249,6 +249,7 @@
             return
         place = book.ended(message.permit)
         if place is None:
+            self._withdraw(book, message.permit)
             return
         now_s = self._clock.monotonic_s()
         if message.outcome == OUTCOME_DONE:
@@ -266,6 +267,13 @@
             )
         self._assign(message.service)
 
+    def _withdraw(self, book: PlaceBook, permit: str) -> None:
+        """Answer a request for a place that is not wanted any more."""
+        book.cancel(permit)
+        grant = self._grants.get(permit)
+        if grant is not None:
+            grant.give(None)
+
     async def free_results(self, peer: InstanceId, message: FreeResults) -> None:
         """Give up results."""
         feeder = self._feeder(message.service)
