Choose ports for processes below those of outgoing connections

One way to it is a port that an outgoing connection takes between its choice and the start of the process, which the tests of the gateway shared; they now choose from ports that the system does not give to outgoing connections, by one function.

--- a/src/acaciapier_bench/deployment.py
+++ b/src/acaciapier_bench/deployment.py
@@ -4,7 +4,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 import trio
 
 from acaciapier.objects import load_bundle
+from acaciapier_standins.ports import free_ports
 
 from .seeding import seed_configuration
 
@@ -342,6 +342,4 @@
 
 def free_port() -> int:
     """Return a TCP port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    return free_ports(HOST, 1)[0]
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -16,6 +16,7 @@
 from acaciapier.platform.workers import PEER_KIND
 from acaciapier_standins.platform.example import KINDS, ROUTES, services
 from acaciapier_standins.platform.platform import StandInPlatform, configuration
+from acaciapier_standins.ports import free_ports
 
 from .callers import HOST, Received, SoakCaller
 from .checker import check
@@ -129,7 +130,7 @@
                 await self._add_worker(f"{service}-{number}", service, kind)
         for number in range(self._plan.gateways):
             name = f"edge-{number + 1}"
-            self._ports[name] = tuple(_free_ports(3))
+            self._ports[name] = tuple(free_ports(HOST, 3))
             self._peer_links[name] = Link(self._ports[name][2])
             await nursery.start(self._peer_links[name].run)
             self._write_settings(name)
@@ -311,16 +312,6 @@
             process.wait()
 
 
-def _free_ports(count: int) -> list[int]:
-    sockets = [trio.socket.socket() for _ in range(count)]
-    for one in sockets:
-        one._sock.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def run_soak(plan: SoakPlan, folder: Path | None = None) -> SoakReport:
     """Run one soak; settings and logs stay in `folder` if one is given."""
     if folder is not None:
--- /dev/null
+++ b/src/acaciapier_standins/ports.py
@@ -0,0 +1,28 @@
+"""Ports for processes that are started later."""
+
+import random
+import socket
+
+PORTS = range(12_000, 32_000)
+"""Below the ports that the system gives to outgoing connections: one of these could
+take a port between its choice and the start of the process that listens there."""
+
+
+def free_ports(host: str, count: int) -> list[int]:
+    """Return different ports that nobody listens on now."""
+    chosen: list[int] = []
+    choice = random.SystemRandom()
+    while len(chosen) < count:
+        port = choice.choice(PORTS)
+        if port not in chosen and _is_free(host, port):
+            chosen.append(port)
+    return chosen
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -1,7 +1,6 @@
 """A gateway over the stand-in platform, and a raw caller."""
 
 import random
-import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -14,22 +13,12 @@
 from acaciapier.platform.settings import FLEET_KEY_VARIABLE, decode_settings
 from acaciapier_standins.platform.example import KINDS, ROUTES, services
 from acaciapier_standins.platform.platform import HOST, StandInPlatform, configuration
+from acaciapier_standins.ports import free_ports
 
 ENVIRONMENT = {FLEET_KEY_VARIABLE: "a-key-for-tests-only"}
 SERVICES = services(call_ms=5.0, item_ms=0.5)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 @dataclass
 class Answer:
     """What a caller received."""
@@ -114,7 +103,7 @@
     async def add_gateway(self, seeds: str = "") -> GatewayInstance:
         """Start one more gateway and wait until it is ready."""
         node = f"edge-{len(self.gateways) + 1}"
-        text = self.platform.settings_text(node, free_ports(3), seeds)
+        text = self.platform.settings_text(node, free_ports(HOST, 3), seeds)
         findings = Findings()
         settings = decode_settings(text, ENVIRONMENT, findings)
         findings.raise_if_any(node)
