Let a started instance decide for others after 4 s

Cause: a restarted instance that ranks first for a service was asked by each other one as soon as that had read of it in the list, which differs by up to 2 s while instances are restarted one after the other.

Ruled out: reading the list more often (calls of the store are priced, and the spread only shrinks).

Heartbeats tell how long an instance has run; one ranks behind the others until 4 s, when all have read of it, and all change to it at the same time.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -269,6 +269,7 @@
             self._stopping,
             self.dispatcher.service_waits(),
             self._follows_store(),
+            self.peers.uptime_ms,
         )
 
     def _follows_store(self) -> bool:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -38,6 +38,10 @@
 DOWN_BEAT_PERIOD_MS = 1_000.0
 """A peer that is down is asked less often."""
 
+SETTLED_AFTER_MS = 4_000.0
+"""An instance decides for a service only so long after its start, if there is another:
+by then all others have read of it in the list, and change to it at the same time."""
+
 MAX_BEAT_PEERS = 24
 """Peers that one instance asks; at more, the rest is known from the list alone."""
 
@@ -52,6 +56,9 @@
     stopping: bool = False
     heard: Beat | None = None
     next_beat_s: float = 0.0
+    settles_s: float = 0.0
+    """When it will have run long enough to decide for others."""
+    settled: bool = True
     calls: set[trio.CancelScope] = field(default_factory=set)
 
 
@@ -95,12 +102,19 @@
         self._make_beat = make_beat
         self._on_change = on_change
         self._peers: dict[InstanceId, Peer] = {}
+        self._start_s = clock.monotonic_s()
+        self._settled = False
 
     @property
     def records(self) -> list[PeerRecord]:
         """Records of all known peers."""
         return [peer.record for peer in self._peers.values()]
 
+    @property
+    def uptime_ms(self) -> float:
+        """Time since this instance's start."""
+        return (self._clock.monotonic_s() - self._start_s) * 1_000.0
+
     @property
     def live_count(self) -> int:
         """Number of instances that seem to live, this one included."""
@@ -118,11 +132,18 @@
             if known is None or known.record != record:
                 if known is not None:
                     self._drop(known)
-                self._peers[instance] = Peer(record)
+                self._peers[instance] = self._new_peer(record)
                 address = PeerAddress(record.host, record.port)
                 self._network.add_addresses({instance: address})
                 self._on_change("peer_listed", peer=instance, host=record.host)
 
+    def _new_peer(self, record: PeerRecord) -> Peer:
+        """Return a peer; one that is listed after this one's start is new."""
+        if not self._settled:
+            return Peer(record)
+        settles_s = self._clock.monotonic_s() + to_s(SETTLED_AFTER_MS)
+        return Peer(record, settles_s=settles_s, settled=False)
+
     def add_records(self, records: Iterable[PeerRecord]) -> None:
         """Take over instances that a peer knows, beside those known here."""
         known = {one.instance: one for one in self.records}
@@ -157,19 +178,24 @@
         return known
 
     def _make_rank(self, key: str, own_usable: bool) -> list[InstanceId]:
-        """Rank by hash, machines of little capacity behind all others."""
-        members = [p.record for one, p in self._peers.items() if self.is_up(one)]
+        """Rank by hash; machines of little capacity and new ones behind all others."""
+        members = [
+            (peer.settled, peer.record)
+            for one, peer in self._peers.items()
+            if self.is_up(one)
+        ]
         if own_usable:
-            members.append(self._own_record)
-        most = max((one.capacity for one in members), default=0.0)
+            members.append((self._settled, self._own_record))
+        most = max((one.capacity for _, one in members), default=0.0)
         members.sort(
-            key=lambda one: (
-                one.capacity >= LARGE_SHARE * most,
-                rendezvous_rank(key, one.instance),
+            key=lambda member: (
+                member[0],
+                member[1].capacity >= LARGE_SHARE * most,
+                rendezvous_rank(key, member[1].instance),
             ),
             reverse=True,
         )
-        return [one.instance for one in members]
+        return [one.instance for _, one in members]
 
     def note_stopping(self, instance: InstanceId) -> None:
         """Take over a peer's word that it stops."""
@@ -186,6 +212,11 @@
             return
         peer.missed = 0
         peer.heard = beat
+        left_ms = SETTLED_AFTER_MS - beat.uptime_ms
+        peer.settles_s = self._clock.monotonic_s() + to_s(left_ms)
+        if peer.settled != (left_ms <= 0):
+            peer.settled = left_ms <= 0
+            self._ranks.clear()
         if beat.stopping:
             self.note_stopping(instance)
         if not peer.up:
@@ -255,12 +286,23 @@
         """Exchange heartbeats until cancelled."""
         while True:
             now_s = self._clock.monotonic_s()
+            self.note_settled(now_s)
             for instance, peer in self._due(now_s):
                 period_ms = BEAT_PERIOD_MS if peer.up else DOWN_BEAT_PERIOD_MS
                 peer.next_beat_s = now_s + to_s(period_ms)
                 tasks.start_soon(self._beat, instance, peer)
             await trio.sleep(to_s(BEAT_PERIOD_MS / 4))
 
+    def note_settled(self, now_s: float) -> None:
+        """Let instances decide that have run long enough, this one included."""
+        new = [one for one in self._peers.values() if not one.settled]
+        for peer in new:
+            peer.settled = now_s >= peer.settles_s
+        own = self.uptime_ms >= SETTLED_AFTER_MS
+        if own != self._settled or any(one.settled for one in new):
+            self._settled = own
+            self._ranks.clear()
+
     def _due(self, now_s: float) -> list[tuple[InstanceId, Peer]]:
         peers = self._peers
         if len(peers) > MAX_BEAT_PEERS:
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -21,6 +21,7 @@
     stopping: bool
     waits: tuple[ServiceWait, ...] = ()
     follows_store: bool = False
+    uptime_ms: float = 0.0
 
 
 class FetchNews(Message, frozen=True):
