Keep refusals and their times to come back in one place

Three modules had a constant of the same name for the shortest time to come back, others bare numbers, and two the time to read a token. One copy of each, with where it comes from. No change of behaviour but the time named when a request was never sent (500 to 1,000 ms), which no path reaches.

--- a/src/acaciapier/gateway/dispatch/admission.py
+++ b/src/acaciapier/gateway/dispatch/admission.py
@@ -10,15 +10,13 @@
 from ...wire.messages.gateway import EnterStages, StagesEntered, WorkRefused
 from ..supervision import TaskSupervisor
 from .pending import Pending
+from .refusal import MIN_RETRY_MS
 from .stage_gate import GateEntry, StageGate
 
 TICK_MS = 25.0
 """Period in which waiting requests are looked at, also for hopeless ones: a sixth of
 the tightest aim."""
 
-MIN_RETRY_MS = 250.0
-"""Shortest time after which a refused request is asked back: about a call."""
-
 REPORT_PERIOD_MS = 1_000.0
 """Period of the line that tells the load of a chain, while requests wait."""
 
--- a/src/acaciapier/gateway/dispatch/desk.py
+++ b/src/acaciapier/gateway/dispatch/desk.py
@@ -9,7 +9,7 @@
 
 from ...core.clock import Clock, epoch_ms
 from ...core.ids import InstanceId
-from ...exceptions import AcaciapierError, PeerUnavailable
+from ...exceptions import PeerUnavailable
 from ...wire.messages.base import Message
 from ...wire.messages.gateway import (
     AcquireWorker,
@@ -30,6 +30,7 @@
 from ..models import Worker, WorkerId
 from ..peers import Peers
 from .dispatcher import HANDED_OVER, OUTCOME_CANCELLED, Dispatcher
+from .refusal import OTHER_WORKER_RETRY_MS, UNKNOWN_RETRY_MS, Refused
 
 MAX_HAND_OVERS = 5
 """Dispatchers asked for one piece of work before it is refused."""
@@ -41,23 +42,6 @@
 """How much longer than its work may wait a dispatcher is listened to."""
 
 
-class Refused(AcaciapierError):
-    """The fleet refused work; nothing of it ran.
-
-    Parameters
-    ----------
-    cause : str
-        Why.
-    retry_after_ms : float
-        When to come back.
-    """
-
-    def __init__(self, cause: str, retry_after_ms: float):
-        self.cause = cause
-        self.retry_after_ms = retry_after_ms
-        super().__init__(f"{cause}; retry after {retry_after_ms:.0f} ms")
-
-
 @dataclass(eq=False)
 class Permit:
     """A place at a worker that this instance holds."""
@@ -158,7 +142,7 @@
                 return permit
             avoid = (*message.avoid, answer.worker)
             message = msgspec.structs.replace(message, avoid=avoid)
-        raise Refused("worker_left", 300.0)
+        raise Refused("worker_left", OTHER_WORKER_RETRY_MS)
 
     def started(self, permit: Permit) -> None:
         """Tell that the first part of an answer has come."""
@@ -223,7 +207,7 @@
                     self._peers.note_stopping(instance)
                 continue
             return answer
-        return WorkRefused("no_dispatcher", 500.0)
+        return WorkRefused("no_dispatcher", UNKNOWN_RETRY_MS)
 
     async def _ask_one(
         self, instance: InstanceId, message: Message, left_ms: float
@@ -324,4 +308,4 @@
 def _refusal(answer: Message) -> Refused:
     if isinstance(answer, WorkRefused):
         return Refused(answer.cause, answer.retry_after_ms)
-    return Refused("unknown_answer", 500.0)
+    return Refused("unknown_answer", UNKNOWN_RETRY_MS)
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -30,6 +30,7 @@
 from .pending import Pending
 from .piece_groups import PieceGroup
 from .places import PERMIT_TTL_MS, Place, PlaceBook, PlaceRequest
+from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .repeats import RepeatBudget
 from .stage_feeder import StageFeeder
 
@@ -39,9 +40,6 @@
 WAITS_PERIOD_MS = 100.0
 """Period in which the waits that heartbeats tell are worked out: half of a beat."""
 
-MIN_RETRY_MS = 250.0
-"""Shortest time after which a refused request is asked back."""
-
 HANDED_OVER = "handed_over"
 """Cause that tells an instance to ask the next dispatcher at once."""
 
@@ -112,7 +110,7 @@
             return WorkRefused(HANDED_OVER, 0.0)
         feeder = self._feeder(message.service)
         if feeder is None:
-            return WorkRefused("unknown_service", 1_000.0)
+            return WorkRefused("unknown_service", NO_WORKER_RETRY_MS)
         admission = self._admissions.get(message.service)
         if admission is None:
             admission = self._admissions[message.service] = StageAdmission(
@@ -130,7 +128,7 @@
             return WorkRefused(HANDED_OVER, 0.0)
         feeder = self._feeder(message.service)
         if feeder is None:
-            return WorkRefused("unknown_service", 1_000.0)
+            return WorkRefused("unknown_service", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
         group = PieceGroup(
             owner=peer,
@@ -189,13 +187,13 @@
         book = self._book(message.service)
         workers = self._catalogue.workers_of(ServiceName(message.service))
         if book is None or not workers:
-            return WorkRefused("no_worker", 1_000.0)
+            return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
         budget = self._budget(message.service)
         if not message.repeat:
             budget.note_first(now_s)
         elif not budget.spend(now_s):
-            return WorkRefused("repeat_budget", 1_000.0)
+            return WorkRefused("repeat_budget", NO_WORKER_RETRY_MS)
         request = PlaceRequest(
             permit=message.permit,
             owner=peer,
--- a/src/acaciapier/gateway/dispatch/places.py
+++ b/src/acaciapier/gateway/dispatch/places.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from ..models import ServiceRule, Worker
+from ..stage_times import READ_MS_PER_TOKEN
 from .health import WorkerHealth
 
 DEFAULT_TOKEN_MS = 0.015
@@ -41,9 +42,6 @@
 FIRST_PART_MS = 100.0
 """Time from an idle engine's start to the first part of its answer, beside reading."""
 
-READ_MS_PER_TOKEN = 0.011
-"""Time in which an engine reads a prompt token, by the users' sheets."""
-
 BESIDE_MS = 0.25
 """What a request that runs beside it adds to the first part: four steps, each longer
 by a twentieth of a ms."""
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -7,13 +7,11 @@
 from ..core.clock import Clock, to_s
 from ..core.ids import Fingerprint
 from ..wire.messages.gateway import EnterStages, RunPieces
-from .dispatch.desk import Desk, Refused
+from .dispatch.desk import Desk
+from .dispatch.refusal import MIN_RETRY_MS, Refused
 from .models import RequestTerms, RouteRule, ServiceName
 from .stage_times import StageTimes, StageWindow, longest_ms
 
-MIN_RETRY_MS = 250.0
-"""Shortest time after which a refused request is asked back: about a call."""
-
 
 class StageRun:
     """Runs the stages of one request.
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -10,7 +10,8 @@
 from ..policy.subset import rendezvous_rank
 from ..wire.messages.gateway import AcquireWorker
 from .catalogue import Catalogue
-from .dispatch.desk import Desk, Permit, Refused
+from .dispatch.desk import Desk, Permit
+from .dispatch.refusal import NO_WORKER_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
 from .models import RequestKind
 from .pipeline import StageRun
 from .request_state import (
@@ -229,13 +230,13 @@
         """Run the stages and then the request, on another worker if one fails."""
         if state.route.stages:
             await self._run_stages(state)
-        last = Refused("no_worker", 500.0)
+        last = Refused("no_worker", NO_WORKER_RETRY_MS)
         while state.sends < MAX_SENDS:
             permit = await self._acquire(state)
             try:
                 return await self._workers.send(state, exchange, permit)
             except NotRunThere as refusal:
-                last = Refused(refusal.cause, 300.0)
+                last = Refused(refusal.cause, OTHER_WORKER_RETRY_MS)
                 if refusal.inputs_gone:
                     state.stages.release()
                     await self._run_stages(state)
@@ -249,7 +250,7 @@
                     runs=state.runs,
                     after_event=state.events.last_id,
                 )
-                last = Refused(failed.cause, 300.0)
+                last = Refused(failed.cause, OTHER_WORKER_RETRY_MS)
             finally:
                 self._desk.end(permit)
         raise last
