--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -25,6 +25,10 @@
 RECOVERY_S = 4.0
 """Time after the last fault in which the deployment recovers."""
 
+START_S, START_S_EACH = 20.0, 1.5
+"""Time in which all gateways are ready, and what each adds: it takes about a second of
+a processor, which it shares with the others."""
+
 RESTART_AFTER_S = 0.3
 """Pause after which the platform starts a process again."""
 
@@ -135,7 +139,7 @@
             await nursery.start(self._peer_links[name].run)
             self._write_settings(name)
             self._start_gateway(name)
-        with trio.fail_after(20.0):
+        with trio.fail_after(START_S + START_S_EACH * self._plan.gateways):
             for name in self._ports:
                 while not await self._is_ready(name):
                     await trio.sleep(0.1)
