--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -84,3 +84,16 @@
     report = run_soak(SoakPlan(seed=4, seconds=5.0, gateways=3, callers=5))
     assert report.broken == []
     assert report.records
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # Watches that an outage of the store swallowed were not started again when
+        # it was back: a draining worker got requests for 5.5 s.
+        141,
+    ],
+)
+def test_seeds_that_failed_before_keep_all_promises(seed):
+    report = run_soak(SoakPlan(seed))
+    assert report.broken == []
