--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -16,11 +16,10 @@
 is not known here, so a usual one stands for it."""
 
 LEAST_PATIENCE_MS = 2_000.0
-"""Callers wait for a stream's first event at least so long."""
+"""Callers wait for a stream's first event at least so long, by the users' protocol."""
 
 OBJECTIVES_WAITED, PAUSES_WAITED = 4.0, 8.0
-"""Objectives, or longest pauses, for which callers wait for a stream's first event;
-with the former from the users' page on callers."""
+"""The same in objectives and in longest pauses; the longest of the three counts."""
 
 
 def caller_patience_ms(route: RouteRule, deadline_ms: float) -> float:
--- a/src/acaciapier_standins/ports.py
+++ b/src/acaciapier_standins/ports.py
@@ -7,7 +7,6 @@
 """Below the ports that the system gives to outgoing connections: one of these could
 take a port between its choice and the start of the process that listens there."""
 
-
 _given: set[int] = set()
 """Ports that were returned before: the process for one may not have started yet."""
 
