--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -5,11 +5,24 @@
 from acaciapier_standins.platform.example import services
 from acaciapier_standins.platform.platform import configuration, route
 
-from .support import ROUTES, SERVICES, Caller, deployment
+from .support import ROUTES, SERVICES, Answer, Caller, deployment
 
 EVENTS = b"".join(f"id: {n}\ndata: a1 {n}\n\n".encode() for n in range(1, 5))
 
 
+async def ask_staged(caller: Caller, counts: str, **headers: str) -> Answer:
+    """Ask for a stream with two stages of so many pieces each."""
+    return await caller.ask(
+        "POST",
+        "/staged/1",
+        b"{}",
+        Attempt_Id="a1",
+        Chunk_Count=counts,
+        Chunk_Key="k",
+        **headers,
+    )
+
+
 async def test_a_plain_answer_comes_unchanged():
     async with deployment() as world:
         caller = world.caller()
@@ -33,14 +46,7 @@
 
 async def test_a_stream_with_stages_is_forwarded_and_its_results_are_freed():
     async with deployment(gateways=2) as world:
-        answer = await world.caller().ask(
-            "POST",
-            "/staged/1",
-            b"{}",
-            Attempt_Id="a1",
-            Chunk_Count="2,3",
-            Chunk_Key="k",
-        )
+        answer = await ask_staged(world.caller(), "2,3")
         assert (answer.status, answer.body) == (200, EVENTS)
         made = world.platform.book.pieces
         assert sorted(key[1:] for key in made) == [
@@ -161,15 +167,7 @@
             lambda: world.gateways[0].catalogue.configuration.version == 2
         )
         with trio.fail_after(1.0):
-            answer = await world.caller().ask(
-                "POST",
-                "/staged/1",
-                b"{}",
-                Attempt_Id="a1",
-                Chunk_Count="1,1",
-                Chunk_Key="k",
-                Deadline_Ms="9000",
-            )
+            answer = await ask_staged(world.caller(), "1,1", Deadline_Ms="9000")
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
         assert not world.platform.book.pieces
@@ -327,14 +325,7 @@
         index = [one.settings.instance for one in world.gateways].index(victim)
         asker = (index + 1) % 3
         world.gateways[index].network._nursery.cancel_scope.cancel()
-        answer = await world.caller(asker).ask(
-            "POST",
-            "/staged/1",
-            b"{}",
-            Attempt_Id="a1",
-            Chunk_Count="1,1",
-            Chunk_Key="k",
-        )
+        answer = await ask_staged(world.caller(asker), "1,1")
         assert (answer.status, answer.body) == (200, EVENTS)
 
 
@@ -368,14 +359,7 @@
     async with deployment() as world:
         world.gateways[0].app.stop()
         await world.until(lambda: world.gateways[0].dispatcher.stopping)
-        answer = await world.caller().ask(
-            "POST",
-            "/staged/1",
-            b"{}",
-            Attempt_Id="a1",
-            Chunk_Count="1,1",
-            Chunk_Key="k",
-        )
+        answer = await ask_staged(world.caller(), "1,1")
         assert (answer.status, answer.body) == (200, EVENTS)
 
 
