--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -1,8 +1,12 @@
 """Newest configuration and worker table that an instance knows.
 
-All revisions of the platform's store come from one counter. Data from the store and
-from other instances is therefore ordered by revision, and older data never replaces
-newer data.
+Data from the store and from other instances is ordered by the store's position, which
+is its term and its revision, and older data never replaces newer data. A store that was
+restored shows a copy that is some seconds old. Therefore:
+
+- configurations are ordered by their version first;
+- a worker that has left or is draining stays so, and one that the copy lacks is kept,
+  until the workers have had time to write their entries again.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -10,14 +14,29 @@
 import msgspec
 import xxhash
 
-from ..core.clock import Clock
-from .models import GatewayConfiguration, ServiceName, Worker, WorkerId, WorkerState
+from ..core.clock import Clock, to_s
+from .models import (
+    NO_POSITION,
+    GatewayConfiguration,
+    ServiceName,
+    StorePosition,
+    Worker,
+    WorkerId,
+    WorkerState,
+)
 
 EXPIRED_WORKER_GRACE_MS = 1_700.0
 """Workers whose entries expired during a store outage register again within 2,000 ms
 of its end. The grace period is shorter by the time in which the last request sent still
 arrives."""
 
+RESTORE_WINDOW_MS = 5_000.0
+"""Time in a new term in which the worker table may still show the copy: until the
+entries of ended workers have expired, which takes three of their heartbeats."""
+
+MAX_REMEMBERED_WORKERS = 5_000
+"""Number of workers that have left, or are leaving, which an instance remembers."""
+
 
 class Catalogue:
     """Holds the newest known configuration and workers.
@@ -39,9 +58,11 @@
         on_change: Callable[..., None] = lambda *args, **fields: None,
     ):
         self.configuration: GatewayConfiguration | None = None
-        self.configuration_revision = 0
+        self.configuration_position = NO_POSITION
         self.configuration_source = b""
-        self.workers_revision = 0
+        self.workers_position = NO_POSITION
+        self.first_term = 0
+        """First term of the store that was seen here."""
         self.workers_digest = 0
         self.workers: dict[WorkerId, Worker] = {}
         self._clock = clock
@@ -49,12 +70,27 @@
         self._on_change = on_change
         self._by_service: dict[ServiceName, tuple[Worker, ...]] = {}
         self._data_centres: dict[str, str] = {}
-        self._expired_since_s: dict[WorkerId, float] = {}
+        self._kept_until_s: dict[WorkerId, float] = {}
+        """Until when workers are kept whose entries may be written again."""
+        self._leaving: dict[str, str] = {}
+        """Addresses of workers that announced their shutdown in an answer, by the key
+        of their incarnation; oldest first."""
+        self._gone: dict[str, str] = {}
+        """Keys of incarnations whose entries were removed; oldest first."""
+        self._restored_until_s = 0.0
+        """End of the restore window of the current term."""
+        self._unsettled = False
+        """Whether no list was applied since the last restore window ended."""
 
     @property
     def complete(self) -> bool:
         """Whether a configuration and workers are known."""
-        return self.configuration is not None and self.workers_revision > 0
+        return self.configuration is not None and self.workers_position > NO_POSITION
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if none is known."""
+        return self.configuration.version if self.configuration is not None else 0
 
     def workers_of(self, service: ServiceName) -> tuple[Worker, ...]:
         """Return the ready workers of a service, sorted by id."""
@@ -67,37 +103,56 @@
 
     def usable(self, worker: Worker) -> bool:
         """Return whether this incarnation of a worker is still listed as ready."""
-        known = self.workers.get(worker.id)
+        known = self.workers.get(WorkerId(worker.id))
         return (
             known is not None
             and known.key == worker.key
             and known.state is WorkerState.READY
         )
 
-    def update_configuration(self, revision: int, source: bytes, origin: str) -> bool:
-        """Replace the configuration if `revision` is newer; return whether it was.
+    def has_newer_configuration(self, version: int, position: StorePosition) -> bool:
+        """Return whether a configuration is newer than the one in force."""
+        return (version, position) > (self.version, self.configuration_position)
+
+    def update_configuration(
+        self, position: StorePosition, source: bytes, origin: str
+    ) -> bool:
+        """Replace the configuration if the given one is newer; return whether it was.
 
         `source` is the stored JSON form, and `origin` names the sender for the log.
         """
-        if revision <= self.configuration_revision:
+        if source == self.configuration_source:
+            self.configuration_position = max(position, self.configuration_position)
             return False
         try:
             decoded = self._decode(msgspec.json.decode(source))
         except (ValueError, msgspec.MsgspecError) as error:
             self._on_change(
                 "configuration_unreadable",
-                revision=revision,
+                term=position.term,
+                revision=position.revision,
                 origin=origin,
                 error=str(error),
             )
             return False
+        if not self.has_newer_configuration(decoded.version, position):
+            self._on_change(
+                "configuration_outdated",
+                version=decoded.version,
+                in_force=self.version,
+                term=position.term,
+                revision=position.revision,
+                origin=origin,
+            )
+            return False
+        self.configuration_position = position
         self.configuration = decoded
-        self.configuration_revision = revision
         self.configuration_source = source
         self._on_change(
             "configuration_in_force",
             version=decoded.version,
-            revision=revision,
+            term=position.term,
+            revision=position.revision,
             origin=origin,
             routes=len(decoded.routes),
         )
@@ -105,100 +160,174 @@
 
     def update_workers(
         self,
-        revision: int,
+        position: StorePosition,
         workers: Iterable[Worker],
         origin: str,
         after_outage: bool = False,
     ) -> bool:
-        """Replace all workers if `revision` is newer; return whether it was.
+        """Replace all workers if `position` is newer; return whether it was.
 
         With `after_outage`, ready workers that are missing from the list are kept for
         a grace period, since their entries may have expired during the outage.
         """
-        if revision <= self.workers_revision:
+        self._begin_term(position)
+        if position < self.workers_position:
+            return False
+        if position == self.workers_position and not self._unsettled:
             return False
+        restored = self._restored
+        self._unsettled = restored
         listed = {WorkerId(worker.id): worker for worker in workers}
         missing = [
             worker for worker in self.workers.values() if worker.id not in listed
         ]
         for worker in missing:
-            self._remove(worker, after_outage, origin, revision)
+            self._remove(worker, after_outage or restored, origin, position)
         for worker in listed.values():
-            self._put(worker, origin, revision)
-        self._update_indexes(revision)
+            if not (restored and self._is_outdated(worker)):
+                self._put(worker, origin, position)
+        self._update_indexes(position)
         return True
 
     def apply_worker_changes(
         self,
-        revision: int,
+        position: StorePosition,
         changes: Iterable[tuple[WorkerId, Worker | None]],
         origin: str,
         after_outage: bool = False,
     ) -> None:
-        """Apply changes up to `revision`; None marks a removed entry."""
+        """Apply changes up to `position`; None marks a removed entry.
+
+        Changes of an earlier term than the known one are ignored.
+        """
+        self._begin_term(position)
+        if position.term < self.workers_position.term:
+            return
         for worker_id, worker in changes:
             if worker is not None:
-                self._put(worker, origin, revision)
+                self._put(worker, origin, position)
             elif worker_id in self.workers:
-                self._remove(self.workers[worker_id], after_outage, origin, revision)
-        self._update_indexes(max(revision, self.workers_revision))
+                self._remove(self.workers[worker_id], after_outage, origin, position)
+        self._update_indexes(max(position, self.workers_position))
 
     def record_draining(self, worker: Worker, origin: str) -> None:
-        """Mark a worker as draining after it announced its shutdown in an answer."""
+        """Mark a worker as draining until the store or a peer has newer data."""
         if self.usable(worker):
-            leaving = msgspec.structs.replace(worker, state=WorkerState.DRAINING)
-            self._put(leaving, origin, self.workers_revision)
-            self._update_indexes(self.workers_revision)
+            draining = msgspec.structs.replace(worker, state=WorkerState.DRAINING)
+            self._put(draining, origin, self.workers_position)
+            self._update_indexes(self.workers_position)
+
+    def record_leaving(self, worker: Worker, origin: str) -> bool:
+        """Record that a worker announced its shutdown; return whether that is news.
 
-    def _put(self, worker: Worker, origin: str, revision: int) -> None:
+        This incarnation is not used again, whatever the store or peers still list.
+        """
+        if self._is_leaving(worker):
+            return False
+        _remember(self._leaving, worker.key, worker.address)
+        self.record_draining(worker, origin)
+        return True
+
+    def _is_leaving(self, worker: Worker) -> bool:
+        address = self._leaving.get(worker.key)
+        if worker.started_ms:
+            return address is not None
+        # Without a start time, another incarnation is known by its address.
+        return address == worker.address
+
+    def _begin_term(self, position: StorePosition) -> None:
+        """Start the restore window if `position` is the first one of a new term."""
+        if position.term <= self.workers_position.term:
+            return
+        if self.workers_position == NO_POSITION:
+            self.first_term = position.term
+            return
+        self._restored_until_s = self._clock.monotonic_s() + to_s(RESTORE_WINDOW_MS)
+        self._on_change(
+            "workers_restored",
+            term=position.term,
+            revision=position.revision,
+            previous_term=self.workers_position.term,
+            previous_revision=self.workers_position.revision,
+        )
+
+    @property
+    def _restored(self) -> bool:
+        """Whether the store may still list workers as they were in its copy."""
+        return self._clock.monotonic_s() < self._restored_until_s
+
+    def _is_outdated(self, worker: Worker) -> bool:
+        """Return whether a restored entry is older than what is known of its worker."""
         known = self.workers.get(WorkerId(worker.id))
-        self._expired_since_s.pop(WorkerId(worker.id), None)
-        self.workers[WorkerId(worker.id)] = worker
+        if known is None:
+            return worker.key in self._gone
+        if worker.started_ms < known.started_ms:
+            self._keep_for_now(WorkerId(worker.id))
+            return True
+        return worker.key == known.key and known.state is WorkerState.DRAINING
+
+    def _put(self, worker: Worker, origin: str, position: StorePosition) -> None:
+        worker_id = WorkerId(worker.id)
+        known = self.workers.get(worker_id)
+        self._kept_until_s.pop(worker_id, None)
+        self._gone.pop(worker.key, None)
+        if worker.state is WorkerState.READY and self._is_leaving(worker):
+            worker = msgspec.structs.replace(worker, state=WorkerState.DRAINING)
+        self.workers[worker_id] = worker
         if known is None or (known.state, known.key) != (worker.state, worker.key):
             self._on_change(
                 "worker_" + worker.state.value,
                 worker=worker.id,
                 service=worker.service,
                 started_ms=worker.started_ms,
-                revision=revision,
+                term=position.term,
+                revision=position.revision,
                 origin=origin,
             )
 
     def _remove(
-        self, worker: Worker, after_outage: bool, origin: str, revision: int
+        self, worker: Worker, may_return: bool, origin: str, position: StorePosition
     ) -> None:
         worker_id = WorkerId(worker.id)
-        if after_outage and worker.state is WorkerState.READY:
-            if worker_id not in self._expired_since_s:
-                self._expired_since_s[worker_id] = self._clock.monotonic_s()
+        if may_return and worker.state is WorkerState.READY:
+            self._keep_for_now(worker_id)
             return
-        self._expired_since_s.pop(worker_id, None)
+        self._kept_until_s.pop(worker_id, None)
         del self.workers[worker_id]
+        _remember(self._gone, worker.key, "")
         self._on_change(
             "worker_gone",
             worker=worker.id,
             service=worker.service,
-            revision=revision,
+            term=position.term,
+            revision=position.revision,
             origin=origin,
         )
 
+    def _keep_for_now(self, worker_id: WorkerId) -> None:
+        """Keep a worker, if it is known, until its entry may no longer come back."""
+        if worker_id in self.workers and worker_id not in self._kept_until_s:
+            now_s = self._clock.monotonic_s()
+            self._kept_until_s[worker_id] = now_s + to_s(EXPIRED_WORKER_GRACE_MS)
+
     def _remove_expired(self) -> None:
-        if not self._expired_since_s:
+        if not self._kept_until_s:
             return
-        oldest_s = self._clock.monotonic_s() - EXPIRED_WORKER_GRACE_MS / 1_000.0
+        now_s = self._clock.monotonic_s()
         expired = [
             worker_id
-            for worker_id, since_s in self._expired_since_s.items()
-            if since_s <= oldest_s
+            for worker_id, until_s in self._kept_until_s.items()
+            if until_s <= now_s
         ]
         for worker_id in expired:
-            self._remove(self.workers[worker_id], False, "lapse", self.workers_revision)
+            worker = self.workers[worker_id]
+            self._remove(worker, False, "lapse", self.workers_position)
         if expired:
-            self._update_indexes(self.workers_revision)
+            self._update_indexes(self.workers_position)
 
-    def _update_indexes(self, revision: int) -> None:
-        """Set the revision and rebuild the indexes and digest of the worker table."""
-        self.workers_revision = revision
+    def _update_indexes(self, position: StorePosition) -> None:
+        """Set the position and rebuild the indexes and digest of the worker table."""
+        self.workers_position = position
         by_service: dict[ServiceName, list[Worker]] = {}
         for worker in self.workers.values():
             if worker.state is WorkerState.READY:
@@ -213,6 +342,13 @@
         self.workers_digest = _digest(self.workers)
 
 
+def _remember(memory: dict[str, str], key: str, value: str) -> None:
+    """Add an entry to a bounded memory and drop the oldest one if it is full."""
+    memory[key] = value
+    if len(memory) > MAX_REMEMBERED_WORKERS:
+        del memory[next(iter(memory))]
+
+
 def _digest(workers: Mapping[WorkerId, Worker]) -> int:
     """Return a hash by which instances compare their worker tables."""
     keys = sorted((worker.key, worker.state.value) for worker in workers.values())
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -41,6 +41,7 @@
 from .followers import StoreFollowers
 from .models import InputLimits, PeerRecord
 from .observing import RequestObserver, StructuredLog
+from .peer_sync import PeerSync
 from .peers import Peers
 from .relay import Relay
 from .request_quarantine import RequestQuarantine
@@ -48,7 +49,7 @@
 from .stage_client import StageClient
 from .status_server import StatusServer
 from .supervision import TaskSupervisor, run_forever
-from .sync import PeerSync, StoreSync
+from .sync import StoreSync
 from .worker_exchange import WorkerExchange
 
 LISTEN_BACKLOG = 1_024
@@ -188,7 +189,9 @@
             self._random,
             self.observer,
         )
-        self.store = PlatformStore(settings.store.address, self.metrics.gateway_store)
+        self.store = PlatformStore(
+            settings.store.address, self.metrics.gateway_store, self.log.write
+        )
         self.sync = StoreSync(
             self.store,
             self.catalogue,
@@ -267,13 +270,16 @@
 
     def _make_heartbeat(self) -> Heartbeat:
         return Heartbeat(
-            self.catalogue.configuration_revision,
-            self.catalogue.workers_revision,
+            self.catalogue.configuration_position.revision,
+            self.catalogue.workers_position.revision,
             self.catalogue.workers_digest,
             self._stopping,
             self.dispatcher.service_waits(),
             self._follows_store(),
             self.peers.uptime_ms,
+            self.catalogue.configuration_position.term,
+            self.catalogue.workers_position.term,
+            self.catalogue.version,
         )
 
     def _follows_store(self) -> bool:
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NewType
+from typing import NamedTuple, NewType
 
 import msgspec
 
@@ -18,6 +18,21 @@
 """Reference to a stage result: the address of the worker that stores it, and a name."""
 
 
+class StorePosition(NamedTuple):
+    """Point in the history of the platform's store, ordered by term and revision.
+
+    The store starts a new term when it is restored from a copy. Revisions then go back,
+    and those after the copy are assigned again.
+    """
+
+    term: int
+    revision: int
+
+
+NO_POSITION = StorePosition(0, 0)
+"""Position of an instance that has read nothing from the store."""
+
+
 class RequestKind(Enum):
     """Whether a request may be retried, and whether its response is a stream."""
 
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -1,7 +1,6 @@
-"""Synchronization of configuration, workers and instances with the store and peers."""
+"""Synchronization of configuration, workers and instances with the store."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import asdict
 
 import msgspec
 import trio
@@ -9,7 +8,6 @@
 from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId
 from ..exceptions import (
-    PeerUnavailable,
     StoreError,
     VersionConflict,
     WatchCompacted,
@@ -17,19 +15,10 @@
 from ..platform import configuration as configuration_format
 from ..platform import workers as worker_format
 from ..platform.store import PlatformStore, Snapshot, StoredObject
-from ..wire.messages.gateway import (
-    FetchUpdates,
-    Heartbeat,
-    PeerEntry,
-    PeerUpdates,
-    WorkerEntry,
-)
-from .catalogue import Catalogue
+from .catalogue import RESTORE_WINDOW_MS, Catalogue
 from .followers import StoreFollowers
-from .models import PeerRecord, Worker, WorkerId
+from .models import NO_POSITION, PeerRecord, StorePosition, Worker, WorkerId
 from .peers import Peers
-from .settings import Address
-from .supervision import TaskSupervisor
 
 WATCH_WAIT_MS = 3_000
 """Time for which the store may hold a watch open; longer watches save calls, each of
@@ -63,6 +52,16 @@
 REGISTER_PERIOD_MS = 5_000.0
 """Period of checking that this instance's own entry is still in the list."""
 
+REGISTER_DELAY_MS = 300.0
+"""Time after a restore of the store in which its list of instances is read."""
+
+KINDS = (
+    configuration_format.OBJECT_KIND,
+    worker_format.WORKER_KIND,
+    worker_format.PEER_KIND,
+)
+"""Kinds of objects that an instance follows."""
+
 SWEEPER_COUNT = 2
 """Instances that remove the entry of a dead one: the first in rank, and one more."""
 
@@ -70,25 +69,6 @@
 """Delays after consecutive failures of the store, jittered so that the instances of a
 fleet do not retry at the same time."""
 
-FETCH_DELAY_MS = 150.0
-"""Delay before a fetch from a peer, in which the watch of the store usually delivers
-the same change."""
-
-CONFIGURATION_FETCH_DELAY_MS = 700.0
-"""Time in which the watch of the store delivers a large configuration over a slow link.
-It is fetched from a peer only after that: sending a megabyte to each of 80 machines
-would saturate the links of the dispatchers."""
-
-CONFIGURATION_FETCH_TIMEOUT_MS = 2_000.0
-"""Time for the transfer of a large configuration from a peer over a slow link."""
-
-JOIN_PERIOD_MS = 400.0
-"""Period of requests to the seeds; the store usually answers a starting instance within
-this time, so that none is needed."""
-
-FETCH_TIMEOUT_MS = 500.0
-"""A healthy peer answers in a few milliseconds."""
-
 DEAD_AFTER_MS = 12_000.0
 """Time after which an unreachable instance is removed from the list: longer than a
 restart, a process freeze or a network partition usually lasts."""
@@ -156,8 +136,16 @@
         self._unreachable_since_s: float | None = None
         self._outage_end_s = 0.0
         self._watches: dict[str, trio.CancelScope] = {}
-        self._records: dict[str, tuple[int, PeerRecord]] = {}
-        self._unreadable: set[tuple[str, int]] = set()
+        self._kinds_to_list: set[str] = set()
+        """Kinds that must be listed again before they are watched further."""
+        self._restored = trio.Event()
+        """Set, and replaced, when the store has been restored from a copy."""
+        self._restored_until_s = 0.0
+        self._records: dict[str, tuple[StorePosition, PeerRecord]] = {}
+        """Instances with the position of their entries; `NO_POSITION` for those that a
+        restored store does not list."""
+        self._unreadable: set[tuple[str, StorePosition]] = set()
+        store.on_new_term = self._handle_new_term
 
     async def run(self) -> None:
         """Follow all kinds of objects until cancelled."""
@@ -174,6 +162,7 @@
                 nursery.start_soon(self._follow, kind, apply, pause_ms)
             nursery.start_soon(self._register)
             nursery.start_soon(self._sweep_peers)
+            nursery.start_soon(self._list_after_restores)
 
     async def leave(self) -> None:
         """Remove this instance's entry; if that fails, peers remove it later."""
@@ -193,58 +182,60 @@
     ) -> None:
         """List a kind of objects and then watch it; list it again after a failure."""
         failures = 0
-        revision = None
+        position = None
         while True:
             try:
-                if revision is None:
+                if position is None:
+                    self._kinds_to_list.discard(kind)
                     snapshot = await self._store.list(kind)
                     self._record_reachable(kind)
                     apply(snapshot, True)
                 else:
                     if kind != configuration_format.OBJECT_KIND:
-                        await self._wait_between_polls()
-                    snapshot = await self._watch(kind, revision)
+                        await self._wait_between_polls(kind)
+                    snapshot = await self._watch(kind, position)
                     if snapshot is None:
-                        revision = None
+                        position = None
                         continue
                     self._record_reachable(kind)
                     if snapshot.objects:
                         apply(snapshot, False)
-                        await trio.sleep(to_s(pause_ms) * self._jitter())
-                revision = max(snapshot.revision, revision or 0)
+                        await self._sleep_until_restored(pause_ms)
+                position = max(snapshot.position, position or NO_POSITION)
                 failures = 0
             except WatchCompacted:
-                self._log("watch_compacted", kind=kind, revision=revision)
-                revision = None
+                self._log("watch_compacted", kind=kind, revision=position.revision)
+                position = None
             except StoreError as error:
                 self._record_unreachable(kind, str(error))
                 # Continue with a list. The store answers it at once, so if it is still
                 # unresponsive, this is detected sooner than with a watch.
-                revision = None
+                position = None
                 wait_ms = RETRY_DELAYS_MS[min(failures, len(RETRY_DELAYS_MS) - 1)]
                 failures += 1
                 await trio.sleep(to_s(wait_ms) * self._jitter())
 
-    async def _watch(self, kind: str, revision: int) -> Snapshot | None:
-        """Return the next changes, or None if an outage of the store ended meanwhile.
+    async def _watch(self, kind: str, position: StorePosition) -> Snapshot | None:
+        """Return the next changes, or None if the kind must be listed again.
 
         A watch that was started before the end of an outage may never be answered.
         """
         with trio.CancelScope() as scope:
             self._watches[kind] = scope
             try:
-                return await self._store.watch(
-                    kind, revision, self._watch_wait_ms(kind)
-                )
+                if kind not in self._kinds_to_list:
+                    return await self._store.watch(
+                        kind, position, self._watch_wait_ms(kind)
+                    )
             finally:
                 self._watches.pop(kind, None)
-        self._log("watch_restarted", kind=kind, revision=revision)
+        self._log("watch_restarted", kind=kind, revision=position.revision)
         return None
 
-    async def _wait_between_polls(self) -> None:
+    async def _wait_between_polls(self, kind: str) -> None:
         """Wait until the next poll is due or this instance must follow the store."""
         end_s = self._clock.monotonic_s() + to_s(POLL_PERIOD_MS) * self._jitter()
-        while not self._followers.should_follow():
+        while not self._followers.should_follow() and kind not in self._kinds_to_list:
             if self._clock.monotonic_s() >= end_s:
                 break
             await trio.sleep(to_s(FOLLOWER_CHECK_PERIOD_MS))
@@ -263,36 +254,39 @@
         for stored in snapshot.objects:
             if stored.name == configuration_format.OBJECT_NAME and not stored.deleted:
                 source = msgspec.json.encode(stored.value)
-                self._catalogue.update_configuration(stored.revision, source, "store")
+                self._catalogue.update_configuration(
+                    snapshot.position_of(stored), source, "store"
+                )
 
     def _apply_workers(self, snapshot: Snapshot, full: bool) -> None:
         workers: list[tuple[WorkerId, Worker | None]] = []
         for stored in snapshot.objects:
-            worker = None if stored.deleted else self._decode_worker(stored)
+            worker = None if stored.deleted else self._decode_worker(snapshot, stored)
             if worker is not None or stored.deleted:
                 workers.append((WorkerId(stored.name), worker))
         after_outage = self._after_outage()
         if full:
             listed = [worker for _, worker in workers if worker is not None]
             self._catalogue.update_workers(
-                snapshot.revision, listed, "store", after_outage
+                snapshot.position, listed, "store", after_outage
             )
         else:
             self._catalogue.apply_worker_changes(
-                snapshot.revision, workers, "store", after_outage
+                snapshot.position, workers, "store", after_outage
             )
         self._on_workers()
 
-    def _decode_worker(self, stored: StoredObject) -> Worker | None:
+    def _decode_worker(self, snapshot: Snapshot, stored: StoredObject) -> Worker | None:
         try:
             return worker_format.decode_worker(stored.name, stored.value)
         except ValueError as error:
-            self._log_unreadable(stored, error)
+            self._log_unreadable(snapshot, stored, error)
             return None
 
     def _apply_peers(self, snapshot: Snapshot, full: bool) -> None:
+        known = self._records
         if full:
-            self._records.clear()
+            self._records = {}
         for stored in snapshot.objects:
             if stored.deleted:
                 self._records.pop(stored.name, None)
@@ -300,15 +294,35 @@
             try:
                 record = worker_format.decode_peer(stored.name, stored.value)
             except ValueError as error:
-                self._log_unreadable(stored, error)
+                self._log_unreadable(snapshot, stored, error)
                 continue
-            self._records[stored.name] = (stored.revision, record)
+            self._records[stored.name] = (snapshot.position_of(stored), record)
+        if full and self._clock.monotonic_s() < self._restored_until_s:
+            self._keep_live_records(known)
         self._peers.set_records(record for _, record in self._records.values())
 
-    def _log_unreadable(self, stored: StoredObject, error: ValueError) -> None:
-        """Log an entry that cannot be decoded, once per revision."""
-        if (stored.name, stored.revision) not in self._unreadable:
-            self._unreadable.add((stored.name, stored.revision))
+    def _keep_live_records(
+        self, known: dict[str, tuple[StorePosition, PeerRecord]]
+    ) -> None:
+        """Keep the records of live instances that a restored store has lost.
+
+        These instances register again; until then the copy lacks them or shows an
+        earlier incarnation.
+        """
+        for name, (_, record) in known.items():
+            listed = self._records.get(name)
+            if name == self._own.instance or not self._peers.is_up(record.instance):
+                continue
+            if listed is None or listed[1].started_ms < record.started_ms:
+                self._records[name] = (NO_POSITION, record)
+
+    def _log_unreadable(
+        self, snapshot: Snapshot, stored: StoredObject, error: ValueError
+    ) -> None:
+        """Log an entry that cannot be decoded, once per change."""
+        change = (stored.name, snapshot.position_of(stored))
+        if change not in self._unreadable:
+            self._unreadable.add(change)
             self._log("entry_unreadable", name=stored.name, reason=str(error))
 
     async def _register(self) -> None:
@@ -326,11 +340,14 @@
                 await self._replace_own(kind, name, value, conflict.present_version)
             except StoreError as error:
                 self._log("entry_not_written", reason=str(error))
-            await trio.sleep(to_s(REGISTER_PERIOD_MS) * self._jitter())
+            if await self._sleep_until_restored(REGISTER_PERIOD_MS):
+                # The list that follows a restore shows whether the entry is lost.
+                await trio.sleep(to_s(REGISTER_DELAY_MS) * self._jitter())
 
     async def _replace_own(self, kind, name, value, revision: int) -> None:
+        position = StorePosition(self._store.term, revision) if revision else None
         try:
-            await self._store.replace(kind, name, value, revision or None)
+            await self._store.replace(kind, name, value, position)
         except StoreError as error:
             self._log("entry_not_written", reason=str(error))
 
@@ -340,7 +357,7 @@
         while True:
             await trio.sleep(to_s(SWEEP_PERIOD_MS) * self._jitter())
             now_s = self._clock.monotonic_s()
-            for revision, record in list(self._records.values()):
+            for position, record in list(self._records.values()):
                 name = record.instance
                 if name == self._own.instance or self._peers.is_up(name):
                     down_since_s.pop(name, None)
@@ -353,11 +370,47 @@
                     continue
                 down_since_s.pop(name, None)
                 try:
-                    await self._store.delete(worker_format.PEER_KIND, name, revision)
+                    await self._store.delete(worker_format.PEER_KIND, name, position)
                     self._log("entry_of_dead_peer_removed", peer=name)
                 except StoreError as error:
                     self._log("entry_not_removed", peer=name, reason=str(error))
 
+    def _handle_new_term(self, previous: int) -> None:
+        """List all kinds again, since the store was restored from a copy."""
+        if previous == 0:
+            return
+        now_s = self._clock.monotonic_s()
+        self._log("store_restored", term=self._store.term, previous_term=previous)
+        self._outage_end_s = now_s
+        self._restored_until_s = now_s + to_s(RESTORE_WINDOW_MS)
+        self._list_again(KINDS)
+        self._restored.set()
+        self._restored = trio.Event()
+
+    async def _list_after_restores(self) -> None:
+        """List workers and instances once more when they have registered again."""
+        while True:
+            await self._restored.wait()
+            while (now_s := self._clock.monotonic_s()) < self._restored_until_s:
+                await trio.sleep(self._restored_until_s - now_s)
+            # Spreads the calls of the fleet.
+            await trio.sleep(to_s(REGISTER_DELAY_MS) * self._jitter())
+            self._list_again((worker_format.WORKER_KIND, worker_format.PEER_KIND))
+
+    async def _sleep_until_restored(self, pause_ms: float) -> bool:
+        """Sleep, but no longer than until a restore; return whether there was one."""
+        with trio.move_on_after(to_s(pause_ms) * self._jitter()):
+            await self._restored.wait()
+            return True
+        return False
+
+    def _list_again(self, kinds: Sequence[str]) -> None:
+        """Cancel the watches of some kinds and list these kinds again."""
+        self._kinds_to_list.update(kinds)
+        for kind in kinds:
+            if kind in self._watches:
+                self._watches[kind].cancel()
+
     @property
     def reachable(self) -> bool:
         """Whether the store answered the last list or watch."""
@@ -386,187 +439,3 @@
             return False
         age_ms = (self._clock.monotonic_s() - self._outage_end_s) * 1_000.0
         return age_ms < REREGISTRATION_WINDOW_MS
-
-
-class PeerSync:
-    """Exchanges configuration and workers with peers.
-
-    An instance fetches what the store has not delivered in time, and answers fetches.
-
-    Parameters
-    ----------
-    catalogue : Catalogue
-        Configuration and workers.
-    peers : Peers
-        The other instances.
-    tasks : TaskSupervisor
-        Runs the fetches.
-    log : callable
-        Called with an event name and its fields.
-    on_workers : callable
-        Called after workers have changed.
-    own : PeerRecord
-        Record of this instance.
-    clock : Clock
-        Source of time.
-    """
-
-    def __init__(
-        self,
-        catalogue: Catalogue,
-        peers: Peers,
-        tasks: TaskSupervisor,
-        log: Callable[..., None],
-        on_workers: Callable[[], None],
-        own: PeerRecord,
-        clock: Clock,
-    ):
-        self._own = own
-        self._catalogue = catalogue
-        self._peers = peers
-        self._tasks = tasks
-        self._log = log
-        self._on_workers = on_workers
-        self._fetching = False
-        self._clock = clock
-        self._outdated_since: tuple[int, float] | None = None
-        """Revision known here, and the time when a peer first reported a newer one."""
-        self._entries: tuple[WorkerEntry, ...] = ()
-        self._entries_version: tuple[int, int] | None = None
-
-    async def join(self, seeds: Sequence[Address]) -> None:
-        """Fetch the initial state from seeds until the catalogue is complete."""
-        while not self._catalogue.complete:
-            await trio.sleep(to_s(JOIN_PERIOD_MS))
-            for seed in seeds:
-                if self._catalogue.complete:
-                    return
-                await self._join_at(seed)
-
-    async def _join_at(self, seed: Address) -> None:
-        try:
-            instance = await self._peers.join(seed)
-            if instance == self._peers.own:
-                return
-            request = FetchUpdates(0, 0, True)
-            updates = await self._peers.call_unlisted(
-                instance, request, FETCH_TIMEOUT_MS
-            )
-        except PeerUnavailable as error:
-            self._log("seed_unreachable", host=seed.host, reason=str(error))
-            return
-        if isinstance(updates, PeerUpdates):
-            self._apply_updates(instance, updates)
-
-    def handle_heartbeat(self, instance: InstanceId, heartbeat: Heartbeat) -> None:
-        """Start a fetch if a peer reports state that is missing here."""
-        if self._fetching:
-            return
-        if self._needs_configuration(heartbeat) or self._needs_workers(heartbeat):
-            self._fetching = True
-            self._tasks.start_soon(self._fetch, instance, heartbeat)
-
-    async def answer_fetch(
-        self, peer: InstanceId, message: FetchUpdates
-    ) -> PeerUpdates:
-        """Return the state that is newer here than at the requesting peer."""
-        catalogue = self._catalogue
-        configuration = workers = None
-        if catalogue.configuration_revision > message.configuration_revision:
-            configuration = catalogue.configuration_source
-        if catalogue.workers_revision > message.workers_revision:
-            workers = self._worker_entries()
-        peers = ()
-        if message.wants_peers:
-            known = [*self._peers.records, self._own]
-            peers = tuple(map(_peer_entry, known))
-        return PeerUpdates(
-            catalogue.configuration_revision,
-            configuration,
-            catalogue.workers_revision,
-            workers,
-            peers,
-        )
-
-    def _worker_entries(self) -> tuple[WorkerEntry, ...]:
-        """Return the worker entries, cached since many peers fetch the same version."""
-        catalogue = self._catalogue
-        version = (catalogue.workers_revision, catalogue.workers_digest)
-        if self._entries_version != version:
-            self._entries_version = version
-            self._entries = tuple(map(_worker_entry, catalogue.workers.values()))
-        return self._entries
-
-    def _needs_configuration(self, heartbeat: Heartbeat) -> bool:
-        """Return whether a peer has a configuration that the store delivers late."""
-        known = self._catalogue.configuration_revision
-        if heartbeat.configuration_revision <= known:
-            return False
-        if not self._catalogue.complete:
-            return True
-        now_s = self._clock.monotonic_s()
-        if self._outdated_since is None or self._outdated_since[0] != known:
-            self._outdated_since = (known, now_s)
-        return now_s - self._outdated_since[1] >= to_s(CONFIGURATION_FETCH_DELAY_MS)
-
-    def _needs_workers(self, heartbeat: Heartbeat) -> bool:
-        """Return whether a peer has a newer and different worker table."""
-        catalogue = self._catalogue
-        return (
-            heartbeat.workers_revision > catalogue.workers_revision
-            and heartbeat.workers_digest != catalogue.workers_digest
-        )
-
-    async def _fetch(self, instance: InstanceId, heartbeat: Heartbeat) -> None:
-        try:
-            if self._catalogue.complete:
-                await trio.sleep(to_s(FETCH_DELAY_MS))
-            configuration = self._needs_configuration(heartbeat)
-            if not configuration and not self._needs_workers(heartbeat):
-                return
-            known = self._catalogue.configuration_revision
-            request = FetchUpdates(
-                known if configuration else heartbeat.configuration_revision,
-                self._catalogue.workers_revision,
-            )
-            timeout_ms = (
-                CONFIGURATION_FETCH_TIMEOUT_MS if configuration else FETCH_TIMEOUT_MS
-            )
-            updates = await self._peers.call(instance, request, timeout_ms)
-            if isinstance(updates, PeerUpdates):
-                self._apply_updates(instance, updates)
-        except PeerUnavailable as error:
-            self._log("news_not_fetched", peer=instance, reason=str(error))
-        finally:
-            self._fetching = False
-
-    def _apply_updates(self, instance: InstanceId, updates: PeerUpdates) -> None:
-        origin = f"peer {instance}"
-        if updates.configuration is not None:
-            self._catalogue.update_configuration(
-                updates.configuration_revision, updates.configuration, origin
-            )
-        if updates.peers:
-            self._peers.add_records(map(_peer_record, updates.peers))
-        if updates.workers is not None:
-            workers = [_worker(entry) for entry in updates.workers]
-            if self._catalogue.update_workers(
-                updates.workers_revision, workers, origin
-            ):
-                self._on_workers()
-
-
-def _peer_entry(record: PeerRecord) -> PeerEntry:
-    return PeerEntry(**asdict(record))
-
-
-def _peer_record(entry: PeerEntry) -> PeerRecord:
-    return PeerRecord(**msgspec.structs.asdict(entry))
-
-
-def _worker_entry(worker: Worker) -> WorkerEntry:
-    return WorkerEntry(**msgspec.to_builtins(worker))
-
-
-def _worker(entry: WorkerEntry) -> Worker:
-    return msgspec.convert(msgspec.structs.asdict(entry), Worker)
--- a/src/acaciapier/platform/store.py
+++ b/src/acaciapier/platform/store.py
@@ -10,12 +10,14 @@
 import trio
 
 from ..exceptions import StoreError, StoreUnavailable, VersionConflict, WatchCompacted
+from ..gateway.models import StorePosition
 from ..gateway.settings import Address
 from ..http.client import (
     ConnectFailed,
     ConnectionBroken,
     HttpConnection,
     OutgoingRequest,
+    ResponseHead,
 )
 
 CONNECT_TIMEOUT_MS = 1_000.0
@@ -28,11 +30,13 @@
 MAX_RESPONSE_BYTES = 8_000_000
 """A page has about 1 MB; the limit allows twice that plus the largest object."""
 
-OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
 COMPACTED = 410
 
+# The platform calls a term of its store an era.
+TERM_HEADER = b"store-era"
+
 
 class _Metadata(msgspec.Struct):
     name: str
@@ -72,62 +76,99 @@
 
 @dataclass(frozen=True)
 class Snapshot:
-    """Objects of a kind, or changes to them, up to a revision of the store."""
+    """Objects of a kind, or changes to them, up to a position of the store."""
 
     objects: list[StoredObject]
-    revision: int
+    position: StorePosition
+
+    def position_of(self, stored: StoredObject) -> StorePosition:
+        """Return the position of an object's last change."""
+        return StorePosition(self.position.term, stored.revision)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    body: bytes
+    term: int
 
 
 class PlatformStore:
     """Client of the store that reuses its connections.
 
+    All answers carry the term of the store, which rises whenever the store is restored
+    from a copy. Answers of an earlier term than the newest known one are discarded.
+
     Parameters
     ----------
     address : Address
         Address of the store.
     count_call : callable, optional
         Called with the purpose of each call.
+    log : callable, optional
+        Called with an event name and its fields.
     """
 
     def __init__(
-        self, address: Address, count_call: Callable[[str], None] = lambda _: None
+        self,
+        address: Address,
+        count_call: Callable[[str], None] = lambda _: None,
+        log: Callable[..., None] = lambda *args, **fields: None,
     ):
+        self.term = 0
+        """Newest known term; 0 until a store has reported one."""
+        self.on_new_term: Callable[[int], None] = lambda previous: None
+        """Called with the previous term when a new one is seen; 0 for the first."""
         self._address = address
         self._count_call = count_call
+        self._log = log
         self._idle: list[HttpConnection] = []
+        self._malformed_terms: set[bytes] = set()
 
     async def list(self, kind: str) -> Snapshot:
-        """Return all objects of a kind, read page by page."""
+        """Return all objects of a kind, read page by page.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the store does not answer, or was restored between two pages.
+        """
         objects: list[StoredObject] = []
         after = ""
+        first_term = None
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            body = await self._call("list", b"GET", f"{_path(kind)}{query}")
-            page = _decode(body, _Page)
+            answer = await self._call("list", b"GET", f"{_path(kind)}{query}")
+            page = _decode(answer.body, _Page)
+            first_term = answer.term if first_term is None else first_term
+            if not answer.term == first_term == self.term:
+                raise StoreUnavailable("the store was restored during a list")
             objects += [_to_stored_object(item) for item in page.items]
             if not page.has_more or not page.items:
-                return Snapshot(objects, page.current_rev)
+                return Snapshot(objects, StorePosition(answer.term, page.current_rev))
             after = page.items[-1].metadata.name
 
-    async def watch(self, kind: str, revision: int, wait_ms: int) -> Snapshot:
-        """Return the changes after `revision`; the store waits for one up to `wait_ms`.
+    async def watch(self, kind: str, position: StorePosition, wait_ms: int) -> Snapshot:
+        """Return the changes after `position`; the store waits for one up to `wait_ms`.
 
         Raises
         ------
         WatchCompacted
-            If the store has compacted the history after `revision`.
+            If the store has no history from `position` on, or was restored since.
         StoreUnavailable
             If it does not respond within `wait_ms` plus `CALL_TIMEOUT_MS`.
         """
-        path = f"{_path(kind)}?watch={revision}&wait_ms={wait_ms}"
-        body = await self._call("watch", b"GET", path, CALL_TIMEOUT_MS + wait_ms)
-        changes = _decode(body, _Events)
+        path = f"{_path(kind)}?watch={position.revision}&wait_ms={wait_ms}"
+        answer = await self._call("watch", b"GET", path, CALL_TIMEOUT_MS + wait_ms)
+        if not answer.term == position.term == self.term:
+            # The restored store has assigned these revisions again.
+            raise WatchCompacted(path)
+        changes = _decode(answer.body, _Events)
         return Snapshot(
             [
                 _to_stored_object(event.object, event.deleted)
                 for event in changes.events
             ],
-            changes.current_rev,
+            StorePosition(answer.term, changes.current_rev),
         )
 
     async def create(self, kind: str, name: str, value: Any) -> None:
@@ -136,30 +177,42 @@
         await self._call("create", b"POST", _path(kind), body=body)
 
     async def replace(
-        self, kind: str, name: str, value: Any, revision: int | None = None
+        self, kind: str, name: str, value: Any, position: StorePosition | None = None
     ) -> None:
-        """Replace an object; if `revision` is given, only if the object still has it.
+        """Replace an object; if `position` is given, only if it did not change since.
 
         Raises
         ------
         VersionConflict
-            If the object has another revision.
+            If the object has changed, or `position` is from an earlier term.
         """
         path = f"{_path(kind)}/{quote(name, safe='')}"
+        revision = None if position is None else self._revision_of(path, position)
         await self._call("replace", b"PUT", path, body=_encode(name, value, revision))
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
-        """Delete an object if it still has `revision`.
+    async def delete(self, kind: str, name: str, position: StorePosition) -> None:
+        """Delete an object if it did not change since `position`.
 
         Raises
         ------
         VersionConflict
-            If the object has another revision.
+            If the object has changed, or `position` is from an earlier term.
         StoreError
             If there is no such object.
         """
-        path = f"{_path(kind)}/{quote(name, safe='')}?rev={revision}"
-        await self._call("delete", b"DELETE", path)
+        path = f"{_path(kind)}/{quote(name, safe='')}"
+        revision = self._revision_of(path, position)
+        await self._call("delete", b"DELETE", f"{path}?rev={revision}")
+
+    def _revision_of(self, path: str, position: StorePosition) -> int:
+        """Return the revision for a condition, if it is of the current term.
+
+        A restored store assigns revisions again, so that the condition of an earlier
+        term could hold for another content.
+        """
+        if position.term != self.term:
+            raise VersionConflict(path, 0)
+        return position.revision
 
     async def _call(
         self,
@@ -168,7 +221,7 @@
         path: str,
         timeout_ms: float = CALL_TIMEOUT_MS,
         body: bytes = b"",
-    ) -> bytes:
+    ) -> "_Answer":
         self._count_call(purpose)
         headers = [(b"Host", f"{self._address.host}:{self._address.port}".encode())]
         if body:
@@ -178,10 +231,33 @@
             async with self._connection() as connection:
                 await connection.send(request)
                 head = await connection.receive_head()
+                term = self._check_term(head, may_have_landed=method != b"GET")
                 response_body = await connection.receive_full_body(MAX_RESPONSE_BYTES)
-            return _check_status(head.status, path, response_body)
+            return _Answer(_check_status(head.status, path, response_body), term)
         raise StoreUnavailable(f"no answer in {timeout_ms:g} ms", method != b"GET")
 
+    def _check_term(self, head: ResponseHead, may_have_landed: bool) -> int:
+        """Return and record the term of an answer; discard it if it is outdated.
+
+        An answer without a valid term counts as one of the newest known term.
+        """
+        value = head.get(TERM_HEADER)
+        if value is None:
+            return self.term
+        if not value.isdigit():
+            if value not in self._malformed_terms:
+                self._malformed_terms.add(value)
+                self._log("store_term_malformed", value=value.decode("latin-1"))
+            return self.term
+        term = int(value)
+        if term < self.term:
+            message = f"answer of term {term}; the store is in term {self.term}"
+            raise StoreUnavailable(message, may_have_landed)
+        if term > self.term:
+            previous, self.term = self.term, term
+            self.on_new_term(previous)
+        return term
+
     @asynccontextmanager
     async def _connection(self):
         connection = None
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -25,14 +25,20 @@
     waits: tuple[ServiceWait, ...] = ()
     follows_store: bool = False
     uptime_ms: float = 0.0
+    configuration_term: int = 0
+    workers_term: int = 0
+    configuration_version: int = 0
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
-    """Requests a configuration or workers that are newer than the given revisions."""
+    """Requests a configuration or workers that are newer than the given ones."""
 
     configuration_revision: int
     workers_revision: int
     wants_peers: bool = False
+    configuration_term: int = 0
+    workers_term: int = 0
+    configuration_version: int = 0
 
 
 class PeerEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -68,6 +74,8 @@
     workers_revision: int
     workers: tuple[WorkerEntry, ...] | None
     peers: tuple[PeerEntry, ...] = ()
+    configuration_term: int = 0
+    workers_term: int = 0
 
 
 class EnterStages(Message, frozen=True):
--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -33,6 +33,7 @@
         self._nursery = nursery
         self._scopes: dict[str, trio.CancelScope] = {}
         self._entries: dict[str, dict[str, Any]] = {}
+        self._configuration: dict[str, Any] | None = None
 
     async def start(self) -> None:
         """Start serving the store."""
@@ -69,8 +70,21 @@
 
     def configure(self, configuration: dict[str, Any]) -> None:
         """Write the gateway configuration to the store."""
+        self._configuration = configuration
         self.store.put("config", "main", configuration)
 
+    def write_again(self) -> None:
+        """Write what operators and workers wrote, as they do after a restore."""
+        if self._configuration is not None:
+            self.store.put("config", "main", self._configuration)
+        for name, entry in self._entries.items():
+            self.store.put("servers", name, dict(entry))
+
+    def deregister(self, name: str) -> None:
+        """Remove the entry of a worker that has left."""
+        del self._entries[name]
+        self.store.delete("servers", name)
+
     def settings_text(self, node: str, ports: Sequence[int], seeds: str = "") -> str:
         """Return a gateway settings file; `ports` are front, ready and control."""
         front, ready, control = ports
--- a/src/acaciapier_standins/platform/store.py
+++ b/src/acaciapier_standins/platform/store.py
@@ -1,6 +1,8 @@
 """Simulated object store with revisions, watches and conditional writes."""
 
 import json
+import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -12,6 +14,8 @@
 
 PREFIX = "/api/objects/"
 JSON = [(b"Content-Type", b"application/json")]
+MAX_COPY_AGE_S = 10.0
+"""Age up to which the store keeps copies of its state."""
 
 
 @dataclass
@@ -33,15 +37,20 @@
     ----------
     page_size : int
         Maximum number of objects in a page of a list.
+    clock_s : callable
+        Returns the time in seconds, by which the age of copies is measured.
     """
 
     page_size: int = 50
     faults: StoreFaults = field(default_factory=StoreFaults)
+    clock_s: Callable[[], float] = time.monotonic
 
     def __post_init__(self):
         self.revision = 1
         self.oldest_revision = 1
+        self.term = 1
         self.calls = 0
+        self._copies: deque[tuple[float, int, dict]] = deque([(0.0, 1, {})])
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._changed = trio.Event()
@@ -75,6 +84,20 @@
         """Return the sorted names of the objects of a kind."""
         return sorted(self._objects.get(kind, {}))
 
+    def restore(self, age_s: float) -> None:
+        """Return to the state of `age_s` ago, or the oldest one, and start a new term.
+
+        Later revisions are assigned again, and the history is lost.
+        """
+        before_s = self.clock_s() - age_s
+        while len(self._copies) > 1 and self._copies[-1][0] > before_s:
+            self._copies.pop()
+        _, self.revision, objects = self._copies[-1]
+        self._objects = {kind: dict(named) for kind, named in objects.items()}
+        self.term += 1
+        self.compact()
+        self._wake_watches()
+
     def compact(self) -> None:
         """Discard all past events, so that older watches get status 410."""
         self._events.clear()
@@ -87,7 +110,7 @@
             await trio.sleep_forever()
         await trio.sleep(self.faults.delay_s)
         if self.faults.down:
-            await exchange.respond(503, [])
+            await exchange.respond(503, [self._term_header()])
             return
         url = urlsplit(request.target.decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -95,7 +118,11 @@
         status, body = await self._run(
             request.method.decode(), kind, unquote(name), query, request.body
         )
-        await exchange.respond(status, JSON, json.dumps(body).encode())
+        headers = [*JSON, self._term_header()]
+        await exchange.respond(status, headers, json.dumps(body).encode())
+
+    def _term_header(self) -> tuple[bytes, bytes]:
+        return (b"Store-Era", str(self.term).encode())
 
     async def _run(self, method, kind, name, query, body) -> tuple[int, Any]:
         objects = self._objects.setdefault(kind, {})
@@ -119,15 +146,19 @@
         }
 
     async def _watch(self, kind: str, since: int, query) -> tuple[int, Any]:
+        term = self.term
         with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000.0):
-            while since >= self.oldest_revision and not self._since(kind, since):
+            while self._has_history(since, term) and not self._since(kind, since):
                 await self._changed.wait()
-        if since < self.oldest_revision:
+        if not self._has_history(since, term):
             return 410, {}
         found = self._since(kind, since)
         events = [{"object": obj, "deleted": deleted} for obj, deleted in found]
         return 200, {"events": events, "current_rev": self.revision}
 
+    def _has_history(self, since: int, term: int) -> bool:
+        return term == self.term and self.oldest_revision <= since <= self.revision
+
     def _since(self, kind: str, since: int) -> list[tuple[dict[str, Any], bool]]:
         return [
             (obj, deleted)
@@ -162,5 +193,17 @@
 
     def _record_event(self, kind: str, obj: dict[str, Any], deleted: bool) -> None:
         self._events.append((self.revision, kind, dict(obj), deleted))
+        self._keep_copy()
+        self._wake_watches()
+
+    def _keep_copy(self) -> None:
+        """Keep a copy of the state for `restore`, and drop those that are too old."""
+        now_s = self.clock_s()
+        objects = {kind: dict(named) for kind, named in self._objects.items()}
+        self._copies.append((now_s, self.revision, objects))
+        while len(self._copies) > 1 and self._copies[1][0] < now_s - MAX_COPY_AGE_S:
+            self._copies.popleft()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, trio.Event()
         changed.set()
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -10,7 +10,7 @@
 from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch.dispatch_client import DispatchClient
 from acaciapier.gateway.dispatch.dispatcher import Dispatcher
-from acaciapier.gateway.models import Worker, WorkerState
+from acaciapier.gateway.models import StorePosition, Worker, WorkerState
 from acaciapier.gateway.settings import GatewayBounds
 from acaciapier.gateway.supervision import TaskSupervisor
 from acaciapier.platform.configuration import decode_configuration
@@ -67,9 +67,11 @@
     clock = ManualClock()
     catalogue = Catalogue(clock, decode_configuration)
     source = configuration(1, [], [{"name": "book", "max_conns": 100}])
-    catalogue.update_configuration(1, msgspec.json.encode(source), "store")
+    catalogue.update_configuration(
+        StorePosition(1, 1), msgspec.json.encode(source), "store"
+    )
     worker = Worker("w1", "book", "10.0.0.1", 80, "a", 1, WorkerState.READY, 1)
-    catalogue.update_workers(1, [worker], "store")
+    catalogue.update_workers(StorePosition(1, 1), [worker], "store")
     async with trio.open_nursery() as nursery:
         remote = make_dispatcher(nursery, catalogue, clock, DISPATCHER)
         local = make_dispatcher(nursery, catalogue, clock, CALLER)
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -11,11 +11,16 @@
 from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch.retry_budget import RetryBudget
 from acaciapier.gateway.event_stream import EventSplitter, event_ids
-from acaciapier.gateway.models import PeerRecord, Worker, WorkerState
+from acaciapier.gateway.models import (
+    PeerRecord,
+    StorePosition,
+    Worker,
+    WorkerState,
+)
+from acaciapier.gateway.peer_sync import PeerSync
 from acaciapier.gateway.peers import Peers
 from acaciapier.gateway.request_state import abandon_after_ms
 from acaciapier.gateway.routing import RouteTable
-from acaciapier.gateway.sync import PeerSync
 from acaciapier.platform.configuration import decode_configuration
 from acaciapier.wire.messages.gateway import Heartbeat
 from acaciapier_standins.platform.platform import configuration, route
@@ -27,6 +32,10 @@
     return Worker(name, "book", "10.0.0.1", 80, "a", 4, state, started_ms)
 
 
+def at(revision: int, term: int = 1) -> StorePosition:
+    return StorePosition(term, revision)
+
+
 def stored(version: int, routes=()) -> bytes:
     return msgspec.json.encode(configuration(version, list(routes), []))
 
@@ -41,40 +50,40 @@
 
 def test_an_older_configuration_never_replaces_a_newer_one():
     catalogue, _, _ = make_catalogue()
-    assert catalogue.update_configuration(9, stored(3), "store")
-    assert not catalogue.update_configuration(7, stored(2), "peer")
+    assert catalogue.update_configuration(at(9), stored(3), "store")
+    assert not catalogue.update_configuration(at(7), stored(2), "peer")
     assert catalogue.configuration.version == 3
 
 
 def test_an_unreadable_configuration_changes_nothing():
     catalogue, _, events = make_catalogue()
-    catalogue.update_configuration(9, stored(3), "store")
-    assert not catalogue.update_configuration(10, b'{"version": "x"}', "store")
-    assert not catalogue.update_configuration(11, b"\xff", "store")
+    catalogue.update_configuration(at(9), stored(3), "store")
+    assert not catalogue.update_configuration(at(10), b'{"version": "x"}', "store")
+    assert not catalogue.update_configuration(at(11), b"\xff", "store")
     assert catalogue.configuration.version == 3
     assert events.count("configuration_unreadable") == 2
 
 
 def test_an_outdated_list_of_workers_restores_no_removed_worker():
     catalogue, _, _ = make_catalogue()
-    catalogue.update_workers(5, [worker("w1"), worker("w2")], "store")
-    catalogue.apply_worker_changes(6, [("w1", None)], "store")
-    assert not catalogue.update_workers(5, [worker("w1")], "peer")
+    catalogue.update_workers(at(5), [worker("w1"), worker("w2")], "store")
+    catalogue.apply_worker_changes(at(6), [("w1", None)], "store")
+    assert not catalogue.update_workers(at(5), [worker("w1")], "peer")
     assert [ready.id for ready in catalogue.workers_of("book")] == ["w2"]
 
 
 def test_a_worker_that_is_registered_again_in_a_newer_revision_is_used():
     catalogue, _, _ = make_catalogue()
-    catalogue.update_workers(5, [worker("w1")], "store")
-    catalogue.apply_worker_changes(6, [("w1", None)], "store")
-    catalogue.apply_worker_changes(8, [("w1", worker("w1", started_ms=2))], "store")
+    catalogue.update_workers(at(5), [worker("w1")], "store")
+    catalogue.apply_worker_changes(at(6), [("w1", None)], "store")
+    catalogue.apply_worker_changes(at(8), [("w1", worker("w1", started_ms=2))], "store")
     assert [ready.started_ms for ready in catalogue.workers_of("book")] == [2]
 
 
 def test_entries_that_expired_in_an_outage_are_kept_for_a_grace_period():
     catalogue, clock, _ = make_catalogue()
-    catalogue.update_workers(5, [worker("w1")], "store")
-    catalogue.update_workers(9, [], "store", after_outage=True)
+    catalogue.update_workers(at(5), [worker("w1")], "store")
+    catalogue.update_workers(at(9), [], "store", after_outage=True)
     assert len(catalogue.workers_of("book")) == 1
     clock.advance(1.8)
     assert catalogue.workers_of("book") == ()
@@ -82,15 +91,15 @@
 
 def test_a_draining_entry_that_expired_in_an_outage_is_not_kept():
     catalogue, _, _ = make_catalogue()
-    catalogue.update_workers(5, [worker("w1", WorkerState.DRAINING)], "store")
-    catalogue.update_workers(9, [], "store", after_outage=True)
+    catalogue.update_workers(at(5), [worker("w1", WorkerState.DRAINING)], "store")
+    catalogue.update_workers(at(9), [], "store", after_outage=True)
     assert not catalogue.workers
 
 
 def test_a_worker_that_announces_its_shutdown_is_not_used_any_more():
     catalogue, _, _ = make_catalogue()
     leaving = worker("w1")
-    catalogue.update_workers(5, [leaving], "store")
+    catalogue.update_workers(at(5), [leaving], "store")
     catalogue.record_draining(leaving, "answer")
     assert catalogue.workers_of("book") == ()
     assert not catalogue.usable(leaving)
@@ -253,8 +262,8 @@
 
 def make_peer_sync() -> tuple[PeerSync, Catalogue, ManualClock, StartedTasks]:
     catalogue, clock, _ = make_catalogue()
-    catalogue.update_configuration(1, stored(1), "store")
-    catalogue.update_workers(1, [worker("w1")], "store")
+    catalogue.update_configuration(at(1), stored(1), "store")
+    catalogue.update_workers(at(1), [worker("w1")], "store")
     tasks = StartedTasks()
     sync = PeerSync(
         catalogue, None, tasks, lambda *a, **k: None, lambda: None, None, clock
@@ -264,8 +273,16 @@
 
 def make_heartbeat(revision: int, catalogue: Catalogue) -> Heartbeat:
     """Return the heartbeat of a peer with the same workers and this configuration."""
-    known = catalogue.workers_revision, catalogue.workers_digest
-    return Heartbeat(revision, *known, False)
+    workers = catalogue.workers_position
+    return Heartbeat(
+        revision,
+        workers.revision,
+        catalogue.workers_digest,
+        False,
+        configuration_term=1,
+        workers_term=workers.term,
+        configuration_version=revision,
+    )
 
 
 def test_a_configuration_is_fetched_from_a_peer_only_if_the_store_is_slow():
@@ -284,7 +301,7 @@
     for revision in range(2, 12):
         sync.handle_heartbeat("edge-2", make_heartbeat(revision, catalogue))
         clock.advance(0.35)
-        catalogue.update_configuration(revision, stored(revision), "store")
+        catalogue.update_configuration(at(revision), stored(revision), "store")
     assert tasks.started == 0
 
 
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -6,6 +6,7 @@
 from acaciapier.core.clock import ManualClock
 from acaciapier.exceptions import StoreUnavailable
 from acaciapier.gateway.catalogue import Catalogue
+from acaciapier.gateway.models import StorePosition
 from acaciapier.gateway.sync import StoreSync
 from acaciapier.platform import configuration as configuration_format
 from acaciapier.platform import workers as worker_format
@@ -27,9 +28,9 @@
 
     async def list(self, kind: str) -> Snapshot:
         self.lists.append(kind)
-        return Snapshot([], 1)
+        return Snapshot([], StorePosition(1, 1))
 
-    async def watch(self, kind: str, revision: int, wait_ms: int) -> Snapshot:
+    async def watch(self, kind: str, position: StorePosition, wait_ms: int) -> Snapshot:
         if (
             kind == configuration_format.OBJECT_KIND
             and not self.configuration_lost.is_set()
