Heed workers that announce their shutdown or turn requests away

Cause: Server-Leaving and a worker's Retry-After were not read. A leaving worker got requests until the store reported it, and again when an older list was applied; one that turned requests away was asked again after 0.4 s.

Change: WorkerNotices, one plain object that every path asks before it sends and tells of every answer: requests, resumed streams, calls of stages, releases, also answers that are skipped. A leaving incarnation is not used again whatever the store or peers list; heartbeats hand it on for 10 s. A worker that turns an instance away gets nothing from it until the time it named; the dispatcher places that instance's requests elsewhere, forecasts without the worker and refuses at once if all turn it away. Malformed and huge times are logged and change nothing.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -22,6 +22,7 @@
     StorePosition,
     Worker,
     WorkerId,
+    WorkerKey,
     WorkerState,
 )
 
@@ -72,10 +73,10 @@
         self._data_centres: dict[str, str] = {}
         self._kept_until_s: dict[WorkerId, float] = {}
         """Until when workers are kept whose entries may be written again."""
-        self._leaving: dict[str, str] = {}
+        self._leaving: dict[WorkerKey, str] = {}
         """Addresses of workers that announced their shutdown in an answer, by the key
         of their incarnation; oldest first."""
-        self._gone: dict[str, str] = {}
+        self._gone: dict[WorkerKey, str] = {}
         """Keys of incarnations whose entries were removed; oldest first."""
         self._restored_until_s = 0.0
         """End of the restore window of the current term."""
@@ -217,18 +218,27 @@
             self._put(draining, origin, self.workers_position)
             self._update_indexes(self.workers_position)
 
-    def record_leaving(self, worker: Worker, origin: str) -> bool:
+    def record_leaving(self, key: WorkerKey, address: str, origin: str) -> bool:
         """Record that a worker announced its shutdown; return whether that is news.
 
         This incarnation is not used again, whatever the store or peers still list.
+        `address` is empty if it is unknown.
         """
-        if self._is_leaving(worker):
+        if key in self._leaving and address in ("", self._leaving[key]):
             return False
-        _remember(self._leaving, worker.key, worker.address)
-        self.record_draining(worker, origin)
+        _remember(self._leaving, key, address)
+        worker = self.find(key)
+        if worker is not None and self.is_leaving(worker):
+            self.record_draining(worker, origin)
         return True
 
-    def _is_leaving(self, worker: Worker) -> bool:
+    def find(self, key: WorkerKey) -> Worker | None:
+        """Return an incarnation of a worker, if it is listed."""
+        known = self.workers.get(WorkerId(key.rpartition("/")[0]))
+        return known if known is not None and known.key == key else None
+
+    def is_leaving(self, worker: Worker) -> bool:
+        """Return whether a worker has announced its shutdown in an answer."""
         address = self._leaving.get(worker.key)
         if worker.started_ms:
             return address is not None
@@ -271,7 +281,7 @@
         known = self.workers.get(worker_id)
         self._kept_until_s.pop(worker_id, None)
         self._gone.pop(worker.key, None)
-        if worker.state is WorkerState.READY and self._is_leaving(worker):
+        if worker.state is WorkerState.READY and self.is_leaving(worker):
             worker = msgspec.structs.replace(worker, state=WorkerState.DRAINING)
         self.workers[worker_id] = worker
         if known is None or (known.state, known.key) != (worker.state, worker.key):
@@ -342,7 +352,7 @@
         self.workers_digest = _digest(self.workers)
 
 
-def _remember(memory: dict[str, str], key: str, value: str) -> None:
+def _remember(memory: dict[WorkerKey, str], key: WorkerKey, value: str) -> None:
     """Add an entry to a bounded memory and drop the oldest one if it is full."""
     memory[key] = value
     if len(memory) > MAX_REMEMBERED_WORKERS:
--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -56,6 +56,8 @@
     dispatcher: InstanceId
     granted_s: float
     outcome: str = OUTCOME_CANCELLED
+    retry_after_ms: float = 0.0
+    """For how long the worker wants no further requests from this instance."""
 
 
 class DispatchClient:
@@ -172,6 +174,7 @@
             permit.name,
             outcome or permit.outcome,
             self._held_ms(permit),
+            permit.retry_after_ms,
         )
         self._notify(permit.dispatcher, message)
 
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -156,11 +156,11 @@
             transfer_bytes=message.transfer_bytes,
         )
         forecast_ms = scheduler.forecast_ms(group)
-        if forecast_ms is None or forecast_ms > message.expires_ms:
-            return WorkRefused(
-                "no_worker" if forecast_ms is None else "overload",
-                MIN_RETRY_MS + (forecast_ms or 0.0) / 2,
-            )
+        if forecast_ms is None:
+            retry_ms = max(MIN_RETRY_MS, scheduler.excluded_ms())
+            return WorkRefused("no_worker", retry_ms)
+        if forecast_ms > message.expires_ms:
+            return WorkRefused("overload", MIN_RETRY_MS + forecast_ms / 2)
         reason = await self._wait_for_pieces(scheduler, group)
         admission = self._admissions.get(message.service)
         if admission is not None and reason is None:
@@ -213,7 +213,7 @@
             input_bytes=dict(message.input_bytes),
             avoid=frozenset(message.avoid),
         )
-        forecast_ms = allocator.forecast_ms(request, workers)
+        forecast_ms = allocator.forecast_ms(request, workers, now_s)
         if forecast_ms > message.expires_ms:
             return WorkRefused("overload", MIN_RETRY_MS + forecast_ms / 2)
         worker = await self._wait_for_slot(allocator, message.service, request)
@@ -256,6 +256,9 @@
             self._cancel_request(allocator, message.permit)
             return
         now_s = self._clock.monotonic_s()
+        if message.retry_after_ms > 0:
+            until_s = now_s + to_s(message.retry_after_ms)
+            allocator.turn_away(peer, reservation.worker, until_s)
         if message.outcome == OUTCOME_DONE:
             allocator.record_duration(reservation.worker, message.elapsed_ms, now_s)
         elif message.outcome == OUTCOME_FAILED:
--- a/src/acaciapier/gateway/dispatch/health.py
+++ b/src/acaciapier/gateway/dispatch/health.py
@@ -92,14 +92,31 @@
         state.failure_rate += FAILURE_EWMA_WEIGHT * (1.0 - state.failure_rate)
 
     def exclude(
-        self, key: str, now_s: float, max_ms: float = MAX_EXCLUSION_MS
+        self,
+        key: str,
+        now_s: float,
+        max_ms: float = MAX_EXCLUSION_MS,
+        min_ms: float = 0.0,
     ) -> float:
-        """Exclude a worker; return for how many ms, which doubles until a success."""
+        """Exclude a worker; return for how many ms, which doubles until a success.
+
+        `min_ms` is the time for which the worker itself wants no calls.
+        """
         state = self._states.setdefault(key, _WorkerState())
         doubled_ms = max(FIRST_EXCLUSION_MS, 2 * state.exclusion_ms)
         state.exclusion_ms = min(doubled_ms, max_ms)
-        state.excluded_until_s = now_s + state.exclusion_ms / 1_000.0
-        return state.exclusion_ms
+        excluded_ms = max(state.exclusion_ms, min_ms)
+        state.excluded_until_s = max(
+            state.excluded_until_s, now_s + excluded_ms / 1_000.0
+        )
+        return excluded_ms
+
+    def excluded_ms(self, key: str, now_s: float) -> float:
+        """Return how much longer a worker is excluded."""
+        state = self._states.get(key)
+        if state is None:
+            return 0.0
+        return max(0.0, (state.excluded_until_s - now_s) * 1_000.0)
 
     def keep_only(self, keys: set[str]) -> None:
         """Remove the state of all other workers."""
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -163,6 +163,8 @@
         self._prefix_caches: dict[str, PrefixCacheModel] = {}
         self._last_prefill_s: dict[tuple[str, ...], float] = {}
         self._waiting: list[SlotRequest] = []
+        self._turned_away_until_s: dict[tuple[str, str], float] = {}
+        """By instance and worker."""
 
     @property
     def waiting(self) -> int:
@@ -178,13 +180,33 @@
         """Return how many requests a worker runs concurrently."""
         return self.rule.engine.slots if self.rule.engine else max(1, worker.slots)
 
-    def forecast_ms(self, request: SlotRequest, workers: Sequence[Worker]) -> float:
+    def forecast_ms(
+        self, request: SlotRequest, workers: Sequence[Worker], now_s: float
+    ) -> float:
         """Return how long a new request would wait for its slot."""
-        slots = sum(self.slots(worker) for worker in workers) or 1
+        blocked_ms = {
+            worker.key: self._blocked_ms(request.owner, worker, now_s)
+            for worker in workers
+        }
+        open_workers = [worker for worker in workers if not blocked_ms[worker.key]]
+        if not open_workers:
+            return min(blocked_ms.values(), default=0.0)
+        if not self._waiting:
+            return 0.0
+        slots = sum(self.slots(worker) for worker in open_workers)
         ahead = sum(
             1 for waiting in self._waiting if waiting.priority <= request.priority
         )
-        return self.average_ms * (ahead + 1) / slots if self._waiting else 0.0
+        return self.average_ms * (ahead + 1) / slots
+
+    def turn_away(self, owner: str, key: str, until_s: float) -> None:
+        """Record that a worker wants no requests from an instance until then."""
+        self._turned_away_until_s[owner, key] = until_s
+
+    def _blocked_ms(self, owner: str, worker: Worker, now_s: float) -> float:
+        """Return for how long a worker wants no requests from an instance."""
+        until_s = self._turned_away_until_s.get((owner, worker.key), 0.0)
+        return max(0.0, (until_s - now_s) * 1_000.0)
 
     def add(self, request: SlotRequest) -> None:
         """Add a request that waits for `assign`."""
@@ -300,6 +322,11 @@
         self.health.keep_only(keys)
         for key in self._prefix_caches.keys() - keys:
             del self._prefix_caches[key]
+        self._turned_away_until_s = {
+            (owner, key): until_s
+            for (owner, key), until_s in self._turned_away_until_s.items()
+            if key in keys
+        }
 
     def _choose(
         self,
@@ -313,6 +340,7 @@
             for worker in workers
             if self.health.usable(worker.key, now_s)
             and self._has_capacity(worker, request)
+            and not self._blocked_ms(request.owner, worker, now_s)
         ]
         untried = [worker for worker in usable if worker.id not in request.avoid]
         usable = untried or usable
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -40,10 +40,15 @@
     ----------
     wrong_worker : bool
         Whether another worker has its address now.
+    retry_after_ms : float
+        For how long the worker wants no further calls.
     """
 
-    def __init__(self, message: str, wrong_worker: bool = False):
+    def __init__(
+        self, message: str, wrong_worker: bool = False, retry_after_ms: float = 0.0
+    ):
         self.wrong_worker = wrong_worker
+        self.retry_after_ms = retry_after_ms
         super().__init__(message)
 
 
@@ -107,6 +112,15 @@
         now_s = self._clock.monotonic_s()
         return self.queue.forecast_ms(group, self._workers(), now_s)
 
+    def excluded_ms(self) -> float:
+        """Return after what time a worker accepts calls again; 0 if there is none."""
+        now_s = self._clock.monotonic_s()
+        health = self.queue.health
+        return min(
+            (health.excluded_ms(worker.key, now_s) for worker in self._workers()),
+            default=0.0,
+        )
+
     def capacity_per_ms(self) -> float:
         """Return how many pieces the workers complete in a millisecond."""
         return self.queue.capacity_per_ms(self._workers(), self._clock.monotonic_s())
@@ -202,21 +216,20 @@
         results = None
         timeout_ms = CALL_TIMEOUT_FACTOR * call.expected_ms + CALL_TIMEOUT_MARGIN_MS
         reason = f"no answer in {timeout_ms:.0f} ms"
+        retry_after_ms = 0.0
         with trio.move_on_after(to_s(timeout_ms)):
             try:
                 results = await self._client.run(worker, pieces)
-            except (
-                ConnectFailed,
-                ConnectionBroken,
-                WorkerRefused,
-                ValueError,
-            ) as error:
+            except WorkerRefused as refusal:
+                reason = str(refusal)
+                retry_after_ms = refusal.retry_after_ms
+            except (ConnectFailed, ConnectionBroken, ValueError) as error:
                 reason = str(error)
         now_s = self._clock.monotonic_s()
         elapsed_ms = (now_s - start_s) * 1_000.0
         if results is None:
             self.queue.fail(call)
-            excluded_ms = self.queue.health.exclude(key, now_s)
+            excluded_ms = self.queue.health.exclude(key, now_s, min_ms=retry_after_ms)
             self._log(
                 "stage_call_failed",
                 service=self.service,
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -51,6 +51,7 @@
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
 from .worker_exchange import WorkerExchange
+from .worker_notices import WorkerNotices
 
 LISTEN_BACKLOG = 1_024
 """Connections that may wait for accept; enough for all callers connecting at once."""
@@ -155,7 +156,10 @@
         )
         self.followers = StoreFollowers(self.peers)
         worker_connections = WorkerConnectionPool(self.clock)
-        client = StageClient(worker_connections, tasks)
+        self.notices = WorkerNotices(
+            self.catalogue, self.clock, self.log.write, self._workers_changed
+        )
+        client = StageClient(worker_connections, tasks, self.notices)
         self.dispatcher = Dispatcher(
             self.catalogue,
             client,
@@ -179,6 +183,7 @@
             self.clock,
             self.observer,
             tasks,
+            self.notices,
         )
         self.relay = Relay(
             self.catalogue,
@@ -212,7 +217,8 @@
             own,
             self.clock,
         )
-        self.peers.on_heartbeat = peer_sync.handle_heartbeat
+        self._peer_sync = peer_sync
+        self.peers.on_heartbeat = self._handle_heartbeat
         self.peers.required_peers = self._required_peers
         self.peers.on_down = self.dispatcher.remove_owner
         self._register_handlers(peer_sync)
@@ -280,8 +286,16 @@
             self.catalogue.configuration_position.term,
             self.catalogue.workers_position.term,
             self.catalogue.version,
+            self.notices.shared_leaving(),
         )
 
+    def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
+        self._peer_sync.handle_heartbeat(peer, heartbeat)
+        self.notices.merge(peer, heartbeat.leaving)
+
+    def _workers_changed(self) -> None:
+        self.dispatcher.workers_changed()
+
     def _follows_store(self) -> bool:
         """Return whether peers may rely on this instance for updates from the store."""
         known = self.catalogue.complete and self.sync.reachable
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -11,6 +11,9 @@
 
 ServiceName = NewType("ServiceName", str)
 WorkerId = NewType("WorkerId", str)
+WorkerKey = NewType("WorkerKey", str)
+"""Id of one incarnation of a worker."""
+
 AttemptId = NewType("AttemptId", str)
 """Id that a caller gives to one attempt; a retry by the caller has a new id."""
 
@@ -225,9 +228,9 @@
         return f"{self.host}:{self.port}"
 
     @property
-    def key(self) -> str:
+    def key(self) -> WorkerKey:
         """Identifier of this incarnation of the worker."""
-        return f"{self.id}/{self.started_ms}"
+        return WorkerKey(f"{self.id}/{self.started_ms}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -364,6 +367,13 @@
         shuts down does so.
     load : WorkerLoad or None
         Load that the worker reported.
+    leaving : bool
+        Whether the worker announced its shutdown.
+    retry_after_ms : float or None
+        For how long the worker wants no requests from this instance; it gives one only
+        when it turns a request away.
+    malformed_retry_after : str or None
+        Such a time in a form that is not understood.
     """
 
     attempt: str | None
@@ -373,3 +383,6 @@
     inputs_missing: bool
     closes_connection: bool
     load: WorkerLoad | None
+    leaving: bool = False
+    retry_after_ms: float | None = None
+    malformed_retry_after: str | None = None
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -9,6 +9,7 @@
 from .dispatch.stage_scheduler import WorkerRefused
 from .models import Piece, PieceResult, Worker
 from .supervision import TaskSupervisor
+from .worker_notices import WorkerNotices
 
 MAX_RESPONSE_BYTES = 1_000_000
 """A response contains a handle of some tens of bytes for each piece of a call."""
@@ -23,11 +24,19 @@
         Pool of connections to workers.
     tasks : TaskSupervisor
         Runs the tasks that write long request bodies.
+    notices : WorkerNotices
+        What the workers announced.
     """
 
-    def __init__(self, connections: WorkerConnectionPool, tasks: TaskSupervisor):
+    def __init__(
+        self,
+        connections: WorkerConnectionPool,
+        tasks: TaskSupervisor,
+        notices: WorkerNotices,
+    ):
         self._connections = connections
         self._tasks = tasks
+        self._notices = notices
 
     async def run(
         self, worker: Worker, pieces: Sequence[tuple[Piece, float]]
@@ -53,6 +62,11 @@
         await self._call(worker, stage_format.FREE_PATH, body)
 
     async def _call(self, worker: Worker, path: bytes, body: bytes) -> bytes:
+        refusal = self._notices.refusal(worker)
+        if refusal is not None:
+            raise WorkerRefused(
+                refusal, retry_after_ms=self._notices.blocked_ms(worker)
+            )
         headers = request_format.worker_call_headers(worker.id)
         request = OutgoingRequest(b"POST", path, headers, body)
         async with self._connections.acquire(worker, repeatable=True) as connection:
@@ -60,6 +74,11 @@
             head = await connection.receive_head()
             response_body = await connection.receive_full_body(MAX_RESPONSE_BYTES)
         response = request_format.decode_response_metadata(head)
+        self._notices.observe(worker, response)
         if response.not_run or head.status != 200:
-            raise WorkerRefused(f"status {head.status}", response.wrong_worker)
+            raise WorkerRefused(
+                f"status {head.status}",
+                response.wrong_worker,
+                self._notices.blocked_ms(worker),
+            )
         return response_body
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -32,6 +32,7 @@
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
 from .supervision import TaskSupervisor
+from .worker_notices import WorkerNotices
 
 MAX_BUFFERED_RESPONSE_BYTES = 8_000_000
 """Maximum size of a response that is buffered until it is complete."""
@@ -68,6 +69,8 @@
         Notified of failures of workers through ``decided``.
     tasks : TaskSupervisor
         Runs the tasks that write long request bodies.
+    notices : WorkerNotices
+        What the workers announced.
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         clock: Clock,
         observer,
         tasks: TaskSupervisor,
+        notices: WorkerNotices,
     ):
+        self._notices = notices
         self._catalogue = catalogue
         self._dispatch_client = dispatch_client
         self._connections = connections
@@ -103,6 +108,11 @@
         worker = permit.worker
         state.sends += 1
         state.tried_workers.add(worker.id)
+        refusal = self._notices.refusal(worker)
+        if refusal is not None:
+            permit.retry_after_ms = self._notices.blocked_ms(worker)
+            self._log_decision(state, worker, "not_asked", refusal)
+            raise WorkerDidNotRun(refusal)
         try:
             async with self._connections.acquire(
                 worker, state.route.repeatable
@@ -143,7 +153,7 @@
             with trio.fail_after(self._head_timeout_s(state)):
                 await connection.send(outgoing, self._tasks)
                 head = await connection.receive_head(
-                    lambda head: _belongs_to_attempt(head, state.metadata.attempt)
+                    lambda head: self._accept(head, worker, state.metadata.attempt)
                 )
         except ConnectionBroken:
             if reused:
@@ -153,6 +163,7 @@
             self._quarantine.record_end(state.fingerprint, worker, False)
             raise
         response = request_format.decode_response_metadata(head)
+        permit.retry_after_ms = self._notices.blocked_ms(worker)
         if response.not_run:
             await self._handle_not_run(state, permit, connection, head, response)
         self._dispatch_client.report_started(permit)
@@ -172,6 +183,15 @@
         await exchange.respond(head.status, response_headers(head), body)
         return "done", {"worker": worker.id, "status": head.status}
 
+    def _accept(self, head: ResponseHead, worker: Worker, attempt: str) -> bool:
+        """Return whether a response belongs to the attempt or names no attempt.
+
+        Responses to other attempts, which are skipped, come from this worker, too.
+        """
+        response = request_format.decode_response_metadata(head)
+        self._notices.observe(worker, response)
+        return response.attempt is None or response.attempt == attempt
+
     async def _handle_not_run(
         self,
         state: RequestState,
@@ -284,12 +304,6 @@
         )
 
 
-def _belongs_to_attempt(head: ResponseHead, attempt: str) -> bool:
-    """Return whether a response belongs to the attempt or names no attempt."""
-    response = request_format.decode_response_metadata(head)
-    return response.attempt is None or response.attempt == attempt
-
-
 def _check_continuity(after: str, data: bytes) -> None:
     """Check that a resumed stream continues after the last forwarded event."""
     ids = event_ids(data)
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -1,5 +1,6 @@
 """Headers of callers' requests and of workers' responses."""
 
+import re
 from collections.abc import Sequence
 
 from ..gateway.models import AttemptId, PromptPart, RequestMetadata, ResponseMetadata
@@ -13,9 +14,15 @@
 TENANT_HEADER = b"tenant"
 INPUTS_HEADER = b"inputs"
 EXPECT_WORKER_HEADER = b"expect-instance"
+LEAVING_HEADER = b"server-leaving"
+RETRY_AFTER_HEADER = b"retry-after"
+UNAVAILABLE_STATUS = 503
 WRONG_WORKER_STATUS = 421
 INPUTS_MISSING_STATUS = 409
 
+RETRY_AFTER_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?")
+MS_PER_S = 1_000.0
+
 # Headers that the gateway sets itself; those from callers are never forwarded.
 RESERVED = frozenset(
     {
@@ -110,6 +117,7 @@
     not_run = wrong_worker or head.get(b"not-run") is not None
     attempt = head.get(ATTEMPT_HEADER)
     load = head.get(b"server-load")
+    retry_after_ms, malformed = _parse_retry_after(head)
     return ResponseMetadata(
         attempt=None if attempt is None else attempt.decode("latin-1"),
         # The seal proves that the body comes from the worker.
@@ -119,6 +127,9 @@
         inputs_missing=not_run and head.status == INPUTS_MISSING_STATUS,
         closes_connection=(head.get(b"connection") or b"").lower() == b"close",
         load=None if load is None else decode_load(load.decode("latin-1")),
+        leaving=(head.get(LEAVING_HEADER) or b"").strip() == b"1",
+        retry_after_ms=retry_after_ms,
+        malformed_retry_after=malformed,
     )
 
 
@@ -127,6 +138,18 @@
     return [(b"Retry-After", f"{after_s:.3f}".encode())]
 
 
+def _parse_retry_after(head: ResponseHead) -> tuple[float | None, str | None]:
+    """Return the time that a refusal names, in ms, or else its malformed text."""
+    value = head.get(RETRY_AFTER_HEADER)
+    if head.status != UNAVAILABLE_STATUS or value is None:
+        return None, None
+    text = value.decode("latin-1").strip()
+    # Excludes what `float` also accepts, such as "inf", "nan" and "1_0".
+    if not RETRY_AFTER_PATTERN.fullmatch(text):
+        return None, text
+    return float(text) * MS_PER_S, None
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for part in value.split(b","):
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -28,6 +28,8 @@
     configuration_term: int = 0
     workers_term: int = 0
     configuration_version: int = 0
+    leaving: tuple[str, ...] = ()
+    """Incarnations of workers that have announced their shutdown lately."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
@@ -185,6 +187,8 @@
     permit: str
     outcome: str
     elapsed_ms: float
+    retry_after_ms: float = 0.0
+    """For how long the worker wants no further requests from this instance."""
 
 
 class PermitStarted(Message, frozen=True):
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -24,10 +24,16 @@
     mute: bool = False
     silent_after: int | None = None
     extra_answer: bool = False
+    leaving_stray: bool = False
+    """Send an answer to another attempt first, which announces the shutdown."""
     unmarked: bool = False
     delay_s: float = 0.0
     pause_s: float = 0.0
     """Delay of a stream before its second event."""
+    leaving: bool = False
+    """Announce the shutdown in all answers."""
+    turn_away: str | None = None
+    """Answer with status 503 and this `Retry-After`."""
 
 
 @dataclass
@@ -93,6 +99,7 @@
         self._kind = kind
         self._events = events
         self._gap_s = gap_s
+        self.requests = 0
         self._handle_count = 0
         self._results = {} if results is None else results
 
@@ -102,8 +109,15 @@
             name.decode().lower(): value.decode("latin-1")
             for name, value in request.headers
         }
+        self.requests += 1
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
+        elif self.faults.turn_away is not None:
+            refusal = [
+                (b"Not-Run", b"1"),
+                (b"Retry-After", self.faults.turn_away.encode()),
+            ]
+            await exchange.respond(503, [*refusal, *self._state_headers()])
         elif request.target == RUN_PATH:
             await self._run_pieces(request, exchange)
         elif request.target == FREE_PATH:
@@ -111,20 +125,21 @@
             self._run_log.freed += len(handles)
             for handle in handles:
                 self._results.pop(handle, None)
-            await exchange.respond(200, [])
+            await exchange.respond(200, self._state_headers())
         else:
             await self._run_request(request, headers, exchange)
 
     async def _run_pieces(self, request: IncomingRequest, exchange: Exchange) -> None:
         if self.faults.not_run:
-            await exchange.respond(503, [(b"Not-Run", b"1")])
+            await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
             return
         await trio.sleep(self._gap_s + self.faults.delay_s)
         if self.faults.mute:
             await trio.sleep_forever()
         answers = [self._run_piece(item) for item in json.loads(request.body)["items"]]
         body = json.dumps({"items": answers}).encode()
-        await exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+        headers = [(b"Content-Type", b"application/json"), *self._state_headers()]
+        await exchange.respond(200, headers, body)
 
     def _run_piece(self, item: dict[str, Any]) -> dict[str, str]:
         inputs = item.get("inputs", [])
@@ -144,7 +159,7 @@
         faults = self.faults
         attempt = headers.get("attempt-id", "")
         if faults.not_run:
-            await exchange.respond(503, [(b"Not-Run", b"1")])
+            await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
             return
         inputs = [
             input_handle
@@ -152,7 +167,7 @@
             if input_handle
         ]
         if any(self._results.get(input_handle) != attempt for input_handle in inputs):
-            await exchange.respond(409, [(b"Not-Run", b"1")])
+            await exchange.respond(409, [(b"Not-Run", b"1"), *self._state_headers()])
             return
         run = Run(
             self.name,
@@ -186,6 +201,11 @@
             return
         status = self.faults.status or 200
         body = f"{self.name} did {run.attempt}".encode()
+        if self.faults.leaving_stray:
+            await exchange.send_raw(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: stray\r\nServer-Seal: x\r\n"
+                b"Server-Leaving: 1\r\nContent-Length: 5\r\n\r\nstray"
+            )
         await exchange.respond(status, self._identity_headers(run), body)
         if self.faults.extra_answer:
             await exchange.send_raw(
@@ -212,8 +232,11 @@
             await trio.sleep(self._gap_s)
         await exchange.end()
 
+    def _state_headers(self) -> list[tuple[bytes, bytes]]:
+        return [(b"Server-Leaving", b"1")] if self.faults.leaving else []
+
     def _identity_headers(self, run: Run) -> list[tuple[bytes, bytes]]:
-        headers = [(b"Attempt-Id", run.attempt.encode())]
+        headers = [(b"Attempt-Id", run.attempt.encode()), *self._state_headers()]
         if not self.faults.unmarked:
             headers.append((b"Server-Seal", f"seal-{self.name}".encode()))
         return headers
