--- a/src/acaciapier/admin/application.py
+++ b/src/acaciapier/admin/application.py
@@ -8,7 +8,7 @@
 from ..configuration import ConfigurationLog
 from ..core.clock import Clock, to_s
 from ..exceptions import AcaciapierError, StoreUnavailable
-from ..http import BodyError, HttpRequest, read_body, send_json
+from ..http.asgi import BodyError, HttpRequest, read_body, send_json
 from ..observability import get_logger
 from ..settings.models import OperatorToken
 from .configuration import ConfigurationHandlers, unavailable
--- a/src/acaciapier/admin/instance.py
+++ b/src/acaciapier/admin/instance.py
@@ -10,7 +10,7 @@
 from ..configuration import ConfigurationLog
 from ..core.clock import SystemClock
 from ..core.ids import DataCentreId
-from ..http import HttpListener
+from ..http.server import HttpListener
 from ..policy import PathPolicy, PolicySettings
 from ..settings import AdminSettings
 from .application import AdminApplication
--- a/src/acaciapier/admin/routes.py
+++ b/src/acaciapier/admin/routes.py
@@ -9,7 +9,7 @@
 
 from ..configuration.limits import MAX_NESTING, nesting_depth
 from ..core.findings import Finding
-from ..http import HttpRequest
+from ..http.asgi import HttpRequest
 from .errors import ApiError, ErrorKind
 from .operators import Operator, Role
 
--- a/src/acaciapier/app/binary.py
+++ b/src/acaciapier/app/binary.py
@@ -1,6 +1,5 @@
 """Start-up shared by all binaries of the fleet."""
 
-import gc
 import random
 import sys
 from collections.abc import Callable
@@ -14,16 +13,10 @@
 from ..observability import make_handler
 from ..settings import FleetSettings, load_settings
 from .application import Application
+from .garbage_collection import tune_garbage_collection
 
 Settings = TypeVar("Settings", bound=FleetSettings)
 
-GC_THRESHOLDS = (20_000, 50, 1_000)
-"""Thresholds for `gc.set_threshold`.
-
-The first is the number of new objects before a collection of the youngest generation,
-the others are the numbers of collections of one generation before the next older one.
-"""
-
 
 class Instance(Protocol):
     """The components of one process."""
@@ -46,17 +39,6 @@
         trio.run(partial(run_instance, settings, make_instance))
 
 
-def tune_garbage_collection() -> None:
-    """Exclude the objects created at start-up from garbage collection.
-
-    Each collection blocks the event loop, and with it all streams, so collections are
-    made shorter and less frequent.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-
-
 async def run_instance(
     settings: Settings, make_instance: Callable[[Settings, random.Random], Instance]
 ) -> None:
--- a/src/acaciapier/app/crash_records.py
+++ b/src/acaciapier/app/crash_records.py
@@ -1,18 +1,21 @@
 """Sharing of crash records between instances."""
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 import trio
 
 from ..core.clock import to_s
 from ..core.ids import Fingerprint, Incarnation, InstanceId, PoolName, TargetId
 from ..exceptions import PeerUnavailable
-from ..membership import Membership
 from ..policy import CrashRecord, CrashRecordKind, PathPolicy
 from ..wire import PeerNetwork
 from ..wire.messages.operations import CrashRecordList, FetchCrashRecords
 from ..wire.messages.quarantine import CrashRecordEntry, Strikes
 
+if TYPE_CHECKING:
+    from ..membership import Membership
+
 MAX_RECORDS_PER_MESSAGE = 64
 PUBLISH_INTERVAL_MS = 500.0
 REQUEST_TIMEOUT_MS = 500.0
@@ -36,7 +39,7 @@
     """
 
     def __init__(
-        self, policy: PathPolicy, network: PeerNetwork, membership: Membership
+        self, policy: PathPolicy, network: PeerNetwork, membership: "Membership"
     ):
         self._policy = policy
         self._network = network
--- a/src/acaciapier/entry/http.py
+++ b/src/acaciapier/entry/http.py
@@ -10,7 +10,7 @@
 from ..core.clock import Clock, to_ms, to_s
 from ..core.ids import RequestId, WorkspaceId
 from ..core.outcomes import Cause
-from ..http import (
+from ..http.asgi import (
     BodyError,
     HttpRequest,
     read_body,
--- a/src/acaciapier/entry/instance.py
+++ b/src/acaciapier/entry/instance.py
@@ -11,7 +11,7 @@
 from ..claims import ClaimService
 from ..core.clock import SystemClock
 from ..core.ids import DataCentreId, WorkspaceId
-from ..http import HttpListener
+from ..http.server import HttpListener
 from ..observability import Metrics
 from ..pipeline import Executor, ExecutorServices, ReadCoalescer, ResumeTokenSigner
 from ..policy import PathPolicy, PolicySettings
--- a/src/acaciapier/gateway/main.py
+++ b/src/acaciapier/gateway/main.py
@@ -8,7 +8,7 @@
 import trio
 
 from ..app.application import Application
-from ..app.binary import tune_garbage_collection
+from ..app.garbage_collection import tune_garbage_collection
 from ..exceptions import FindingsError
 from ..platform.settings import read_settings, settings_path
 from .instance import GatewayInstance
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -8,8 +8,8 @@
 from ..app.crash_records import from_entries, to_entry
 from ..core.clock import Clock, to_s
 from ..core.ids import Fingerprint, Incarnation, InstanceId, PoolName, TargetId
+from ..core.stages import StageKind
 from ..http.client import ConnectFailed, HttpConnection
-from ..objects.models import StageKind
 from ..policy.models import CallOutcome, CallReport
 from ..policy.quarantine import Quarantine
 from ..policy.settings import PolicySettings
--- a/src/acaciapier/objects/models.py
+++ b/src/acaciapier/objects/models.py
@@ -5,6 +5,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
+from ..core.stages import StageKind
+
 NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
 MAX_STAGES = 12
 MAX_DEADLINE_MS = 600_000
@@ -18,16 +20,6 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class StageKind(Enum):
-    """What a stage does, which determines the kind of target that serves it."""
-
-    ENCODE = "encode"
-    RETRIEVE = "retrieve"
-    RERANK = "rerank"
-    GENERATE = "generate"
-    SERVICE = "service"
-
-
 class Stage(DeclaredModel):
     """One stage of a pipeline; a stage without `needs` gets the caller's input."""
 
--- a/src/acaciapier/observability/logs.py
+++ b/src/acaciapier/observability/logs.py
@@ -2,11 +2,12 @@
 
 import json
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import logbook
 
-from ..settings.models import LogSettings
+if TYPE_CHECKING:
+    from ..settings.models import LogSettings
 
 LEVELS = {
     "debug": logbook.DEBUG,
@@ -33,7 +34,7 @@
         return json.dumps(line, default=str)
 
 
-def make_handler(settings: LogSettings) -> logbook.Handler:
+def make_handler(settings: "LogSettings") -> logbook.Handler:
     """Return a handler that writes to the configured file, or to standard error."""
     level = LEVELS[settings.level.value]
     if settings.path is None:
--- a/src/acaciapier/policy/models.py
+++ b/src/acaciapier/policy/models.py
@@ -14,7 +14,7 @@
     WorkspaceId,
 )
 from ..core.outcomes import Cause
-from ..objects.models import StageKind
+from ..core.stages import StageKind
 
 
 @dataclass(frozen=True)
