Learn the times of engines, and take other times from routes and settings

Change: EngineTimes learns both from first parts, by medians; the dispatcher shares them in heartbeats. The reuse time comes from bounds.retry_after_s, the others from the route's objective, event gap and timeout.

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -27,7 +27,8 @@
     WorkRefused,
 )
 from ..catalogue import Catalogue
-from ..models import Worker, WorkerId
+from ..engine_times import DEFAULT_ESTIMATE, EngineEstimate
+from ..models import ServiceName, Worker, WorkerId
 from ..peers import Peers
 from .dispatcher import HANDED_OVER, OUTCOME_CANCELLED, Dispatcher
 from .refusal import DISPATCHER_CHANGE_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
@@ -93,6 +94,7 @@
         self._permits: dict[str, Permit] = {}
         self._results: dict[str, dict[str, int]] = {}
         self._dispatchers: dict[str, InstanceId] = {}
+        self._engine_estimates: dict[ServiceName, EngineEstimate] = {}
         self._last_permit_number = 0
         self._incarnation = epoch_ms(clock.now())
 
@@ -123,6 +125,17 @@
                 return max(ahead_ms, default=0.0)
         return 0.0
 
+    def engine_estimate(self, service: ServiceName) -> EngineEstimate:
+        """Return the times of a service's engines, as its dispatcher learned them."""
+        instance = self.dispatcher_of(service)
+        if instance == self._peers.own:
+            estimate = self._own_dispatcher.engine_estimate(service)
+        else:
+            estimate = self._peers.engine_estimate(instance, service)
+        if estimate is not None:
+            self._engine_estimates[service] = estimate
+        return self._engine_estimates.get(service, DEFAULT_ESTIMATE)
+
     async def enter_stages(self, message: EnterStages) -> None:
         """Wait until a request may start its stages, or raise `Refused`."""
         answer = await self._call_dispatcher(
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -18,11 +18,13 @@
     PermitStarted,
     PiecesMade,
     RunPieces,
+    ServiceEngineTimes,
     ServiceWait,
     WorkerGranted,
     WorkRefused,
 )
 from ..catalogue import Catalogue
+from ..engine_times import EngineEstimate
 from ..models import AttemptId, Piece, ServiceName, ServiceRule, Worker
 from ..settings import GatewayBounds
 from ..supervision import TaskSupervisor
@@ -244,7 +246,14 @@
         allocator = self._allocators.get(message.service)
         if allocator is not None:
             now_s = self._clock.monotonic_s()
-            allocator.record_start(message.permit, message.elapsed_ms, now_s)
+            if allocator.record_start(message.permit, message.elapsed_ms, now_s):
+                estimate = allocator.engine_times.estimate
+                self._log(
+                    "engine_times",
+                    service=message.service,
+                    first_part_ms=round(estimate.first_part_ms, 1),
+                    ms_per_token=round(estimate.ms_per_token, 5),
+                )
 
     async def permit_ended(self, peer: InstanceId, message: PermitEnded) -> None:
         """Release a slot and record how the call ended."""
@@ -326,6 +335,21 @@
             )
         return self._waits
 
+    def engine_estimate(self, service: str) -> EngineEstimate | None:
+        """Return the learned times of a service's engines, if there are any."""
+        allocator = self._allocators.get(service)
+        if allocator is None or not allocator.engine_times.learned:
+            return None
+        return allocator.engine_times.estimate
+
+    def engine_times(self) -> tuple[ServiceEngineTimes, ...]:
+        """Return the learned times of all engines, for heartbeats."""
+        return tuple(
+            ServiceEngineTimes(service, estimate.first_part_ms, estimate.ms_per_token)
+            for service in self._allocators
+            if (estimate := self.engine_estimate(service)) is not None
+        )
+
     def handle_soon(self, handler, peer: InstanceId, message: Message) -> None:
         """Start a task that handles a message which this instance sent to itself."""
         self._tasks.start_soon(handler, self, peer, message)
@@ -382,6 +406,7 @@
         if allocator is None:
             allocator = self._allocators[service] = SlotAllocator(rule)
         allocator.rule = rule
+        allocator.prefix_reuse_ms = self._bounds.prefix_reuse_ms
         return allocator
 
     def _budget(self, service: str) -> RetryBudget:
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -6,13 +6,14 @@
 happens to be slow.
 """
 
-from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from ..engine_times import EngineTimes
 from ..models import ServiceRule, Worker
-from ..stage_times import PREFILL_MS_PER_TOKEN
+from ..settings import DEFAULT_PREFIX_REUSE_MS
 from .health import WorkerHealth
+from .prefix_cache import PrefixCacheModel
 
 DEFAULT_PREFILL_MS_PER_TOKEN = 0.015
 """Time in which an engine prefills a prompt token, until measured."""
@@ -30,10 +31,6 @@
 recently. Prefilling it again delays this request and also takes compute time from
 others."""
 
-PREFIX_REUSE_WINDOW_S = 7.0
-"""Time since the last use of a prefix during which requests that share it are
-preferably sent to the worker that has it cached."""
-
 MAX_KV_CACHE_SHARE = 0.85
 """Share of an engine's KV cache that running requests may fill; the rest is left to the
 prefix cache."""
@@ -46,14 +43,6 @@
 """Slowdown relative to the other workers at which a worker gets requests only if no
 faster one has a free slot."""
 
-FIRST_PART_MS = 100.0
-"""Expected time from the start of a request at an idle engine to the first part of its
-answer, without prefill."""
-
-CONCURRENT_REQUEST_MS = 0.25
-"""Time that each concurrent request adds to the time to the first part of an answer: it
-lengthens each of about four engine steps by a twentieth of a millisecond."""
-
 TIME_EWMA_WEIGHT = 0.05
 """Weight of the newest call in the service's average time."""
 
@@ -101,46 +90,8 @@
     started: bool = False
     expected_ms: float = 0.0
     """Expected time to the first part of the answer."""
-
-
-class PrefixCacheModel:
-    """Estimate of the prompt prefixes in a worker's cache; evicts in LRU order.
-
-    Parameters
-    ----------
-    capacity_tokens : int
-        Memory of the worker.
-    """
-
-    def __init__(self, capacity_tokens: int):
-        self._capacity = capacity_tokens
-        self._used = 0
-        self._parts: OrderedDict[tuple[str, ...], int] = OrderedDict()
-
-    def cached_tokens(self, parts: Sequence[tuple[str, int]]) -> int:
-        """Return how many tokens of a prompt need no prefill."""
-        cached = 0
-        prefix: tuple[str, ...] = ()
-        for name, tokens in parts:
-            prefix = (*prefix, name)
-            if prefix not in self._parts:
-                break
-            cached += tokens
-        return cached
-
-    def record(self, parts: Sequence[tuple[str, int]]) -> None:
-        """Record that a prompt is prefilled; its last part is not shared."""
-        prefix: tuple[str, ...] = ()
-        for name, tokens in parts[:-1]:
-            prefix = (*prefix, name)
-            if prefix in self._parts:
-                self._parts.move_to_end(prefix)
-            else:
-                self._parts[prefix] = tokens
-                self._used += tokens
-        while self._used > self._capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._used -= tokens
+    prefilled_tokens: float = 0.0
+    """Prompt tokens that the engine prefills before the first part."""
 
 
 class SlotAllocator:
@@ -150,14 +101,21 @@
     ----------
     rule : ServiceRule
         The service.
+    prefix_reuse_ms : float
+        Time since the last use of a prefix during which requests that share it are
+        preferably sent to the worker that has it cached.
     """
 
-    def __init__(self, rule: ServiceRule):
+    def __init__(
+        self, rule: ServiceRule, prefix_reuse_ms: float = DEFAULT_PREFIX_REUSE_MS
+    ):
         self.rule = rule
+        self.prefix_reuse_ms = prefix_reuse_ms
         self.health = WorkerHealth()
         self.average_ms = DEFAULT_AVERAGE_MS
         self._prefill_ms_per_token = DEFAULT_PREFILL_MS_PER_TOKEN
         self._first_part_ratio = 1.0
+        self.engine_times = EngineTimes()
         self._reservations: dict[str, SlotReservation] = {}
         self._permits_by_worker: dict[str, set[str]] = {}
         self._prefix_caches: dict[str, PrefixCacheModel] = {}
@@ -253,11 +211,14 @@
             assignments.append((request, worker))
         return assignments
 
-    def record_start(self, permit: str, elapsed_ms: float, now_s: float) -> None:
-        """Record the first part of an answer; update prefill time and slowdown."""
+    def record_start(self, permit: str, elapsed_ms: float, now_s: float) -> bool:
+        """Record the first part of an answer; update prefill time and slowdown.
+
+        Return whether the times of the service's engines were learned again.
+        """
         reservation = self._reservations.get(permit)
         if reservation is None or reservation.started:
-            return
+            return False
         reservation.started = True
         if reservation.pending_prefill_tokens > 0:
             observed = min(
@@ -268,14 +229,25 @@
                 observed - self._prefill_ms_per_token
             )
         reservation.pending_prefill_tokens = 0.0
-        if reservation.expected_ms > 0:
-            ratio = elapsed_ms / reservation.expected_ms
-            average = self._first_part_ratio
-            self.health.record_slowdown(
-                reservation.worker, ratio / max(average, 0.1), now_s
-            )
-            change = min(ratio, SLOW_WORKER_SLOWDOWN * average) - average
-            self._first_part_ratio += TIME_EWMA_WEIGHT * change
+        if reservation.expected_ms <= 0:
+            return False
+        slowdown = self.health.slowdown(reservation.worker)
+        self._record_first_part(reservation, elapsed_ms, now_s)
+        if slowdown >= SLOW_WORKER_SLOWDOWN:
+            return False
+        return self.engine_times.observe(reservation.prefilled_tokens, elapsed_ms)
+
+    def _record_first_part(
+        self, reservation: SlotReservation, elapsed_ms: float, now_s: float
+    ) -> None:
+        """Update the slowdown of a worker and the average of the service."""
+        ratio = elapsed_ms / reservation.expected_ms
+        average = self._first_part_ratio
+        self.health.record_slowdown(
+            reservation.worker, ratio / max(average, 0.1), now_s
+        )
+        change = min(ratio, SLOW_WORKER_SLOWDOWN * average) - average
+        self._first_part_ratio += TIME_EWMA_WEIGHT * change
 
     def release(self, permit: str) -> SlotReservation | None:
         """Release a slot and return its reservation; None if it is not reserved."""
@@ -386,7 +358,8 @@
         prefix: tuple[str, ...] = ()
         for name, count in request.parts[:-1]:
             prefix = (*prefix, name)
-            if now_s - self._last_prefill_s.get(prefix, -1e9) > PREFIX_REUSE_WINDOW_S:
+            unused_s = now_s - self._last_prefill_s.get(prefix, -1e9)
+            if unused_s > self.prefix_reuse_ms / 1_000.0:
                 break
             tokens += count
         return tokens
@@ -434,7 +407,7 @@
     def _reserve(self, request: SlotRequest, worker: Worker, now_s: float) -> None:
         self.release(request.permit)
         uncached = request.prompt_tokens - self._cached_tokens(worker, request)
-        expected_ms = self._first_part_ms(worker, uncached)
+        prefilled_tokens, expected_ms = self._first_part(worker, uncached)
         self._reservations[request.permit] = SlotReservation(
             worker.key,
             request.owner,
@@ -443,6 +416,7 @@
             uncached,
             now_s + PERMIT_TTL_MS / 1_000.0,
             expected_ms=expected_ms,
+            prefilled_tokens=prefilled_tokens,
         )
         self._permits_by_worker.setdefault(worker.key, set()).add(request.permit)
         if self.rule.engine is not None:
@@ -453,19 +427,18 @@
             cache.record(request.parts)
             self._record_prefill(request, now_s)
 
-    def _first_part_ms(self, worker: Worker, uncached: float) -> float:
-        """Return an engine's expected time to the first part; 0 for other workers."""
+    def _first_part(self, worker: Worker, uncached: float) -> tuple[float, float]:
+        """Return the tokens before an engine's first part and its expected time in ms.
+
+        Both are 0 for other workers.
+        """
         if self.rule.engine is None:
-            return 0.0
+            return 0.0, 0.0
         permits = self._permits_by_worker.get(worker.key, ())
-        uncached += sum(
+        tokens = uncached + sum(
             self._reservations[permit].pending_prefill_tokens for permit in permits
         )
-        return (
-            FIRST_PART_MS
-            + PREFILL_MS_PER_TOKEN * uncached
-            + CONCURRENT_REQUEST_MS * len(permits)
-        )
+        return tokens, self.engine_times.estimate.expected_ms(tokens)
 
     def _record_prefill(self, request: SlotRequest, now_s: float) -> None:
         prefix: tuple[str, ...] = ()
@@ -473,7 +446,7 @@
             prefix = (*prefix, name)
             self._last_prefill_s[prefix] = now_s
         if len(self._last_prefill_s) > MAX_RECORDED_PREFIXES:
-            oldest_s = now_s - PREFIX_REUSE_WINDOW_S
+            oldest_s = now_s - self.prefix_reuse_ms / 1_000.0
             self._last_prefill_s = {
                 prefix: prefilled_s
                 for prefix, prefilled_s in self._last_prefill_s.items()
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -287,6 +287,7 @@
             self.catalogue.workers_position.term,
             self.catalogue.version,
             self.notices.shared_leaving(),
+            self.dispatcher.engine_times(),
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -19,6 +19,7 @@
 from ..wire.messages.base import Message
 from ..wire.messages.gateway import Heartbeat, ServiceWait
 from ..wire.network import PeerNetwork
+from .engine_times import EngineEstimate
 from .models import PeerRecord
 from .settings import Address
 from .supervision import TaskSupervisor
@@ -191,6 +192,18 @@
             else ()
         )
 
+    def engine_estimate(
+        self, instance: InstanceId, service: str
+    ) -> EngineEstimate | None:
+        """Return a service's engine times in the last heartbeat of a peer, if any."""
+        peer = self._peers.get(instance)
+        if peer is None or peer.last_heartbeat is None:
+            return None
+        for times in peer.last_heartbeat.engine_times:
+            if times.service == service:
+                return EngineEstimate(times.first_part_ms, times.ms_per_token)
+        return None
+
     def rank(self, key: str, own_usable: bool) -> list[InstanceId]:
         """Return the candidates for dispatcher of `key`, the current one first.
 
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -30,6 +30,8 @@
         Source of time.
     route : RouteRule
         Route that defines the stages.
+    service : ServiceName
+        Service that runs the request after its stages.
     metadata : RequestMetadata
         Metadata of the request.
     due_s, expires_s : float
@@ -53,6 +55,7 @@
         times: StageTimes,
         clock: Clock,
         route: RouteRule,
+        service: ServiceName,
         metadata: RequestMetadata,
         due_s: float,
         expires_s: float,
@@ -69,6 +72,7 @@
         self._times = times
         self._clock = clock
         self._route = route
+        self._service = service
         self._metadata = metadata
         self._due_s = due_s
         self._expires_s = expires_s
@@ -117,7 +121,7 @@
             + longest_chain_ms(self._route, self._counts, number, stage_ms)
             for number in first_stages
         )
-        return max(chains_ms, default=0.0) + self._times.engine_ms(self._metadata)
+        return max(chains_ms, default=0.0) + self._engine_ms()
 
     async def run(self) -> None:
         """Run all stages.
@@ -148,7 +152,9 @@
         if number is None:
             return
         now_s = self._clock.monotonic_s()
-        engine_ms = self._times.average_engine_ms(self._route, self._metadata)
+        engine_ms = self._times.average_engine_ms(
+            self._service, self._route, self._metadata
+        )
         window = self._window(number, now_s, engine_ms)
         service = self._route.stages[number].service
         self._requested.add(number)
@@ -210,8 +216,7 @@
             delay_ms = self._times.start_delay_ms(self._route, self._counts, number)
             await trio.sleep(to_s(delay_ms))
         now_s = self._clock.monotonic_s()
-        engine_ms = self._times.engine_ms(self._metadata)
-        window = self._window(number, now_s, engine_ms)
+        window = self._window(number, now_s, self._engine_ms())
         inputs = tuple(h for other in stage.after for h in self._handles[other])
         data_centre, transfer_bytes = self._preferred_data_centre(number)
         message = RunPieces(
@@ -242,6 +247,9 @@
         self._done[number].set()
         self._free_consumed_results()
 
+    def _engine_ms(self) -> float:
+        return self._times.engine_ms(self._service, self._metadata)
+
     def _window(self, number: int, now_s: float, engine_ms: float) -> StageWindow:
         return self._times.window(
             self._route,
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -87,7 +87,7 @@
         self._clock = clock
         self._random = random
         self._observer = observer
-        self._times = StageTimes(catalogue)
+        self._times = StageTimes(catalogue, dispatch_client.engine_estimate)
         self._table: RouteTable | None = None
 
     def cancel_all(self) -> None:
@@ -270,6 +270,7 @@
             self._times,
             self._clock,
             state.route,
+            state.service,
             state.metadata,
             state.due_s,
             state.abandon_at_s,
@@ -321,7 +322,8 @@
             return state.deadline_s
         if state.events.last_id is not None:
             return state.deadline_s
-        return state.abandon_at_s - self._times.engine_ms(state.metadata) / 1_000.0
+        engine_ms = self._times.engine_ms(state.service, state.metadata)
+        return state.abandon_at_s - engine_ms / 1_000.0
 
     def _input_bytes(self, state: RequestState) -> tuple[tuple[str, int], ...]:
         """Return the bytes of stage results in each data centre."""
--- a/src/acaciapier/gateway/settings.py
+++ b/src/acaciapier/gateway/settings.py
@@ -22,6 +22,10 @@
     writes_per_s: float
 
 
+DEFAULT_PREFIX_REUSE_MS = 7_000.0
+"""Time for which a cached prefix is worth a detour, if the operators state none."""
+
+
 @dataclass(frozen=True)
 class GatewayBounds:
     """Time and retry limits that the operators guarantee to callers and workers."""
@@ -32,6 +36,8 @@
     retry_ratio: float = 0.2
     retry_window_ms: float = 10_000.0
     retry_slack: float = 50.0
+    prefix_reuse_ms: float = DEFAULT_PREFIX_REUSE_MS
+    """Time since its last use within which a prefix should not be prefilled again."""
 
 
 @dataclass(frozen=True)
--- a/src/acaciapier/gateway/stage_times.py
+++ b/src/acaciapier/gateway/stage_times.py
@@ -4,14 +4,12 @@
 from dataclasses import dataclass
 
 from .catalogue import Catalogue
+from .engine_times import DEFAULT_ESTIMATE, EngineEstimate
 from .models import RequestMetadata, RouteRule, ServiceName
 
-FIRST_PART_MS = 120.0
-"""Time from the start of a request at an engine to the first part of its answer,
-without prefill."""
-
-PREFILL_MS_PER_TOKEN = 0.011
-"""Time in which an idle engine prefills a prompt token."""
+HANDOVER_MS = 60.0
+"""Time between the last stage result and the request's start at an engine: a message to
+the dispatcher and back, the wait for a slot, and the transfer of the results."""
 
 AVERAGE_BATCH_SHARE = 0.6
 """Size of an average call, as a share of the largest."""
@@ -59,10 +57,19 @@
     ----------
     catalogue : Catalogue
         Configuration.
+    engine_estimate : callable, optional
+        Returns what is known of the engines of a service.
     """
 
-    def __init__(self, catalogue: Catalogue):
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        engine_estimate: Callable[[ServiceName], EngineEstimate] = (
+            lambda service: DEFAULT_ESTIMATE
+        ),
+    ):
         self._catalogue = catalogue
+        self._engine_estimate = engine_estimate
         self._average_ms: dict[ServiceName, float] = {}
         self._average_prompt_tokens: dict[str, float] = {}
 
@@ -75,11 +82,14 @@
             clamped_ms - average_ms
         )
 
-    def engine_ms(self, metadata: RequestMetadata) -> float:
+    def engine_ms(self, service: ServiceName, metadata: RequestMetadata) -> float:
         """Return the time to the first part of an answer, without waiting."""
-        return FIRST_PART_MS + PREFILL_MS_PER_TOKEN * metadata.prompt_tokens
+        estimate = self._engine_estimate(service)
+        return HANDOVER_MS + estimate.expected_ms(metadata.prompt_tokens)
 
-    def average_engine_ms(self, route: RouteRule, metadata: RequestMetadata) -> float:
+    def average_engine_ms(
+        self, service: ServiceName, route: RouteRule, metadata: RequestMetadata
+    ) -> float:
         """Update and return the average engine time of a route's requests.
 
         Admission uses the average instead of the time of the request itself, which
@@ -89,7 +99,7 @@
         average_tokens = self._average_prompt_tokens.get(route.name, tokens)
         average_tokens += TIME_EWMA_WEIGHT * (tokens - average_tokens)
         self._average_prompt_tokens[route.name] = average_tokens
-        return FIRST_PART_MS + PREFILL_MS_PER_TOKEN * average_tokens
+        return HANDOVER_MS + self._engine_estimate(service).expected_ms(average_tokens)
 
     def stage_ms(self, service: ServiceName) -> float:
         """Return the average time of a stage, including its waiting time."""
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -28,7 +28,7 @@
     OUTCOME_UNREACHABLE,
 )
 from .event_stream import event_ids
-from .models import RequestKind, ResponseMetadata, Worker
+from .models import RequestKind, ResponseMetadata, RouteRule, Worker
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
 from .supervision import TaskSupervisor
@@ -37,17 +37,21 @@
 MAX_BUFFERED_RESPONSE_BYTES = 8_000_000
 """Maximum size of a response that is buffered until it is complete."""
 
-STREAM_IDLE_TIMEOUT_MS = 1_000.0
-"""A resumable stream without data for this long is resumed on another worker. The
-timeout is three times the event gap that callers accept, and half of their minimum
-abandonment timeout."""
+MIN_STREAM_IDLE_TIMEOUT_MS = 1_000.0
+"""Shortest time without data after which a resumable stream is resumed on another
+worker: half of the minimum abandonment timeout of callers."""
 
-PLAIN_HEAD_TIMEOUT_MS = 350.0
-"""A repeatable plain request is retried on another worker after this time. It exceeds
-the slowest usual work, and leaves time for a second run before the route's timeout."""
+STREAM_IDLE_GAPS = 3.3
+"""The same as a multiple of the event gap that the route's callers accept; they abandon
+a stream after eight such gaps."""
 
-STREAM_HEAD_TIMEOUT_MS = 1_500.0
-"""The same for the response head of a resumable stream, including the prefill."""
+HEAD_TIMEOUT_OBJECTIVES = 1.75
+"""Time without a response after which a repeatable plain request is sent to another
+worker, in latency objectives: usual work takes less."""
+
+HEAD_TIMEOUT_SHARE = 0.35
+"""Largest such time, and that of resumable streams, as a share of the route's timeout:
+it leaves time for a second run."""
 
 
 class WorkerExchange:
@@ -250,7 +254,10 @@
         """
         events = state.events
         last_run = state.runs >= state.route.max_attempts
-        idle_timeout_s = math.inf if last_run else to_s(STREAM_IDLE_TIMEOUT_MS)
+        idle_timeout_ms = max(
+            MIN_STREAM_IDLE_TIMEOUT_MS, STREAM_IDLE_GAPS * state.route.max_event_gap_ms
+        )
+        idle_timeout_s = math.inf if last_run else to_s(idle_timeout_ms)
         events.discard_partial_event()
         resumed_after = events.last_id
         while True:
@@ -275,9 +282,7 @@
         last_run = state.runs >= state.route.max_attempts
         if not state.route.repeatable or last_run:
             return math.inf
-        if state.route.kind is RequestKind.STREAMING:
-            return to_s(STREAM_HEAD_TIMEOUT_MS)
-        return to_s(PLAIN_HEAD_TIMEOUT_MS)
+        return to_s(head_timeout_ms(state.route))
 
     def _outgoing_request(self, state: RequestState, worker: Worker) -> OutgoingRequest:
         request = state.request
@@ -304,6 +309,18 @@
         )
 
 
+def head_timeout_ms(route: RouteRule) -> float:
+    """Return after what time a request without a response goes to another worker.
+
+    The first event of a stream is due within its objective, plain responses usually
+    come sooner than theirs.
+    """
+    longest_ms = HEAD_TIMEOUT_SHARE * route.timeout_ms
+    if route.kind is RequestKind.STREAMING:
+        return min(route.objective_ms, longest_ms)
+    return min(HEAD_TIMEOUT_OBJECTIVES * route.objective_ms, longest_ms)
+
+
 def _check_continuity(after: str, data: bytes) -> None:
     """Check that a resumed stream continues after the last forwarded event."""
     ids = event_ids(data)
--- a/src/acaciapier/platform/settings.py
+++ b/src/acaciapier/platform/settings.py
@@ -78,6 +78,11 @@
             )
             * MS_PER_S,
             retry_slack=fields.number("bounds.retry_slack", defaults.retry_slack),
+            # Not a delay of retries: a part that is read again later costs nothing.
+            prefix_reuse_ms=fields.number(
+                "bounds.retry_after_s", defaults.prefix_reuse_ms / MS_PER_S
+            )
+            * MS_PER_S,
         ),
         fleet_key=fleet_key.encode(),
         max_descriptors=int(fields.number("limits.max_fds", 1_024)),
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -15,6 +15,14 @@
     waits_ms: tuple[tuple[int, float], ...]
 
 
+class ServiceEngineTimes(msgspec.Struct, frozen=True, array_like=True):
+    """Times of a service's engines, as its dispatcher learned them."""
+
+    service: str
+    first_part_ms: float
+    ms_per_token: float
+
+
 class Heartbeat(Message, frozen=True, tag="Beat"):
     """Heartbeat, and the answer to one: what the sender knows and whether it stops."""
 
@@ -30,6 +38,7 @@
     configuration_version: int = 0
     leaving: tuple[str, ...] = ()
     """Incarnations of workers that have announced their shutdown lately."""
+    engine_times: tuple[ServiceEngineTimes, ...] = ()
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -330,7 +330,7 @@
         elapsed_ms = (self.now_s - request.start_s) * 1_000
         return self.times.window(
             kind.route,
-            self.times.engine_ms(self._metadata(kind)),
+            self.times.engine_ms(ServiceName("model"), self._metadata(kind)),
             request.counts,
             number,
             kind.route.objective_ms - elapsed_ms,
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -220,11 +220,11 @@
         RequestMetadata(AttemptId("x"), None, None, n, 80) for n in (9_000, 40_000)
     ]
     average_ms = [
-        load.times.average_engine_ms(route, request_metadata)
+        load.times.average_engine_ms("model", route, request_metadata)
         for request_metadata in metadata
     ]
     assert average_ms[1] < 1.2 * average_ms[0]
-    assert load.times.engine_ms(metadata[1]) > 2 * average_ms[1]
+    assert load.times.engine_ms("model", metadata[1]) > 2 * average_ms[1]
 
 
 def test_requests_of_one_workspace_are_ordered_by_their_routes():
