Play restores of the store and announcements of workers in the soak

The soak takes the store away and lets it return from a copy, lets workers announce their shutdown and turn requests away; its checker knows DRAIN by announcement and the bound of requests while a worker turns them away. Earlier seeds play the earlier faults (--earlier-faults).

--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -1,6 +1,7 @@
 """Checks the promises of the platform's rules from what both ends saw."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from acaciapier_standins.platform.workers import Run, RunLog
 
@@ -15,6 +16,29 @@
 LEFT_SLACK_S = 0.4
 MOST_LATE_ENDS = 3
 SERVED_AFTER = 0.25
+TURNED_AWAY_SLACK_S = 0.5
+MOST_TURNED_AWAY = 2
+
+
+@dataclass
+class Announcements:
+    """What the checker has to know about workers that announce that they leave.
+
+    Parameters
+    ----------
+    leaving_s : dict of str to float
+        Since when workers announce their shutdown.
+    disturbed_s : dict of str to list of float
+        When gateways were started, stopped or paused; they may forget announcements.
+    """
+
+    leaving_s: dict[str, float] = field(default_factory=dict)
+    disturbed_s: dict[str, list[float]] = field(default_factory=dict)
+
+    def remembers(self, gateway: str, from_s: float, to_s: float) -> bool:
+        """Return whether a gateway ran undisturbed all the time."""
+        times = self.disturbed_s.get(gateway, ())
+        return not any(from_s <= disturbed_s <= to_s for disturbed_s in times)
 
 
 def check(
@@ -22,6 +46,7 @@
     run_log: RunLog,
     drained_s: dict[str, float],
     calm_from_s: float,
+    announcements: Announcements | None = None,
 ) -> list[str]:
     """Return a line for each broken promise.
 
@@ -35,7 +60,10 @@
         When workers were reported as draining.
     calm_from_s : float
         From when on all faults were over and recovery had its time.
+    announcements : Announcements, optional
+        Which workers announced that they leave, and which gateways may not know it.
     """
+    announcements = announcements or Announcements()
     records = list(records)
     known = {one.attempt: one for one in records}
     runs: dict[str, list[Run]] = {}
@@ -46,6 +74,8 @@
         found += _check_one(record, runs.get(record.attempt, []))
     found += _check_drains(run_log, drained_s)
     found += _check_left(records, runs)
+    found += _check_leaving(known, run_log, announcements)
+    found += _check_turned_away(known, run_log, announcements)
     found += _check_recovery(records, calm_from_s)
     return found
 
@@ -85,6 +115,53 @@
     ]
 
 
+def _check_leaving(
+    known: dict[str, Received], run_log: RunLog, announcements: Announcements
+) -> list[str]:
+    """Check that gateways send nothing to a worker after its announcement."""
+    told_s: dict[tuple[str, str], float] = {}
+    found = []
+    for run in sorted(run_log.runs, key=lambda run: run.started_s):
+        leaving_s = announcements.leaving_s.get(run.worker)
+        record = known.get(run.attempt)
+        if leaving_s is None or record is None or run.started_s < leaving_s:
+            continue
+        first_s = told_s.get((record.gateway, run.worker))
+        if run.complete and run.ended_s is not None:
+            told_s.setdefault((record.gateway, run.worker), run.ended_s)
+        if first_s is None or record.sent_s <= first_s + DRAIN_S:
+            continue
+        if announcements.remembers(record.gateway, first_s, run.started_s):
+            found.append(f"{run.attempt} reached {run.worker}, which was leaving")
+    return found
+
+
+def _check_turned_away(
+    known: dict[str, Received], run_log: RunLog, announcements: Announcements
+) -> list[str]:
+    """Check that gateways leave workers alone that turned them away."""
+    found = []
+    refusals = [
+        (known[refusal.attempt].gateway, refusal)
+        for refusal in run_log.turned_away
+        if refusal.attempt in known
+    ]
+    for gateway, first in refusals:
+        later = [
+            other
+            for other_gateway, other in refusals
+            if (other_gateway, other.worker) == (gateway, first.worker)
+            and first.at_s + TURNED_AWAY_SLACK_S < other.at_s < first.until_s
+            and announcements.remembers(gateway, first.at_s, other.at_s)
+        ]
+        if len(later) > MOST_TURNED_AWAY:
+            found.append(
+                f"{gateway} sent {len(later)} requests to {first.worker}, which had "
+                "turned it away"
+            )
+    return found
+
+
 def _check_left(records: list[Received], runs: dict[str, list[Run]]) -> list[str]:
     late = [
         record.attempt
--- a/src/acaciapier_bench/soak/command.py
+++ b/src/acaciapier_bench/soak/command.py
@@ -9,7 +9,7 @@
 
 import cappa
 
-from .run import SoakPlan, run_soak
+from .run import ALL_FAULTS, FAULTS, SoakPlan, run_soak
 
 
 @cappa.command(name="soak")
@@ -26,6 +26,9 @@
     seconds: Annotated[float, cappa.Arg(long=True, help="Length of the faults.")] = 8.0
     gateways: Annotated[int, cappa.Arg(long=True, help="Gateway processes.")] = 3
     callers: Annotated[int, cappa.Arg(long=True, help="Callers.")] = 8
+    earlier_faults: Annotated[
+        bool, cappa.Arg(long=True, help="Without announcements and restored stores.")
+    ] = False
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder for settings and logs.")
     ] = None
@@ -34,7 +37,8 @@
         """Run all seeds; exit with 1 if a promise was broken."""
         broken = False
         for seed in self._seeds():
-            plan = SoakPlan(seed, self.seconds, self.gateways, self.callers)
+            faults = FAULTS if self.earlier_faults else ALL_FAULTS
+            plan = SoakPlan(seed, self.seconds, self.gateways, self.callers, faults)
             folder = self.keep / str(seed) if self.keep else None
             report = run_soak(plan, folder)
             print(report.summary(), flush=True)
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -19,7 +19,7 @@
 from acaciapier_standins.ports import free_ports
 
 from .callers import HOST, Received, SoakCaller
-from .checker import check
+from .checker import Announcements, check
 from .proxy import Link
 
 RECOVERY_S = 4.0
@@ -56,6 +56,14 @@
     "config",
     "compact",
 )
+ANNOUNCEMENT_FAULTS = ("store_restored", "leaving", "turn_away")
+"""Faults that `FAULTS` does not contain, so that earlier seeds play as before."""
+
+ALL_FAULTS = FAULTS + ANNOUNCEMENT_FAULTS
+WRITE_AGAIN_S = 1.2
+"""Time after a restore of the store until operators and workers have written again."""
+
+TURN_AWAY_S = 2.0
 SERVICES = services(call_ms=20.0, item_ms=1.0)
 
 
@@ -67,6 +75,7 @@
     seconds: float = 8.0
     gateways: int = 3
     callers: int = 8
+    faults: tuple[str, ...] = FAULTS
 
 
 @dataclass
@@ -106,6 +115,7 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._ports: dict[str, tuple[int, int, int]] = {}
         self._drained_s: dict[str, float] = {}
+        self._announcements = Announcements()
         self._links: dict[str, Link] = {}
         self._peer_links: dict[str, Link] = {}
         self._version = 1
@@ -208,9 +218,14 @@
                 nursery.start_soon(caller.run, until_s)
             while trio.current_time() < faults_end_s:
                 await trio.sleep(self._random.expovariate(2.0))
-                nursery.start_soon(self._inject, self._random.choice(FAULTS))
+                fault = self._random.choice(self._plan.faults)
+                nursery.start_soon(self._inject, fault)
         self.report.broken = check(
-            self.report.records, self._platform.run_log, self._drained_s, calm_from_s
+            self.report.records,
+            self._platform.run_log,
+            self._drained_s,
+            calm_from_s,
+            self._announcements,
         )
 
     async def _inject(self, kind: str) -> None:
@@ -220,6 +235,8 @@
         worker = self._random.choice(sorted(self._links))
         if kind in ("kill", "pause", "term", "hup"):
             await self._harm_process(kind, name, length_s)
+        elif kind == "store_restored":
+            await self._restore_store(length_s)
         elif kind.startswith("store"):
             await self._harm_store(kind, length_s)
         elif kind.startswith("peer"):
@@ -234,6 +251,7 @@
 
     async def _harm_process(self, kind: str, name: str, length_s: float) -> None:
         process = self._processes[name]
+        self._note_disturbed(name)
         with suppress(ProcessLookupError):
             if kind == "hup":
                 process.send_signal(signal.SIGHUP)
@@ -241,6 +259,7 @@
                 process.send_signal(signal.SIGSTOP)
                 await trio.sleep(length_s)
                 process.send_signal(signal.SIGCONT)
+                self._note_disturbed(name)
             elif kind == "kill":
                 process.kill()
             else:
@@ -252,8 +271,23 @@
             await trio.sleep(RESTART_AFTER_S)
             for name, process in list(self._processes.items()):
                 if process.poll() is not None:
+                    self._note_disturbed(name)
                     self._start_gateway(name)
 
+    def _note_disturbed(self, name: str) -> None:
+        times = self._announcements.disturbed_s.setdefault(name, [])
+        times.append(trio.current_time())
+
+    async def _restore_store(self, age_s: float) -> None:
+        """Take the store away for a moment and let it return from a copy."""
+        faults, store = self._platform.store.faults, self._platform.store
+        faults.down = True
+        await trio.sleep(RESTART_AFTER_S)
+        store.restore(age_s)
+        faults.down = False
+        await trio.sleep(WRITE_AGAIN_S)
+        self._platform.write_again()
+
     async def _harm_store(self, kind: str, length_s: float) -> None:
         faults, link = self._platform.store.faults, self._store_link
         if kind == "store_down":
@@ -299,6 +333,15 @@
             fresh = f"{service}-{number}x"
             if fresh not in self._links:
                 await self._add_worker(fresh, service, KINDS[service])
+        elif kind == "leaving":
+            self._announcements.leaving_s.setdefault(name, trio.current_time())
+            worker.faults.leaving = True
+            service, _, number = name.partition("-")
+            fresh = f"{service}-{number}y"
+            if fresh not in self._links:
+                await self._add_worker(fresh, service, KINDS[service])
+        elif kind == "turn_away":
+            worker.faults.turn_away = str(TURN_AWAY_S)
         elif kind == "extra":
             worker.faults.extra_answer = True
         else:
@@ -306,6 +349,7 @@
         await trio.sleep(length_s)
         worker.faults.mute = worker.faults.extra_answer = False
         worker.faults.cut_after = None
+        worker.faults.turn_away = None
         link.faults.cut_to_server = link.faults.refuse = False
 
     def _end_processes(self) -> None:
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -50,11 +50,22 @@
     complete: bool = False
 
 
+@dataclass(frozen=True)
+class TurnedAway:
+    """One request that a worker turned away with a time, in seconds."""
+
+    worker: str
+    attempt: str
+    at_s: float
+    until_s: float
+
+
 @dataclass
 class RunLog:
     """Log of what all workers ran; tests compare it with the answers of callers."""
 
     runs: list[Run] = field(default_factory=list)
+    turned_away: list[TurnedAway] = field(default_factory=list)
     pieces: Counter = field(default_factory=Counter)
     freed: int = 0
 
@@ -113,6 +124,7 @@
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
         elif self.faults.turn_away is not None:
+            self._log_turned_away(headers)
             refusal = [
                 (b"Not-Run", b"1"),
                 (b"Retry-After", self.faults.turn_away.encode()),
@@ -129,6 +141,17 @@
         else:
             await self._run_request(request, headers, exchange)
 
+    def _log_turned_away(self, headers: dict[str, str]) -> None:
+        now_s = trio.current_time()
+        self._run_log.turned_away.append(
+            TurnedAway(
+                self.name,
+                headers.get("attempt-id", ""),
+                now_s,
+                now_s + float(self.faults.turn_away),
+            )
+        )
+
     async def _run_pieces(self, request: IncomingRequest, exchange: Exchange) -> None:
         if self.faults.not_run:
             await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,9 +3,9 @@
 import pytest
 
 from acaciapier_bench.soak.callers import Received
-from acaciapier_bench.soak.checker import check
-from acaciapier_bench.soak.run import SoakPlan, run_soak
-from acaciapier_standins.platform.workers import Run, RunLog
+from acaciapier_bench.soak.checker import Announcements, check
+from acaciapier_bench.soak.run import ALL_FAULTS, SoakPlan, run_soak
+from acaciapier_standins.platform.workers import Run, RunLog, TurnedAway
 
 STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
 
@@ -80,6 +80,44 @@
     assert len(check(records, RunLog(runs), {}, 1e9)) == 1
 
 
+def sent(attempt: str, sent_s: float) -> Received:
+    return Received(attempt, "lookup", "edge-1", sent_s, left=True)
+
+
+def ran_at(attempt: str, start_s: float) -> Run:
+    return Run("w", attempt, "/lookup/1", b"", {}, start_s, start_s + 0.1, True)
+
+
+@pytest.mark.parametrize(("disturbed_s", "findings"), [({}, 1), ({"edge-1": [2.0]}, 0)])
+def test_requests_to_a_worker_that_announced_its_shutdown_are_found(
+    disturbed_s, findings
+):
+    records = [sent("a1", 1.0), sent("a2", 2.5), sent("a3", 5.0)]
+    runs = [ran_at("a1", 1.0), ran_at("a2", 2.5), ran_at("a3", 5.0)]
+    announcements = Announcements({"w": 0.5}, disturbed_s)
+    found = check(records, RunLog(runs), {}, 1e9, announcements)
+    assert len(found) == findings
+
+
+@pytest.mark.parametrize(
+    ("times_s", "findings"), [((0.0, 0.6, 0.7, 0.8), 1), ((0.0, 0.3, 0.4, 0.8), 0)]
+)
+def test_requests_to_a_worker_that_turns_them_away_are_found(times_s, findings):
+    records = [sent(f"a{n}", at_s) for n, at_s in enumerate(times_s)]
+    refusals = [
+        TurnedAway("w", f"a{n}", at_s, at_s + 2.0) for n, at_s in enumerate(times_s)
+    ]
+    found = check(records, RunLog(turned_away=refusals), {}, 1e9)
+    assert len(found) == findings
+
+
+def test_a_short_soak_with_restores_and_announcements_keeps_all_promises():
+    plan = SoakPlan(seed=5, seconds=6.0, gateways=3, callers=6, faults=ALL_FAULTS)
+    report = run_soak(plan)
+    assert report.broken == []
+    assert report.records
+
+
 def test_a_short_seeded_soak_keeps_all_promises():
     report = run_soak(SoakPlan(seed=4, seconds=5.0, gateways=3, callers=5))
     assert report.broken == []
