Call the store less from instances that rely on followers

Change: such an instance watches the configuration for 10 s, since heartbeats tell it about a newer one and it fetches that from a peer if its watch is silent, and polls the workers, of which followers tell, every 9 s.

--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -163,6 +163,8 @@
 
     def _blocked_ms(self, owner: str, worker: Worker, now_s: float) -> float:
         """Return for how long a worker wants no requests from an instance."""
+        if not self._turned_away_until_s:
+            return 0.0
         until_s = self._turned_away_until_s.get((owner, worker.key), 0.0)
         return max(0.0, (until_s - now_s) * 1_000.0)
 
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -31,9 +31,16 @@
 """The same for a follower in a large fleet. Peers that rely on it must learn sooner
 that the store no longer answers it."""
 
-POLL_PERIOD_MS = 5_000.0
-"""Period of polling the store for an instance that relies on followers. Several polls
-fit into the 20 s of history that the store keeps."""
+RELYING_WATCH_WAIT_MS = 10_000
+"""The same for the configuration, at an instance that relies on followers. Heartbeats
+tell it about a newer one, which it then fetches from a peer if its watch is silent."""
+
+WORKER_POLL_PERIOD_MS = 9_000.0
+"""Period of polling the store for workers, at an instance that relies on followers. Two
+polls fit into the 20 s of history that the store keeps."""
+
+PEER_POLL_PERIOD_MS = 5_000.0
+"""The same for the list of instances, of which heartbeats hand on nothing."""
 
 POLL_WAIT_MS = 50
 """Watch time of such a poll, which only reads changes that have happened already."""
@@ -234,7 +241,12 @@
 
     async def _wait_between_polls(self, kind: str) -> None:
         """Wait until the next poll is due or this instance must follow the store."""
-        end_s = self._clock.monotonic_s() + to_s(POLL_PERIOD_MS) * self._jitter()
+        period_ms = (
+            WORKER_POLL_PERIOD_MS
+            if kind == worker_format.WORKER_KIND
+            else PEER_POLL_PERIOD_MS
+        )
+        end_s = self._clock.monotonic_s() + to_s(period_ms) * self._jitter()
         while not self._followers.should_follow() and kind not in self._kinds_to_list:
             if self._clock.monotonic_s() >= end_s:
                 break
@@ -247,7 +259,7 @@
         if self._followers.should_follow():
             return FOLLOWER_WATCH_WAIT_MS
         if kind == configuration_format.OBJECT_KIND:
-            return WATCH_WAIT_MS
+            return RELYING_WATCH_WAIT_MS
         return POLL_WAIT_MS
 
     def _apply_configuration(self, snapshot: Snapshot, full: bool) -> None:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -150,15 +150,25 @@
         idle_ms = self._connections.idle_ms(connection)
         reused = connection.exchanges > 0
         outgoing = self._outgoing_request(state, worker)
+        response = None
+
+        def accept(head: ResponseHead) -> bool:
+            """Return whether a response belongs to the attempt or names no attempt.
+
+            Responses to other attempts, which are skipped, come from the worker, too.
+            """
+            nonlocal response
+            response = request_format.decode_response_metadata(head)
+            self._notices.observe(worker, response)
+            return response.attempt in (None, state.metadata.attempt)
+
         state.runs += 1
         state.may_have_run = True
         self._quarantine.record_send(state.fingerprint, worker)
         try:
             with trio.fail_after(self._head_timeout_s(state)):
                 await connection.send(outgoing, self._tasks)
-                head = await connection.receive_head(
-                    lambda head: self._accept(head, worker, state.metadata.attempt)
-                )
+                head = await connection.receive_head(accept)
         except ConnectionBroken:
             if reused:
                 self._connections.record_reset_on_reuse(worker, idle_ms)
@@ -166,7 +176,6 @@
         except trio.Cancelled:
             self._quarantine.record_end(state.fingerprint, worker, False)
             raise
-        response = request_format.decode_response_metadata(head)
         permit.retry_after_ms = self._notices.blocked_ms(worker)
         if response.not_run:
             await self._handle_not_run(state, permit, connection, head, response)
@@ -187,15 +196,6 @@
         await exchange.respond(head.status, response_headers(head), body)
         return "done", {"worker": worker.id, "status": head.status}
 
-    def _accept(self, head: ResponseHead, worker: Worker, attempt: str) -> bool:
-        """Return whether a response belongs to the attempt or names no attempt.
-
-        Responses to other attempts, which are skipped, come from this worker, too.
-        """
-        response = request_format.decode_response_metadata(head)
-        self._notices.observe(worker, response)
-        return response.attempt is None or response.attempt == attempt
-
     async def _handle_not_run(
         self,
         state: RequestState,
