Take the length of the restore window from the workers' heartbeat

The window in which a restored worker table may show ended workers was a constant; it follows from heartbeat_ms of the settings (three heartbeats and 1.4 s).

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -25,15 +25,18 @@
     WorkerKey,
     WorkerState,
 )
+from .settings import DEFAULT_WORKER_HEARTBEAT_MS
 
 EXPIRED_WORKER_GRACE_MS = 1_700.0
 """Workers whose entries expired during a store outage register again within 2,000 ms
 of its end. The grace period is shorter by the time in which the last request sent still
 arrives."""
 
-RESTORE_WINDOW_MS = 5_000.0
-"""Time in a new term in which the worker table may still show the copy: until the
-entries of ended workers have expired, which takes three of their heartbeats."""
+EXPIRY_HEARTBEATS = 3
+"""Heartbeats that a worker misses until its entry expires."""
+
+RESTORE_MARGIN_MS = 1_400.0
+"""Time in which the end of entries is seen here, and the second list is made."""
 
 MAX_REMEMBERED_WORKERS = 5_000
 """Number of workers that have left, or are leaving, which an instance remembers."""
@@ -50,6 +53,8 @@
         Decodes the stored form of a configuration; raises `ValueError`.
     on_change : callable, optional
         Called on each change with an event name and its fields for the log.
+    worker_heartbeat_ms : float, optional
+        Period at which workers write their entries.
     """
 
     def __init__(
@@ -57,7 +62,13 @@
         clock: Clock,
         decode_configuration: Callable[[object], GatewayConfiguration],
         on_change: Callable[..., None] = lambda *args, **fields: None,
+        worker_heartbeat_ms: float = DEFAULT_WORKER_HEARTBEAT_MS,
     ):
+        self.restore_window_ms = (
+            EXPIRY_HEARTBEATS * worker_heartbeat_ms + RESTORE_MARGIN_MS
+        )
+        """Time in a new term in which the worker table may still show the copy: until
+        the entries of ended workers have expired."""
         self.configuration: GatewayConfiguration | None = None
         self.configuration_position = NO_POSITION
         self.configuration_source = b""
@@ -252,7 +263,8 @@
         if self.workers_position == NO_POSITION:
             self.first_term = position.term
             return
-        self._restored_until_s = self._clock.monotonic_s() + to_s(RESTORE_WINDOW_MS)
+        now_s = self._clock.monotonic_s()
+        self._restored_until_s = now_s + to_s(self.restore_window_ms)
         self._on_change(
             "workers_restored",
             term=position.term,
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -128,7 +128,12 @@
         self.observer = RequestObserver(self.log, self.metrics)
         report = self.observer.failed
         tasks = TaskSupervisor(nursery, report)
-        self.catalogue = Catalogue(self.clock, decode_configuration, self.log.write)
+        self.catalogue = Catalogue(
+            self.clock,
+            decode_configuration,
+            self.log.write,
+            settings.worker_heartbeat_ms,
+        )
         own = PeerRecord(
             settings.instance,
             settings.control.host,
--- a/src/acaciapier/gateway/settings.py
+++ b/src/acaciapier/gateway/settings.py
@@ -22,6 +22,9 @@
     writes_per_s: float
 
 
+DEFAULT_WORKER_HEARTBEAT_MS = 1_200.0
+"""Period at which workers write their entries, if the deployment states none."""
+
 DEFAULT_PREFIX_REUSE_MS = 7_000.0
 """Time for which a cached prefix is worth a detour, if the operators state none."""
 
@@ -70,6 +73,8 @@
         Bandwidth of the machine's network link in Mbit/s.
     cores : float
         CPU capacity available to the process, in cores.
+    worker_heartbeat_ms : float
+        Period at which workers write their entries in the store.
     """
 
     instance: InstanceId
@@ -85,3 +90,4 @@
     max_descriptors: int
     link_mbps: float = 1_000.0
     cores: float = 1.0
+    worker_heartbeat_ms: float = DEFAULT_WORKER_HEARTBEAT_MS
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -15,7 +15,7 @@
 from ..platform import configuration as configuration_format
 from ..platform import workers as worker_format
 from ..platform.store import PlatformStore, Snapshot, StoredObject
-from .catalogue import RESTORE_WINDOW_MS, Catalogue
+from .catalogue import Catalogue
 from .followers import StoreFollowers
 from .models import NO_POSITION, PeerRecord, StorePosition, Worker, WorkerId
 from .peers import Peers
@@ -394,7 +394,7 @@
         now_s = self._clock.monotonic_s()
         self._log("store_restored", term=self._store.term, previous_term=previous)
         self._outage_end_s = now_s
-        self._restored_until_s = now_s + to_s(RESTORE_WINDOW_MS)
+        self._restored_until_s = now_s + to_s(self._catalogue.restore_window_ms)
         self._list_again(KINDS)
         self._restored.set()
         self._restored = trio.Event()
--- a/src/acaciapier/platform/settings.py
+++ b/src/acaciapier/platform/settings.py
@@ -7,6 +7,7 @@
 from ..core.findings import Findings
 from ..core.ids import DataCentreId, InstanceId, RegionId
 from ..gateway.settings import (
+    DEFAULT_WORKER_HEARTBEAT_MS,
     Address,
     GatewayBounds,
     GatewaySettings,
@@ -91,6 +92,7 @@
         # multiple of a standard core.
         cores=fields.number("limits.cpu_share", 1.0)
         * fields.number("limits.cores", 1.0),
+        worker_heartbeat_ms=fields.number("heartbeat_ms", DEFAULT_WORKER_HEARTBEAT_MS),
     )
 
 
--- a/tests/gateway/test_platform_formats.py
+++ b/tests/gateway/test_platform_formats.py
@@ -35,6 +35,7 @@
 limits.cores=2
 bounds.grace_s=8
 bounds.retry_after_s=10
+heartbeat_ms=900
 something.new=1
 """
 ENVIRONMENT = {FLEET_KEY_VARIABLE: "0123456789abcdef"}
@@ -44,6 +45,7 @@
     settings = decode_settings(SETTINGS, ENVIRONMENT, Findings())
     assert settings.bounds.stop_grace_ms == 8_000
     assert settings.bounds.prefix_reuse_ms == 10_000
+    assert settings.worker_heartbeat_ms == 900
     assert settings.cores == 1.0
     assert [seed.host for seed in settings.seeds] == ["10.0.0.2", "10.0.0.3"]
 
--- a/tests/gateway/test_store_terms.py
+++ b/tests/gateway/test_store_terms.py
@@ -6,7 +6,6 @@
 import trio
 
 from acaciapier.exceptions import StoreUnavailable, VersionConflict, WatchCompacted
-from acaciapier.gateway.catalogue import RESTORE_WINDOW_MS
 from acaciapier.gateway.models import StorePosition, WorkerState
 from acaciapier.gateway.peer_sync import PeerSync
 from acaciapier.gateway.settings import Address
@@ -171,7 +170,7 @@
     catalogue.apply_worker_changes(at(901), [("w1", None)], "store")
     listed = [worker("w1"), worker("w2")]
     catalogue.update_workers(at(850, 2), listed, "store")
-    clock.advance(RESTORE_WINDOW_MS / 1_000.0)
+    clock.advance(catalogue.restore_window_ms / 1_000.0)
     assert catalogue.update_workers(at(850, 2), listed, "store")
     assert len(catalogue.workers_of("book")) == 2
     assert not catalogue.update_workers(at(850, 2), [], "store")
