Send heartbeats in a large fleet to a number of peers that does not grow

Beyond 24 peers an instance sent heartbeats to two random peers at each tick of 50 ms, nearly all of which were due: 40 a second, each to another instance, so that each pair of the 195 soon held a connection with its handshake; and five a second to the dispatchers, their successors and the followers.

Change: random peers are left out. Successors and the two neighbours in the circular order of names get one heartbeat a second; neighbours also remove the entries of dead instances. Fleets of up to 25 instances work as before.

Ruled out: keeping random peers at a lower rate (an instance would be observed once in 97 s).

--- a/src/acaciapier/gateway/followers.py
+++ b/src/acaciapier/gateway/followers.py
@@ -6,7 +6,7 @@
 """
 
 from ..core.ids import InstanceId
-from .peers import MAX_HEARTBEAT_PEERS, Peers
+from .peers import Peers
 
 RANK_KEY = "store"
 """Key by which instances are ranked to select the followers."""
@@ -35,7 +35,7 @@
     @property
     def large_fleet(self) -> bool:
         """Whether the fleet is too large for all instances to follow the store."""
-        return len(self._peers.records) > MAX_HEARTBEAT_PEERS
+        return self._peers.large_fleet
 
     def chosen(self) -> list[InstanceId]:
         """Return the followers of a large fleet, which the ranking selects."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import fields
 from datetime import UTC, datetime
+from functools import partial
 
 import trio
 
@@ -155,7 +156,6 @@
             own,
             self.network,
             self.clock,
-            self._random,
             self._make_heartbeat,
             self.log.write,
         )
@@ -225,6 +225,7 @@
         self._peer_sync = peer_sync
         self.peers.on_heartbeat = self._handle_heartbeat
         self.peers.required_peers = self._required_peers
+        self.peers.standby_peers = partial(self._dispatchers, 1)
         self.peers.on_down = self.dispatcher.remove_owner
         self._register_handlers(peer_sync)
         await nursery.start(
@@ -268,16 +269,19 @@
         register(HeldResults, self.dispatcher.held_results)
 
     def _required_peers(self) -> set[InstanceId]:
-        """Return the dispatchers of all services, their successors and followers."""
+        """Return the dispatchers of all services and the followers of the store."""
+        return self._dispatchers(0).union(self.followers.chosen())
+
+    def _dispatchers(self, place: int) -> set[InstanceId]:
+        """Return the first, or the next, dispatchers of all services by their place."""
         configuration = self.catalogue.configuration
         services = configuration.services if configuration else ()
         usable = not self._stopping
-        dispatchers = {
+        return {
             instance
             for service in services
-            for instance in self.peers.rank(service, usable)[:2]
+            for instance in self.peers.rank(service, usable)[place : place + 1]
         }
-        return dispatchers.union(self.followers.chosen())
 
     def _make_heartbeat(self) -> Heartbeat:
         return Heartbeat(
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -4,7 +4,7 @@
 ranking by hash selects the dispatcher of each service.
 """
 
-import random as random_module
+from bisect import bisect
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -43,8 +43,9 @@
 """Consecutive missed heartbeats after which a peer is down; a single one may be lost by
 chance."""
 
-DOWN_HEARTBEAT_PERIOD_MS = 1_000.0
-"""Period of heartbeats to a peer that is down."""
+SLOW_HEARTBEAT_PERIOD_MS = 1_000.0
+"""Period of heartbeats to a peer that is down, and in a large fleet to peers that are
+not needed at present."""
 
 STABLE_AFTER_MS = 4_000.0
 """Uptime from which an instance is stable; until then it is ranked behind stable ones.
@@ -53,7 +54,11 @@
 
 MAX_HEARTBEAT_PEERS = 24
 """Peers up to which an instance sends heartbeats to all of them. Beyond, it sends them
-to the required and a few random ones, and knows the rest from the list alone."""
+to the required ones and a few neighbours, and knows the rest from the list alone."""
+
+NEIGHBOUR_COUNT = 2
+"""Neighbours that an instance of a large fleet observes, so that each instance is
+observed by two others."""
 
 
 @dataclass(eq=False)
@@ -83,8 +88,6 @@
         Connections to the other instances.
     clock : Clock
         Source of time.
-    random : random.Random
-        Source of the random choice of peers in a large fleet.
     make_heartbeat : callable
         Returns this instance's heartbeat.
     on_change : callable
@@ -96,22 +99,23 @@
         own_record: PeerRecord,
         network: PeerNetwork,
         clock: Clock,
-        random: random_module.Random,
         make_heartbeat: Callable[[], Heartbeat],
         on_change: Callable[..., None],
     ):
         self.own = own_record.instance
         self._own_record = own_record
         self._ranks: dict[tuple[str, bool], list[InstanceId]] = {}
+        self._neighbours: list[InstanceId] | None = None
         self.on_heartbeat: Callable[[InstanceId, Heartbeat], None] = (
             lambda peer, heartbeat: None
         )
         self.on_down: Callable[[InstanceId], None] = lambda peer: None
         self.required_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
-        """Returns the peers that always get heartbeats in a large fleet."""
+        """Returns the peers that get heartbeats often in a large fleet."""
+        self.standby_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
+        """Returns the peers that get heartbeats at times in a large fleet."""
         self._network = network
         self._clock = clock
-        self._random = random
         self._make_heartbeat = make_heartbeat
         self._on_change = on_change
         self._peers: dict[InstanceId, Peer] = {}
@@ -139,6 +143,7 @@
             record.instance: record for record in records if record.instance != self.own
         }
         self._ranks.clear()
+        self._neighbours = None
         for instance in self._peers.keys() - listed.keys():
             self._on_change("peer_removed", peer=instance)
             self._cancel_calls(self._peers.pop(instance))
@@ -330,9 +335,8 @@
         while True:
             now_s = self._clock.monotonic_s()
             self.update_stability(now_s)
-            for instance, peer in self._due_peers(now_s):
-                period_ms = HEARTBEAT_PERIOD_MS if peer.up else DOWN_HEARTBEAT_PERIOD_MS
-                peer.next_heartbeat_s = now_s + to_s(period_ms)
+            for instance in self.due_heartbeats(now_s):
+                peer = self._peers[instance]
                 tasks.start_soon(self._send_heartbeat, instance, peer)
             await trio.sleep(to_s(HEARTBEAT_PERIOD_MS / 4))
 
@@ -346,17 +350,42 @@
             self._stable = own
             self._ranks.clear()
 
-    def _due_peers(self, now_s: float) -> list[tuple[InstanceId, Peer]]:
-        peers = self._peers
-        if len(peers) > MAX_HEARTBEAT_PEERS:
-            required = {name for name in self.required_peers() if name in peers}
-            extra = self._random.sample(list(peers), 2)
-            peers = {name: peers[name] for name in [*required, *extra]}
-        return [
-            (name, peer)
-            for name, peer in peers.items()
-            if peer.next_heartbeat_s <= now_s
-        ]
+    def due_heartbeats(self, now_s: float) -> list[InstanceId]:
+        """Return the peers that get a heartbeat now, and schedule their next ones.
+
+        In a large fleet their number does not grow with the fleet.
+        """
+        often: Iterable[InstanceId] = self._peers
+        at_times: Iterable[InstanceId] = ()
+        if self.large_fleet:
+            often = self.required_peers()
+            at_times = [*self.standby_peers(), *self.neighbours()]
+        due = []
+        for names, usual_period_ms in (
+            (often, HEARTBEAT_PERIOD_MS),
+            (at_times, SLOW_HEARTBEAT_PERIOD_MS),
+        ):
+            for name in names:
+                peer = self._peers.get(name)
+                if peer is None or peer.next_heartbeat_s > now_s:
+                    continue
+                period_ms = usual_period_ms if peer.up else SLOW_HEARTBEAT_PERIOD_MS
+                peer.next_heartbeat_s = now_s + to_s(period_ms)
+                due.append(name)
+        return due
+
+    @property
+    def large_fleet(self) -> bool:
+        """Whether the fleet is too large for heartbeats between all instances."""
+        return len(self._peers) > MAX_HEARTBEAT_PEERS
+
+    def neighbours(self) -> list[InstanceId]:
+        """Return the instances that follow this one in the circular order of names."""
+        if self._neighbours is None:
+            names = sorted(self._peers)
+            start = bisect(names, self.own)
+            self._neighbours = (names[start:] + names[:start])[:NEIGHBOUR_COUNT]
+        return self._neighbours
 
     async def _send_heartbeat(self, instance: InstanceId, peer: Peer) -> None:
         try:
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -377,8 +377,7 @@
                 since_s = down_since_s.setdefault(name, now_s)
                 if now_s - since_s < to_s(DEAD_AFTER_MS) or not self.reachable:
                     continue
-                sweepers = self._peers.rank(name, not self.stopping)[:SWEEPER_COUNT]
-                if self._own.instance not in sweepers:
+                if not self._removes_entry_of(name):
                     continue
                 down_since_s.pop(name, None)
                 try:
@@ -387,6 +386,16 @@
                 except StoreError as error:
                     self._log("entry_not_removed", peer=name, reason=str(error))
 
+    def _removes_entry_of(self, name: InstanceId) -> bool:
+        """Return whether this instance removes the entry of a dead one.
+
+        In a large fleet only its neighbours observe an instance.
+        """
+        if self._peers.large_fleet:
+            return name in self._peers.neighbours()
+        sweepers = self._peers.rank(name, not self.stopping)[:SWEEPER_COUNT]
+        return self._own.instance in sweepers
+
     def _handle_new_term(self, previous: int) -> None:
         """List all kinds again, since the store was restored from a copy."""
         if previous == 0:
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -1,16 +1,27 @@
 """Followers of the store in large fleets, and instances that rely on them."""
 
+from collections import Counter
+
 import pytest
 import trio
 
+from acaciapier.core.clock import ManualClock
 from acaciapier.core.ids import InstanceId
 from acaciapier.gateway import followers as followers_module
+from acaciapier.gateway import peers as peers_module
+from acaciapier.gateway import sync as sync_module
 from acaciapier.gateway.followers import FOLLOWER_COUNT, MIN_SOURCES, StoreFollowers
 from acaciapier.gateway.peers import MAX_HEARTBEAT_PEERS
+from acaciapier.platform.workers import PEER_KIND
 from acaciapier.wire.messages.gateway import Heartbeat
 
 from .support import deployment
-from .test_instance_state import make_peers, record, set_stable_records
+from .test_instance_state import (
+    make_peers,
+    make_peers_on,
+    record,
+    set_stable_records,
+)
 
 FOLLOWING = Heartbeat(1, 1, 1, False, follows_store=True, uptime_ms=60_000.0)
 NOT_FOLLOWING = Heartbeat(1, 1, 1, False, uptime_ms=60_000.0)
@@ -69,7 +80,7 @@
 @pytest.fixture
 def large_fleet(monkeypatch):
     """Lower the limits so that four instances count as a large fleet."""
-    monkeypatch.setattr(followers_module, "MAX_HEARTBEAT_PEERS", 2)
+    monkeypatch.setattr(peers_module, "MAX_HEARTBEAT_PEERS", 2)
     monkeypatch.setattr(followers_module, "FOLLOWER_COUNT", 2)
 
 
@@ -115,3 +126,56 @@
                 gateway.sync._record_unreachable("config", "turned away")
         for gateway in relying:
             await world.until(gateway.followers.should_follow)
+
+
+def heartbeats_in_a_second(size: int) -> float:
+    """Return how many heartbeats an instance of a fleet with five services sends."""
+    clock = ManualClock()
+    records = [record(f"edge-{n:03}") for n in range(size)]
+    peers = make_peers_on(clock, records[0])
+    clock.advance(10.0)
+    peers.update_stability(clock.monotonic_s())
+    set_stable_records(peers, records)
+    followers = StoreFollowers(peers)
+    services = ("encode", "search", "rerank", "model", "book")
+    peers.required_peers = lambda: {
+        *(peers.rank(service, True)[0] for service in services),
+        *followers.chosen(),
+    }
+    peers.standby_peers = lambda: {peers.rank(key, True)[1] for key in services}
+    sent = 0
+    for _ in range(20 * 10):
+        clock.advance(0.05)
+        sent += len(peers.due_heartbeats(clock.monotonic_s()))
+    return sent / 10.0
+
+
+def test_heartbeats_do_not_grow_with_a_large_fleet():
+    """Five dispatchers and four followers get five a second, seven others one."""
+    assert all(heartbeats_in_a_second(size) <= 52 for size in (30, 82, 195, 510))
+
+
+def test_each_instance_of_a_large_fleet_is_observed_by_two_others():
+    records = [record(f"edge-{n:03}") for n in range(40)]
+    observed = Counter()
+    for own in records:
+        peers = make_peers(own)
+        set_stable_records(peers, records)
+        observed.update(peers.neighbours())
+    assert set(observed.values()) == {2}
+    assert len(observed) == 40
+
+
+async def test_in_a_large_fleet_the_entry_of_a_dead_instance_is_removed(
+    large_fleet, monkeypatch
+):
+    monkeypatch.setattr(sync_module, "DEAD_AFTER_MS", 500.0)
+    monkeypatch.setattr(sync_module, "SWEEP_PERIOD_MS", 200.0)
+    async with deployment(gateways=4) as world:
+        store = world.platform.store
+        store.put(
+            PEER_KIND,
+            "edge-2x",
+            {"host": "127.0.0.1", "port": 1, "zone": "a", "started_ms": 1},
+        )
+        await world.until(lambda: "edge-2x" not in store.names(PEER_KIND), 8.0)
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -1,6 +1,5 @@
 """State of an instance: configuration, workers, routes, retry budget and peers."""
 
-import random
 from dataclasses import replace
 
 import msgspec
@@ -163,7 +162,7 @@
 
 
 def make_peers_on(clock: ManualClock, own: PeerRecord) -> Peers:
-    return Peers(own, NoNetwork(), clock, random.Random(1), None, lambda *a, **k: None)
+    return Peers(own, NoNetwork(), clock, None, lambda *a, **k: None)
 
 
 def test_all_instances_rank_dispatchers_in_the_same_order():
