--- a/src/acaciapier/gateway/dispatch/piece_groups.py
+++ b/src/acaciapier/gateway/dispatch/piece_groups.py
@@ -5,6 +5,11 @@
 from ..models import Piece, PieceResult, Worker
 
 
+LARGE_TRANSFER_BYTES = 1_000_000
+"""Size from which transfers of a group between data centres are avoided: over the
+users' links between them, they cost more than a late answer is worth."""
+
+
 @dataclass(eq=False)
 class PieceGroup:
     """All pieces of one stage of one request.
--- a/src/acaciapier/gateway/dispatch/result_memory.py
+++ b/src/acaciapier/gateway/dispatch/result_memory.py
@@ -1,7 +1,10 @@
 """Memory for results at stage workers, and the measured throughput of a service."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from ..models import Worker
+
 MAX_MEMORY_SHARE = 1.0
 """Initial and highest usable share of a worker's result memory; the share is lowered
 when results need more memory than declared, as their sizes are approximate."""
@@ -99,3 +102,13 @@
         if elapsed_s >= MEASURE_PERIOD_S:
             self.rate_per_ms = self._pieces / elapsed_s / 1_000.0
             self._since_s, self._pieces = now_s, 0
+
+
+def address_of(handle: str) -> str:
+    """Return the address of the worker that stores a result."""
+    return handle.partition("/")[0]
+
+
+def keys_by_address(workers: Sequence[Worker]) -> dict[str, str]:
+    """Return the keys of workers by their addresses."""
+    return {worker.address: worker.key for worker in workers}
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -9,14 +9,16 @@
 
 from ..models import BatchSpec, PieceFailure, PieceResult, Worker
 from .health import WorkerHealth
-from .piece_groups import PieceGroup, StageCall
-from .result_memory import ResultMemory, StoredResult, Throughput
+from .piece_groups import LARGE_TRANSFER_BYTES, PieceGroup, StageCall
+from .result_memory import (
+    ResultMemory,
+    StoredResult,
+    Throughput,
+    address_of,
+    keys_by_address,
+)
 from .stage_order import fill_call, select_on_time
 
-LARGE_TRANSFER_BYTES = 1_000_000
-"""Size from which transfers of a group between data centres are avoided: over the
-users' links between them, they cost more than a late answer is worth."""
-
 PROBATION_PIECES = 2
 """Maximum size of calls to a worker that has not succeeded since its exclusion."""
 
@@ -129,8 +131,7 @@
 
     def pop_all(self) -> list[PieceGroup]:
         """Remove and return all waiting groups, for another dispatcher."""
-        groups = list(self._groups)
-        self._remove(groups)
+        self._remove(groups := list(self._groups))
         return groups
 
     def pop_infeasible(
@@ -320,10 +321,10 @@
         The address in a handle identifies the worker, also for results that another
         dispatcher requested.
         """
-        keys = _keys_by_address(workers)
+        keys = keys_by_address(workers)
         by_worker: dict[str, list[str]] = {}
         for handle in handles:
-            key = keys.get(_address(handle))
+            key = keys.get(address_of(handle))
             if key is None:
                 continue
             by_worker.setdefault(key, []).append(handle)
@@ -347,10 +348,10 @@
         """
         for memory in self._memories.values():
             memory.remove_owner(owner)
-        keys = _keys_by_address(workers)
+        keys = keys_by_address(workers)
         until_s = now_s + self.spec.result_ttl_ms / 1_000.0
         for handle, size_bytes in results:
-            key = keys.get(_address(handle))
+            key = keys.get(address_of(handle))
             if key is not None:
                 memory = self._memories.setdefault(key, ResultMemory())
                 memory.results[handle] = StoredResult(size_bytes, until_s, owner)
@@ -359,12 +360,8 @@
         """Return slowdown, share of memory in use and usability of each worker."""
         rows = []
         for worker in workers:
-            memory = self._memories.get(worker.key)
-            used = (
-                memory.used_bytes(now_s) / self.spec.result_memory_bytes
-                if memory
-                else 0.0
-            )
+            memory = self._memories.get(worker.key, ResultMemory())
+            used = memory.used_bytes(now_s) / self.spec.result_memory_bytes
             slowdown = round(self.health.slowdown(worker.key), 2)
             usable = self.health.usable(worker.key, now_s)
             rows.append([worker.id, slowdown, round(used, 2), usable])
@@ -502,12 +499,3 @@
         memory = self._memories.setdefault(call.worker.key, ResultMemory())
         memory.reserved_bytes = max(0.0, memory.reserved_bytes - call.reserved_bytes)
         return memory
-
-
-def _address(handle: str) -> str:
-    """Return the address of the worker that stores a result."""
-    return handle.partition("/")[0]
-
-
-def _keys_by_address(workers: Sequence[Worker]) -> dict[str, str]:
-    return {worker.address: worker.key for worker in workers}
