--- a/src/acaciapier/gateway/dispatch/piece_groups.py
+++ b/src/acaciapier/gateway/dispatch/piece_groups.py
@@ -4,7 +4,6 @@
 
 from ..models import Piece, PieceResult, Worker
 
-
 LARGE_TRANSFER_BYTES = 1_000_000
 """Size from which transfers of a group between data centres are avoided: over the
 users' links between them, they cost more than a late answer is worth."""
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -1,8 +1,7 @@
 """Queue of one stage service: which pieces go into the next call.
 
-A single instance usually has too few pieces to fill a call. This queue holds the pieces
-of all instances, so calls grow with the load. When more work waits than can be done
-in time, the least valuable groups are deprioritized.
+It holds the pieces of all instances, so that calls grow with the load. When more work
+waits than can be done in time, the least valuable groups are deprioritized.
 """
 
 from collections.abc import Iterable, Sequence
