--- a/src/acaciapier/__init__.py
+++ b/src/acaciapier/__init__.py
@@ -7,7 +7,7 @@
 ...     answer = await session.run("quote", {"text": "12 bowls"})  # doctest: +SKIP
 """
 
-from importlib import import_module
+from .core.lazy_imports import lazy_names
 
 _MODULES = {
     "AcaciapierError": ".exceptions",
@@ -23,18 +23,7 @@
 }
 
 __all__ = [*_MODULES]
-
-
-def __getattr__(name: str):
-    """Import a public name when it is first used.
-
-    The binaries use only parts of the package and start faster without the client.
-    """
-    if name not in _MODULES:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = getattr(import_module(_MODULES[name], __name__), name)
-    globals()[name] = value
-    return value
+__getattr__ = lazy_names(__name__, _MODULES)
 
 
 def __dir__() -> list[str]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -37,3 +37,13 @@
         "pipelines.quote.stages[1].kind",
         "pipelines.quote.extra",
     }
+
+
+def test_all_public_names_are_available():
+    import acaciapier
+    import acaciapier.http
+
+    for package in (acaciapier, acaciapier.http):
+        assert all(getattr(package, name) is not None for name in package.__all__)
+    with pytest.raises(AttributeError, match="no attribute 'Sesion'"):
+        acaciapier.Sesion  # noqa: B018
