--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -46,4 +46,4 @@
     for package in (acaciapier, acaciapier.http):
         assert all(getattr(package, name) is not None for name in package.__all__)
     with pytest.raises(AttributeError, match="no attribute 'Sesion'"):
-        acaciapier.Sesion  # noqa: B018
+        acaciapier.Sesion
