--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -59,7 +59,7 @@
 FULL_RATE_FLEET = 96
 """Instances up to which dispatchers get heartbeats at the full rate. In a larger fleet
 the period grows in proportion, so that a dispatcher receives no more than about 480 a
-second, a tenth of a core."""
+second, until the period reaches that of slow heartbeats."""
 
 NEIGHBOUR_COUNT = 2
 """Neighbours that an instance of a large fleet observes, so that each instance is
@@ -366,10 +366,10 @@
             often = self.required_peers()
             at_times = [*self.standby_peers(), *self.neighbours()]
         growth = max(1.0, len(self._peers) / FULL_RATE_FLEET)
-        period_ms = min(HEARTBEAT_PERIOD_MS * growth, SLOW_HEARTBEAT_PERIOD_MS)
+        often_period_ms = min(HEARTBEAT_PERIOD_MS * growth, SLOW_HEARTBEAT_PERIOD_MS)
         due = []
         for names, usual_period_ms in (
-            (often, period_ms),
+            (often, often_period_ms),
             (at_times, SLOW_HEARTBEAT_PERIOD_MS),
         ):
             for name in names:
