Log what marked the end of a worker's response

The stand-in's workers can answer with neither a length nor chunks. Shown by test_the_log_tells_what_marked_the_end_of_a_response; complete streams without framing are forwarded as before (two tests that pass without this change, too).

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -164,6 +164,10 @@
         }
         if state.stages is not None:
             fields["admission_ms"] = round(state.stages.admission_ms)
+        if state.framing is not None:
+            fields["framing"] = state.framing.value
+        if state.events.last_id is not None:
+            fields["last_event"] = state.events.last_id
         return outcome, fields
 
     def _route_table(self) -> RouteTable | None:
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -6,7 +6,7 @@
 
 from ..core.ids import Fingerprint
 from ..http.caller import IncomingRequest
-from ..http.client import ResponseHead
+from ..http.client import Framing, ResponseHead
 from .event_stream import EventSplitter
 from .models import RequestKind, RequestMetadata, RouteRule
 from .pipeline import StageRun
@@ -58,6 +58,8 @@
     may_have_run: bool = False
     tried_workers: set[str] = field(default_factory=set)
     stages: StageRun | None = None
+    framing: Framing | None = None
+    """Framing of the last response of a worker."""
     events: EventSplitter = field(default_factory=EventSplitter)
     """Splits a resumable stream into events and tracks the last one forwarded."""
 
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -177,6 +177,7 @@
             self._quarantine.record_end(state.fingerprint, worker, False)
             raise
         permit.retry_after_ms = self._notices.blocked_ms(worker)
+        state.framing = head.framing
         if response.not_run:
             await self._handle_not_run(state, permit, connection, head, response)
         self._dispatch_client.report_started(permit)
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import h11
 import trio
@@ -35,6 +36,7 @@
         b"upgrade",
     }
 )
+BODILESS_STATUSES = frozenset({204, 304})
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -56,6 +58,14 @@
     body: bytes = b""
 
 
+class Framing(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_END = "connection_end"
+
+
 @dataclass
 class ResponseHead:
     """Status and headers of a response."""
@@ -69,6 +79,15 @@
         """Return the value of a header by its lower-case name."""
         return self.values.get(name)
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the body; a response without a body has length 0."""
+        if b"transfer-encoding" in self.values:
+            return Framing.CHUNKED
+        if b"content-length" in self.values or self.status in BODILESS_STATUSES:
+            return Framing.LENGTH
+        return Framing.CONNECTION_END
+
 
 class HttpConnection:
     """An open connection to a server.
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -21,11 +21,16 @@
     not_run: bool = False
     cut_after: int | None = None
     """Events after which a stream is aborted; a plain answer is aborted midway."""
+    ends_early: bool = False
+    """Frame a stream that `cut_after` cuts as complete instead of aborting it."""
     mute: bool = False
     silent_after: int | None = None
     extra_answer: bool = False
     leaving_stray: bool = False
     """Send an answer to another attempt first, which announces the shutdown."""
+    unframed: bool = False
+    """Answer with neither a length nor chunks; an answer that is cut ends like a
+    complete one, with the end of its connection."""
     unmarked: bool = False
     delay_s: float = 0.0
     pause_s: float = 0.0
@@ -36,6 +41,40 @@
     """Answer with status 503 and this `Retry-After`."""
 
 
+class UnframedExchange:
+    """An answer that ends with its connection; has the methods of `Exchange`."""
+
+    def __init__(self, exchange: Exchange):
+        self.ended = False
+        self._exchange = exchange
+
+    async def respond(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
+    ) -> None:
+        """Send a complete answer."""
+        await self.start(status, headers)
+        await self.send(body)
+        await self.end()
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head."""
+        lines = [f"HTTP/1.1 {status} Status".encode()]
+        lines += [name + b": " + value for name, value in headers]
+        await self._exchange.send_raw(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._exchange.send_raw(data)
+
+    async def end(self) -> None:
+        """Count the answer as complete; the server then closes the connection."""
+        self.ended = True
+
+    def abort(self) -> None:
+        """Close the connection."""
+        self._exchange.abort()
+
+
 @dataclass
 class Run:
     """One request that a worker started to process."""
@@ -107,7 +146,7 @@
         self.address = address
         self.faults = WorkerFaults()
         self._run_log = run_log
-        self._kind = kind
+        self.kind = kind
         self._events = events
         self._gap_s = gap_s
         self.requests = 0
@@ -201,11 +240,13 @@
             trio.current_time(),
         )
         self._run_log.runs.append(run)
+        if faults.unframed:
+            exchange = UnframedExchange(exchange)
         try:
             await trio.sleep(faults.delay_s)
             if faults.mute:
                 await trio.sleep_forever()
-            if self._kind == "stream":
+            if self.kind == "stream":
                 await self._stream(run, headers, exchange)
             else:
                 await self._plain(run, exchange)
@@ -216,9 +257,8 @@
     async def _plain(self, run: Run, exchange: Exchange) -> None:
         await trio.sleep(self._gap_s)
         if self.faults.cut_after is not None:
-            await exchange.start(
-                200, [*self._identity_headers(run), (b"Content-Length", b"1000")]
-            )
+            length = [] if self.faults.unframed else [(b"Content-Length", b"1000")]
+            await exchange.start(200, [*self._identity_headers(run), *length])
             await exchange.send(b"half")
             exchange.abort()
             return
@@ -249,7 +289,10 @@
             event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
             if sent == self.faults.cut_after:
                 await exchange.send(event[: len(event) // 2])
-                exchange.abort()
+                if self.faults.ends_early:
+                    await exchange.end()
+                else:
+                    exchange.abort()
                 return
             await exchange.send(event)
             await trio.sleep(self._gap_s)
