--- a/src/acaciapier_bench/soak/proxy.py
+++ b/src/acaciapier_bench/soak/proxy.py
@@ -1,11 +1,19 @@
 """A loopback proxy that delays, resets, cuts one way or silences connections."""
 
+import socket
+import struct
 from dataclasses import dataclass
 
 import trio
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65_536
+RESET = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing a socket resets its connection."""
+
+
+class _Ended(Exception):
+    """One side of a connection has ended it regularly."""
 
 
 @dataclass
@@ -55,14 +63,29 @@
         with trio.CancelScope() as scope:
             self._open.add(scope)
             try:
-                async with client, server, trio.open_nursery() as nursery:
-                    nursery.start_soon(self._pass, client, server, True)
-                    nursery.start_soon(self._pass, server, client, False)
-            except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-                pass
+                async with client, server:
+                    await self._forward(client, server)
             finally:
                 self._open.discard(scope)
 
+    async def _forward(
+        self, client: trio.SocketStream, server: trio.SocketStream
+    ) -> None:
+        """Forward until one side ends; anything but a regular end is a reset."""
+        ended = False
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pass, client, server, True)
+                nursery.start_soon(self._pass, server, client, False)
+        except* _Ended:
+            ended = True
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        finally:
+            if not ended:
+                for stream in (client, server):
+                    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
     async def _pass(self, source, sink, to_server: bool) -> None:
         while data := await source.receive_some(CHUNK_BYTES):
             if self.faults.delay_s:
@@ -76,5 +99,5 @@
                     else self.faults.cut_to_client
                 )
             await sink.send_all(data)
-        # One side has ended: the other is to notice at once.
-        raise trio.BrokenResourceError("the connection ended")
+        # The other side is to notice at once.
+        raise _Ended
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -59,7 +59,10 @@
 ANNOUNCEMENT_FAULTS = ("store_restored", "leaving", "turn_away")
 """Faults that `FAULTS` does not contain, so that earlier seeds play as before."""
 
-ALL_FAULTS = FAULTS + ANNOUNCEMENT_FAULTS
+FRAMING_FAULTS = ("unframed", "unframed_break")
+"""Answers that end with their connection, and streams that do so within an event."""
+
+ALL_FAULTS = FAULTS + ANNOUNCEMENT_FAULTS + FRAMING_FAULTS
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
 
@@ -344,10 +347,16 @@
             worker.faults.turn_away = str(TURN_AWAY_S)
         elif kind == "extra":
             worker.faults.extra_answer = True
+        elif kind in FRAMING_FAULTS:
+            worker.faults.unframed = True
+            # Callers cannot tell that a plain answer without a length is cut.
+            cut = kind == "unframed_break" and worker.kind == "stream"
+            worker.faults.cut_after = 2 if cut else None
         else:
             worker.faults.cut_after = 2
         await trio.sleep(length_s)
         worker.faults.mute = worker.faults.extra_answer = False
+        worker.faults.unframed = False
         worker.faults.cut_after = None
         worker.faults.turn_away = None
         link.faults.cut_to_server = link.faults.refuse = False
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -19,6 +19,23 @@
     return await world.caller().request("POST", f"/{route}/1", b"{}", Attempt_Id="a1")
 
 
+@pytest.mark.parametrize("faults", [{"unframed": True}, {"ends_early": True}])
+async def test_a_stream_cut_within_an_event_is_not_framed_as_complete(faults):
+    async with deployment() as world:
+        set_faults(world, cut_after=2, **faults)
+        answer = await request(world, "chat")
+        assert (answer.status, answer.complete) == (200, False)
+        assert EVENTS.startswith(answer.body)
+        assert len(world.platform.run_log.runs_of("a1")) == 1
+
+
+async def test_a_stream_without_events_that_ends_with_its_connection_is_incomplete():
+    async with deployment() as world:
+        set_faults(world, cut_after=0, unframed=True)
+        answer = await request(world, "chat")
+        assert not answer.complete or answer.status == 502
+
+
 @pytest.mark.parametrize("route", ["chat", "mail"])
 async def test_a_complete_stream_that_ends_with_its_connection_is_forwarded(route):
     async with deployment() as world:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,13 @@
 
 from acaciapier_bench.soak.callers import Received
 from acaciapier_bench.soak.checker import Announcements, check
-from acaciapier_bench.soak.run import ALL_FAULTS, SoakPlan, run_soak
+from acaciapier_bench.soak.run import (
+    ANNOUNCEMENT_FAULTS,
+    FAULTS,
+    FRAMING_FAULTS,
+    SoakPlan,
+    run_soak,
+)
 from acaciapier_standins.platform.workers import Run, RunLog, TurnedAway
 
 STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
@@ -112,7 +118,14 @@
 
 
 def test_a_short_soak_with_restores_and_announcements_keeps_all_promises():
-    plan = SoakPlan(seed=5, seconds=6.0, gateways=3, callers=6, faults=ALL_FAULTS)
+    faults = FAULTS + ANNOUNCEMENT_FAULTS
+    report = run_soak(SoakPlan(seed=5, seconds=6.0, callers=6, faults=faults))
+    assert report.broken == []
+    assert report.records
+
+
+def test_streams_that_end_early_with_their_connection_keep_all_promises():
+    plan = SoakPlan(seed=6, seconds=8.0, callers=12, faults=FRAMING_FAULTS)
     report = run_soak(plan)
     assert report.broken == []
     assert report.records
