Treat a stream that ends within an event as broken off, however it is framed

Cause: the end of a stream was taken from the framing of the worker's HTTP response alone. A response with neither a length nor chunks ends with its connection, also when the worker crashes; the gateway then ended its own chunked response. Only streams that may be resumed were split into events, which showed an incomplete last one.

Change: every stream is forwarded in complete events, and one that ends within an event is broken off, whatever its framing. A response that ends with its connection and has no event is broken off, too. Blank lines are recognised in all line endings of server-sent events, as streams that were forwarded as they came may use others.

--- a/src/acaciapier/gateway/event_stream.py
+++ b/src/acaciapier/gateway/event_stream.py
@@ -1,10 +1,14 @@
 """Splits server-sent event streams into complete events.
 
-Only complete events are forwarded, so that another worker can resume the stream after
-the last event that the caller has received.
+Only complete events are forwarded: another worker can resume the stream after the last
+event that the caller has received, and a stream that ends within an event is known to
+be incomplete, however the worker framed it.
 """
 
-END_OF_EVENT = b"\n\n"
+BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
+"""Ends of an event, in the line endings that server-sent events allow."""
+
+LINE_ENDINGS = b"\r\n"
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an incomplete event."""
 
@@ -25,14 +29,10 @@
             If an incomplete event exceeds `MAX_EVENT_BYTES`.
         """
         data = self._partial + data
-        end = data.rfind(END_OF_EVENT)
-        if end < 0:
-            self._partial = data
-            if len(data) > MAX_EVENT_BYTES:
-                raise ValueError(f"an event of over {MAX_EVENT_BYTES} bytes")
-            return b""
-        end += len(END_OF_EVENT)
+        end = _end_of_events(data)
         complete, self._partial = data[:end], data[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event of over {MAX_EVENT_BYTES} bytes")
         self.last_id = _last_id(complete) or self.last_id
         return complete
 
@@ -50,11 +50,19 @@
     """Return the ids of complete events in order."""
     return [
         line[3:].strip().decode("latin-1")
-        for line in data.split(b"\n")
+        for line in data.splitlines()
         if line.startswith(b"id:")
     ]
 
 
+def _end_of_events(data: bytes) -> int:
+    """Return the length of the complete events at the start of `data`."""
+    ends = [data.rfind(blank) + len(blank) for blank in BLANK_LINES if blank in data]
+    end = max(ends, default=0)
+    # Further blank lines belong to no event.
+    return end if data[end:].strip(LINE_ENDINGS) else len(data)
+
+
 def _last_id(data: bytes) -> str | None:
     ids = event_ids(data)
     return ids[-1] if ids else None
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -61,7 +61,7 @@
     framing: Framing | None = None
     """Framing of the last response of a worker."""
     events: EventSplitter = field(default_factory=EventSplitter)
-    """Splits a resumable stream into events and tracks the last one forwarded."""
+    """Splits a stream into events and tracks the last one forwarded."""
 
     @property
     def value(self) -> float:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -10,6 +10,7 @@
 from ..http.client import (
     ConnectFailed,
     ConnectionBroken,
+    Framing,
     Headers,
     HttpConnection,
     OutgoingRequest,
@@ -226,7 +227,7 @@
         connection: HttpConnection,
         head: ResponseHead,
     ) -> tuple[str, dict]:
-        """Forward a stream as it arrives.
+        """Forward the complete events of a stream as they arrive.
 
         A stream that is resumed on another worker keeps the first worker's headers.
         """
@@ -236,9 +237,7 @@
         if state.stages is not None:
             state.stages.release()
         parts = connection.receive_body()
-        if state.route.resumable:
-            parts = self._complete_events(state, parts)
-        async for data in parts:
+        async for data in self._complete_events(state, parts, head.framing):
             await exchange.send(data)
         await exchange.end()
         self._quarantine.record_end(state.fingerprint, permit.worker, True)
@@ -246,19 +245,25 @@
         return "done", {"worker": permit.worker.id, "status": head.status}
 
     async def _complete_events(
-        self, state: RequestState, parts: AsyncIterator[bytes]
+        self, state: RequestState, parts: AsyncIterator[bytes], framing: Framing
     ) -> AsyncIterator[bytes]:
         """Yield complete events only.
 
-        Raises `trio.TooSlowError` after an idle timeout if another worker may resume
-        the stream.
+        Raises
+        ------
+        ConnectionBroken
+            If the stream ends within an event, or if only the end of the connection
+            marks its end and it has no event.
+        trio.TooSlowError
+            After an idle timeout, if another worker may resume the stream.
         """
         events = state.events
-        last_run = state.runs >= state.route.max_attempts
+        received = False
+        may_run_again = state.route.repeatable and state.runs < state.route.max_attempts
         idle_timeout_ms = max(
             MIN_STREAM_IDLE_TIMEOUT_MS, STREAM_IDLE_GAPS * state.route.max_event_gap_ms
         )
-        idle_timeout_s = math.inf if last_run else to_s(idle_timeout_ms)
+        idle_timeout_s = to_s(idle_timeout_ms) if may_run_again else math.inf
         events.discard_partial_event()
         resumed_after = events.last_id
         while True:
@@ -274,9 +279,12 @@
                 _check_continuity(resumed_after, complete)
                 resumed_after = None
             if complete:
+                received = True
                 yield complete
         if events.has_partial_event:
             raise ConnectionBroken("the stream ended within an event")
+        if framing is Framing.CONNECTION_END and not received:
+            raise ConnectionBroken("the connection ended before the first event")
 
     def _head_timeout_s(self, state: RequestState) -> float:
         """Return the timeout for the response head; infinite if no retry is allowed."""
