Reset the connection of an HTTP/1.0 caller whose response is broken off

What callers would see: a caller that speaks HTTP/1.0 gets a broken stream as complete.

A response to such a caller has no chunks, so the end of the connection marks its end; the gateway closed the connection regularly, whether the response was complete or not.

Change: a connection that is closed before the end of such a response is reset, for all reasons for which a response is broken off (failure, deadline, stop).

Before: test_a_broken_stream_to_an_http_1_0_caller_ends_with_a_reset fails (the response ends regularly). Now it passes. Ruled out elsewhere: the product's own interface checks count and digest of each stream; answers of stage workers and of the store are JSON, of which a part does not decode.

--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -4,6 +4,8 @@
 incomplete response closes the connection, so that it cannot look complete.
 """
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -21,6 +23,9 @@
 LINGER_TIMEOUT_S = 1.0
 """Time that a caller whose input is rejected has to read the response."""
 
+LINGER_RESET = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing a socket resets its connection."""
+
 STATUS_TEXTS = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -154,6 +159,7 @@
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
         )
         self._eof = False
+        self._close_would_complete = False
 
     async def serve(self) -> None:
         """Serve until either side closes."""
@@ -169,12 +175,19 @@
             self.close()
 
     def close(self) -> None:
-        """Close immediately."""
+        """Close immediately; reset if a regular end would complete a response."""
+        if self._close_would_complete and self._stream.socket.fileno() >= 0:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
         self._stream.socket.close()
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of a response."""
         headers = list(headers)
+        # Callers that speak an older version than HTTP/1.1 know no chunks.
+        self._close_would_complete = (
+            self._parser.their_http_version != b"1.1"
+            and not any(name.lower() == b"content-length" for name, _ in headers)
+        )
         if self._stopping():
             headers.append((b"Connection", b"close"))
         reason = STATUS_TEXTS.get(status, b"OK" if status == 200 else b"")
@@ -190,6 +203,8 @@
             raise CallerDisconnected from error
         if data:
             await self.send_raw(data)
+        if isinstance(event, h11.EndOfMessage):
+            self._close_would_complete = False
 
     async def send_raw(self, data: bytes) -> None:
         """Send bytes as they are, or raise `CallerDisconnected`."""
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -3,6 +3,9 @@
 import json
 
 import pytest
+import trio
+
+from acaciapier_standins.platform.platform import HOST
 
 from .support import deployment
 
@@ -36,6 +39,20 @@
         assert not answer.complete or answer.status == 502
 
 
+async def test_a_broken_stream_to_an_http_1_0_caller_ends_with_a_reset():
+    async with deployment() as world:
+        set_faults(world, cut_after=2)
+        port = world.gateways[0].settings.front.port
+        stream = await trio.open_tcp_stream(HOST, port)
+        await stream.send_all(
+            b"POST /chat/1 HTTP/1.0\r\nHost: orders.example\r\nAttempt-Id: a1\r\n"
+            b"Content-Length: 2\r\n\r\n{}"
+        )
+        with pytest.raises(trio.BrokenResourceError):
+            while await stream.receive_some(65_536):
+                pass
+
+
 @pytest.mark.parametrize("route", ["chat", "mail"])
 async def test_a_complete_stream_that_ends_with_its_connection_is_forwarded(route):
     async with deployment() as world:
