Log the prompt parts under which a worker crashed

It now carries the shared parts of the prompt and the last event that had been forwarded.

The stand-in platform can crash and replace each worker that begins to write on a given prompt part. test_the_log_names_the_prompt_parts_under_which_a_worker_crashed shows the fields; sound requests beside such a part are served on this code, too.

--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -299,6 +299,11 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """All parts but the last, which belongs to this request or its session."""
+        return self.parts[:-1]
+
     @property
     def weighted_tokens(self) -> float:
         """Size of a generation in equivalent prompt tokens."""
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -287,12 +287,9 @@
         await state.stages.run()
 
     def _prompt_cache_data_centre(self, state: RequestState) -> str:
-        """Return the data centre of the engine that most likely caches the prompt.
-
-        The last part of a prompt is not shared with other requests.
-        """
+        """Return the data centre of the engine that most likely caches the prompt."""
         workers = self._catalogue.workers_of(state.service)
-        shared = state.metadata.parts[:-1]
+        shared = state.metadata.shared_parts
         if not workers or not shared:
             return ""
         prefix = shared[-1].id
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -16,6 +16,7 @@
 from ..wire.messages.quarantine import Strikes
 from .models import Worker
 from .peers import Peers
+from .request_state import RequestState
 from .supervision import TaskSupervisor
 
 PROBE_DELAY_MS = 40.0
@@ -76,19 +77,16 @@
         self._quarantine.ended(_report(worker, outcome), fingerprint)
         self._publish()
 
-    def check_for_crash(
-        self, fingerprint: Fingerprint, worker: Worker, attempt: str
-    ) -> None:
+    def check_for_crash(self, state: RequestState, worker: Worker) -> None:
         """Probe in the background whether a worker that broke off a request crashed."""
-        self._tasks.start_soon(self._probe_worker, fingerprint, worker, attempt)
+        self._tasks.start_soon(self._probe_worker, state, worker)
 
     async def handle_crash_records(self, peer: InstanceId, message: Strikes) -> None:
         """Merge the crash records of a peer."""
         self._quarantine.merge(from_entries(message.records))
 
-    async def _probe_worker(
-        self, fingerprint: Fingerprint, worker: Worker, attempt: str
-    ) -> None:
+    async def _probe_worker(self, state: RequestState, worker: Worker) -> None:
+        last_event = state.events.last_id
         await trio.sleep(to_s(PROBE_DELAY_MS))
         outcome = CallOutcome.FAILED
         try:
@@ -98,14 +96,16 @@
             connection.close()
         except ConnectFailed:
             outcome = CallOutcome.CRASHED
-        self._quarantine.ended(_report(worker, outcome), fingerprint)
+        self._quarantine.ended(_report(worker, outcome), state.fingerprint)
         if outcome is CallOutcome.CRASHED:
             self._log(
                 "worker_crashed_under_request",
-                request=attempt,
+                request=state.metadata.attempt,
                 worker=worker.id,
-                fingerprint=fingerprint,
-                crashes=self._quarantine.crash_count(fingerprint),
+                fingerprint=state.fingerprint,
+                crashes=self._quarantine.crash_count(state.fingerprint),
+                parts=[part.id for part in state.metadata.shared_parts],
+                last_event=last_event,
             )
         self._publish()
 
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -130,9 +130,7 @@
         except ConnectionBroken as error:
             permit.outcome = OUTCOME_FAILED
             self._log_decision(state, worker, "broken", str(error))
-            self._quarantine.check_for_crash(
-                state.fingerprint, worker, state.metadata.attempt
-            )
+            self._quarantine.check_for_crash(state, worker)
             raise RequestFailed(f"broken: {error}") from error
         except trio.TooSlowError as error:
             permit.outcome = OUTCOME_UNREACHABLE
--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -29,6 +29,11 @@
         self.run_log = RunLog()
         self.workers: dict[str, StandInWorker] = {}
         self.store_port = 0
+        self.crashing_parts: set[str] = set()
+        """Parts of prompts that crash each worker which begins to write on them."""
+        self.crashes: list[tuple[float, str]] = []
+        """Times of such crashes, with the workers."""
+        self.replace_after_s = 0.3
         self._results: dict[str, str] = {}
         self._nursery = nursery
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -41,7 +46,14 @@
 
     async def add_worker(self, name: str, service: str, **fields: Any) -> StandInWorker:
         """Start and register a worker."""
-        worker = StandInWorker(name, "", self.run_log, results=self._results, **fields)
+        worker = StandInWorker(
+            name,
+            "",
+            self.run_log,
+            results=self._results,
+            on_begin=self._begin_writing,
+            **fields,
+        )
         port = await self._listen(name, worker.answer)
         worker.address = f"{HOST}:{port}"
         self.workers[name] = worker
@@ -68,6 +80,21 @@
         """Close the connections and the port of a worker."""
         self._scopes[name].cancel()
 
+    def _begin_writing(self, name: str, parts: tuple[str, ...]) -> None:
+        """Crash and replace a worker that begins to write on a crashing part."""
+        if self.crashing_parts.isdisjoint(parts[:-1]) or name not in self._entries:
+            return
+        self.crashes.append((trio.current_time(), name))
+        self.crash(name)
+        self._nursery.start_soon(self._replace, name)
+
+    async def _replace(self, name: str) -> None:
+        """Deregister a crashed worker and start another one in its place."""
+        service, kind = self._entries[name]["service"], self.workers[name].kind
+        self.deregister(name)
+        await trio.sleep(self.replace_after_s)
+        await self.add_worker(f"{service}-r{len(self.workers)}", service, kind=kind)
+
     def configure(self, configuration: dict[str, Any]) -> None:
         """Write the gateway configuration to the store."""
         self._configuration = configuration
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -130,6 +131,11 @@
         Number of events of a stream.
     gap_s : float
         Time between the events of a stream, or service time of other work.
+    results : dict of str to str
+        Attempts by the handles of their stage results, shared by all workers.
+    on_begin : callable, optional
+        Called with the worker's name and the parts of a prompt when a stream on it
+        begins to be written; it may crash the worker.
     """
 
     def __init__(
@@ -141,6 +147,7 @@
         events: int = 4,
         gap_s: float = 0.01,
         results: dict[str, str] | None = None,
+        on_begin: Callable[[str, tuple[str, ...]], None] | None = None,
     ):
         self.name = name
         self.address = address
@@ -152,6 +159,7 @@
         self.requests = 0
         self._handle_count = 0
         self._results = {} if results is None else results
+        self._on_begin = on_begin
 
     async def answer(self, request: IncomingRequest, exchange: Exchange) -> None:
         """Answer an HTTP request to the worker."""
@@ -280,6 +288,10 @@
         first = int(headers.get("last-event-id", "0")) + 1
         content_type = (b"Content-Type", b"text/event-stream")
         await exchange.start(200, [*self._identity_headers(run), content_type])
+        if self._on_begin is not None:
+            prompt = headers.get("prompt-prefix", "").split(",")
+            self._on_begin(self.name, tuple(part.partition(":")[0] for part in prompt))
+            await trio.lowlevel.checkpoint()
         for number in range(first, self._events + 1):
             sent = number - first
             if sent == self.faults.silent_after:
--- /dev/null
+++ b/tests/gateway/test_crashing_prompt_parts.py
@@ -0,0 +1,67 @@
+"""Requests that share a prompt part which crashes workers are refused everywhere."""
+
+import json
+
+import trio
+
+from .support import deployment
+
+SOUND_PART = "5c1e07a2:800"
+CRASHING_PART = "91bd3f06:410"
+
+
+async def request(world, number: int, attempt: str, crashing: bool, own: str):
+    """Request a stream; no two requests have the same path, body or last part."""
+    parts = [SOUND_PART, *([CRASHING_PART] if crashing else []), f"{own}:250"]
+    caller = world.caller(number % len(world.gateways))
+    try:
+        return await caller.request(
+            "POST",
+            f"/mail/{attempt}",
+            attempt.encode(),
+            Attempt_Id=attempt,
+            Prompt_Prefix=",".join(parts),
+        )
+    finally:
+        await caller.aclose()
+
+
+async def crash_workers(world, crashes: int) -> None:
+    """Send requests with the crashing part until workers have crashed so often."""
+    world.platform.crashing_parts = {CRASHING_PART.partition(":")[0]}
+    for number in range(4 * crashes):
+        await request(world, number, f"c{number}", True, f"aa{number}")
+        await trio.sleep(0.2)
+        if len(world.platform.crashes) >= crashes:
+            return
+
+
+async def test_sound_requests_are_served_beside_a_crashing_prompt_part():
+    async with deployment(gateways=2) as world:
+        for number in range(3, 7):
+            await world.platform.add_worker(f"model-{number}", "model", kind="stream")
+        for number in range(4):
+            await request(world, number, f"a{number}", False, f"cc{number}")
+        await crash_workers(world, 5)
+        await trio.sleep(0.5)
+        answers = [
+            await request(world, number, f"e{number}", False, f"dd{number}")
+            for number in range(10)
+        ]
+        assert [answer.status for answer in answers] == [200] * 10
+        assert all(answer.complete for answer in answers)
+
+
+async def test_the_log_names_the_prompt_parts_under_which_a_worker_crashed(capfd):
+    lines = []
+
+    def crashed() -> list[dict]:
+        lines.extend(map(json.loads, capfd.readouterr().out.splitlines()))
+        return [x for x in lines if x["event"] == "worker_crashed_under_request"]
+
+    async with deployment() as world:
+        await crash_workers(world, 1)
+        await world.until(crashed)
+        line = crashed()[0]
+        assert line["parts"] == ["5c1e07a2", "91bd3f06"]
+        assert line["last_event"] is None
