--- a/tests/gateway/test_crashing_prompt_parts.py
+++ b/tests/gateway/test_crashing_prompt_parts.py
@@ -8,6 +8,7 @@
 
 SOUND_PART = "5c1e07a2:800"
 CRASHING_PART = "91bd3f06:410"
+MAX_SENDS_AFTER_FIFTH_CRASH = 3
 
 
 async def request(world, number: int, attempt: str, crashing: bool, own: str):
@@ -26,6 +27,15 @@
         await caller.aclose()
 
 
+def runs_with_part(world, since_s: float) -> list:
+    return [
+        run
+        for run in world.platform.run_log.runs
+        if CRASHING_PART in run.headers.get("prompt-prefix", "")
+        and run.started_s >= since_s
+    ]
+
+
 async def crash_workers(world, crashes: int) -> None:
     """Send requests with the crashing part until workers have crashed so often."""
     world.platform.crashing_parts = {CRASHING_PART.partition(":")[0]}
@@ -36,6 +46,21 @@
             return
 
 
+async def test_requests_that_share_a_crashing_prompt_part_stop_reaching_workers():
+    async with deployment(gateways=2) as world:
+        for number in range(3, 7):
+            await world.platform.add_worker(f"model-{number}", "model", kind="stream")
+        await crash_workers(world, 5)
+        since_s = trio.current_time()
+        for number in range(12):
+            answer = await request(world, number, f"d{number}", True, f"bb{number}")
+            if not runs_with_part(world, since_s):
+                assert answer.status == 503
+                assert float(answer.headers["retry-after"]) > 0
+            await trio.sleep(0.1)
+        assert len(runs_with_part(world, since_s)) <= MAX_SENDS_AFTER_FIFTH_CRASH
+
+
 async def test_sound_requests_are_served_beside_a_crashing_prompt_part():
     async with deployment(gateways=2) as world:
         for number in range(3, 7):
