Quarantine prompt parts that crash the workers which write on them

Cause: the quarantine identifies a request by its method, path, key and body. Requests that have only a prompt part in common each start with no crash on record.

Ruled out: records that reach other instances too late (one fingerprint was blocked on another instance 10 ms after its second crash), crashes that are not recognised (44 broken connections, 44 crashes).

Change: crash records of prompt parts, shared like those of requests. A crash counts against the strongest suspects only; a response clears its parts; a blocked part is tried again by one request of the fleet after a time that doubles. The same cause elsewhere: a request that is blocked while it waits is not sent any more, and an instance that started or was cut off fetches the records that it missed, by a digest in the heartbeat.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -33,6 +33,7 @@
     PermitStarted,
     RunPieces,
 )
+from ..wire.messages.operations import FetchCrashRecords
 from ..wire.messages.quarantine import Strikes
 from ..wire.network import PeerNetwork
 from .catalogue import Catalogue
@@ -257,6 +258,7 @@
         register = self.network.register
         register(Heartbeat, self._answer_heartbeat)
         register(Strikes, self.quarantine.handle_crash_records)
+        register(FetchCrashRecords, self.quarantine.answer_fetch)
         register(FetchUpdates, peer_sync.answer_fetch)
         register(EnterStages, self.dispatcher.enter_stages)
         register(RunPieces, self.dispatcher.run_pieces)
@@ -297,11 +299,13 @@
             self.catalogue.version,
             self.notices.shared_leaving(),
             self.dispatcher.engine_times(),
+            self.quarantine.part_crashes_digest,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
         self._peer_sync.handle_heartbeat(peer, heartbeat)
         self.notices.merge(peer, heartbeat.leaving)
+        self.quarantine.handle_heartbeat(peer, heartbeat)
 
     def _workers_changed(self) -> None:
         self.dispatcher.workers_changed()
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -17,6 +17,9 @@
 AttemptId = NewType("AttemptId", str)
 """Id that a caller gives to one attempt; a retry by the caller has a new id."""
 
+PartId = NewType("PartId", str)
+"""Id of one part of a prompt."""
+
 ResultHandle = NewType("ResultHandle", str)
 """Reference to a stage result: the address of the worker that stores it, and a name."""
 
@@ -264,7 +267,7 @@
 class PromptPart:
     """One part of a prompt; requests that share leading parts share cached tokens."""
 
-    id: str
+    id: PartId
     tokens: int
 
 
@@ -304,6 +307,11 @@
         """All parts but the last, which belongs to this request or its session."""
         return self.parts[:-1]
 
+    @property
+    def shared_part_ids(self) -> tuple[PartId, ...]:
+        """Ids of `shared_parts`."""
+        return tuple(part.id for part in self.shared_parts)
+
     @property
     def weighted_tokens(self) -> float:
         """Size of a generation in equivalent prompt tokens."""
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -151,9 +151,10 @@
             abandon_at_s=start_s + abandon_after_ms(route, deadline_ms) / 1_000.0,
             fingerprint=request_fingerprint(request, metadata.key),
         )
-        if self._quarantine.is_blocked(state.fingerprint):
+        blocked = self._quarantine.block_reason(state)
+        if blocked is not None:
             await self._refuse(exchange, 503, BLOCKED_RETRY_S)
-            return "blocked", {"route": route.name, "fingerprint": state.fingerprint}
+            return "blocked", {"route": route.name, **blocked}
         outcome, fields = await self._serve_until_deadline(state, exchange, deadline_ms)
         fields |= {
             "route": route.name,
@@ -239,8 +240,10 @@
             await self._run_stages(state)
         last_refusal = Refused("no_worker", NO_WORKER_RETRY_MS)
         while state.sends < MAX_SENDS:
+            self._check_blocked(state)
             permit = await self._acquire(state)
             try:
+                self._check_blocked(state)
                 return await self._workers.send(state, exchange, permit)
             except WorkerDidNotRun as refusal:
                 last_refusal = Refused(refusal.cause, OTHER_WORKER_RETRY_MS)
@@ -262,6 +265,11 @@
                 self._dispatch_client.release_permit(permit)
         raise last_refusal
 
+    def _check_blocked(self, state: RequestState) -> None:
+        """Raise `Refused` if the request was blocked while it waited."""
+        if self._quarantine.block_reason(state) is not None:
+            raise Refused("blocked", BLOCKED_RETRY_S * 1_000.0)
+
     def _may_retry(self, state: RequestState, exchange: Exchange) -> bool:
         """Return whether a failed request may run again on another worker."""
         if not state.route.repeatable or state.runs >= state.route.max_attempts:
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -1,20 +1,27 @@
-"""Quarantine of requests that crash workers; instances share their crash records."""
+"""Quarantine of requests and prompt parts that crash workers.
+
+Instances share their crash records.
+"""
 
 import random as random_module
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
 from ..app.crash_records import from_entries, to_entry
 from ..core.clock import Clock, to_s
-from ..core.ids import Fingerprint, Incarnation, InstanceId, PoolName, TargetId
+from ..core.ids import Incarnation, InstanceId, PoolName, TargetId
 from ..core.stages import StageKind
+from ..exceptions import PeerUnavailable
 from ..http.client import ConnectFailed, HttpConnection
 from ..policy.models import CallOutcome, CallReport
 from ..policy.quarantine import Quarantine
 from ..policy.settings import PolicySettings
-from ..wire.messages.quarantine import Strikes
-from .models import Worker
+from ..wire.messages.gateway import Heartbeat
+from ..wire.messages.operations import CrashRecordList, FetchCrashRecords
+from ..wire.messages.quarantine import CrashRecordEntry, Strikes
+from .models import PartId, Worker
+from .part_quarantine import PartBlock, PartQuarantine, is_part_record
 from .peers import Peers
 from .request_state import RequestState
 from .supervision import TaskSupervisor
@@ -26,18 +33,29 @@
 PROBE_TIMEOUT_MS = 300.0
 """A healthy worker accepts a connection within a few milliseconds."""
 
+WRITE_SETTLE_MS = 300.0
+"""A worker that crashes later than this after it began to write on a prompt did not
+crash by it."""
+
+FETCH_DELAY_MS = 300.0
+"""Delay before records are fetched from a peer that has others: most of them arrive
+meanwhile, since instances send new records to all."""
+
+FETCH_TIMEOUT_MS = 500.0
+"""Timeout of a fetch; records have about a hundred bytes each."""
+
 CRASH_RECORD_EXPIRY_MS = 60_000
 """Callers retry a crashing request within its deadline, and other callers send it again
 within seconds. Workers are replaced by fixed versions within minutes."""
 
 
 class RequestQuarantine:
-    """Blocks requests that have crashed workers.
+    """Blocks requests, and requests with prompt parts, that have crashed workers.
 
     Parameters
     ----------
     clock : Clock
-        Source of wall-clock time.
+        Source of time.
     random : random.Random
         Source of record ids.
     peers : Peers
@@ -58,35 +76,103 @@
     ):
         settings = PolicySettings(crash_record_expiry_ms=CRASH_RECORD_EXPIRY_MS)
         self._quarantine = Quarantine(clock, random, settings)
+        self._parts = PartQuarantine(clock, self._has_turn)
+        self._logged_blocks: dict[PartId, PartBlock] = {}
+        self._compared: tuple[int, int] | None = None
+        """Digests of a peer and of this instance after the last fetch."""
+        self._fetching = False
+        self._clock = clock
         self._peers = peers
         self._log = log
         self._tasks = tasks
 
-    def is_blocked(self, fingerprint: Fingerprint) -> bool:
-        """Return whether requests with this fingerprint are refused."""
-        return self._quarantine.blocked(fingerprint) is not None
+    @property
+    def part_crashes_digest(self) -> int:
+        """Hash of the crash records of prompt parts."""
+        return self._parts.digest
 
-    def record_send(self, fingerprint: Fingerprint, worker: Worker) -> None:
+    def block_reason(self, state: RequestState) -> dict[str, str] | None:
+        """Return the blocked fingerprint or part of a request; None if it may run."""
+        if self._quarantine.blocked(state.fingerprint) is not None:
+            return {"fingerprint": state.fingerprint}
+        attempt = state.metadata.attempt
+        part = self._parts.blocked_part(state.metadata.shared_part_ids, attempt)
+        return None if part is None else {"part": part}
+
+    def record_send(self, state: RequestState, worker: Worker) -> None:
         """Record that a request is sent to a worker."""
         pool, target = PoolName(worker.service), TargetId(worker.id)
-        self._quarantine.sent(fingerprint, pool, target)
+        self._quarantine.sent(state.fingerprint, pool, target)
 
-    def record_end(self, fingerprint: Fingerprint, worker: Worker, done: bool) -> None:
+    def record_end(self, state: RequestState, worker: Worker, done: bool) -> None:
         """Record that a request has ended without a crash of its worker."""
         outcome = CallOutcome.DONE if done else CallOutcome.FAILED
-        self._quarantine.ended(_report(worker, outcome), fingerprint)
+        self._quarantine.ended(_report(worker, outcome), state.fingerprint)
+        if done and state.begun_s is not None:
+            parts = state.metadata.shared_part_ids
+            self._parts.record_written(parts, worker, state.begun_s)
         self._publish()
 
     def check_for_crash(self, state: RequestState, worker: Worker) -> None:
         """Probe in the background whether a worker that broke off a request crashed."""
-        self._tasks.start_soon(self._probe_worker, state, worker)
+        self._tasks.start_soon(self._probe_worker, state, worker, state.begun_s)
 
     async def handle_crash_records(self, peer: InstanceId, message: Strikes) -> None:
-        """Merge the crash records of a peer."""
-        self._quarantine.merge(from_entries(message.records))
-
-    async def _probe_worker(self, state: RequestState, worker: Worker) -> None:
+        """Merge the new crash records of a peer."""
+        self._merge(message.records, new=True)
+
+    async def answer_fetch(
+        self, peer: InstanceId, message: FetchCrashRecords
+    ) -> CrashRecordList:
+        """Return all crash records."""
+        records = (*self._quarantine.records(), *self._parts.records())
+        return CrashRecordList(tuple(map(to_entry, records)))
+
+    def handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
+        """Start a fetch if a peer has other records of prompt parts.
+
+        An instance that started, or was cut off, missed the records sent meanwhile.
+        """
+        if self._fetching or not self._lacks_records(heartbeat):
+            return
+        self._fetching = True
+        self._tasks.start_soon(self._fetch, peer, heartbeat)
+
+    def _lacks_records(self, heartbeat: Heartbeat) -> bool:
+        theirs, own = heartbeat.part_crashes_digest, self._parts.digest
+        return theirs not in (0, own) and self._compared != (theirs, own)
+
+    async def _fetch(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
+        try:
+            await trio.sleep(to_s(FETCH_DELAY_MS))
+            if not self._lacks_records(heartbeat):
+                return
+            answer = await self._peers.call(peer, FetchCrashRecords(), FETCH_TIMEOUT_MS)
+            if isinstance(answer, CrashRecordList):
+                self._merge(answer.records, new=False)
+                self._compared = (heartbeat.part_crashes_digest, self._parts.digest)
+        except PeerUnavailable as error:
+            self._log("crash_records_not_fetched", peer=peer, reason=str(error))
+        finally:
+            self._fetching = False
+
+    def _merge(self, entries: Iterable[CrashRecordEntry], new: bool) -> None:
+        records = from_entries(entries)
+        self._parts.merge(filter(is_part_record, records), new)
+        self._quarantine.merge(
+            record for record in records if not is_part_record(record)
+        )
+        self._log_blocks()
+
+    def _has_turn(self, key: str) -> bool:
+        """Return whether this instance ranks first among the live ones."""
+        return self._peers.rank(key, own_usable=True)[0] == self._peers.own
+
+    async def _probe_worker(
+        self, state: RequestState, worker: Worker, begun_s: float | None
+    ) -> None:
         last_event = state.events.last_id
+        broken_s = self._clock.monotonic_s()
         await trio.sleep(to_s(PROBE_DELAY_MS))
         outcome = CallOutcome.FAILED
         try:
@@ -98,21 +184,34 @@
             outcome = CallOutcome.CRASHED
         self._quarantine.ended(_report(worker, outcome), state.fingerprint)
         if outcome is CallOutcome.CRASHED:
+            if begun_s is None or broken_s - begun_s < to_s(WRITE_SETTLE_MS):
+                self._parts.record_crash(state.metadata.shared_part_ids, worker)
             self._log(
                 "worker_crashed_under_request",
                 request=state.metadata.attempt,
                 worker=worker.id,
                 fingerprint=state.fingerprint,
                 crashes=self._quarantine.crash_count(state.fingerprint),
-                parts=[part.id for part in state.metadata.shared_parts],
+                parts=state.metadata.shared_part_ids,
                 last_event=last_event,
             )
         self._publish()
 
     def _publish(self) -> None:
-        records = tuple(map(to_entry, self._quarantine.pop_new_records()))
-        if records:
-            self._peers.send_to_all(Strikes(records))
+        new = (*self._quarantine.pop_new_records(), *self._parts.pop_new_records())
+        if new:
+            self._peers.send_to_all(Strikes(tuple(map(to_entry, new))))
+            self._log_blocks()
+
+    def _log_blocks(self) -> None:
+        """Log the prompt parts that are blocked, or no longer blocked, since before."""
+        before, now = self._logged_blocks, self._parts.blocks()
+        self._logged_blocks = now
+        for part, block in now.items():
+            if block != before.get(part):
+                self._log("prompt_part_blocked", part=part, crashes=block.crashes)
+        for part in before.keys() - now.keys():
+            self._log("prompt_part_released", part=part)
 
 
 def _report(worker: Worker, outcome: CallOutcome) -> CallReport:
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -60,6 +60,8 @@
     stages: StageRun | None = None
     framing: Framing | None = None
     """Framing of the last response of a worker."""
+    begun_s: float | None = None
+    """Time at which the last worker began to write its response."""
     events: EventSplitter = field(default_factory=EventSplitter)
     """Splits a stream into events and tracks the last one forwarded."""
 
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -135,7 +135,7 @@
         except trio.TooSlowError as error:
             permit.outcome = OUTCOME_UNREACHABLE
             self._log_decision(state, worker, "silent", "no part of the answer in time")
-            self._quarantine.record_end(state.fingerprint, worker, False)
+            self._quarantine.record_end(state, worker, False)
             raise RequestFailed("silent") from error
 
     async def _exchange(
@@ -163,7 +163,8 @@
 
         state.runs += 1
         state.may_have_run = True
-        self._quarantine.record_send(state.fingerprint, worker)
+        state.begun_s = None
+        self._quarantine.record_send(state, worker)
         try:
             with trio.fail_after(self._head_timeout_s(state)):
                 await connection.send(outgoing, self._tasks)
@@ -173,7 +174,7 @@
                 self._connections.record_reset_on_reuse(worker, idle_ms)
             raise
         except trio.Cancelled:
-            self._quarantine.record_end(state.fingerprint, worker, False)
+            self._quarantine.record_end(state, worker, False)
             raise
         permit.retry_after_ms = self._notices.blocked_ms(worker)
         state.framing = head.framing
@@ -184,8 +185,10 @@
             if not response.has_seal:
                 raise RequestFailed("an answer without the worker's mark")
             return await self._forward_stream(state, exchange, permit, connection, head)
+        if 200 <= head.status < 300:
+            state.begun_s = self._clock.monotonic_s()
         body = await connection.receive_full_body(MAX_BUFFERED_RESPONSE_BYTES)
-        self._quarantine.record_end(state.fingerprint, worker, head.status < 500)
+        self._quarantine.record_end(state, worker, head.status < 500)
         if head.status >= 500:
             permit.outcome = OUTCOME_FAILED
             raise RequestFailed(f"status {head.status}", (head, body))
@@ -209,7 +212,7 @@
         state.runs -= 1
         state.may_have_run = state.runs > 0
         permit.outcome = OUTCOME_CANCELLED
-        self._quarantine.record_end(state.fingerprint, permit.worker, False)
+        self._quarantine.record_end(state, permit.worker, False)
         if response.wrong_worker:
             self._catalogue.record_draining(permit.worker, "answer")
         elif not response.inputs_missing:
@@ -238,7 +241,7 @@
         async for data in self._complete_events(state, parts, head.framing):
             await exchange.send(data)
         await exchange.end()
-        self._quarantine.record_end(state.fingerprint, permit.worker, True)
+        self._quarantine.record_end(state, permit.worker, True)
         permit.outcome = OUTCOME_DONE
         return "done", {"worker": permit.worker.id, "status": head.status}
 
@@ -277,6 +280,8 @@
                 _check_continuity(resumed_after, complete)
                 resumed_after = None
             if complete:
+                if not received:
+                    state.begun_s = self._clock.monotonic_s()
                 received = True
                 yield complete
         if events.has_partial_event:
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -3,7 +3,13 @@
 import re
 from collections.abc import Sequence
 
-from ..gateway.models import AttemptId, PromptPart, RequestMetadata, ResponseMetadata
+from ..gateway.models import (
+    AttemptId,
+    PartId,
+    PromptPart,
+    RequestMetadata,
+    ResponseMetadata,
+)
 from ..http.client import Headers, ResponseHead, end_to_end_headers
 from .workers import decode_load
 
@@ -156,7 +162,7 @@
         name, _, tokens = part.strip().rpartition(b":")
         count = _parse_int(tokens)
         if name and count is not None:
-            parts.append(PromptPart(name.decode("latin-1"), count))
+            parts.append(PromptPart(PartId(name.decode("latin-1")), count))
     return tuple(parts)
 
 
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -39,6 +39,8 @@
     leaving: tuple[str, ...] = ()
     """Incarnations of workers that have announced their shutdown lately."""
     engine_times: tuple[ServiceEngineTimes, ...] = ()
+    part_crashes_digest: int = 0
+    """Hash of the crash records of prompt parts; 0 if there are none."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
--- a/tests/gateway/test_crashing_prompt_parts.py
+++ b/tests/gateway/test_crashing_prompt_parts.py
@@ -90,3 +90,19 @@
         line = crashed()[0]
         assert line["parts"] == ["5c1e07a2", "91bd3f06"]
         assert line["last_event"] is None
+
+
+async def test_an_instance_that_starts_later_learns_of_crashing_prompt_parts():
+    async with deployment() as world:
+        for number in range(3, 5):
+            await world.platform.add_worker(f"model-{number}", "model", kind="stream")
+        for number in range(2):
+            await request(world, 0, f"a{number}", False, f"cc{number}")
+        await crash_workers(world, 2)
+        later = await world.add_gateway()
+        await world.until(lambda: len(later.catalogue.workers) >= 8)
+        await world.until(lambda: later.quarantine.part_crashes_digest != 0)
+        since_s = trio.current_time()
+        answer = await request(world, 1, "b1", True, "bb1")
+        assert answer.status == 503
+        assert runs_with_part(world, since_s) == []
