Produce the inputs again of a stream with stages that is resumed

What callers saw: a stream with stages whose worker broke off after the first event ended incomplete, although another worker could have gone on; the log has internal_error with a KeyError.

Cause: the stage results are freed when a worker begins its response, and the resumed run asked for their handles.

Evidence: the locations in internal_error (StageRun.inputs); the new test ended after two of four events on this code.

Change: before each send the stages run unless their final results are there. The rule also replaces the special case of a worker that finds its inputs gone, which ran the stages while it still held its permit. The time by which a broken stream must go on counts from its break, not from the request's arrival.

test_a_resumed_stream_with_stages_gets_new_inputs fails before and passes now.

--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -87,6 +87,11 @@
         self._requested: set[int] = set()
         self._done = {n: trio.Event() for n in range(len(route.stages))}
 
+    @property
+    def has_inputs(self) -> bool:
+        """Whether the final results are there, and were not released."""
+        return all(number in self._handles for number in self._route.final_stages)
+
     @property
     def inputs(self) -> tuple[str, ...]:
         """Handles of all final results in stage order: the inputs of the engine."""
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -236,10 +236,10 @@
 
     async def _serve(self, state: RequestState, exchange: Exchange) -> tuple[str, dict]:
         """Run the stages and then the request, with retries on other workers."""
-        if state.route.stages:
-            await self._run_stages(state)
         last_refusal = Refused("no_worker", NO_WORKER_RETRY_MS)
         while state.sends < MAX_SENDS:
+            if state.stages is None or not state.stages.has_inputs:
+                await self._run_stages(state)
             self._check_blocked(state)
             permit = await self._acquire(state)
             try:
@@ -247,9 +247,8 @@
                 return await self._workers.send(state, exchange, permit)
             except WorkerDidNotRun as refusal:
                 last_refusal = Refused(refusal.cause, OTHER_WORKER_RETRY_MS)
-                if refusal.inputs_missing:
+                if refusal.inputs_missing and state.stages is not None:
                     state.stages.release()
-                    await self._run_stages(state)
             except RequestFailed as failed:
                 if not self._may_retry(state, exchange):
                     raise
@@ -261,6 +260,8 @@
                     after_event=state.events.last_id,
                 )
                 last_refusal = Refused(failed.cause, OTHER_WORKER_RETRY_MS)
+                if state.events.last_id is not None:
+                    state.abandon_at_s = self._next_event_by_s(state)
             finally:
                 self._dispatch_client.release_permit(permit)
         raise last_refusal
@@ -276,7 +277,15 @@
             return False
         return not exchange.started or state.events.last_id is not None
 
+    def _next_event_by_s(self, state: RequestState) -> float:
+        """Return when the caller of a broken stream abandons it."""
+        left_ms = (state.deadline_s - self._clock.monotonic_s()) * 1_000.0
+        gap_ms = abandon_after_ms(state.route, left_ms)
+        return self._clock.monotonic_s() + gap_ms / 1_000.0
+
     async def _run_stages(self, state: RequestState) -> None:
+        if not state.route.stages:
+            return
         state.stages = StageRun(
             self._dispatch_client,
             self._times,
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from acaciapier_standins.platform.example import services
+from acaciapier_standins.platform.example import STAGES, services
 from acaciapier_standins.platform.platform import configuration, route
 
 from .support import ROUTES, SERVICES, Answer, Caller, deployment
@@ -80,6 +80,34 @@
         assert answer.headers["server-seal"] == f"seal-{first}"
 
 
+async def test_a_resumed_stream_with_stages_gets_new_inputs():
+    async with deployment() as world:
+        digest = route("staged", "streaming", "model", stages=STAGES, resumable=True)
+        world.platform.configure(configuration(2, [digest], SERVICES))
+        await world.until(
+            lambda: world.gateways[0].catalogue.configuration.version == 2
+        )
+        workers = [world.platform.workers[f"model-{n}"] for n in (1, 2)]
+        for worker in workers:
+            worker.faults.cut_after = 2
+        caller = world.caller()
+        await caller.send(
+            "POST",
+            "/staged/1",
+            b"{}",
+            Attempt_Id="a1",
+            Chunk_Count="1,2",
+            Chunk_Key="k",
+        )
+        await world.until(lambda: world.platform.run_log.runs)
+        for worker in workers:
+            if worker.name != world.platform.run_log.runs[0].worker:
+                worker.faults.cut_after = None
+        answer = await caller.receive()
+        assert (answer.status, answer.body, answer.complete) == (200, EVENTS, True)
+        assert len(world.platform.run_log.runs_of("a1")) == 2
+
+
 async def test_a_stalled_resumable_stream_is_resumed_on_another_worker():
     async with deployment() as world:
         workers = [world.platform.workers[f"model-{n}"] for n in (1, 2)]
