Log a broken stream that finds no worker as failed, with its cause

What the person on call saw: request_caller_gone for a caller that was still there, so the id of a broken stream led to no cause.

Cause: if a stream was to be resumed and no worker was to be had, the gateway tried to send a 502 within the response that had begun. The parser refused it, which counted as a caller that has disconnected. The caller's connection was closed in either case.

Change: such a response is broken off and logged as request_failed with the cause of the refusal. The new test sees request_caller_gone before and request_failed now.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -211,6 +211,9 @@
         self, state: RequestState, exchange: Exchange, refused: Refused
     ) -> tuple[str, dict]:
         left_s = state.deadline_s - self._clock.monotonic_s()
+        if exchange.started:
+            exchange.abort()
+            return "failed", {"cause": refused.cause}
         if state.may_have_run:
             await exchange.respond(502, [])
             return "failed", {"cause": refused.cause}
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -90,3 +90,22 @@
         await world.until(lambda: len(done()) == 2)
         assert [line["framing"] for line in done()] == ["chunked", "connection_end"]
         assert [line["last_event"] for line in done()] == ["4", "4"]
+
+
+async def test_a_broken_stream_that_finds_no_worker_is_not_logged_as_left(capfd):
+    lines = []
+
+    def ended() -> list[dict]:
+        lines.extend(map(json.loads, capfd.readouterr().out.splitlines()))
+        return [line for line in lines if line["event"].startswith("request_")]
+
+    async with deployment() as world:
+        set_faults(world, cut_after=2)
+        caller = world.caller()
+        await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        await world.until(lambda: world.platform.run_log.runs)
+        set_faults(world, turn_away="2")
+        answer = await caller.receive()
+        assert not answer.complete
+        await world.until(ended)
+        assert ended()[0]["event"] == "request_failed"
