--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -62,7 +62,10 @@
 FRAMING_FAULTS = ("unframed", "unframed_break")
 """Answers that end with their connection, and streams that do so within an event."""
 
-ALL_FAULTS = FAULTS + ANNOUNCEMENT_FAULTS + FRAMING_FAULTS
+REFUSAL_FAULTS = ("busy", "full", "full_twice")
+"""Answers with 503 after a run and without one, and second copies of the latter."""
+
+ALL_FAULTS = FAULTS + ANNOUNCEMENT_FAULTS + FRAMING_FAULTS + REFUSAL_FAULTS
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
 
@@ -347,6 +350,11 @@
             worker.faults.turn_away = str(TURN_AWAY_S)
         elif kind == "extra":
             worker.faults.extra_answer = True
+        elif kind == "busy":
+            worker.faults.status = 503
+        elif kind in REFUSAL_FAULTS:
+            worker.faults.refuse_share = 0.5
+            worker.faults.late_copy_s = 0.01 if kind == "full_twice" else None
         elif kind in FRAMING_FAULTS:
             worker.faults.unframed = True
             # Callers cannot tell that a plain answer without a length is cut.
@@ -357,6 +365,8 @@
         await trio.sleep(length_s)
         worker.faults.mute = worker.faults.extra_answer = False
         worker.faults.unframed = False
+        worker.faults.status = worker.faults.late_copy_s = None
+        worker.faults.refuse_share = 0.0
         worker.faults.cut_after = None
         worker.faults.turn_away = None
         link.faults.cut_to_server = link.faults.refuse = False
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -3,12 +3,13 @@
 import json
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
 import trio
 
-from acaciapier.http.caller import Exchange, IncomingRequest
+from acaciapier.http.caller import CallerDisconnected, Exchange, IncomingRequest
 
 RUN_PATH = b"/api/stage-run"
 FREE_PATH = b"/api/stage-free"
@@ -20,6 +21,12 @@
 
     status: int | None = None
     not_run: bool = False
+    refuse_share: float = 0.0
+    """Share of the requests that are refused without a run, by their number."""
+    refuse_first: int = 0
+    """Number of requests that are refused without a run from the start on."""
+    late_copy_s: float | None = None
+    """Time after which the refusal of a request is sent a second time."""
     cut_after: int | None = None
     """Events after which a stream is aborted; a plain answer is aborted midway."""
     ends_early: bool = False
@@ -228,8 +235,9 @@
     ) -> None:
         faults = self.faults
         attempt = headers.get("attempt-id", "")
-        if faults.not_run:
-            await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
+        by_share = self.requests % 10 < 10 * faults.refuse_share
+        if faults.not_run or by_share or self.requests <= faults.refuse_first:
+            await self._refuse(attempt, exchange)
             return
         inputs = [
             input_handle
@@ -262,6 +270,14 @@
         finally:
             run.ended_s = trio.current_time()
 
+    async def _refuse(self, attempt: str, exchange: Exchange) -> None:
+        identity = (b"Attempt-Id", attempt.encode())
+        headers = [identity, (b"Not-Run", b"1"), *self._state_headers()]
+        await exchange.respond(503, headers)
+        if self.faults.late_copy_s is not None:
+            delay_s = self.faults.late_copy_s
+            trio.lowlevel.spawn_system_task(_send_copy, exchange, attempt, delay_s)
+
     async def _plain(self, run: Run, exchange: Exchange) -> None:
         await trio.sleep(self._gap_s)
         if self.faults.cut_after is not None:
@@ -285,6 +301,9 @@
             )
 
     async def _stream(self, run: Run, headers, exchange: Exchange) -> None:
+        if self.faults.status is not None:
+            await exchange.respond(self.faults.status, self._identity_headers(run))
+            return
         first = int(headers.get("last-event-id", "0")) + 1
         content_type = (b"Content-Type", b"text/event-stream")
         await exchange.start(200, [*self._identity_headers(run), content_type])
@@ -318,3 +337,11 @@
         if not self.faults.unmarked:
             headers.append((b"Server-Seal", f"seal-{self.name}".encode()))
         return headers
+
+
+async def _send_copy(exchange: Exchange, attempt: str, delay_s: float) -> None:
+    """Send a second copy of a refusal, which may arrive within a later exchange."""
+    await trio.sleep(delay_s)
+    lines = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+    with suppress(CallerDisconnected):
+        await exchange.send_raw(f"{lines}Attempt-Id: {attempt}\r\n\r\n".encode())
