Pass on no status that promises more than the worker said

What callers saw: 503 for requests that had run (REFUSED, on real processes), which they then sent again.

Cause: only Not-Run or 421 states that a worker did not run a request, but callers take any 408, 421, 429 or 503 as this statement. The gateway passed a worker's own 503, 429 or 408 on with its status.

That the users' workers answered so is suspected; their record is cut short.

Change: such a response counts as a failure that may follow a run. The caller gets 502 without the worker's signature; a request that may be repeated is sent to another worker. Statuses that promise nothing, such as 500, are passed on as before.

--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -371,6 +371,9 @@
         Whether it carries the worker's seal.
     not_run : bool
         Whether the worker did not run the request.
+    promises_not_run : bool
+        Whether callers take its status as a statement that the request did not run.
+        The worker makes this statement only if `not_run` is set.
     wrong_worker : bool
         Whether the address now belongs to another worker.
     inputs_missing : bool
@@ -392,6 +395,7 @@
     attempt: str | None
     has_seal: bool
     not_run: bool
+    promises_not_run: bool
     wrong_worker: bool
     inputs_missing: bool
     closes_connection: bool
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -189,6 +189,9 @@
             state.begun_s = self._clock.monotonic_s()
         body = await connection.receive_full_body(MAX_BUFFERED_RESPONSE_BYTES)
         self._quarantine.record_end(state, worker, head.status < 500)
+        if response.promises_not_run:
+            permit.outcome = OUTCOME_FAILED
+            raise RequestFailed(f"status {head.status}, which may follow a run")
         if head.status >= 500:
             permit.outcome = OUTCOME_FAILED
             raise RequestFailed(f"status {head.status}", (head, body))
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -24,6 +24,9 @@
 RETRY_AFTER_HEADER = b"retry-after"
 UNAVAILABLE_STATUS = 503
 WRONG_WORKER_STATUS = 421
+NOT_RUN_STATUSES = frozenset({408, WRONG_WORKER_STATUS, 429, UNAVAILABLE_STATUS})
+"""Statuses from which callers conclude that a request did not run."""
+
 INPUTS_MISSING_STATUS = 409
 
 RETRY_AFTER_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?")
@@ -129,6 +132,7 @@
         # The seal proves that the body comes from the worker.
         has_seal=head.get(b"server-seal") is not None,
         not_run=not_run,
+        promises_not_run=head.status in NOT_RUN_STATUSES,
         wrong_worker=wrong_worker,
         inputs_missing=not_run and head.status == INPUTS_MISSING_STATUS,
         closes_connection=(head.get(b"connection") or b"").lower() == b"close",
