Send an attempt again to the same worker over a new connection only

What callers saw: requests that must run once ran twice, or ran after a 503 (TWICE, REFUSED on real processes).

Cause: answers are matched to requests by the attempt's id. A worker that refused an attempt may get it again, over the same kept connection. A second copy of its refusal that arrives late has the same id and counts as the refusal of this send, although the worker runs it; the request is then sent once more, or refused.

Evidence: test_a_late_copy_of_a_refusal_is_not_taken_for_that_of_the_next_send, with one worker left and a copy after 0.5 s: two runs. Ruled out: sends after a response that was broken off (routes that may not be repeated have none).

Change: a send to a worker that had the attempt before opens a connection, on which no answer to the earlier send can arrive. The test passes now.

--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -112,6 +112,8 @@
         """
         worker = permit.worker
         state.sends += 1
+        # A late copy of the answer to an earlier send has the same attempt id.
+        sent_before = worker.id in state.tried_workers
         state.tried_workers.add(worker.id)
         refusal = self._notices.refusal(worker)
         if refusal is not None:
@@ -120,7 +122,7 @@
             raise WorkerDidNotRun(refusal)
         try:
             async with self._connections.acquire(
-                worker, state.route.repeatable
+                worker, state.route.repeatable, force_new=sent_before
             ) as connection:
                 return await self._exchange(state, exchange, permit, connection)
         except ConnectFailed as error:
