--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -80,6 +80,19 @@
     return found
 
 
+def check_planned_work(records: Iterable[Received], run_log: RunLog) -> list[str]:
+    """Return a line for each request that a worker had and that got no full answer.
+
+    Applies to runs whose only faults are planned work: stops, reloads and changes.
+    """
+    attempts = {run.attempt for run in run_log.runs}
+    return [
+        f"{record.attempt} reached a worker and its answer is incomplete"
+        for record in records
+        if record.attempt in attempts and not record.whole and not record.left
+    ]
+
+
 def _check_one(record: Received, runs: list[Run]) -> list[str]:
     found = []
     if record.kind in UNREPEATABLE and len(runs) > 1:
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -19,7 +19,7 @@
 from acaciapier_standins.ports import free_ports
 
 from .callers import HOST, Received, SoakCaller
-from .checker import Announcements, check
+from .checker import Announcements, check, check_planned_work
 from .proxy import Link
 
 RECOVERY_S = 4.0
@@ -32,6 +32,7 @@
 RESTART_AFTER_S = 0.3
 """Pause after which the platform starts a process again."""
 
+PLANNED_FAULTS = ("term", "hup", "config")
 FAULTS = (
     "kill",
     "pause",
@@ -233,6 +234,10 @@
             calm_from_s,
             self._announcements,
         )
+        if set(self._plan.faults) <= set(PLANNED_FAULTS):
+            self.report.broken += check_planned_work(
+                self.report.records, self._platform.run_log
+            )
 
     async def _inject(self, kind: str) -> None:
         length_s = self._random.uniform(0.3, 2.5)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,7 +3,11 @@
 import pytest
 
 from acaciapier_bench.soak.callers import Received
-from acaciapier_bench.soak.checker import Announcements, check
+from acaciapier_bench.soak.checker import (
+    Announcements,
+    check,
+    check_planned_work,
+)
 from acaciapier_bench.soak.run import (
     ANNOUNCEMENT_FAULTS,
     FAULTS,
@@ -117,6 +121,20 @@
     assert len(found) == findings
 
 
+def test_an_incomplete_answer_after_planned_work_is_found():
+    cut = received("chat", whole=False)
+    assert len(check_planned_work([cut], RunLog([ran("chat")]))) == 1
+    assert check_planned_work([cut], RunLog()) == []
+    assert check_planned_work([received()], RunLog([ran()])) == []
+
+
+def test_instances_that_get_several_stop_signals_lose_no_request():
+    plan = SoakPlan(seed=1, seconds=12.0, callers=16, faults=("term",))
+    report = run_soak(plan)
+    assert report.broken == []
+    assert report.records
+
+
 def test_a_short_soak_with_restores_and_announcements_keeps_all_promises():
     faults = FAULTS + ANNOUNCEMENT_FAULTS
     report = run_soak(SoakPlan(seed=5, seconds=6.0, callers=6, faults=faults))
