Finish the requests of a stopping gateway whatever further SIGTERMs come

What callers saw: requests that a worker had were cut (LOST on real processes, 2 and 3 cases; that this is their cause is suspected, as the record is cut short).

Cause: a process that finishes its requests after SIGTERM exited at once on the next one. Where stops come in series, that ends the requests which the first one promised to finish.

Change: a gateway that is stopping ignores SIGTERM; SIGINT, from a person at a terminal, still ends it at once, and the platform's SIGKILL after the grace period as well. Other binaries keep both signals.

--- a/src/acaciapier/app/application.py
+++ b/src/acaciapier/app/application.py
@@ -2,7 +2,7 @@
 
 import os
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from enum import Enum
@@ -40,12 +40,15 @@
 
     The first SIGTERM or SIGINT starts the graceful stop: hooks run in the order
     in which they were added, then tasks are cancelled, then resources are closed
-    in reverse order. A second signal exits the process immediately.
+    in reverse order. A further signal exits the process immediately if it is one of
+    `exit_signals`.
 
     Parameters
     ----------
     name : str
         Name for the log.
+    exit_signals : collection of signal.Signals
+        Signals that exit a process that is already stopping.
 
     Examples
     --------
@@ -54,8 +57,13 @@
     >>> trio.run(app.run, start)  # doctest: +SKIP
     """
 
-    def __init__(self, name: str):
+    def __init__(
+        self,
+        name: str,
+        exit_signals: Collection[signal.Signals] = (signal.SIGTERM, signal.SIGINT),
+    ):
         self.name = name
+        self._exit_signals = exit_signals
         self.state = State.STARTING
         self.resources = AsyncExitStack()
         self.stop_requested = trio.Event()
@@ -89,10 +97,14 @@
         log.info("{} has stopped", self.name)
 
     async def watch_signals(self) -> None:
-        """Stop gracefully on the first signal; exit immediately on the second."""
+        """Stop gracefully on the first signal; exit on a further exit signal."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for signal_number in signals:
-                if self.stop_requested.is_set():
+                stopping = self.stop_requested.is_set()
+                if stopping and signal_number not in self._exit_signals:
+                    log.info("{} is already stopping", self.name)
+                    continue
+                if stopping:
                     log.warning(
                         "{} exits immediately on signal {}", self.name, signal_number
                     )
--- a/src/acaciapier/gateway/main.py
+++ b/src/acaciapier/gateway/main.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import signal
 import sys
 from functools import partial
 
@@ -25,7 +26,10 @@
 
 
 async def _run(instance: GatewayInstance) -> None:
-    app = Application(f"gateway {instance.settings.instance}")
+    # The platform kills a process whose grace period is over; SIGTERM never has to.
+    app = Application(
+        f"gateway {instance.settings.instance}", exit_signals=[signal.SIGINT]
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(app.watch_signals)
         tune_garbage_collection()
