Serve a kept connection once more if its last response did not announce the close

Cause: after SIGTERM the gateway closed a connection at the end of its current response, also if the head of this response had been sent before and had not announced the close. The caller's next request was then on its way.

Change: such a connection is served until a response has announced the close, or until it is idle when the platform has taken the instance out. Connections that become idle later are closed, too.

The new test fails before.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -372,10 +372,10 @@
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
             self.relay.closing = True
             self._listening_scope.cancel()
-            for connection in list(self._connections):
-                if connection.idle:
-                    connection.close()
             while self._connections:
+                for connection in list(self._connections):
+                    if connection.idle:
+                        connection.close()
                 await trio.sleep(STOP_POLL_S)
         self.relay.cancel_all()
         await trio.sleep(FINAL_ANSWER_FLUSH_S)
--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -160,6 +160,7 @@
         )
         self._eof = False
         self._close_would_complete = False
+        self._close_announced = False
 
     async def serve(self) -> None:
         """Serve until either side closes."""
@@ -189,6 +190,7 @@
             and not any(name.lower() == b"content-length" for name, _ in headers)
         )
         if self._stopping():
+            self._close_announced = True
             headers.append((b"Connection", b"close"))
         reason = STATUS_TEXTS.get(status, b"OK" if status == 200 else b"")
         await self.send_event(
@@ -228,7 +230,8 @@
             except CallerDisconnected:
                 self.close()
             nursery.cancel_scope.cancel()
-        if not exchange.ended or self._stopping():
+        # Without the announcement, the caller's next request may be on its way.
+        if not exchange.ended or self._close_announced:
             return False
         if self._parser.our_state is not h11.DONE:
             return False
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -439,3 +439,20 @@
             lambda: catalogue.configuration.version == 3,
             STORE_STABLE_S + CONFIGURATION_APPLIED_S,
         )
+
+
+async def test_a_kept_connection_is_served_once_more_after_a_stop_within_a_response():
+    async with deployment() as world:
+        for number in (1, 2):
+            world.platform.workers[f"model-{number}"].faults.pause_s = 0.3
+        caller = world.caller()
+        await caller.send("POST", "/chat/1", b"{}", Attempt_Id="a1")
+        await world.until(lambda: world.platform.run_log.runs)
+        await trio.sleep(0.1)
+        world.gateways[0].app.stop()
+        answer = await caller.receive()
+        assert (answer.complete, "connection" in answer.headers) == (True, False)
+        await trio.sleep(0.1)
+        answer = await caller.request("GET", "/lookup/1", Attempt_Id="a2")
+        assert (answer.status, answer.complete) == (200, True)
+        assert answer.headers["connection"] == "close"
