Resume a broken stream only at workers of the software version that began it

What callers would see: workers of several software versions may serve side by side, and what two of them write does not fit together. A stream that broke off at one version went on at any worker, so its answer held events of both.

Cause: the version in a worker's entry was not decoded, and no choice of a worker knew it.

Change: the version is part of a worker from its entry on, also in the tables of peers. The first forwarded event binds a stream to the version of its worker; a dispatcher grants only workers of this version, refuses at once if none is left, and lets other requests pass those that wait for it. An instance does not use a worker of another version that a dispatcher of an earlier release grants. A resumed stream waits no longer than its caller does for the next event.

Evidence: a stream that one version began and that lost its worker went on at the other; now it is broken off, or resumed at a worker of its version (test_software_versions).

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -194,6 +194,12 @@
             return WorkRefused(HANDED_OVER, 0.0)
         allocator = self._allocator(message.service)
         workers = self._catalogue.workers_of(ServiceName(message.service))
+        if message.software_version is not None:
+            workers = [
+                worker
+                for worker in workers
+                if worker.software_version == message.software_version
+            ]
         if allocator is None or not workers:
             return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
@@ -214,6 +220,7 @@
             parts=message.parts,
             input_bytes=dict(message.input_bytes),
             avoid=frozenset(message.avoid),
+            software_version=message.software_version,
         )
         forecast_ms = allocator.forecast_ms(request, workers, now_s)
         if forecast_ms > message.expires_ms:
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -75,6 +75,8 @@
     input_bytes: dict[str, int] = field(default_factory=dict)
     """Size of the stage results that the worker has to fetch, by data centre."""
     avoid: frozenset[str] = frozenset()
+    software_version: str | None = None
+    """Version of the workers that may run the request; None for any."""
 
 
 @dataclass(eq=False)
@@ -312,7 +314,8 @@
         usable = [
             worker
             for worker in workers
-            if self.health.usable(worker.key, now_s)
+            if request.software_version in (None, worker.software_version)
+            and self.health.usable(worker.key, now_s)
             and self._has_capacity(worker, request)
             and not self._blocked_ms(request.owner, worker, now_s)
         ]
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -14,6 +14,9 @@
 WorkerKey = NewType("WorkerKey", str)
 """Id of one incarnation of a worker."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a worker's software; empty if it reports none."""
+
 AttemptId = NewType("AttemptId", str)
 """Id that a caller gives to one attempt; a retry by the caller has a new id."""
 
@@ -213,6 +216,9 @@
         unknown.
     cold_ms : float
         Remaining warm-up time, during which it is slower than usual.
+    software_version : SoftwareVersion
+        Version of its software. Versions have no order, and what two of them write
+        does not fit together.
     """
 
     id: str
@@ -224,6 +230,7 @@
     state: WorkerState
     started_ms: int
     cold_ms: float = 0.0
+    software_version: str = ""
 
     @property
     def address(self) -> str:
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -331,6 +331,7 @@
             expires_ms=(self._latest_start_s(state) - now_s) * 1_000.0,
             avoid=tuple(state.tried_workers),
             repeat=state.sends > 0,
+            software_version=state.software_version,
         )
         return await self._dispatch_client.acquire(message)
 
@@ -341,8 +342,6 @@
         """
         if state.route.kind is not RequestKind.STREAMING:
             return state.deadline_s
-        if state.events.last_id is not None:
-            return state.deadline_s
         engine_ms = self._times.engine_ms(state.service, state.metadata)
         return state.abandon_at_s - engine_ms / 1_000.0
 
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -8,7 +8,7 @@
 from ..http.caller import IncomingRequest
 from ..http.client import Framing, ResponseHead
 from .event_stream import EventSplitter
-from .models import RequestKind, RequestMetadata, RouteRule
+from .models import RequestKind, RequestMetadata, RouteRule, SoftwareVersion
 from .pipeline import StageRun
 
 BASE_VALUE, REFERENCE_SIZE_TOKENS, MAX_VALUE = 0.3, 5_000.0, 4.0
@@ -60,6 +60,8 @@
     stages: StageRun | None = None
     framing: Framing | None = None
     """Framing of the last response of a worker."""
+    software_version: SoftwareVersion | None = None
+    """Version of the workers that wrote the events that were forwarded."""
     begun_s: float | None = None
     """Time at which the last worker began to write its response."""
     events: EventSplitter = field(default_factory=EventSplitter)
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -116,6 +116,9 @@
         sent_before = worker.id in state.tried_workers
         state.tried_workers.add(worker.id)
         refusal = self._notices.refusal(worker)
+        if state.software_version not in (None, worker.software_version):
+            # A dispatcher of an earlier release grants workers of any version.
+            refusal = "other_version"
         if refusal is not None:
             permit.retry_after_ms = self._notices.blocked_ms(worker)
             self._log_decision(state, worker, "not_asked", refusal)
@@ -243,7 +246,8 @@
         if state.stages is not None:
             state.stages.release()
         parts = connection.receive_body()
-        async for data in self._complete_events(state, parts, head.framing):
+        events = self._complete_events(state, permit.worker, parts, head.framing)
+        async for data in events:
             await exchange.send(data)
         await exchange.end()
         self._quarantine.record_end(state, permit.worker, True)
@@ -251,7 +255,11 @@
         return "done", {"worker": permit.worker.id, "status": head.status}
 
     async def _complete_events(
-        self, state: RequestState, parts: AsyncIterator[bytes], framing: Framing
+        self,
+        state: RequestState,
+        worker: Worker,
+        parts: AsyncIterator[bytes],
+        framing: Framing,
     ) -> AsyncIterator[bytes]:
         """Yield complete events only.
 
@@ -287,6 +295,7 @@
             if complete:
                 if not received:
                     state.begun_s = self._clock.monotonic_s()
+                    state.software_version = worker.software_version
                 received = True
                 yield complete
         if events.has_partial_event:
--- a/src/acaciapier/platform/workers.py
+++ b/src/acaciapier/platform/workers.py
@@ -18,6 +18,7 @@
     state: WorkerState
     slots: int = 1
     cold_left_ms: float = 0.0
+    version: str = ""
     # Unix time of the worker's start in ms, which identifies its incarnation.
     born: int = 0
 
@@ -55,6 +56,7 @@
         state=entry.state,
         started_ms=entry.born,
         cold_ms=entry.cold_left_ms,
+        software_version=entry.version,
     )
 
 
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -77,6 +77,7 @@
     state: str
     started_ms: int
     cold_ms: float
+    software_version: str = ""
 
 
 class PeerUpdates(Message, frozen=True, tag="News"):
@@ -182,6 +183,8 @@
     expires_ms: float
     avoid: tuple[str, ...]
     repeat: bool
+    software_version: str | None = None
+    """Only workers of this version may be granted; None for any."""
 
 
 class WorkerGranted(Message, frozen=True):
--- /dev/null
+++ b/tests/gateway/test_software_versions.py
@@ -0,0 +1,109 @@
+"""A stream goes on only at the software version of workers that began it."""
+
+import msgspec
+import pytest
+import trio
+
+from acaciapier.gateway.dispatch.dispatcher import Dispatcher
+from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
+from acaciapier.gateway.models import ServiceName, ServiceRule, WorkerState
+from acaciapier.platform.workers import decode_worker
+from acaciapier.wire.messages.gateway import WorkerEntry
+
+from .support import deployment
+from .test_broken_streams import EVENTS
+from .test_instance_state import worker
+
+ENTRY = {"service": "model", "addr": "10.0.0.1:80", "zone": "a", "state": "ready"}
+
+
+def test_the_version_of_a_worker_is_decoded():
+    assert decode_worker("w", ENTRY | {"version": "v7"}).software_version == "v7"
+    assert decode_worker("w", ENTRY).software_version == ""
+    with pytest.raises(ValueError, match="malformed"):
+        decode_worker("w", ENTRY | {"version": 7})
+
+
+def test_a_peer_of_an_earlier_release_names_no_version():
+    entry = WorkerEntry("w", "model", "h", 1, "a", 8, "ready", 1, 0.0)
+    assert entry.software_version == ""
+
+
+def versioned(name: str, version: str):
+    plain = worker(name)
+    fields = {field: getattr(plain, field) for field in plain.__struct_fields__}
+    return type(plain)(**fields | {"software_version": version})
+
+
+def test_a_request_waits_only_for_workers_of_its_version():
+    allocator = SlotAllocator(ServiceRule(ServiceName("book"), 10))
+    workers = [versioned("w1", "v1"), versioned("w2", "v2")]
+    assert all(listed.state is WorkerState.READY for listed in workers)
+    for number in range(workers[1].slots):
+        allocator.add(SlotRequest(f"p{number}", "i", 9.0, 9.0, software_version="v2"))
+    allocator.add(SlotRequest("late", "i", 1.0, 9.0, software_version="v2"))
+    allocator.add(SlotRequest("any", "i", 9.0, 9.0))
+    granted = {r.permit: w.id for r, w in allocator.assign(workers, 0.0)}
+    assert granted.pop("any") == "w1"
+    assert set(granted.values()) == {"w2"}
+    assert len(granted) == workers[1].slots
+
+
+async def resumed(world, versions: dict[str, str]):
+    """Crash the first worker of a stream; return the response and its workers."""
+    for name, version in versions.items():
+        if name not in world.platform.workers:
+            await world.platform.add_worker(name, "model", kind="stream")
+        world.platform.register(name, version=version)
+    catalogue = world.gateways[0].catalogue
+    await world.until(
+        lambda: (
+            {
+                listed.id: listed.software_version
+                for listed in catalogue.workers_of(ServiceName("model"))
+            }
+            == versions
+        )
+    )
+    for name in versions:
+        world.platform.workers[name].faults.pause_s = 0.3
+    caller = world.caller()
+    await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+    await world.until(lambda: world.platform.run_log.runs)
+    await trio.sleep(0.1)
+    world.platform.crash(world.platform.run_log.runs[0].worker)
+    answer = await caller.receive()
+    return answer, [run.worker for run in world.platform.run_log.runs_of("a1")]
+
+
+async def test_a_broken_stream_is_not_resumed_at_another_version():
+    async with deployment() as world:
+        versions = {"model-1": "v1", "model-2": "v2"}
+        answer, workers = await resumed(world, versions)
+        assert len(workers) == 1
+        assert not answer.complete
+        assert EVENTS.startswith(answer.body)
+
+
+async def test_a_broken_stream_is_resumed_at_its_version():
+    async with deployment() as world:
+        versions = {"model-1": "v1", "model-2": "v2", "model-3": "v1", "model-4": "v2"}
+        answer, workers = await resumed(world, versions)
+        assert (answer.body, answer.complete) == (EVENTS, True)
+        assert len(workers) == 2
+        assert versions[workers[0]] == versions[workers[1]]
+
+
+async def test_a_worker_of_another_version_that_is_granted_gets_nothing(monkeypatch):
+    acquire = Dispatcher.acquire
+
+    async def acquire_any(self, peer, message):
+        """Grant workers of any version, as dispatchers of earlier releases do."""
+        message = msgspec.structs.replace(message, software_version=None)
+        return await acquire(self, peer, message)
+
+    monkeypatch.setattr(Dispatcher, "acquire", acquire_any)
+    async with deployment() as world:
+        answer, workers = await resumed(world, {"model-1": "v1", "model-2": "v2"})
+        assert len(workers) == 1
+        assert not answer.complete
