Let a stream that workers have written on go on whatever its prompt parts

What callers would see: a stream that is under way, and whose worker is lost, is broken off if one of its prompt parts is under suspicion at that moment.

Cause: a resumed stream was checked against the blocked parts like a new request. A part that crashes each worker which begins to write on it cannot have events, so it is not one of this stream's.

Change: the check of parts ends with the first forwarded event. Besides, the condition for running the stages is a method of its own, and the soak's proxy uses the constant of the product for resets. Found by reading; no run showed it.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -241,8 +241,7 @@
         """Run the stages and then the request, with retries on other workers."""
         last_refusal = Refused("no_worker", NO_WORKER_RETRY_MS)
         while state.sends < MAX_SENDS:
-            if state.stages is None or not state.stages.has_inputs:
-                await self._run_stages(state)
+            await self._ensure_inputs(state)
             self._check_blocked(state)
             permit = await self._acquire(state)
             try:
@@ -286,9 +285,13 @@
         gap_ms = abandon_after_ms(state.route, left_ms)
         return self._clock.monotonic_s() + gap_ms / 1_000.0
 
+    async def _ensure_inputs(self, state: RequestState) -> None:
+        """Run the stages unless the route has none or their results are there."""
+        done = state.stages is not None and state.stages.has_inputs
+        if state.route.stages and not done:
+            await self._run_stages(state)
+
     async def _run_stages(self, state: RequestState) -> None:
-        if not state.route.stages:
-            return
         state.stages = StageRun(
             self._dispatch_client,
             self._times,
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -92,9 +92,14 @@
         return self._parts.digest
 
     def block_reason(self, state: RequestState) -> dict[str, str] | None:
-        """Return the blocked fingerprint or part of a request; None if it may run."""
+        """Return the blocked fingerprint or part of a request; None if it may run.
+
+        A stream of which a worker has written events goes on whatever its parts.
+        """
         if self._quarantine.blocked(state.fingerprint) is not None:
             return {"fingerprint": state.fingerprint}
+        if state.events.last_id is not None:
+            return None
         attempt = state.metadata.attempt
         part = self._parts.blocked_part(state.metadata.shared_part_ids, attempt)
         return None if part is None else {"part": part}
--- a/src/acaciapier_bench/soak/proxy.py
+++ b/src/acaciapier_bench/soak/proxy.py
@@ -1,15 +1,14 @@
 """A loopback proxy that delays, resets, cuts one way or silences connections."""
 
 import socket
-import struct
 from dataclasses import dataclass
 
 import trio
 
+from acaciapier.http.caller import LINGER_RESET
+
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65_536
-RESET = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` with which closing a socket resets its connection."""
 
 
 class _Ended(Exception):
@@ -84,7 +83,7 @@
         finally:
             if not ended:
                 for stream in (client, server):
-                    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
 
     async def _pass(self, source, sink, to_server: bool) -> None:
         while data := await source.receive_some(CHUNK_BYTES):
