Bound the doubling of a block in its arithmetic, too

What callers would see: a part of a prompt with over a thousand crashes on record ends each of its requests as an internal error (a closed connection) instead of 503.

Cause: the time of a block was doubled for each crash before it was cut to its maximum, which overflows. Found by reading the change; no run showed it.

Change: the number of doublings is bounded. The new test fails before with an OverflowError.

--- a/src/acaciapier/gateway/part_quarantine.py
+++ b/src/acaciapier/gateway/part_quarantine.py
@@ -38,6 +38,8 @@
 """Time for which a part is blocked after its second crash; each further crash doubles
 it."""
 
+MAX_DOUBLINGS = 10
+
 RECORD_EXPIRY_MS = 600_000.0
 """Workers are replaced by fixed versions within minutes. Also the longest time for
 which a part is blocked without a trial."""
@@ -325,7 +327,7 @@
 
 
 def _block_ms(crashes: int) -> float:
-    doublings = max(0, crashes - BLOCKING_CRASHES)
+    doublings = min(max(0, crashes - BLOCKING_CRASHES), MAX_DOUBLINGS)
     return min(RECORD_EXPIRY_MS, FIRST_BLOCK_MS * 2.0**doublings)
 
 
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -137,6 +137,14 @@
     assert quarantine.blocked_part(["bad"], "a2") is None
 
 
+def test_a_part_with_very_many_crashes_is_blocked_for_the_longest_time():
+    quarantine, clock = make()
+    for number in range(1_100):
+        quarantine.record_crash(["bad"], worker(number))
+        clock.advance(2 * SAME_CAUSE_GAP_MS / 1_000.0)
+    assert quarantine.blocked_part(["bad"], "a") == "bad"
+
+
 def test_an_instance_without_the_turn_tries_nothing():
     quarantine, clock = make(turn=False)
     for number in range(2):
