Keep no rank for the turns in which a blocked prompt part is tried

What the person on call would see: the memory of a gateway grows by one ranking of the fleet every 5 s while requests with a blocked part come and its block is over.

Cause: the turn was taken from the ranking of dispatchers, which is kept for each key until the fleet changes; a service is one key, a turn is a new one every 5 s. Found by reading.

Change: the first instance for a turn is computed and not kept. The new test checks that just one instance leads for a key, that all get turns, and that no ranking is kept.

--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -224,6 +224,15 @@
             known = self._ranks[key, own_usable] = self._make_rank(key, own_usable)
         return known
 
+    def leads(self, key: str) -> bool:
+        """Return whether this instance ranks first for `key` among those that are up.
+
+        Unlike ranks of services, the result is not kept: keys may be many.
+        """
+        instances = [self.own, *filter(self.is_up, self._peers)]
+        first = max(instances, key=lambda instance: rendezvous_rank(key, instance))
+        return first == self.own
+
     def _make_rank(self, key: str, own_usable: bool) -> list[InstanceId]:
         """Rank by hash, with low-capacity and recently started instances last."""
         members = [
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -76,7 +76,7 @@
     ):
         settings = PolicySettings(crash_record_expiry_ms=CRASH_RECORD_EXPIRY_MS)
         self._quarantine = Quarantine(clock, random, settings)
-        self._parts = PartQuarantine(clock, self._has_turn)
+        self._parts = PartQuarantine(clock, peers.leads)
         self._logged_blocks: dict[PartId, PartBlock] = {}
         self._compared: tuple[int, int] | None = None
         """Digests of a peer and of this instance after the last fetch."""
@@ -169,10 +169,6 @@
         )
         self._log_blocks()
 
-    def _has_turn(self, key: str) -> bool:
-        """Return whether this instance ranks first among the live ones."""
-        return self._peers.rank(key, own_usable=True)[0] == self._peers.own
-
     async def _probe_worker(
         self, state: RequestState, worker: Worker, begun_s: float | None
     ) -> None:
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -310,3 +310,17 @@
         sync.handle_heartbeat("edge-2", make_heartbeat(revision, catalogue))
         clock.advance(0.35)
     assert tasks.started == 1
+
+
+def test_one_instance_leads_for_a_key_and_no_rank_of_it_is_kept():
+    records = [record(f"edge-{n}") for n in range(5)]
+    fleet = [make_peers(own) for own in records]
+    for peers in fleet:
+        set_stable_records(peers, records)
+    ranks = [dict(peers._ranks) for peers in fleet]
+    leaders = [
+        [peers.own for peers in fleet if peers.leads(f"k{n}")] for n in range(50)
+    ]
+    assert {len(names) for names in leaders} == {1}
+    assert len({names[0] for names in leaders}) == len(records)
+    assert [peers._ranks for peers in fleet] == ranks
