Log and export the limits that workers name

Operators saw workers get far more requests than the limit that they had named, and nothing here told a limit: Server-Limit was decoded nowhere, so the log could not say whether instances did not know it or kept to it one by one. Now it is decoded in platform/, each instance records it by incarnation of the worker, logs worker_limit, worker_limit_ended and worker_limit_ignored, and exports acaciapier_worker_limit.

Answers overtake one another: a lower limit counts at once, but only a sealed answer to a request that was sent after a limit had last been named raises or ends it.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -53,6 +53,7 @@
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
 from .worker_exchange import WorkerExchange
+from .worker_limits import WorkerLimits
 from .worker_notices import WorkerNotices
 
 LISTEN_BACKLOG = 1_024
@@ -162,10 +163,16 @@
         )
         self.followers = StoreFollowers(self.peers)
         worker_connections = WorkerConnectionPool(self.clock)
+        self.limits = WorkerLimits(self.log.write)
+        self.metrics.watch_worker_limits(self._worker_limits)
         self.notices = WorkerNotices(
-            self.catalogue, self.clock, self.log.write, self._workers_changed
+            self.catalogue,
+            self.clock,
+            self.log.write,
+            self._workers_changed,
+            self.limits,
         )
-        client = StageClient(worker_connections, tasks, self.notices)
+        client = StageClient(worker_connections, tasks, self.notices, self.clock)
         self.dispatcher = Dispatcher(
             self.catalogue,
             client,
@@ -310,6 +317,14 @@
     def _workers_changed(self) -> None:
         self.dispatcher.workers_changed()
 
+    def _worker_limits(self) -> list[tuple[str, str, float]]:
+        """Return service, id and limit of the listed workers that have named one."""
+        workers = {worker.key: worker for worker in self.catalogue.workers.values()}
+        return [
+            (workers[key].service, workers[key].id, limit.per_s)
+            for key, limit in self.limits.in_force(workers).items()
+        ]
+
     def _follows_store(self) -> bool:
         """Return whether peers may rely on this instance for updates from the store."""
         known = self.catalogue.complete and self.sync.reachable
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -397,6 +397,10 @@
         when it turns a request away.
     malformed_retry_after : str or None
         Such a time in a form that is not understood.
+    limit_per_s : float or None
+        Requests a second that the worker takes from all instances together.
+    malformed_limits : tuple of str
+        Such limits in a form that is not understood.
     """
 
     attempt: str | None
@@ -410,3 +414,5 @@
     leaving: bool = False
     retry_after_ms: float | None = None
     malformed_retry_after: str | None = None
+    limit_per_s: float | None = None
+    malformed_limits: tuple[str, ...] = ()
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from ..core.clock import Clock
 from ..http.client import OutgoingRequest
 from ..platform import requests as request_format
 from ..platform import stages as stage_format
@@ -26,6 +27,8 @@
         Runs the tasks that write long request bodies.
     notices : WorkerNotices
         What the workers announced.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         connections: WorkerConnectionPool,
         tasks: TaskSupervisor,
         notices: WorkerNotices,
+        clock: Clock,
     ):
         self._connections = connections
         self._tasks = tasks
         self._notices = notices
+        self._clock = clock
 
     async def run(
         self, worker: Worker, pieces: Sequence[tuple[Piece, float]]
@@ -67,6 +72,7 @@
             raise WorkerRefused(
                 refusal, retry_after_ms=self._notices.blocked_ms(worker)
             )
+        sent_s = self._clock.monotonic_s()
         headers = request_format.worker_call_headers(worker.id)
         request = OutgoingRequest(b"POST", path, headers, body)
         async with self._connections.acquire(worker, repeatable=True) as connection:
@@ -74,7 +80,8 @@
             head = await connection.receive_head()
             response_body = await connection.receive_full_body(MAX_RESPONSE_BYTES)
         response = request_format.decode_response_metadata(head)
-        self._notices.observe(worker, response)
+        ran = head.status == 200 and path == stage_format.RUN_PATH
+        self._notices.observe(worker, response, sent_s if ran else None)
         if response.not_run or head.status != 200:
             raise WorkerRefused(
                 f"status {head.status}",
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -163,13 +163,15 @@
             """
             nonlocal response
             response = request_format.decode_response_metadata(head)
-            self._notices.observe(worker, response)
+            own = response.attempt == state.metadata.attempt and response.has_seal
+            self._notices.observe(worker, response, sent_s if own else None)
             return response.attempt in (None, state.metadata.attempt)
 
         state.runs += 1
         state.may_have_run = True
         state.begun_s = None
         self._quarantine.record_send(state, worker)
+        sent_s = self._clock.monotonic_s()
         try:
             with trio.fail_after(self._head_timeout_s(state)):
                 await connection.send(outgoing, self._tasks)
--- a/src/acaciapier/gateway/worker_notices.py
+++ b/src/acaciapier/gateway/worker_notices.py
@@ -1,4 +1,4 @@
-"""What workers announced in their answers: that they leave, or want no requests.
+"""What workers announced in their answers: that they leave, or want fewer requests.
 
 All paths to workers (requests, calls of stages, releases of results) report the answers
 here and ask here before they send. This answers the load on workers that shed it or
@@ -10,6 +10,7 @@
 from ..core.clock import Clock, to_s
 from .catalogue import Catalogue
 from .models import ResponseMetadata, Worker, WorkerKey
+from .worker_limits import WorkerLimits
 
 MAX_RETRY_AFTER_MS = 3_600_000.0
 """Longest time for which a worker may turn requests away. A longer one is taken for a
@@ -33,6 +34,8 @@
         Writes a log event, given as a kind and fields.
     on_leaving : callable
         Called when a worker is known to leave, so that waiting work goes elsewhere.
+    limits : WorkerLimits
+        Records the limits that workers name.
     """
 
     def __init__(
@@ -41,22 +44,28 @@
         clock: Clock,
         log: Callable[..., None],
         on_leaving: Callable[[], None],
+        limits: WorkerLimits,
     ):
         self._catalogue = catalogue
         self._clock = clock
         self._log = log
         self._on_leaving = on_leaving
+        self._limits = limits
         self._turned_away_until_s: dict[WorkerKey, float] = {}
         self._leaving_since_s: dict[WorkerKey, float] = {}
 
-    def observe(self, worker: Worker, response: ResponseMetadata) -> None:
+    def observe(
+        self, worker: Worker, response: ResponseMetadata, sent_s: float | None = None
+    ) -> None:
         """Record what an answer of a worker announces.
 
         An answer with another worker's statement that it has this address says nothing
-        about `worker`.
+        about `worker`. `sent_s` is when the request was sent, if the answer is the
+        worker's own to it, see `WorkerLimits.observe`.
         """
         if response.wrong_worker:
             return
+        self._limits.observe(worker, response, self._clock.monotonic_s(), sent_s)
         if response.leaving:
             self._record_leaving(worker.key, worker.address, "answer")
         if response.malformed_retry_after is not None:
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -79,6 +79,13 @@
         """Return the value of a header by its lower-case name."""
         return self.values.get(name)
 
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return the values of a header that may be repeated, by lower-case name."""
+        if name not in self.values:
+            return []
+        repeated = [value for key, value in self.headers if key.lower() == name]
+        return repeated or [self.values[name]]
+
     @property
     def framing(self) -> Framing:
         """What marks the end of the body; a response without a body has length 0."""
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -147,6 +147,23 @@
 
         self._meter.create_observable_counter("acaciapier_store_calls", [observe])
 
+    def watch_worker_limits(
+        self, limits: Callable[[], Iterable[tuple[str, str, float]]]
+    ) -> None:
+        """Export the limits that workers have named, in requests a second.
+
+        Parameters
+        ----------
+        limits : callable
+            Returns service, worker and limit of each limited worker.
+        """
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for service, worker, per_s in limits():
+                yield Observation(per_s, {"service": service, "worker": worker})
+
+        self._meter.create_observable_gauge("acaciapier_worker_limit", [observe])
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -22,6 +22,7 @@
 EXPECT_WORKER_HEADER = b"expect-instance"
 LEAVING_HEADER = b"server-leaving"
 RETRY_AFTER_HEADER = b"retry-after"
+LIMIT_HEADER = b"server-limit"
 UNAVAILABLE_STATUS = 503
 WRONG_WORKER_STATUS = 421
 NOT_RUN_STATUSES = frozenset({408, WRONG_WORKER_STATUS, 429, UNAVAILABLE_STATUS})
@@ -29,7 +30,9 @@
 
 INPUTS_MISSING_STATUS = 409
 
-RETRY_AFTER_PATTERN = re.compile(r"[0-9]+(\.[0-9]+)?")
+DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
+"""Excludes what `float` also accepts, such as "inf", "nan" and "1_0"."""
+
 MS_PER_S = 1_000.0
 
 # Headers that the gateway sets itself; those from callers are never forwarded.
@@ -127,6 +130,7 @@
     attempt = head.get(ATTEMPT_HEADER)
     load = head.get(b"server-load")
     retry_after_ms, malformed = _parse_retry_after(head)
+    limit_per_s, malformed_limits = _parse_limits(head)
     return ResponseMetadata(
         attempt=None if attempt is None else attempt.decode("latin-1"),
         # The seal proves that the body comes from the worker.
@@ -140,6 +144,8 @@
         leaving=(head.get(LEAVING_HEADER) or b"").strip() == b"1",
         retry_after_ms=retry_after_ms,
         malformed_retry_after=malformed,
+        limit_per_s=limit_per_s,
+        malformed_limits=malformed_limits,
     )
 
 
@@ -154,12 +160,19 @@
     if head.status != UNAVAILABLE_STATUS or value is None:
         return None, None
     text = value.decode("latin-1").strip()
-    # Excludes what `float` also accepts, such as "inf", "nan" and "1_0".
-    if not RETRY_AFTER_PATTERN.fullmatch(text):
+    if not DECIMAL_PATTERN.fullmatch(text):
         return None, text
     return float(text) * MS_PER_S, None
 
 
+def _parse_limits(head: ResponseHead) -> tuple[float | None, tuple[str, ...]]:
+    """Return the lowest limit that a response names, and the malformed ones."""
+    texts = [value.decode("latin-1").strip() for value in head.get_all(LIMIT_HEADER)]
+    limits = [float(text) for text in texts if DECIMAL_PATTERN.fullmatch(text)]
+    malformed = [text for text in texts if not DECIMAL_PATTERN.fullmatch(text)]
+    return min(limits, default=None), tuple(malformed)
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for part in value.split(b","):
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -47,6 +47,8 @@
     """Announce the shutdown in all answers."""
     turn_away: str | None = None
     """Answer with status 503 and this `Retry-After`."""
+    limit: str | None = None
+    """Name this limit, in requests a second, in all answers."""
 
 
 class UnframedExchange:
@@ -164,6 +166,8 @@
         self._events = events
         self._gap_s = gap_s
         self.requests = 0
+        self.arrivals_s: list[float] = []
+        """Times of all requests."""
         self._handle_count = 0
         self._results = {} if results is None else results
         self._on_begin = on_begin
@@ -175,6 +179,7 @@
             for name, value in request.headers
         }
         self.requests += 1
+        self.arrivals_s.append(trio.current_time())
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
         elif self.faults.turn_away is not None:
@@ -330,7 +335,10 @@
         await exchange.end()
 
     def _state_headers(self) -> list[tuple[bytes, bytes]]:
-        return [(b"Server-Leaving", b"1")] if self.faults.leaving else []
+        headers = [(b"Server-Leaving", b"1")] if self.faults.leaving else []
+        if self.faults.limit is not None:
+            headers.append((b"Server-Limit", self.faults.limit.encode()))
+        return headers
 
     def _identity_headers(self, run: Run) -> list[tuple[bytes, bytes]]:
         headers = [(b"Attempt-Id", run.attempt.encode()), *self._state_headers()]
--- a/tests/gateway/test_worker_notices.py
+++ b/tests/gateway/test_worker_notices.py
@@ -6,6 +6,7 @@
 from acaciapier.gateway.dispatch.health import WorkerHealth
 from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
 from acaciapier.gateway.models import ServiceName, ServiceRule, WorkerState
+from acaciapier.gateway.worker_limits import WorkerLimits
 from acaciapier.gateway.worker_notices import (
     MAX_RETRY_AFTER_MS,
     SHARE_PERIOD_MS,
@@ -39,6 +40,7 @@
         clock,
         lambda kind, **fields: events.append((kind, fields)),
         lambda: calls.append(1),
+        WorkerLimits(),
     )
     return notices, catalogue, clock, events, calls
 
