--- a/tests/gateway/test_worker_limits.py
+++ b/tests/gateway/test_worker_limits.py
@@ -1,15 +1,36 @@
 """Workers that name how many requests a second they take from all instances."""
 
 import pytest
+import trio
 
 from acaciapier.gateway.worker_limits import MAX_LIMITS, WorkerLimits
 from acaciapier.http.client import ResponseHead
 from acaciapier.platform.requests import decode_response_metadata
 
+from .support import deployment
 from .test_instance_state import worker
 from .test_worker_notices import answer
 
 KEY = "w1/1"
+WINDOW_S = 4.0
+SETTLE_S = 1.0
+
+
+def most_in_window(times_s: list[float], from_s: float) -> int:
+    """Return how many of the times after `from_s` lie in some window."""
+    counted = [time_s for time_s in times_s if time_s >= from_s]
+    return max(
+        (
+            sum(start_s <= time_s < start_s + WINDOW_S for time_s in counted)
+            for start_s in counted
+        ),
+        default=0,
+    )
+
+
+def allowed(limit_per_s: float) -> float:
+    """Return the requests in a window that the users' rule on limits allows."""
+    return 1.5 * limit_per_s * WINDOW_S + 5
 
 
 @pytest.mark.parametrize("value", ["1.2", "0", "12", "1000000000", "0.05"])
@@ -81,3 +102,56 @@
         limits.observe(worker(f"v{number}"), answer(server_limit="2"), 1.0)
     keys = [f"v{number}/1" for number in range(MAX_LIMITS + 5)]
     assert len(limits.in_force(keys)) == MAX_LIMITS
+
+
+async def load(world, method: str, path: str, seconds: float, callers: int) -> list:
+    """Send requests to all gateways at once and return the answers."""
+    answers = []
+
+    async def call(number: int) -> None:
+        caller = world.caller(number % len(world.gateways))
+        while True:
+            serial = len(answers)
+            reply = await caller.request(
+                method,
+                path,
+                b"{}",
+                Attempt_Id=f"c{number}-{serial}-{trio.current_time()}",
+                Chunk_Count="1,1",
+                Chunk_Key="k",
+            )
+            answers.append(reply)
+            if reply.headers.get("connection") == "close" or not reply.complete:
+                await caller.aclose()
+                caller = world.caller(number % len(world.gateways))
+            await trio.sleep(0.03)
+
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            for number in range(callers):
+                nursery.start_soon(call, number)
+    return answers
+
+
+@pytest.mark.parametrize(
+    "name, method, path",
+    [
+        ("book-1", "GET", "/lookup/1"),
+        ("book-1", "POST", "/confirm/1"),
+        ("model-1", "POST", "/mail/1"),
+        ("encode-1", "POST", "/staged/1"),
+    ],
+)
+async def test_a_worker_gets_no_more_than_the_limit_that_it_named_from_all_instances(
+    name, method, path
+):
+    async with deployment(gateways=3) as world:
+        needy = world.platform.workers[name]
+        needy.faults.limit = "2"
+        start_s = trio.current_time()
+        answers = await load(world, method, path, SETTLE_S + WINDOW_S + 1.0, 6)
+        seen = most_in_window(needy.arrivals_s, start_s + SETTLE_S)
+        assert needy.arrivals_s
+        assert seen <= allowed(2)
+        served = sum(reply.status == 200 for reply in answers)
+        assert served >= 0.95 * len(answers)
