Pace the requests of all instances to workers that have named a limit

Change: the dispatcher of a service, which grants every send, paces the grants at a limited worker (GCRA, 200 ms ahead at most) and so do its calls to stage workers and releases of results. What an answer names reaches the dispatcher with PermitStarted and PermitEnded, and with each AcquireWorker what the asking instance knows, so a new dispatcher knows it before its first grant. A grant that was made without the limit is given back; one that is used later than 1 s after it was made, since a process or message was delayed, is not used. A dispatcher that does not see all listed instances paces by the share that it sees, as another dispatcher may serve the rest. With a dispatcher of an earlier release each instance keeps to its share. Forecasts, waits, refusals and the capacity of stages count the limit in place of free slots; a queue that the limits leave no time for is refused at once.

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -1,5 +1,6 @@
 """Client of the dispatchers: finds the dispatcher of a service and handles failover."""
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import singledispatch
@@ -7,7 +8,7 @@
 import msgspec
 import trio
 
-from ...core.clock import Clock, epoch_ms
+from ...core.clock import Clock, epoch_ms, to_s
 from ...core.ids import InstanceId
 from ...exceptions import PeerUnavailable
 from ...wire.messages.base import Message
@@ -18,12 +19,14 @@
     FreeResults,
     HeldPermits,
     HeldResults,
+    LimitedWorker,
     PermitEnded,
     PermitStarted,
     PiecesMade,
     RunPieces,
     StagesEntered,
     WorkerGranted,
+    WorkerLimitEntry,
     WorkRefused,
 )
 from ..catalogue import Catalogue
@@ -36,9 +39,13 @@
 MAX_DISPATCHERS = 5
 """Maximum number of dispatchers to which a request is sent before it is refused."""
 
-MAX_DEPARTED_WORKERS = 4
-"""Maximum number of slots granted at workers that have left before a request is
-refused."""
+MAX_UNUSABLE_GRANTS = 4
+"""Maximum number of slots granted at workers that have left, or whose limit leaves no
+room, before a request is refused."""
+
+UNUSED_PERMIT_TTL_MS = 1_000.0
+"""Time after its grant in which a permit may be used. A request that is sent later,
+as this process or the grant was delayed, would come on top of those granted since."""
 
 ANSWER_MARGIN_MS = 400.0
 """Time added to the remaining wait of a request to get the timeout of the call to a
@@ -56,9 +63,17 @@
     output_tokens: int
     dispatcher: InstanceId
     granted_s: float
+    usable_until_s: float = math.inf
+    limited: LimitedWorker | None = None
+    """The worker's limit, to which the grant keeps."""
+    waited_ms: float = 0.0
     outcome: str = OUTCOME_CANCELLED
     retry_after_ms: float = 0.0
     """For how long the worker wants no further requests from this instance."""
+    limit_per_s: float | None = None
+    """Limit that the worker named in its answer, until it is reported."""
+    without_limit: bool = False
+    """Whether the worker's own answer named none."""
 
 
 class DispatchClient:
@@ -88,6 +103,7 @@
     ):
         self._peers = peers
         self._own_dispatcher = dispatcher
+        self._limits = dispatcher.limits
         self._catalogue = catalogue
         self._clock = clock
         self._log = log
@@ -138,7 +154,7 @@
 
     async def enter_stages(self, message: EnterStages) -> None:
         """Wait until a request may start its stages, or raise `Refused`."""
-        answer = await self._call_dispatcher(
+        answer, _ = await self._call_dispatcher(
             message.service, message, message.expires_ms
         )
         if not isinstance(answer, StagesEntered):
@@ -146,7 +162,7 @@
 
     async def run_pieces(self, message: RunPieces) -> tuple[str, ...]:
         """Return the handles of all pieces of a stage, or raise `Refused`."""
-        answer = await self._call_dispatcher(
+        answer, _ = await self._call_dispatcher(
             message.service, message, message.expires_ms
         )
         if isinstance(answer, PiecesMade):
@@ -157,26 +173,42 @@
 
     async def acquire(self, message: AcquireWorker) -> Permit:
         """Return a permit for a worker, or raise `Refused`."""
-        for _ in range(MAX_DEPARTED_WORKERS):
-            message = msgspec.structs.replace(message, permit=self._new_permit_name())
-            answer = await self._call_dispatcher(
+        for _ in range(MAX_UNUSABLE_GRANTS):
+            message = msgspec.structs.replace(
+                message,
+                permit=self._new_permit_name(),
+                limits=self._known_limits(message.service),
+            )
+            answer, asked_s = await self._call_dispatcher(
                 message.service, message, message.expires_ms
             )
             if not isinstance(answer, WorkerGranted):
                 raise _refusal_of(answer)
-            permit = self._accept_grant(message, answer)
+            permit = self._accept_grant(message, answer, asked_s)
             if permit is not None:
                 return permit
             avoid = (*message.avoid, answer.worker)
             message = msgspec.structs.replace(message, avoid=avoid)
         raise Refused("worker_left", OTHER_WORKER_RETRY_MS)
 
+    def _known_limits(self, service: str) -> tuple[WorkerLimitEntry, ...]:
+        """Return the limits of a service's workers that this instance knows."""
+        workers = self._catalogue.workers_of(ServiceName(service))
+        return self._limits.entries(workers, self._clock.monotonic_s())
+
     def report_started(self, permit: Permit) -> None:
         """Report to the dispatcher that the first part of an answer has arrived."""
         self._notify(
             permit.dispatcher,
-            PermitStarted(permit.service, permit.name, self._held_ms(permit)),
+            PermitStarted(
+                permit.service,
+                permit.name,
+                self._held_ms(permit),
+                permit.limit_per_s,
+                permit.without_limit,
+            ),
         )
+        permit.limit_per_s = None
 
     def release_permit(self, permit: Permit, outcome: str | None = None) -> None:
         """Release a permit."""
@@ -188,6 +220,7 @@
             outcome or permit.outcome,
             self._held_ms(permit),
             permit.retry_after_ms,
+            permit.limit_per_s,
         )
         self._notify(permit.dispatcher, message)
 
@@ -212,15 +245,19 @@
 
     async def _call_dispatcher(
         self, service: str, message: Message, wait_ms: float
-    ) -> Message:
-        """Call the dispatcher of a service; on failure call the next one."""
+    ) -> tuple[Message, float]:
+        """Call the dispatcher of a service; on failure call the next one.
+
+        Return its answer and the time at which it was called.
+        """
         start_s = self._clock.monotonic_s()
         for _ in range(MAX_DISPATCHERS):
             instance = self.dispatcher_of(service)
             self._update_dispatcher(service, instance)
             remaining_ms = wait_ms - (self._clock.monotonic_s() - start_s) * 1_000.0
             if remaining_ms <= 0:
-                return WorkRefused("expired", 0.0)
+                return WorkRefused("expired", 0.0), start_s
+            asked_s = self._clock.monotonic_s()
             try:
                 answer = await self._call_instance(instance, message, remaining_ms)
             except PeerUnavailable as error:
@@ -238,8 +275,8 @@
                 if instance != self._peers.own:
                     self._peers.record_stopping(instance)
                 continue
-            return answer
-        return WorkRefused("no_dispatcher", DISPATCHER_CHANGE_RETRY_MS)
+            return answer, asked_s
+        return WorkRefused("no_dispatcher", DISPATCHER_CHANGE_RETRY_MS), start_s
 
     async def _call_instance(
         self, instance: InstanceId, message: Message, remaining_ms: float
@@ -253,15 +290,19 @@
         )
 
     def _accept_grant(
-        self, message: AcquireWorker, answer: WorkerGranted
+        self, message: AcquireWorker, answer: WorkerGranted, asked_s: float
     ) -> Permit | None:
-        """Return the permit for a granted slot; None if the worker has left."""
+        """Return the permit for a granted slot; None if it must not be used.
+
+        The worker may have left, or have named a limit that the grant ignores.
+        """
         worker = self._catalogue.workers.get(WorkerId(answer.worker))
         dispatcher = self._dispatchers[message.service]
         if (
             worker is None
             or worker.started_ms != answer.started_ms
             or not self._catalogue.usable(worker)
+            or not self._keeps_to_limit(worker, answer, asked_s)
         ):
             ended = PermitEnded(message.service, message.permit, OUTCOME_CANCELLED, 0.0)
             self._notify(dispatcher, ended)
@@ -274,10 +315,32 @@
             message.output_tokens,
             dispatcher,
             self._clock.monotonic_s(),
+            asked_s + to_s(answer.waited_ms + UNUSED_PERMIT_TTL_MS),
+            answer.limited,
+            answer.waited_ms,
         )
         self._permits[permit.name] = permit
         return permit
 
+    def _keeps_to_limit(
+        self, worker: Worker, answer: WorkerGranted, asked_s: float
+    ) -> bool:
+        """Return whether a grant keeps to the limit of its worker."""
+        limit = self._limits.find(worker.key)
+        if limit is None or answer.limited is not None:
+            return True
+        if answer.limits_considered:
+            if limit.named_s > asked_s:
+                return False
+            self._limits.forget(worker.key)
+            return True
+        # A dispatcher of an earlier release does not pace: each instance takes a share.
+        now_s, share = self._clock.monotonic_s(), 1.0 / self._peers.live_count
+        if self._limits.wait_ms(worker.key, now_s, share):
+            return False
+        self._limits.record_send(worker.key, now_s, share)
+        return True
+
     def _update_dispatcher(self, service: str, instance: InstanceId) -> None:
         """Record a service's dispatcher; report permits and results to a new one."""
         if self._dispatchers.get(service) == instance:
@@ -347,5 +410,5 @@
 
 def _refusal_of(answer: Message) -> Refused:
     if isinstance(answer, WorkRefused):
-        return Refused(answer.cause, answer.retry_after_ms)
+        return Refused(answer.cause, answer.retry_after_ms, answer.limited)
     return Refused("unknown_answer", DISPATCHER_CHANGE_RETRY_MS)
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -20,7 +20,6 @@
     RunPieces,
     ServiceEngineTimes,
     ServiceWait,
-    WorkerGranted,
     WorkRefused,
 )
 from ..catalogue import Catalogue
@@ -28,12 +27,15 @@
 from ..models import AttemptId, Piece, ServiceName, ServiceRule, Worker
 from ..settings import GatewayBounds
 from ..supervision import TaskSupervisor
+from ..worker_limits import WorkerLimits
 from .admission import StageAdmission
 from .future import Future
+from .limit_reports import make_grant, make_refusal, record_report
 from .piece_groups import PieceGroup
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
-from .slots import PERMIT_TTL_MS, SlotAllocator, SlotRequest, SlotReservation
+from .slot_requests import SlotRequest, SlotReservation
+from .slots import PERMIT_TTL_MS, SlotAllocator
 from .stage_scheduler import StageScheduler
 
 CHECK_PERIOD_MS = 25.0
@@ -75,6 +77,8 @@
     own : InstanceId
         This instance. While it stops, it refuses the requests of other instances but
         accepts its own, which it sends here only if no other instance is left.
+    limits : WorkerLimits, optional
+        Paces the requests to workers that have named a limit.
     """
 
     def __init__(
@@ -86,7 +90,9 @@
         tasks: TaskSupervisor,
         bounds: GatewayBounds,
         own: InstanceId,
+        limits: WorkerLimits | None = None,
     ):
+        self.limits = limits or WorkerLimits(log)
         self._own = own
         self._waits: tuple[ServiceWait, ...] = ()
         self._waits_updated_s = -1.0
@@ -203,6 +209,7 @@
         if allocator is None or not workers:
             return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
+        self.limits.merge(peer, message.limits, now_s)
         budget = self._budget(message.service)
         if not message.repeat:
             budget.record_first_send(now_s)
@@ -224,12 +231,19 @@
         )
         forecast_ms = allocator.forecast_ms(request, workers, now_s)
         if forecast_ms > message.expires_ms:
-            return WorkRefused("overload", MIN_RETRY_MS + forecast_ms / 2)
+            retry_ms = MIN_RETRY_MS + forecast_ms / 2
+            return make_refusal(
+                "overload", retry_ms, allocator, self.limits, workers, now_s
+            )
         worker = await self._wait_for_slot(allocator, message.service, request)
+        if worker is None and self.stopping:
+            return WorkRefused(HANDED_OVER, max(MIN_RETRY_MS, forecast_ms))
         if worker is None:
-            cause = HANDED_OVER if self.stopping else "expired"
-            return WorkRefused(cause, max(MIN_RETRY_MS, forecast_ms))
-        return WorkerGranted(worker.id, worker.started_ms)
+            retry_ms = max(MIN_RETRY_MS, forecast_ms)
+            return make_refusal(
+                "expired", retry_ms, allocator, self.limits, workers, now_s
+            )
+        return make_grant(self.limits, worker, now_s, self._clock.monotonic_s())
 
     async def _wait_for_slot(
         self, allocator: SlotAllocator, service: str, request: SlotRequest
@@ -253,6 +267,8 @@
         allocator = self._allocators.get(message.service)
         if allocator is not None:
             now_s = self._clock.monotonic_s()
+            reservation = allocator.reservation(message.permit)
+            record_report(self.limits, f"peer {peer}", reservation, message, now_s)
             if allocator.record_start(message.permit, message.elapsed_ms, now_s):
                 estimate = allocator.engine_times.estimate
                 self._log(
@@ -267,11 +283,12 @@
         allocator = self._allocators.get(message.service)
         if allocator is None:
             return
+        now_s = self._clock.monotonic_s()
         reservation = allocator.release(message.permit)
+        record_report(self.limits, f"peer {peer}", reservation, message, now_s)
         if reservation is None:
             self._cancel_request(allocator, message.permit)
             return
-        now_s = self._clock.monotonic_s()
         if message.retry_after_ms > 0:
             until_s = now_s + to_s(message.retry_after_ms)
             allocator.turn_away(peer, reservation.worker, until_s)
@@ -335,11 +352,16 @@
         now_s = self._clock.monotonic_s()
         if now_s - self._waits_updated_s >= to_s(WAITS_PERIOD_MS):
             self._waits_updated_s = now_s
-            self._waits = tuple(
-                ServiceWait(service, scheduler.waits_ms())
+            waits = {
+                service: scheduler.waits_ms()
                 for service, scheduler in self._schedulers.items()
                 if scheduler.queue.waiting_pieces
-            )
+            }
+            for service, allocator in self._allocators.items():
+                workers = self._catalogue.workers_of(ServiceName(service))
+                if limited_ms := allocator.waits_ms(workers, now_s):
+                    waits[service] = limited_ms
+            self._waits = tuple(ServiceWait(*wait) for wait in waits.items())
         return self._waits
 
     def engine_estimate(self, service: str) -> EngineEstimate | None:
@@ -401,6 +423,7 @@
                 self._clock,
                 self._log,
                 self._tasks,
+                self.limits,
             )
         scheduler.queue.spec = rule.batching
         return scheduler
@@ -411,7 +434,9 @@
             return None
         allocator = self._allocators.get(service)
         if allocator is None:
-            allocator = self._allocators[service] = SlotAllocator(rule)
+            allocator = self._allocators[service] = SlotAllocator(
+                rule, limits=self.limits
+            )
         allocator.rule = rule
         allocator.prefix_reuse_ms = self._bounds.prefix_reuse_ms
         return allocator
@@ -435,9 +460,12 @@
     def _assign(self, service: str) -> None:
         allocator = self._allocators[service]
         now_s = self._clock.monotonic_s()
-        for request in allocator.pop_expired(now_s):
-            self._grants[request.permit].set_result(None)
         workers = self._catalogue.workers_of(ServiceName(service))
+        for request in [
+            *allocator.pop_expired(now_s),
+            *allocator.pop_hopeless(workers, now_s),
+        ]:
+            self._grants[request.permit].set_result(None)
         for request, worker in allocator.assign(workers, now_s):
             grant = self._grants.get(request.permit)
             if grant is None:
--- /dev/null
+++ b/src/acaciapier/gateway/dispatch/limit_reports.py
@@ -0,0 +1,64 @@
+"""What dispatchers and instances tell one another about the limits of workers."""
+
+from collections.abc import Sequence
+
+from ...wire.messages.gateway import (
+    PermitEnded,
+    PermitStarted,
+    WorkerGranted,
+    WorkRefused,
+)
+from ..models import Worker, WorkerKey
+from ..worker_limits import WorkerLimits
+from .slot_requests import SlotReservation
+from .slots import SlotAllocator
+
+MAX_NAMED_WORKERS = 8
+"""Limited workers that a refusal names, for the log."""
+
+
+def make_grant(
+    limits: WorkerLimits, worker: Worker, asked_s: float, granted_s: float
+) -> WorkerGranted:
+    """Return the grant of a slot at a worker, with its limit."""
+    limited = limits.describe([worker], granted_s)
+    waited_ms = (granted_s - asked_s) * 1_000.0
+    return WorkerGranted(
+        worker.id,
+        worker.started_ms,
+        True,
+        limited[0] if limited else None,
+        waited_ms,
+    )
+
+
+def make_refusal(
+    cause: str,
+    retry_ms: float,
+    allocator: SlotAllocator,
+    limits: WorkerLimits,
+    workers: Sequence[Worker],
+    now_s: float,
+) -> WorkRefused:
+    """Return a refusal, which names the limits if all workers have one."""
+    if not allocator.all_limited(workers):
+        return WorkRefused(cause, retry_ms)
+    limited = limits.describe(workers, now_s)[:MAX_NAMED_WORKERS]
+    return WorkRefused("worker_limits", retry_ms, limited)
+
+
+def record_report(
+    limits: WorkerLimits,
+    origin: str,
+    reservation: SlotReservation | None,
+    message: PermitStarted | PermitEnded,
+    now_s: float,
+) -> None:
+    """Record what the answer to a granted request said of its worker's limit."""
+    if reservation is None:
+        return
+    key, granted_s = WorkerKey(reservation.worker), reservation.granted_s
+    if message.limit_per_s is not None:
+        limits.record(key, message.limit_per_s, now_s, granted_s, origin)
+    elif isinstance(message, PermitStarted) and message.without_limit:
+        limits.record_none(key, granted_s, origin)
--- a/src/acaciapier/gateway/dispatch/refusal.py
+++ b/src/acaciapier/gateway/dispatch/refusal.py
@@ -1,6 +1,9 @@
 """Refusals of work, with the time after which a retry is worthwhile."""
 
+from collections.abc import Sequence
+
 from ...exceptions import AcaciapierError
+from ...wire.messages.gateway import LimitedWorker
 
 MIN_RETRY_MS = 250.0
 """Shortest retry delay of a refused request: the duration of a stage call."""
@@ -26,9 +29,14 @@
         Reason of the refusal.
     retry_after_ms : float
         Delay after which the caller should retry.
+    limited : sequence of LimitedWorker, optional
+        Limits of workers because of which it was refused.
     """
 
-    def __init__(self, cause: str, retry_after_ms: float):
+    def __init__(
+        self, cause: str, retry_after_ms: float, limited: Sequence[LimitedWorker] = ()
+    ):
+        self.limited = limited
         self.cause = cause
         self.retry_after_ms = retry_after_ms
         super().__init__(f"{cause}; retry after {retry_after_ms:.0f} ms")
--- /dev/null
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -0,0 +1,45 @@
+"""Requests for slots at workers, and the slots reserved for them."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(eq=False)
+class SlotRequest:
+    """A request that needs a slot.
+
+    Times are in seconds of the dispatcher's clock.
+    """
+
+    permit: str
+    owner: str
+    due_s: float
+    expires_s: float
+    priority: int = 0
+    value: float = 1.0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+    input_bytes: dict[str, int] = field(default_factory=dict)
+    """Size of the stage results that the worker has to fetch, by data centre."""
+    avoid: frozenset[str] = frozenset()
+    software_version: str | None = None
+    """Version of the workers that may run the request; None for any."""
+
+
+@dataclass(eq=False)
+class SlotReservation:
+    """A slot that is reserved for a request, under the name of its permit."""
+
+    worker: str
+    owner: str
+    prompt_tokens: int
+    output_tokens: int
+    pending_prefill_tokens: float
+    until_s: float
+    started: bool = False
+    granted_s: float = float("-inf")
+    """When this dispatcher granted it; unknown if an earlier one did."""
+    expected_ms: float = 0.0
+    """Expected time to the first part of the answer."""
+    prefilled_tokens: float = 0.0
+    """Prompt tokens that the engine prefills before the first part."""
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -7,13 +7,14 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from ..engine_times import EngineTimes
 from ..models import ServiceRule, Worker
 from ..settings import DEFAULT_PREFIX_REUSE_MS
+from ..worker_limits import WorkerLimits
 from .health import WorkerHealth
-from .prefix_cache import PrefixCacheModel
+from .prefix_cache import PrefillLog, PrefixCacheModel
+from .slot_requests import SlotRequest, SlotReservation
 
 DEFAULT_PREFILL_MS_PER_TOKEN = 0.015
 """Time in which an engine prefills a prompt token, until measured."""
@@ -49,53 +50,13 @@
 DEFAULT_AVERAGE_MS = 50.0
 """Average time of a call of a plain service, until measured."""
 
-MAX_RECORDED_PREFIXES = 5_000
-"""Number of recorded prefixes at which outdated ones are removed."""
+CERTAIN_WAIT_SHARE = 0.8
+"""Share of the wait for those ahead that is certain: some of them are cancelled."""
 
 PERMIT_TTL_MS = 30_000.0
 """Time after which an unreleased slot becomes free: twice the longest deadline."""
 
 
-@dataclass(eq=False)
-class SlotRequest:
-    """A request that needs a slot.
-
-    Times are in seconds of the dispatcher's clock.
-    """
-
-    permit: str
-    owner: str
-    due_s: float
-    expires_s: float
-    priority: int = 0
-    value: float = 1.0
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    parts: tuple[tuple[str, int], ...] = ()
-    input_bytes: dict[str, int] = field(default_factory=dict)
-    """Size of the stage results that the worker has to fetch, by data centre."""
-    avoid: frozenset[str] = frozenset()
-    software_version: str | None = None
-    """Version of the workers that may run the request; None for any."""
-
-
-@dataclass(eq=False)
-class SlotReservation:
-    """A slot that is reserved for a request, under the name of its permit."""
-
-    worker: str
-    owner: str
-    prompt_tokens: int
-    output_tokens: int
-    pending_prefill_tokens: float
-    until_s: float
-    started: bool = False
-    expected_ms: float = 0.0
-    """Expected time to the first part of the answer."""
-    prefilled_tokens: float = 0.0
-    """Prompt tokens that the engine prefills before the first part."""
-
-
 class SlotAllocator:
     """Slots of the workers of one service.
 
@@ -106,11 +67,17 @@
     prefix_reuse_ms : float
         Time since the last use of a prefix during which requests that share it are
         preferably sent to the worker that has it cached.
+    limits : WorkerLimits, optional
+        Paces the requests to workers that have named a limit.
     """
 
     def __init__(
-        self, rule: ServiceRule, prefix_reuse_ms: float = DEFAULT_PREFIX_REUSE_MS
+        self,
+        rule: ServiceRule,
+        prefix_reuse_ms: float = DEFAULT_PREFIX_REUSE_MS,
+        limits: WorkerLimits | None = None,
     ):
+        self._limits = limits or WorkerLimits()
         self.rule = rule
         self.prefix_reuse_ms = prefix_reuse_ms
         self.health = WorkerHealth()
@@ -121,7 +88,7 @@
         self._reservations: dict[str, SlotReservation] = {}
         self._permits_by_worker: dict[str, set[str]] = {}
         self._prefix_caches: dict[str, PrefixCacheModel] = {}
-        self._last_prefill_s: dict[tuple[str, ...], float] = {}
+        self._prefills = PrefillLog()
         self._waiting: list[SlotRequest] = []
         self._turned_away_until_s: dict[tuple[str, str], float] = {}
         """By instance and worker."""
@@ -151,13 +118,47 @@
         open_workers = [worker for worker in workers if not blocked_ms[worker.key]]
         if not open_workers:
             return min(blocked_ms.values(), default=0.0)
+        next_ms = min(
+            self._limits.wait_ms(worker.key, now_s) for worker in open_workers
+        )
         if not self._waiting:
-            return 0.0
-        slots = sum(self.slots(worker) for worker in open_workers)
+            return next_ms
         ahead = sum(
             1 for waiting in self._waiting if waiting.priority <= request.priority
         )
-        return self.average_ms * (ahead + 1) / slots
+        return max(next_ms, (ahead + 1) / self._rate_per_ms(open_workers))
+
+    def _rate_per_ms(self, workers: Sequence[Worker]) -> float:
+        """Return how many requests workers complete in a millisecond."""
+        return sum(
+            min(
+                self.slots(worker) / self.average_ms,
+                self._limits.rate_per_ms(worker.key),
+            )
+            for worker in workers
+        )
+
+    def waits_ms(
+        self, workers: Sequence[Worker], now_s: float
+    ) -> tuple[tuple[int, float], ...]:
+        """Return how long new requests wait, by priority, if all workers are limited.
+
+        Without limits requests wait only for a short time, or are refused.
+        """
+        if not self.all_limited(workers):
+            return ()
+        rate = self._rate_per_ms(workers)
+        next_ms = min(self._limits.wait_ms(worker.key, now_s) for worker in workers)
+        priorities = sorted(waiting.priority for waiting in self._waiting)
+        waits = {0: next_ms}
+        for ahead, priority in enumerate(priorities, 1):
+            waits[priority] = max(next_ms, ahead / rate)
+        return tuple(waits.items())
+
+    def all_limited(self, workers: Sequence[Worker]) -> bool:
+        """Return whether there are workers and each of them has named a limit."""
+        limited = self._limits.in_force(worker.key for worker in workers)
+        return bool(limited) and len(limited) == len(workers)
 
     def turn_away(self, owner: str, key: str, until_s: float) -> None:
         """Record that a worker wants no requests from an instance until then."""
@@ -194,6 +195,32 @@
             ]
         return expired
 
+    def pop_hopeless(
+        self, workers: Sequence[Worker], now_s: float
+    ) -> list[SlotRequest]:
+        """Remove and return the waiting requests that the limits leave no time for.
+
+        Limits that are named while requests wait lower the rate on which their
+        admission relied. Broken streams are kept: only some workers may resume them.
+        """
+        if not self._waiting or not self.all_limited(workers):
+            return []
+        rate = self._rate_per_ms(workers)
+        self._sort_waiting(now_s)
+        hopeless, kept = [], []
+        for request in self._waiting:
+            start_s = now_s + CERTAIN_WAIT_SHARE * len(kept) / rate / 1_000.0
+            late = start_s > request.expires_s and request.software_version is None
+            (hopeless if late else kept).append(request)
+        self._waiting = kept
+        return hopeless
+
+    def _sort_waiting(self, now_s: float) -> None:
+        """Sort the waiting requests in the order in which they get slots."""
+        self._waiting.sort(
+            key=lambda waiting: (waiting.due_s < now_s, waiting.priority, waiting.due_s)
+        )
+
     def assign(
         self, workers: Sequence[Worker], now_s: float
     ) -> list[tuple[SlotRequest, Worker]]:
@@ -202,9 +229,7 @@
             return []
         self._release_overdue(now_s)
         assignments = []
-        self._waiting.sort(
-            key=lambda waiting: (waiting.due_s < now_s, waiting.priority, waiting.due_s)
-        )
+        self._sort_waiting(now_s)
         for request in list(self._waiting):
             recent_tokens = self._recent_tokens(request, now_s)
             worker = self._choose(request, workers, recent_tokens, now_s)
@@ -253,6 +278,10 @@
         change = min(ratio, SLOW_WORKER_SLOWDOWN * average) - average
         self._first_part_ratio += TIME_EWMA_WEIGHT * change
 
+    def reservation(self, permit: str) -> SlotReservation | None:
+        """Return the slot that is reserved under a name."""
+        return self._reservations.get(permit)
+
     def release(self, permit: str) -> SlotReservation | None:
         """Release a slot and return its reservation; None if it is not reserved."""
         reservation = self._reservations.pop(permit, None)
@@ -318,6 +347,7 @@
             and self.health.usable(worker.key, now_s)
             and self._has_capacity(worker, request)
             and not self._blocked_ms(request.owner, worker, now_s)
+            and not self._limits.wait_ms(worker.key, now_s)
         ]
         untried = [worker for worker in usable if worker.id not in request.avoid]
         usable = untried or usable
@@ -359,15 +389,7 @@
 
     def _recent_tokens(self, request: SlotRequest, now_s: float) -> int:
         """Return how many shared tokens of a prompt some worker prefilled recently."""
-        tokens = 0
-        prefix: tuple[str, ...] = ()
-        for name, count in request.parts[:-1]:
-            prefix = (*prefix, name)
-            unused_s = now_s - self._last_prefill_s.get(prefix, -1e9)
-            if unused_s > self.prefix_reuse_ms / 1_000.0:
-                break
-            tokens += count
-        return tokens
+        return self._prefills.recent_tokens(request.parts, self.prefix_reuse_ms, now_s)
 
     def _expected_delay_ms(
         self, worker: Worker, request: SlotRequest, recent_tokens: int
@@ -420,17 +442,19 @@
             request.output_tokens,
             uncached,
             now_s + PERMIT_TTL_MS / 1_000.0,
+            granted_s=now_s,
             expected_ms=expected_ms,
             prefilled_tokens=prefilled_tokens,
         )
         self._permits_by_worker.setdefault(worker.key, set()).add(request.permit)
+        self._limits.record_send(worker.key, now_s)
         if self.rule.engine is not None:
             cache = self._prefix_caches.get(worker.key)
             if cache is None:
                 capacity = self.rule.engine.kv_cache_tokens
                 cache = self._prefix_caches[worker.key] = PrefixCacheModel(capacity)
             cache.record(request.parts)
-            self._record_prefill(request, now_s)
+            self._prefills.record(request.parts, self.prefix_reuse_ms, now_s)
 
     def _first_part(self, worker: Worker, uncached: float) -> tuple[float, float]:
         """Return the tokens before an engine's first part and its expected time in ms.
@@ -445,19 +469,6 @@
         )
         return tokens, self.engine_times.estimate.expected_ms(tokens)
 
-    def _record_prefill(self, request: SlotRequest, now_s: float) -> None:
-        prefix: tuple[str, ...] = ()
-        for name, _ in request.parts[:-1]:
-            prefix = (*prefix, name)
-            self._last_prefill_s[prefix] = now_s
-        if len(self._last_prefill_s) > MAX_RECORDED_PREFIXES:
-            oldest_s = now_s - self.prefix_reuse_ms / 1_000.0
-            self._last_prefill_s = {
-                prefix: prefilled_s
-                for prefix, prefilled_s in self._last_prefill_s.items()
-                if prefilled_s >= oldest_s
-            }
-
     def _release_overdue(self, now_s: float) -> None:
         overdue = [
             p
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 
 from ..models import BatchSpec, PieceFailure, PieceResult, Worker
+from ..worker_limits import WorkerLimits
 from .health import WorkerHealth
 from .piece_groups import LARGE_TRANSFER_BYTES, PieceGroup, StageCall
 from .result_memory import (
@@ -16,6 +17,7 @@
     address_of,
     keys_by_address,
 )
+from .stage_capacity import SLOW_WORKER_SLOWDOWN, capacity_per_ms, next_call_ms
 from .stage_order import fill_call, select_on_time
 
 PROBATION_PIECES = 2
@@ -32,10 +34,6 @@
 """A deprioritized group is added to a call when it expires within the time of this many
 calls: its remaining stages need about three."""
 
-SLOW_WORKER_SLOWDOWN = 2.0
-"""Slowdown from which a worker counts as slow (twice the expected time): it is used
-last, and only for groups that it can still complete in time."""
-
 
 class StageQueue:
     """Pieces that wait for the workers of one stage service.
@@ -44,9 +42,12 @@
     ----------
     spec : BatchSpec
         Capacity and call times of one worker.
+    limits : WorkerLimits, optional
+        Paces the calls to workers that have named a limit.
     """
 
-    def __init__(self, spec: BatchSpec):
+    def __init__(self, spec: BatchSpec, limits: WorkerLimits | None = None):
+        self._limits = limits or WorkerLimits()
         self.spec = spec
         self.health = WorkerHealth()
         self._groups: list[PieceGroup] = []
@@ -77,21 +78,8 @@
         return declared if measured is None else min(declared, measured)
 
     def capacity_per_ms(self, workers: Sequence[Worker], now_s: float) -> float:
-        """Return the rate that follows from declared call times and slowdowns."""
-        rate_per_worker = self.spec.max_pieces / self.spec.duration_ms(
-            self.spec.max_pieces
-        )
-        slowdowns = [
-            max(1.0, self.health.slowdown(worker.key))
-            for worker in workers
-            if self.health.usable(worker.key, now_s)
-        ]
-        declared = sum(
-            rate_per_worker / slowdown
-            for slowdown in slowdowns
-            if slowdown < SLOW_WORKER_SLOWDOWN
-        )
-        return declared or sum(rate_per_worker / slowdown for slowdown in slowdowns)
+        """Return the rate by declared call times, slowdowns and limits."""
+        return capacity_per_ms(self.spec, self.health, self._limits, workers, now_s)
 
     def forecast_ms(
         self, group: PieceGroup, workers: Sequence[Worker], now_s: float
@@ -109,7 +97,7 @@
             if other.priority <= group.priority or other.due_s <= group.due_s
         )
         min_ms = self.spec.duration_ms(len(group.pieces))
-        return min_ms + ahead / rate
+        return min_ms + max(next_call_ms(self._limits, workers, now_s), ahead / rate)
 
     def add(self, group: PieceGroup) -> None:
         """Add a group that waits."""
@@ -144,9 +132,10 @@
         rate = self.rate_per_ms(workers, now_s)
         infeasible = []
         ahead = 0
+        limits_ms = next_call_ms(self._limits, workers, now_s)
         for group in self.ordered_groups(workers, now_s):
             pieces = len(group.waiting)
-            need_ms = self.spec.duration_ms(pieces)
+            need_ms = limits_ms + self.spec.duration_ms(pieces)
             if rate > 0:
                 need_ms = max(need_ms, CERTAIN_WORK_SHARE * (ahead + pieces) / rate)
             if (
@@ -192,6 +181,8 @@
             return None
         if not self.health.usable(worker.key, now_s):
             return None
+        if self._limits.wait_ms(worker.key, now_s):
+            return None
         memory = self._memories.setdefault(worker.key, ResultMemory())
         if memory.blocked_until_s > now_s:
             return None
@@ -222,6 +213,7 @@
         expected_ms = slowdown * self.spec.duration_ms(size)
         expected_end_s = now_s + expected_ms / 1_000.0
         call = StageCall(worker, parts, expected_ms, reserved, expected_end_s)
+        self._limits.record_send(worker.key, now_s)
         self._start_call(call, memory)
         return call
 
@@ -459,7 +451,8 @@
 
     def _idle_at_s(self, worker: Worker, now_s: float) -> float:
         call = self._busy.get(worker.key)
-        return now_s if call is None else max(now_s, call.expected_end_s)
+        idle_s = now_s + self._limits.wait_ms(worker.key, now_s) / 1_000.0
+        return idle_s if call is None else max(idle_s, call.expected_end_s)
 
     def _feasible_at_slow_worker(
         self,
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -9,6 +9,7 @@
 from ...http.client import ConnectFailed, ConnectionBroken
 from ..models import BatchSpec, PieceFailure, PieceResult, Worker
 from ..supervision import TaskSupervisor
+from ..worker_limits import WorkerLimits
 from .piece_groups import PieceGroup, StageCall
 from .stage_queue import StageQueue
 
@@ -29,6 +30,9 @@
 REPORT_PERIOD_MS = 1_000.0
 """Interval at which the load of a service is logged while pieces wait."""
 
+LIMITED_RELEASE_PERIOD_MS = 2_000.0
+"""Time between releases of results at a limited worker while pieces wait."""
+
 RELEASE_DELAY_MS = 10.0
 """Delay of a release call; results of a worker released within it go into one call."""
 
@@ -71,6 +75,8 @@
         Writes a log event, given as a kind and fields.
     tasks : TaskSupervisor
         Runs the calls.
+    limits : WorkerLimits
+        Paces the calls to workers that have named a limit.
     """
 
     def __init__(
@@ -82,9 +88,11 @@
         clock: Clock,
         log: Callable[..., None],
         tasks: TaskSupervisor,
+        limits: WorkerLimits,
     ):
         self.service = service
-        self.queue = StageQueue(spec)
+        self.queue = StageQueue(spec, limits)
+        self._limits = limits
         self.calls = 0
         self.pieces_sent = 0
         self._workers = workers
@@ -94,6 +102,8 @@
         self._tasks = tasks
         self._on_done: dict[PieceGroup, Callable[[PieceGroup, str | None], None]] = {}
         self._handles_to_release: dict[str, list[str]] = {}
+        self._released_s: dict[str, float] = {}
+        """Time of the last release call to each limited worker."""
         self._checking = False
         self._next_report_s = 0.0
         self._next_expiry_check_s = 0.0
@@ -295,12 +305,36 @@
 
     async def _send_releases(self) -> None:
         await trio.sleep(to_s(RELEASE_DELAY_MS))
-        released, self._handles_to_release = self._handles_to_release, {}
-        workers_by_key = {worker.key: worker for worker in self._workers()}
-        for key, handles in released.items():
-            if key not in workers_by_key:
-                continue
-            self._tasks.start_soon(self._release_at, workers_by_key[key], handles)
+        while self._handles_to_release:
+            now_s = self._clock.monotonic_s()
+            workers_by_key = {worker.key: worker for worker in self._workers()}
+            for key in list(self._handles_to_release):
+                worker = workers_by_key.get(key)
+                if worker is None:
+                    del self._handles_to_release[key]
+                elif self._may_release(key, now_s):
+                    self._limits.record_send(key, now_s)
+                    handles = self._handles_to_release.pop(key)
+                    self._tasks.start_soon(self._release_at, worker, handles)
+            if self._handles_to_release:
+                await trio.sleep(to_s(CHECK_PERIOD_MS))
+
+    def _may_release(self, key: str, now_s: float) -> bool:
+        """Return whether the limit of a worker leaves room for a release call.
+
+        While pieces wait, most of the limit is left to them.
+        """
+        if self._limits.find(key) is None:
+            self._released_s.pop(key, None)
+            return True
+        if self._limits.wait_ms(key, now_s):
+            return False
+        released_s = self._released_s.setdefault(key, now_s)
+        recent = now_s - released_s < to_s(LIMITED_RELEASE_PERIOD_MS)
+        if recent and self.queue.waiting_pieces:
+            return False
+        self._released_s[key] = now_s
+        return True
 
     async def _release_at(self, worker: Worker, handles: list[str]) -> None:
         """Release results of one worker; on failure they expire at the worker."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -163,7 +163,7 @@
         )
         self.followers = StoreFollowers(self.peers)
         worker_connections = WorkerConnectionPool(self.clock)
-        self.limits = WorkerLimits(self.log.write)
+        self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
         self.metrics.watch_worker_limits(self._worker_limits)
         self.notices = WorkerNotices(
             self.catalogue,
@@ -181,6 +181,7 @@
             tasks,
             settings.bounds,
             settings.instance,
+            self.limits,
         )
         self.quarantine = RequestQuarantine(
             self.clock, self._random, self.peers, self.log.write, tasks
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -142,6 +142,11 @@
         """Number of instances that are up, including this one."""
         return 1 + sum(peer.up for peer in self._peers.values())
 
+    @property
+    def reachable_share(self) -> float:
+        """Share of the listed instances that are up, including this one."""
+        return self.live_count / (1 + len(self._peers))
+
     def set_records(self, records: Iterable[PeerRecord]) -> None:
         """Replace the list of instances; a peer with a changed record starts anew."""
         listed = {
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -109,7 +109,7 @@
         """Return the least time to the first part of the response, queueing included.
 
         Adds the queueing times that the dispatchers report to the shortest durations of
-        the stages; the engine is assumed to have no queue.
+        the stages. The engine has a queue only if all its workers have named limits.
         """
 
         def stage_ms(service: ServiceName) -> float:
@@ -126,7 +126,8 @@
             + longest_chain_ms(self._route, self._counts, number, stage_ms)
             for number in first_stages
         )
-        return max(chains_ms, default=0.0) + self._engine_ms()
+        engine_wait_ms = self._dispatch_client.wait_ms(self._service, self._priority)
+        return max([engine_wait_ms, *chains_ms]) + self._engine_ms()
 
     async def run(self) -> None:
         """Run all stages.
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -220,7 +220,12 @@
         after_s = max(MIN_RETRY_AFTER_S, refused.retry_after_ms / 1_000.0)
         after_s = min(after_s, max(MIN_RETRY_AFTER_S, left_s * RETRY_AFTER_SHARE))
         await self._refuse(exchange, 503, after_s)
-        return "refused", {"cause": refused.cause, "retry_after_s": round(after_s, 3)}
+        fields = {"cause": refused.cause, "retry_after_s": round(after_s, 3)}
+        if refused.limited:
+            fields["limited"] = [
+                [one.worker, one.per_s, one.sends] for one in refused.limited
+            ]
+        return "refused", fields
 
     async def _respond_failed(
         self, state: RequestState, exchange: Exchange, failed: RequestFailed
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -127,6 +127,7 @@
             async with self._connections.acquire(
                 worker, state.route.repeatable, force_new=sent_before
             ) as connection:
+                self._check_usable(state, permit)
                 return await self._exchange(state, exchange, permit, connection)
         except ConnectFailed as error:
             permit.outcome = OUTCOME_UNREACHABLE
@@ -143,6 +144,23 @@
             self._quarantine.record_end(state, worker, False)
             raise RequestFailed("silent") from error
 
+    def _check_usable(self, state: RequestState, permit: Permit) -> None:
+        """Raise `WorkerDidNotRun` if a permit was granted too long ago."""
+        late_s = self._clock.monotonic_s() - permit.usable_until_s
+        if late_s > 0:
+            reason = "permit_outdated"
+            self._log_decision(state, permit.worker, "not_asked", reason)
+            raise WorkerDidNotRun(reason)
+        if permit.limited is not None:
+            self._observer.decided(
+                "sent_within_limit",
+                state.metadata.attempt,
+                worker=permit.worker.id,
+                limit_per_s=permit.limited.per_s,
+                recent_sends=permit.limited.sends,
+                waited_ms=round(permit.waited_ms),
+            )
+
     async def _exchange(
         self,
         state: RequestState,
@@ -165,6 +183,10 @@
             response = request_format.decode_response_metadata(head)
             own = response.attempt == state.metadata.attempt and response.has_seal
             self._notices.observe(worker, response, sent_s if own else None)
+            if response.attempt == state.metadata.attempt:
+                permit.limit_per_s = response.limit_per_s
+                named = response.limit_per_s is not None or response.malformed_limits
+                permit.without_limit = own and not named
             return response.attempt in (None, state.metadata.attempt)
 
         state.runs += 1
--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -1,19 +1,30 @@
 """Limits that workers named: how many requests a second they take from all instances.
 
-This answers the load on workers in need, which ask for less than their share of it.
+This answers the load on workers in need, which ask for less than their share of it. The
+dispatcher of a service paces the requests of all instances; see `wait_ms`.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ..core.clock import to_s
+from ..wire.messages.gateway import LimitedWorker, WorkerLimitEntry
 from .models import AttemptId, ResponseMetadata, Worker, WorkerKey
 
 RECENT_SENDS_MS = 4_000.0
 """Time over which the sends to a worker are counted for logs and metrics; the users'
 rule on limits counts over as long."""
 
+MIN_LIMIT_PER_S = 0.1
+"""Rate at which a worker with a lower limit is still used, since only an answer tells
+that its limit has ended."""
+
+BURST_MS = 200.0
+"""Time by which a send may be ahead of a steady pace, so that periodic checks of the
+queue lose no rate."""
+
 MAX_LIMITS = 2_000
 """Number of limits that an instance remembers; the oldest are forgotten first."""
 
@@ -38,6 +49,8 @@
     per_s: float
     named_s: float
     attempt: AttemptId
+    next_s: float
+    """When the next send is due at a steady pace (virtual scheduling of GCRA)."""
     sends_s: deque[float] = field(default_factory=deque)
 
 
@@ -52,10 +65,18 @@
     ----------
     log : callable
         Writes a log event, given as a kind and fields.
+    reachable_share : callable
+        Returns the share of the listed instances that are up as seen from here. The
+        others may be served by another dispatcher, which paces their share.
     """
 
-    def __init__(self, log: Callable[..., None] = lambda kind, **fields: None):
+    def __init__(
+        self,
+        log: Callable[..., None] = lambda kind, **fields: None,
+        reachable_share: Callable[[], float] = lambda: 1.0,
+    ):
         self._log = log
+        self._reachable_share = reachable_share
         self._limits: dict[WorkerKey, NamedLimit] = {}
         self._ended_s: dict[WorkerKey, float] = {}
         """When the requests were sent whose answers ended a limit."""
@@ -105,7 +126,10 @@
         known = self._limits.get(key)
         if known is None:
             if named_s > self._ended_s.get(key, BEFORE_ALL_S):
-                self._add(key, NamedLimit(per_s, named_s, attempt))
+                # What was sent just before is not known, so nothing is due at once.
+                interval_s = 1.0 / max(MIN_LIMIT_PER_S, per_s)
+                next_s = named_s + interval_s + to_s(BURST_MS)
+                self._add(key, NamedLimit(per_s, named_s, attempt, next_s))
                 self._log_named(key, per_s, origin, attempt)
             return
         lowers = per_s < known.per_s and named_s >= known.named_s
@@ -131,6 +155,43 @@
         _forget_oldest(self._ended_s)
         self._log("worker_limit_ended", worker=key, origin=origin, request=attempt)
 
+    def merge(
+        self, peer: str, entries: Iterable[WorkerLimitEntry], now_s: float
+    ) -> None:
+        """Record the limits that a peer knows."""
+        for entry in entries:
+            named_s = now_s - to_s(max(0.0, entry.age_ms))
+            self.record(
+                WorkerKey(entry.worker),
+                entry.per_s,
+                named_s,
+                BEFORE_ALL_S,
+                f"peer {peer}",
+            )
+
+    def entries(
+        self, workers: Iterable[Worker], now_s: float
+    ) -> tuple[WorkerLimitEntry, ...]:
+        """Return the limits of workers, for a message to a peer."""
+        return tuple(
+            WorkerLimitEntry(key, limit.per_s, (now_s - limit.named_s) * 1_000.0)
+            for key, limit in self.in_force(worker.key for worker in workers).items()
+        )
+
+    def describe(
+        self, workers: Iterable[Worker], now_s: float
+    ) -> tuple[LimitedWorker, ...]:
+        """Return limits and recent sends of the limited workers among `workers`."""
+        return tuple(
+            LimitedWorker(worker.id, limit.per_s, self.recent_sends(worker.key, now_s))
+            for worker in workers
+            if (limit := self.find(worker.key)) is not None
+        )
+
+    def forget(self, key: str) -> None:
+        """Forget a limit that a dispatcher with newer answers does not know."""
+        self._limits.pop(WorkerKey(key), None)
+
     def find(self, key: str) -> NamedLimit | None:
         """Return the limit of a worker; None if it has named none."""
         return self._limits.get(WorkerKey(key))
@@ -145,12 +206,37 @@
             if (limit := self.find(key)) is not None
         }
 
-    def record_send(self, key: str, now_s: float) -> None:
-        """Count a request that is sent to a worker."""
+    def rate_per_ms(self, key: str) -> float:
+        """Return how many requests a worker may get a millisecond."""
+        limit = self.find(key)
+        return math.inf if limit is None else self._pace_per_s(limit) / 1_000.0
+
+    def wait_ms(self, key: str, now_s: float, share: float = 1.0) -> float:
+        """Return after what time a worker may get its next request.
+
+        `share` is the part of the limit that may be used.
+        """
         limit = self.find(key)
-        if limit is not None:
-            limit.sends_s.append(now_s)
-            self.recent_sends(key, now_s)
+        if limit is None:
+            return 0.0
+        interval_s = 1.0 / (share * self._pace_per_s(limit))
+        # A pace that has risen since shortens the interval that began before.
+        latest_s = now_s + interval_s + to_s(BURST_MS)
+        limit.next_s = min(limit.next_s, latest_s)
+        return max(0.0, (limit.next_s - now_s) * 1_000.0 - BURST_MS)
+
+    def record_send(self, key: str, now_s: float, share: float = 1.0) -> None:
+        """Count a request that is granted or sent to a worker."""
+        limit = self.find(key)
+        if limit is None:
+            return
+        interval_s = 1.0 / (share * self._pace_per_s(limit))
+        limit.next_s = max(now_s, limit.next_s) + interval_s
+        limit.sends_s.append(now_s)
+        self.recent_sends(key, now_s)
+
+    def _pace_per_s(self, limit: NamedLimit) -> float:
+        return max(MIN_LIMIT_PER_S, limit.per_s * self._reachable_share())
 
     def recent_sends(self, key: str, now_s: float) -> int:
         """Return how many requests were sent to a limited worker lately."""
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -23,6 +23,28 @@
     ms_per_token: float
 
 
+class WorkerLimitEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Requests a second that one incarnation of a worker takes from all instances.
+
+    `age_ms` is the time since an answer last named a limit.
+    """
+
+    worker: str
+    per_s: float
+    age_ms: float
+
+
+class LimitedWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A limited worker as its dispatcher sees it, for logs.
+
+    `sends` is the number of requests that were granted to it in the last 4 s.
+    """
+
+    worker: str
+    per_s: float
+    sends: int
+
+
 class Heartbeat(Message, frozen=True, tag="Beat"):
     """Heartbeat, and the answer to one: what the sender knows and whether it stops."""
 
@@ -152,6 +174,8 @@
 
     cause: str
     retry_after_ms: float
+    limited: tuple[LimitedWorker, ...] = ()
+    """Limits because of which it was refused."""
 
 
 class FreeResults(Message, frozen=True):
@@ -185,6 +209,8 @@
     repeat: bool
     software_version: str | None = None
     """Only workers of this version may be granted; None for any."""
+    limits: tuple[WorkerLimitEntry, ...] = ()
+    """Limits of the service's workers that the requesting instance knows."""
 
 
 class WorkerGranted(Message, frozen=True):
@@ -192,6 +218,12 @@
 
     worker: str
     started_ms: int
+    limits_considered: bool = False
+    """Whether the sender knows of limits; processes of earlier releases do not."""
+    limited: LimitedWorker | None = None
+    """The worker's limit, to which the grant keeps; None if it has none."""
+    waited_ms: float = 0.0
+    """How long the request waited at the dispatcher."""
 
 
 class PermitEnded(Message, frozen=True):
@@ -203,6 +235,8 @@
     elapsed_ms: float
     retry_after_ms: float = 0.0
     """For how long the worker wants no further requests from this instance."""
+    limit_per_s: float | None = None
+    """Limit that the worker named in its refusal."""
 
 
 class PermitStarted(Message, frozen=True):
@@ -211,6 +245,10 @@
     service: str
     permit: str
     elapsed_ms: float
+    limit_per_s: float | None = None
+    """Limit that the worker named."""
+    without_limit: bool = False
+    """Whether the worker named none."""
 
 
 class HeldResults(Message, frozen=True):
