Grant broken streams their next worker before new requests of their priority

Callers whose stream broke after its objective had passed saw it wait behind every new request of the same service, and abandoned it: the resumed stream was due at the objective of its first event, so it counted as late, and late requests get slots after all others.

Cause: one due time for the first event and for the next ones. Evidence: both tests failed before (a new request was granted first; due 225 ms ago). Change: a broken stream is due when its caller would abandon it, and goes before new requests of its priority; the retry budget bounds how many there are. After: granted right after the urgent request; due in the future.

--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -25,6 +25,11 @@
     software_version: str | None = None
     """Version of the workers that may run the request; None for any."""
 
+    @property
+    def begun(self) -> bool:
+        """Whether it is a broken stream, of which the caller has events."""
+        return self.software_version is not None
+
 
 @dataclass(eq=False)
 class SlotReservation:
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -210,15 +210,24 @@
         hopeless, kept = [], []
         for request in self._waiting:
             start_s = now_s + CERTAIN_WAIT_SHARE * len(kept) / rate / 1_000.0
-            late = start_s > request.expires_s and request.software_version is None
+            late = start_s > request.expires_s and not request.begun
             (hopeless if late else kept).append(request)
         self._waiting = kept
         return hopeless
 
     def _sort_waiting(self, now_s: float) -> None:
-        """Sort the waiting requests in the order in which they get slots."""
+        """Sort the waiting requests in the order in which they get slots.
+
+        Within a priority, streams of which the caller has events go first: what was
+        done for them is lost if they wait too long. The retry budget bounds them.
+        """
         self._waiting.sort(
-            key=lambda waiting: (waiting.due_s < now_s, waiting.priority, waiting.due_s)
+            key=lambda waiting: (
+                waiting.due_s < now_s,
+                waiting.priority,
+                not waiting.begun,
+                waiting.due_s,
+            )
         )
 
     def assign(
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -326,6 +326,9 @@
 
     async def _acquire(self, state: RequestState) -> Permit:
         now_s = self._clock.monotonic_s()
+        latest_s = self._latest_start_s(state)
+        # The objective is met by the first event; the next one is due later.
+        due_s = state.due_s if state.events.last_id is None else latest_s
         message = AcquireWorker(
             service=state.service,
             permit="",
@@ -335,8 +338,8 @@
             input_bytes=self._input_bytes(state),
             priority=state.priority,
             value=state.value,
-            due_ms=(state.due_s - now_s) * 1_000.0,
-            expires_ms=(self._latest_start_s(state) - now_s) * 1_000.0,
+            due_ms=(due_s - now_s) * 1_000.0,
+            expires_ms=(latest_s - now_s) * 1_000.0,
             avoid=tuple(state.tried_workers),
             repeat=state.sends > 0,
             software_version=state.software_version,
--- a/tests/gateway/test_limit_pacing.py
+++ b/tests/gateway/test_limit_pacing.py
@@ -130,6 +130,35 @@
     assert allocator.waiting == 12 - len(refused)
 
 
+def test_a_broken_stream_gets_its_turn_before_new_requests_of_its_priority():
+    allocator, workers = make_allocator(2.0, 2.0)
+    allocator.add(make_request("resumed", 2.0, software_version=""))
+    allocator.add(make_request("urgent", 9.0, priority=-1))
+    granted, now_s = [], 0.0
+    while now_s < 2.0:
+        allocator.add(make_request(f"n{now_s}", now_s + 1.0))
+        granted += [given.permit for given, _ in allocator.assign(workers, now_s)]
+        now_s += 0.1
+    assert granted[:2] == ["urgent", "resumed"]
+
+
+async def test_a_broken_stream_is_due_when_its_caller_would_abandon_it(monkeypatch):
+    acquire, due_ms = DispatchClient.acquire, []
+
+    async def record(self, message):
+        due_ms.append(message.due_ms)
+        return await acquire(self, message)
+
+    monkeypatch.setattr(DispatchClient, "acquire", record)
+    async with deployment() as world:
+        for number in (1, 2):
+            faults = world.platform.workers[f"model-{number}"].faults
+            faults.pause_s, faults.cut_after = 0.7, 2
+        await world.caller().request("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        assert len(due_ms) == 2
+        assert due_ms[1] > 0
+
+
 SPEC = BatchSpec(10, 150.0, 5.0, 1e9, 10_000.0)
 
 
