Bound what is read that is not the answer, and let other tasks run meanwhile

Callers waited until their deadline and got 504, and the one loop of the instance parsed all the while: interim responses, the body of another attempt's answer, such answers one after the other, chunks of a byte and chunk extensions.

Cause: no bound on skipped responses, on interim ones, on bytes beyond the content, or on the number of parts of a buffered body. Now each has one, other tasks run every 16 parsed parts, and the connection is closed.

--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -20,6 +20,23 @@
 """A request up to this size fits the socket's buffer; it is sent before reading."""
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_SKIPPED_HEADS = 16
+"""Maximum number of interim responses, and of responses to other requests, before the
+response: a server sends few of either."""
+
+MAX_OVERHEAD_BYTES = 262_144
+"""Bytes beyond the content of a response that are read besides `OVERHEAD_FACTOR` bytes
+for each byte of content: heads, chunk sizes, trailers, and skipped responses."""
+
+OVERHEAD_FACTOR = 8
+"""Chunks of one byte have an overhead of five bytes."""
+
+MAX_BODY_PARTS = 20_000
+"""Maximum number of parts in which a body is received that is buffered as a whole."""
+
+PARTS_PER_CHECKPOINT = 16
+"""Parsed parts after which other tasks run, though more input is buffered."""
+
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time without acknowledgement after which the kernel closes a connection."""
 
@@ -116,6 +133,9 @@
         self._parser = self._new_parser()
         self._request: h11.Request | None = None
         self._write_pending = False
+        self._received_bytes = 0
+        self._content_bytes = 0
+        self._parsed_parts = 0
 
     @classmethod
     async def open(cls, host: str, port: int, timeout_ms: float) -> "HttpConnection":
@@ -172,6 +192,7 @@
         if self.exchanges:
             self._parser.start_next_cycle()
         self.exchanges += 1
+        self._received_bytes = self._content_bytes = 0
         headers = [*request.headers]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"Content-Length", str(len(request.body)).encode()))
@@ -198,7 +219,7 @@
         ConnectionBroken
             If the connection closes first or sends no valid response.
         """
-        while True:
+        for _ in range(MAX_SKIPPED_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -209,12 +230,14 @@
                 self._record_keep_alive(head)
                 return head
             await self._skip_response()
+        raise ConnectionBroken(f"{self.address}: too many responses before the answer")
 
     async def receive_body(self) -> AsyncIterator[bytes]:
         """Yield the response body as it arrives; may raise `ConnectionBroken`."""
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
+                self._content_bytes += len(event.data)
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
@@ -224,10 +247,14 @@
     async def receive_full_body(self, max_bytes: int) -> bytes:
         """Return the complete body, or raise `ConnectionBroken`."""
         body = bytearray()
+        parts = 0
         async for data in self.receive_body():
             body += data
+            parts += 1
             if len(body) > max_bytes:
                 raise ConnectionBroken(f"{self.address}: over {max_bytes} bytes")
+            if parts > MAX_BODY_PARTS:
+                raise ConnectionBroken(f"{self.address}: over {parts - 1} parts")
         return bytes(body)
 
     def close(self) -> None:
@@ -255,6 +282,9 @@
         self._write_pending = False
 
     async def _next_event(self):
+        self._parsed_parts += 1
+        if self._parsed_parts % PARTS_PER_CHECKPOINT == 0:
+            await trio.lowlevel.checkpoint()
         while True:
             try:
                 event = self._parser.next_event()
@@ -268,12 +298,17 @@
                 raise ConnectionBroken(f"{self.address}: {error!r}") from error
             except trio.ClosedResourceError as error:
                 raise ConnectionBroken(f"{self.address}: closed here") from error
+            self._received_bytes += len(data)
+            overhead = self._received_bytes - OVERHEAD_FACTOR * self._content_bytes
+            if overhead > MAX_OVERHEAD_BYTES + RECEIVE_BYTES:
+                raise ConnectionBroken(f"{self.address}: too many bytes of no content")
             self._parser.receive_data(data)
 
     async def _skip_response(self) -> None:
         """Discard the response to an earlier request; the parser expects the next."""
+        content_bytes = self._content_bytes
         async for _ in self.receive_body():
-            pass
+            self._content_bytes = content_bytes
         rest, closed = self._parser.trailing_data
         if closed:
             raise ConnectionBroken(f"{self.address}: closed after a stray answer")
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -15,6 +15,30 @@
 FREE_PATH = b"/api/stage-free"
 
 
+HEAD = "HTTP/1.1 200 OK\r\nServer-Seal: x\r\nAttempt-Id: {}\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "header": (HEAD, "X-Name: value\r\n"),
+    "header_line": (HEAD + "X-Name: ", "value"),
+    "interim": ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+    "blank_lines": ("", "\r\n"),
+    "garbage": ("", "\x00\xff garbage"),
+    "stray_body": (HEAD.format("stray") + "\r\n", "x" * 1_000),
+    "stray_chunks": (HEAD.format("stray") + CHUNKED, "1\r\nx\r\n"),
+    "stray_answers": ("", HEAD.format("stray") + "Content-Length: 1\r\n\r\nx"),
+    "chunk_extension": (HEAD + CHUNKED + "1;", "name=value"),
+    "chunk_extensions": (HEAD + CHUNKED, "1;" + "e" * 1_000 + "\r\nx\r\n"),
+    "trailers": (HEAD + CHUNKED + "0\r\n", "X-Trailer: value\r\n"),
+    "body": (HEAD + "\r\n", "x" * 1_000),
+    "chunks": (HEAD + CHUNKED, "1\r\nx\r\n"),
+    "event": (HEAD + "\r\ndata: ", "x" * 100),
+}
+"""Answers without end: what is sent first, and then again and again. `{}` stands for
+the attempt."""
+
+DRIP_PERIOD_S = 0.2
+
+
 @dataclass
 class WorkerFaults:
     """Faults that a worker shows for all following requests."""
@@ -49,6 +73,8 @@
     """Answer with status 503 and this `Retry-After`."""
     limit: str | None = None
     """Name this limit, in requests a second, in all answers."""
+    endless: str | None = None
+    """A key of `ENDLESS`: send these bytes until the caller closes."""
 
 
 class UnframedExchange:
@@ -240,6 +266,9 @@
     ) -> None:
         faults = self.faults
         attempt = headers.get("attempt-id", "")
+        if faults.not_run and faults.endless is not None:
+            await self._refuse_without_end(attempt, exchange)
+            return
         by_share = self.requests % 10 < 10 * faults.refuse_share
         if faults.not_run or by_share or self.requests <= faults.refuse_first:
             await self._refuse(attempt, exchange)
@@ -267,6 +296,8 @@
             await trio.sleep(faults.delay_s)
             if faults.mute:
                 await trio.sleep_forever()
+            if faults.endless is not None:
+                await self._send_without_end(attempt, exchange)
             if self.kind == "stream":
                 await self._stream(run, headers, exchange)
             else:
@@ -275,6 +306,26 @@
         finally:
             run.ended_s = trio.current_time()
 
+    async def _refuse_without_end(self, attempt: str, exchange: Exchange) -> None:
+        """State that a request did not run, in an answer whose body never ends."""
+        head = HEAD.format(attempt).replace("200 OK", "503 Full")
+        await exchange.send_raw(f"{head}Not-Run: 1\r\n\r\n".encode())
+        while True:
+            await exchange.send_raw(
+                b"x" * (1 if self.faults.endless == "drip" else 999)
+            )
+            if self.faults.endless == "drip":
+                await trio.sleep(DRIP_PERIOD_S)
+
+    async def _send_without_end(self, attempt: str, exchange: Exchange) -> None:
+        first, repeated = ENDLESS[self.faults.endless]
+        first = first.replace("{}", attempt)
+        await exchange.send_raw(first.encode("latin-1"))
+        data = repeated.replace("{}", attempt).encode("latin-1")
+        data *= max(1, 16_000 // len(data))
+        while True:
+            await exchange.send_raw(data)
+
     async def _refuse(self, attempt: str, exchange: Exchange) -> None:
         identity = (b"Attempt-Id", attempt.encode())
         headers = [identity, (b"Not-Run", b"1"), *self._state_headers()]
--- /dev/null
+++ b/tests/gateway/test_endless_answers.py
@@ -0,0 +1,78 @@
+"""Answers that never end, in the head, the body, or another attempt's answer."""
+
+import resource
+import time
+
+import pytest
+import trio
+
+from acaciapier_standins.platform.workers import ENDLESS
+
+from .support import deployment
+
+OTHERS_MEDIAN_MS = 100.0
+MAX_CPU_S = 1.0
+
+
+def set_endless(world, kind: str, **faults) -> None:
+    for listed in world.platform.workers.values():
+        if listed.kind != "stage":
+            listed.faults.endless = kind
+            for name, value in faults.items():
+                setattr(listed.faults, name, value)
+
+
+async def request(world, route: str, **headers):
+    headers = {"Attempt_Id": "a1", "Deadline_Ms": "1500"} | headers
+    return await world.caller().request("POST", f"/{route}/1", b"{}", **headers)
+
+
+@pytest.mark.parametrize("kind", sorted(ENDLESS))
+async def test_an_answer_without_end_is_refused_early_and_its_connection_closed(kind):
+    async with deployment() as world:
+        set_endless(world, kind)
+        start_s, cpu_s = trio.current_time(), time.process_time()
+        answer = await request(world, "confirm")
+        assert answer.status == 502
+        assert trio.current_time() - start_s < 1.4
+        assert time.process_time() - cpu_s < MAX_CPU_S
+        connections = world.gateways[0].relay._workers._connections
+        assert not any(connections._idle.values())
+        assert world.gateways[0].dispatch_client.held_permits == 0
+        with trio.fail_after(1.0):
+            while any(run.ended_s is None for run in world.platform.run_log.runs):
+                await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize("kind", sorted(ENDLESS))
+async def test_other_requests_are_served_beside_an_answer_without_end(kind):
+    async with deployment() as world:
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.endless = kind
+        times_ms = []
+
+        async def attack(number: int) -> None:
+            await request(world, "confirm", Attempt_Id=f"b{number}")
+
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(attack, number)
+            caller = world.caller()
+            for number in range(8):
+                start_s = trio.current_time()
+                answer = await caller.request(
+                    "POST", "/chat/1", b"{}", Attempt_Id=f"c{number}"
+                )
+                times_ms.append((trio.current_time() - start_s) * 1_000.0)
+                assert (answer.status, answer.complete) == (200, True)
+        assert sorted(times_ms)[4] < OTHERS_MEDIAN_MS
+
+
+async def test_memory_stays_flat_beside_events_without_end():
+    async with deployment() as world:
+        set_endless(world, "event")
+        before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        answer = await request(world, "chat")
+        assert not answer.complete
+        after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        assert after_kb - before_kb < 50_000
