Believe a worker that a request has not run though its body does not end

Callers got 502 (after a body without end) or 504 at their deadline (after one that drips), both of which say that the request may have run, though the worker had stated Not-Run in the head. They could not come back, and no other worker was tried.

Cause: the body of the refusal was read to its end before the statement counted. Change: it is read for 200 ms and 64 KiB at most, to keep the connection if it ends in time; the log says why not. Both tests failed before (502, 504); now the caller gets 503 with Retry-After.

--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -38,6 +38,11 @@
 MAX_BUFFERED_RESPONSE_BYTES = 8_000_000
 """Maximum size of a response that is buffered until it is complete."""
 
+MAX_REFUSAL_BODY_BYTES = 65_536
+REFUSAL_BODY_TIMEOUT_MS = 200.0
+"""The body of a refusal arrives with its head; a connection on which it does not is
+closed, which costs less than the wait."""
+
 MIN_STREAM_IDLE_TIMEOUT_MS = 1_000.0
 """Shortest time without data after which a resumable stream is resumed on another
 worker: half of the minimum abandonment timeout of callers."""
@@ -240,7 +245,7 @@
         response: ResponseMetadata,
     ) -> None:
         """Handle a response which states that the worker did not run the request."""
-        await connection.receive_full_body(MAX_BUFFERED_RESPONSE_BYTES)
+        incomplete = await _discard_body(connection)
         state.runs -= 1
         state.may_have_run = state.runs > 0
         permit.outcome = OUTCOME_CANCELLED
@@ -249,7 +254,8 @@
             self._catalogue.record_draining(permit.worker, "answer")
         elif not response.inputs_missing:
             permit.outcome = OUTCOME_FULL
-        self._log_decision(state, permit.worker, "not_run", f"status {head.status}")
+        reason = f"status {head.status}" + (f", {incomplete}" if incomplete else "")
+        self._log_decision(state, permit.worker, "not_run", reason)
         raise WorkerDidNotRun(f"status {head.status}", response.inputs_missing)
 
     async def _forward_stream(
@@ -359,6 +365,20 @@
         )
 
 
+async def _discard_body(connection: HttpConnection) -> str | None:
+    """Read the body of a refusal, so that its connection may be kept.
+
+    Return why it could not be read; the statement in the head holds all the same.
+    """
+    with trio.move_on_after(to_s(REFUSAL_BODY_TIMEOUT_MS)):
+        try:
+            await connection.receive_full_body(MAX_REFUSAL_BODY_BYTES)
+            return None
+        except ConnectionBroken as error:
+            return str(error)
+    return f"no whole body in {REFUSAL_BODY_TIMEOUT_MS:g} ms"
+
+
 def head_timeout_ms(route: RouteRule) -> float:
     """Return after what time a request without a response goes to another worker.
 
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -68,6 +68,22 @@
         assert sorted(times_ms)[4] < OTHERS_MEDIAN_MS
 
 
+async def test_a_statement_not_to_have_run_holds_though_its_body_never_ends():
+    async with deployment() as world:
+        set_endless(world, "body", not_run=True)
+        start_s = trio.current_time()
+        answer = await request(world, "confirm")
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        assert trio.current_time() - start_s < 1.4
+
+
+async def test_a_statement_not_to_have_run_holds_though_its_body_drips():
+    async with deployment() as world:
+        set_endless(world, "drip", not_run=True)
+        assert (await request(world, "confirm")).status == 503
+
+
 async def test_memory_stays_flat_beside_events_without_end():
     async with deployment() as world:
         set_endless(world, "event")
