Split a long event in small parts in time in proportion to its length

A worker in trouble that sends an event without end in small parts kept the one loop of its instance busy, so that all callers of the instance waited. Cause: each part was appended by a copy of the whole event so far, which was then searched for blank lines from its start. Change: parts are appended in place, and only the new bytes are searched.

--- a/src/acaciapier/gateway/event_stream.py
+++ b/src/acaciapier/gateway/event_stream.py
@@ -8,6 +8,7 @@
 BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
 """Ends of an event, in the line endings that server-sent events allow."""
 
+BLANK_LINE_BYTES = 3
 LINE_ENDINGS = b"\r\n"
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an incomplete event."""
@@ -18,7 +19,7 @@
 
     def __init__(self):
         self.last_id: str | None = None
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Append received bytes and return all events that are now complete.
@@ -28,12 +29,17 @@
         ValueError
             If an incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        data = self._partial + data
-        end = _end_of_events(data)
-        complete, self._partial = data[:end], data[end:]
+        # Without a new blank line a partial event stays one, whatever its length.
+        end_of_partial = bytes(self._partial[-BLANK_LINE_BYTES:])
+        self._partial += data
+        complete = b""
+        if not end_of_partial or _has_blank_line(end_of_partial + data):
+            received = bytes(self._partial)
+            end = _end_of_events(received)
+            complete, self._partial = received[:end], bytearray(received[end:])
+            self.last_id = _last_id(complete) or self.last_id
         if len(self._partial) > MAX_EVENT_BYTES:
             raise ValueError(f"an event of over {MAX_EVENT_BYTES} bytes")
-        self.last_id = _last_id(complete) or self.last_id
         return complete
 
     @property
@@ -43,7 +49,7 @@
 
     def discard_partial_event(self) -> None:
         """Discard the buffered part of an event whose stream broke off."""
-        self._partial = b""
+        self._partial.clear()
 
 
 def event_ids(data: bytes) -> list[str]:
@@ -55,6 +61,10 @@
     ]
 
 
+def _has_blank_line(data: bytes) -> bool:
+    return any(blank in data for blank in BLANK_LINES)
+
+
 def _end_of_events(data: bytes) -> int:
     """Return the length of the complete events at the start of `data`."""
     ends = [data.rfind(blank) + len(blank) for blank in BLANK_LINES if blank in data]
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -1,5 +1,7 @@
 """Splitting of event streams."""
 
+import time
+
 import pytest
 
 from acaciapier.gateway.event_stream import EventSplitter
@@ -27,3 +29,12 @@
     assert splitter.feed(stream) == whole
     assert splitter.last_id == "1"
     assert splitter.has_partial_event
+
+
+def test_a_long_event_in_small_parts_takes_time_in_proportion_to_its_length():
+    splitter, start_s = EventSplitter(), time.process_time()
+    splitter.feed(b"data: ")
+    for _ in range(100_000):
+        splitter.feed(b"xxxxx")
+    assert splitter.feed(b"\n\n") == b"data: " + b"x" * 500_000 + b"\n\n"
+    assert time.process_time() - start_s < 1.0
