Resume a stalled stream elsewhere though its worker sends a byte now and then

Callers of a resumable stream whose worker stalled within an event, but sent a byte from time to time, got nothing more until the deadline (a report of operators of similar systems). Cause: any byte started the idle timeout again. Change: only complete events do.

--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -299,7 +299,8 @@
             If the stream ends within an event, or if only the end of the connection
             marks its end and it has no event.
         trio.TooSlowError
-            After an idle timeout, if another worker may resume the stream.
+            If no event is complete within an idle timeout, and another worker may
+            resume the stream.
         """
         events = state.events
         received = False
@@ -310,8 +311,9 @@
         idle_timeout_s = to_s(idle_timeout_ms) if may_run_again else math.inf
         events.discard_partial_event()
         resumed_after = events.last_id
+        idle_at_s = trio.current_time() + idle_timeout_s
         while True:
-            with trio.fail_after(idle_timeout_s):
+            with trio.fail_at(idle_at_s):
                 data = await anext(parts, None)
             if data is None:
                 break
@@ -328,6 +330,7 @@
                     state.software_version = worker.software_version
                 received = True
                 yield complete
+                idle_at_s = trio.current_time() + idle_timeout_s
         if events.has_partial_event:
             raise ConnectionBroken("the stream ended within an event")
         if framing is Framing.CONNECTION_END and not received:
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -57,6 +57,8 @@
     """Frame a stream that `cut_after` cuts as complete instead of aborting it."""
     mute: bool = False
     silent_after: int | None = None
+    drip_after: int | None = None
+    """Events of a stream after which an event comes byte by byte and never ends."""
     extra_answer: bool = False
     leaving_stray: bool = False
     """Send an answer to another attempt first, which announces the shutdown."""
@@ -371,6 +373,8 @@
             sent = number - first
             if sent == self.faults.silent_after:
                 await trio.sleep_forever()
+            if sent == self.faults.drip_after:
+                await self._drip(exchange)
             if sent == 1:
                 await trio.sleep(self.faults.pause_s)
             event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
@@ -385,6 +389,11 @@
             await trio.sleep(self._gap_s)
         await exchange.end()
 
+    async def _drip(self, exchange: Exchange) -> None:
+        while True:
+            await exchange.send(b"x")
+            await trio.sleep(DRIP_PERIOD_S)
+
     def _state_headers(self) -> list[tuple[bytes, bytes]]:
         headers = [(b"Server-Leaving", b"1")] if self.faults.leaving else []
         if self.faults.limit is not None:
--- /dev/null
+++ b/tests/gateway/test_slow_answers.py
@@ -0,0 +1,51 @@
+"""Slow but sound answers go on; stalled ones end, though a byte comes now and then."""
+
+import trio
+
+from acaciapier.gateway.models import ServiceName
+
+from .support import deployment
+
+EVENTS = b"".join(f"id: {n}\ndata: a1 {n}\n\n".encode() for n in range(1, 5))
+
+
+async def leave_one(world, service: str) -> None:
+    """Let all workers of a service but the first one drain."""
+    world.platform.register(f"{service}-2", state="draining")
+    catalogue = world.gateways[0].catalogue
+    await world.until(lambda: len(catalogue.workers_of(ServiceName(service))) == 1)
+
+
+async def request(world, route: str):
+    return await world.caller().request("POST", f"/{route}/1", b"{}", Attempt_Id="a1")
+
+
+async def test_a_stalled_stream_that_sends_a_byte_now_and_then_is_taken_over():
+    async with deployment() as world:
+        workers = [world.platform.workers[f"model-{n}"] for n in (1, 2)]
+        for worker in workers:
+            worker.faults.drip_after = 1
+        caller = world.caller()
+        await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        await world.until(lambda: world.platform.run_log.runs)
+        for worker in workers:
+            if worker.name != world.platform.run_log.runs[0].worker:
+                worker.faults.drip_after = None
+        start_s = trio.current_time()
+        answer = await caller.receive()
+        assert (answer.body, answer.complete) == (EVENTS, True)
+        assert trio.current_time() - start_s < 1.6
+
+
+async def test_a_stalled_stream_that_nobody_takes_over_ends_at_its_deadline():
+    async with deployment() as world:
+        await leave_one(world, "model")
+        world.platform.workers["model-1"].faults.drip_after = 1
+        start_s = trio.current_time()
+        answer = await request(world, "mail")
+        assert not answer.complete
+        assert EVENTS.startswith(answer.body)
+        assert trio.current_time() - start_s < 2.3
+        with trio.fail_after(1.0):
+            while any(run.ended_s is None for run in world.platform.run_log.runs):
+                await trio.sleep(0.01)
