Take no request from a silent worker before another one takes it over

With no other worker, no free slot in time or no retry budget the stream was cut, and a plain request ran a second time.

Change: another worker's slot is acquired first, for 100 ms; without one the request stays where it is and is looked at again after the same time. A stream whose stages must run again is taken away only if another worker of its version is listed. silent_worker_kept says why. A head that is read in parts after such a timeout goes on where it was.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -1,7 +1,9 @@
 """Handles one request from its arrival to its final response."""
 
 import random as random_module
+from functools import partial
 
+import msgspec
 import trio
 
 from ..core.clock import Clock
@@ -10,7 +12,7 @@
 from ..policy.subset import rendezvous_rank
 from ..wire.messages.gateway import AcquireWorker
 from .catalogue import Catalogue
-from .dispatch.dispatch_client import DispatchClient, Permit
+from .dispatch.dispatch_client import DispatchClient
 from .dispatch.refusal import NO_WORKER_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
 from .models import RequestKind
 from .pipeline import StageRun
@@ -30,6 +32,9 @@
 """Maximum number of workers to which one request is sent, including those that refuse
 to run it."""
 
+REPLACEMENT_WAIT_MS = 100.0
+"""Time for which a request whose worker is silent waits for another worker's slot."""
+
 DEFAULT_DEADLINE_MS = 30_000.0
 """Deadline of a request without one: twice the longest in the users' specifications."""
 
@@ -194,6 +199,8 @@
                 result = await self._respond_failed(state, exchange, failed)
             finally:
                 self._scopes.discard(scope)
+                if state.replacement is not None:
+                    self._dispatch_client.release_permit(state.replacement)
                 if state.stages is not None:
                     state.stages.release()
             return result
@@ -248,10 +255,15 @@
         while state.sends < MAX_SENDS:
             await self._ensure_inputs(state)
             self._check_blocked(state)
-            permit = await self._acquire(state)
+            permit, state.replacement = state.replacement, None
+            if permit is None:
+                message = self._acquire_message(state)
+                permit = await self._dispatch_client.acquire(message)
             try:
                 self._check_blocked(state)
-                return await self._workers.send(state, exchange, permit)
+                return await self._workers.send(
+                    state, exchange, permit, partial(self._find_replacement, state)
+                )
             except WorkerDidNotRun as refusal:
                 last_refusal = Refused(refusal.cause, OTHER_WORKER_RETRY_MS)
                 if refusal.inputs_missing and state.stages is not None:
@@ -324,12 +336,48 @@
         likely = max(workers, key=lambda worker: rendezvous_rank(prefix, worker.id))
         return likely.data_centre
 
-    async def _acquire(self, state: RequestState) -> Permit:
+    async def _find_replacement(self, state: RequestState) -> bool:
+        """Find another worker for a request whose worker is silent.
+
+        Returns
+        -------
+        bool
+            Whether the request is to go there now. It is not taken from its worker
+            before, as that may be slow but sound.
+        """
+        if state.route.stages and not (state.stages and state.stages.has_inputs):
+            return self._has_other_worker(state)
+        message = msgspec.structs.replace(
+            self._acquire_message(state), expires_ms=REPLACEMENT_WAIT_MS
+        )
+        reason = "same_worker"
+        try:
+            permit = await self._dispatch_client.acquire(message)
+            if permit.worker.id not in state.tried_workers:
+                state.replacement = permit
+                return True
+            self._dispatch_client.release_permit(permit)
+        except Refused as refused:
+            reason = refused.cause
+        self._observer.decided(
+            "silent_worker_kept", state.metadata.attempt, reason=reason
+        )
+        return False
+
+    def _has_other_worker(self, state: RequestState) -> bool:
+        """Return whether a worker that was not tried may resume a request."""
+        return any(
+            worker.id not in state.tried_workers
+            and state.software_version in (None, worker.software_version)
+            for worker in self._catalogue.workers_of(state.service)
+        )
+
+    def _acquire_message(self, state: RequestState) -> AcquireWorker:
         now_s = self._clock.monotonic_s()
         latest_s = self._latest_start_s(state)
         # The objective is met by the first event; the next one is due later.
         due_s = state.due_s if state.events.last_id is None else latest_s
-        message = AcquireWorker(
+        return AcquireWorker(
             service=state.service,
             permit="",
             prompt_tokens=state.metadata.prompt_tokens,
@@ -344,7 +392,6 @@
             repeat=state.sends > 0,
             software_version=state.software_version,
         )
-        return await self._dispatch_client.acquire(message)
 
     def _latest_start_s(self, state: RequestState) -> float:
         """Return the latest time at which a worker can start and still be useful.
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -7,6 +7,7 @@
 from ..core.ids import Fingerprint
 from ..http.caller import IncomingRequest
 from ..http.client import Framing, ResponseHead
+from .dispatch.dispatch_client import Permit
 from .event_stream import EventSplitter
 from .models import RequestKind, RequestMetadata, RouteRule, SoftwareVersion
 from .pipeline import StageRun
@@ -57,6 +58,8 @@
     """How often a worker may have run the request."""
     may_have_run: bool = False
     tried_workers: set[str] = field(default_factory=set)
+    replacement: Permit | None = None
+    """Permit for the worker that takes over from a silent one."""
     stages: StageRun | None = None
     framing: Framing | None = None
     """Framing of the last response of a worker."""
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -1,7 +1,7 @@
 """Sends a request to one worker and forwards its response."""
 
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import trio
 
@@ -60,6 +60,10 @@
 it leaves time for a second run."""
 
 
+FindReplacement = Callable[[], Awaitable[bool]]
+"""Looks for another worker that takes a request over; returns whether one does."""
+
+
 class WorkerExchange:
     """Sends requests to workers and forwards their responses.
 
@@ -104,10 +108,17 @@
         self._tasks = tasks
 
     async def send(
-        self, state: RequestState, exchange: Exchange, permit: Permit
+        self,
+        state: RequestState,
+        exchange: Exchange,
+        permit: Permit,
+        find_replacement: FindReplacement,
     ) -> tuple[str, dict]:
         """Send the request to one worker and forward its response.
 
+        A worker that is silent keeps the request until `find_replacement` has found
+        another one: it may be slow but sound.
+
         Raises
         ------
         WorkerDidNotRun
@@ -133,7 +144,9 @@
                 worker, state.route.repeatable, force_new=sent_before
             ) as connection:
                 self._check_usable(state, permit)
-                return await self._exchange(state, exchange, permit, connection)
+                return await self._exchange(
+                    state, exchange, permit, connection, find_replacement
+                )
         except ConnectFailed as error:
             permit.outcome = OUTCOME_UNREACHABLE
             self._log_decision(state, worker, "unreachable", str(error))
@@ -172,6 +185,7 @@
         exchange: Exchange,
         permit: Permit,
         connection: HttpConnection,
+        find_replacement: FindReplacement,
     ) -> tuple[str, dict]:
         worker = permit.worker
         idle_ms = self._connections.idle_ms(connection)
@@ -202,7 +216,7 @@
         try:
             with trio.fail_after(self._head_timeout_s(state)):
                 await connection.send(outgoing, self._tasks)
-                head = await connection.receive_head(accept)
+            head = await self._receive_head(state, connection, accept, find_replacement)
         except ConnectionBroken:
             if reused:
                 self._connections.record_reset_on_reuse(worker, idle_ms)
@@ -218,7 +232,9 @@
         if state.route.kind is RequestKind.STREAMING and head.status == 200:
             if not response.has_seal:
                 raise RequestFailed("an answer without the worker's mark")
-            return await self._forward_stream(state, exchange, permit, connection, head)
+            return await self._forward_stream(
+                state, exchange, permit, connection, head, find_replacement
+            )
         if 200 <= head.status < 300:
             state.begun_s = self._clock.monotonic_s()
         body = await connection.receive_full_body(MAX_BUFFERED_RESPONSE_BYTES)
@@ -236,6 +252,26 @@
         await exchange.respond(head.status, response_headers(head), body)
         return "done", {"worker": worker.id, "status": head.status}
 
+    async def _receive_head(
+        self,
+        state: RequestState,
+        connection: HttpConnection,
+        accept: Callable[[ResponseHead], bool],
+        find_replacement: FindReplacement,
+    ) -> ResponseHead:
+        """Return the head of the response.
+
+        Raises
+        ------
+        trio.TooSlowError
+            If it does not arrive in time and another worker takes over.
+        """
+        while True:
+            with trio.move_on_after(self._head_timeout_s(state)):
+                return await connection.receive_head(accept)
+            if await find_replacement():
+                raise trio.TooSlowError
+
     async def _handle_not_run(
         self,
         state: RequestState,
@@ -265,6 +301,7 @@
         permit: Permit,
         connection: HttpConnection,
         head: ResponseHead,
+        find_replacement: FindReplacement,
     ) -> tuple[str, dict]:
         """Forward the complete events of a stream as they arrive.
 
@@ -275,8 +312,9 @@
             await exchange.start(head.status, headers)
         if state.stages is not None:
             state.stages.release()
-        parts = connection.receive_body()
-        events = self._complete_events(state, permit.worker, parts, head.framing)
+        events = self._complete_events(
+            state, permit.worker, connection, head.framing, find_replacement
+        )
         async for data in events:
             await exchange.send(data)
         await exchange.end()
@@ -288,8 +326,9 @@
         self,
         state: RequestState,
         worker: Worker,
-        parts: AsyncIterator[bytes],
+        connection: HttpConnection,
         framing: Framing,
+        find_replacement: FindReplacement,
     ) -> AsyncIterator[bytes]:
         """Yield complete events only.
 
@@ -299,8 +338,8 @@
             If the stream ends within an event, or if only the end of the connection
             marks its end and it has no event.
         trio.TooSlowError
-            If no event is complete within an idle timeout, and another worker may
-            resume the stream.
+            If no event is complete within an idle timeout and another worker takes
+            over.
         """
         events = state.events
         received = False
@@ -311,10 +350,17 @@
         idle_timeout_s = to_s(idle_timeout_ms) if may_run_again else math.inf
         events.discard_partial_event()
         resumed_after = events.last_id
+        parts = connection.receive_body()
         idle_at_s = trio.current_time() + idle_timeout_s
         while True:
-            with trio.fail_at(idle_at_s):
+            with trio.move_on_at(idle_at_s) as scope:
                 data = await anext(parts, None)
+            if scope.cancelled_caught:
+                if await find_replacement():
+                    raise trio.TooSlowError
+                parts = connection.receive_body()
+                idle_at_s = trio.current_time() + idle_timeout_s
+                continue
             if data is None:
                 break
             try:
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -132,6 +132,7 @@
         self._stream = stream
         self._parser = self._new_parser()
         self._request: h11.Request | None = None
+        self._skipping = False
         self._write_pending = False
         self._received_bytes = 0
         self._content_bytes = 0
@@ -214,11 +215,15 @@
     ) -> ResponseHead:
         """Return the head of the response; skip responses that `accepts` rejects.
 
+        A call that was cancelled may be made again.
+
         Raises
         ------
         ConnectionBroken
             If the connection closes first or sends no valid response.
         """
+        if self._skipping:
+            await self._skip_response()
         for _ in range(MAX_SKIPPED_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -233,7 +238,10 @@
         raise ConnectionBroken(f"{self.address}: too many responses before the answer")
 
     async def receive_body(self) -> AsyncIterator[bytes]:
-        """Yield the response body as it arrives; may raise `ConnectionBroken`."""
+        """Yield the response body as it arrives; may raise `ConnectionBroken`.
+
+        After a cancelled call another one yields the rest.
+        """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
@@ -306,6 +314,7 @@
 
     async def _skip_response(self) -> None:
         """Discard the response to an earlier request; the parser expects the next."""
+        self._skipping = True
         content_bytes = self._content_bytes
         async for _ in self.receive_body():
             self._content_bytes = content_bytes
@@ -320,6 +329,7 @@
         self._parser.send(h11.EndOfMessage())
         if rest:
             self._parser.receive_data(rest)
+        self._skipping = False
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         """Store how long the server keeps an idle connection open."""
--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -20,6 +20,35 @@
     return await world.caller().request("POST", f"/{route}/1", b"{}", Attempt_Id="a1")
 
 
+async def test_a_slow_stream_goes_on_if_no_other_worker_can_take_it_over():
+    async with deployment() as world:
+        await leave_one(world, "model")
+        world.platform.workers["model-1"].faults.pause_s = 1.3
+        answer = await request(world, "mail")
+        assert (answer.body, answer.complete) == (EVENTS, True)
+        assert len(world.platform.run_log.runs_of("a1")) == 1
+
+
+async def test_a_slow_stream_goes_on_while_the_retry_budget_is_used_up():
+    async with deployment() as world:
+        for number in (1, 2):
+            world.platform.workers[f"model-{number}"].faults.pause_s = 1.3
+        budget = world.gateways[0].dispatcher._budget("model")
+        budget.spend = lambda now_s: False
+        answer = await request(world, "mail")
+        assert (answer.body, answer.complete) == (EVENTS, True)
+        assert len(world.platform.run_log.runs_of("a1")) == 1
+
+
+async def test_a_slow_plain_answer_arrives_if_no_other_worker_can_take_it_over():
+    async with deployment() as world:
+        await leave_one(world, "book")
+        world.platform.workers["book-1"].faults.delay_s = 1.2
+        answer = await request(world, "lookup")
+        assert (answer.status, answer.body) == (200, b"book-1 did a1")
+        assert len(world.platform.run_log.runs_of("a1")) == 1
+
+
 async def test_a_stalled_stream_that_sends_a_byte_now_and_then_is_taken_over():
     async with deployment() as world:
         workers = [world.platform.workers[f"model-{n}"] for n in (1, 2)]
