Send work again that a dispatcher dropped while this instance was silent

Callers were refused with cause 'cancelled' though nobody had withdrawn their request: a dispatcher that hears nothing of an instance for two heartbeats (0.5 s) takes it for down and drops its requests that wait for admission, and a withdrawal that arrives late may hit the request that was sent again (a report of operators of similar systems: a machine that was only silent had its work given up). Cause: the refusal was final at the instance, which still waits. Change: it sends the work again, to whoever dispatches now, five times at most, and logs work_cancelled.

--- a/src/acaciapier/gateway/dispatch/admission.py
+++ b/src/acaciapier/gateway/dispatch/admission.py
@@ -11,7 +11,7 @@
 from ..supervision import TaskSupervisor
 from .admission_queue import AdmissionEntry, AdmissionQueue
 from .future import Future
-from .refusal import MIN_RETRY_MS
+from .refusal import CANCELLED, MIN_RETRY_MS
 
 CHECK_PERIOD_MS = 25.0
 """Interval at which waiting requests are started or, if infeasible, refused: a sixth of
@@ -101,7 +101,7 @@
 
     def _cancel(self, entries: list[AdmissionEntry]) -> None:
         for entry in entries:
-            self._answer(entry, WorkRefused("cancelled", 0.0))
+            self._answer(entry, WorkRefused(CANCELLED, 0.0))
         self.update()
 
     def hand_over(self, cause: str) -> None:
--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -34,7 +34,12 @@
 from ..models import ServiceName, Worker, WorkerId
 from ..peers import Peers
 from .dispatcher import HANDED_OVER, OUTCOME_CANCELLED, Dispatcher
-from .refusal import DISPATCHER_CHANGE_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
+from .refusal import (
+    CANCELLED,
+    DISPATCHER_CHANGE_RETRY_MS,
+    OTHER_WORKER_RETRY_MS,
+    Refused,
+)
 
 MAX_DISPATCHERS = 5
 """Maximum number of dispatchers to which a request is sent before it is refused."""
@@ -271,6 +276,11 @@
                 self._peers.send(instance, _cancellation_of(message))
                 await trio.sleep(0.01)
                 continue
+            if isinstance(answer, WorkRefused) and answer.cause == CANCELLED:
+                # The dispatcher took this instance for down, since it was silent.
+                self._log("work_cancelled", service=service, dispatcher=instance)
+                await trio.sleep(0.01)
+                continue
             if isinstance(answer, WorkRefused) and answer.cause == HANDED_OVER:
                 if instance != self._peers.own:
                     self._peers.record_stopping(instance)
--- a/src/acaciapier/gateway/dispatch/refusal.py
+++ b/src/acaciapier/gateway/dispatch/refusal.py
@@ -20,6 +20,10 @@
 """Retry delay if a service has no workers: by then it usually has one again."""
 
 
+CANCELLED = "cancelled"
+"""Cause of a refusal of work that was withdrawn, or whose instance seemed to be down."""
+
+
 class Refused(AcaciapierError):
     """Work was refused by its dispatcher, or no dispatcher accepted it.
 
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -11,6 +11,7 @@
 from ..supervision import TaskSupervisor
 from ..worker_limits import WorkerLimits
 from .piece_groups import PieceGroup, StageCall
+from .refusal import CANCELLED
 from .stage_queue import StageQueue
 
 CALL_TIMEOUT_FACTOR = 1.7
@@ -142,7 +143,7 @@
     def cancel(self, attempt: str) -> None:
         """Cancel the groups of an attempt."""
         for group in self.queue.cancel(attempt):
-            self._complete(group, "cancelled")
+            self._complete(group, CANCELLED)
             self.release_results(
                 result.handle for result in group.results.values() if result.handle
             )
