Count the slots of an instance again that was only silent

A dispatcher that heard nothing of an instance for two heartbeats released all its slots for good, though its requests went on: the workers then got more requests than they have slots, from other callers, until those ended (a report of operators of similar systems on machines that are only silent). Cause: nothing tells a silent instance from one that ended. Change: the released slots are kept aside, less those that end meanwhile, and reserved again if the same process is back, by its uptime.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -34,7 +34,7 @@
 from .piece_groups import PieceGroup
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
-from .slot_requests import SlotRequest, SlotReservation
+from .slot_requests import ReleasedSlots, SlotRequest, SlotReservation
 from .slots import PERMIT_TTL_MS, SlotAllocator
 from .stage_scheduler import StageScheduler
 
@@ -109,6 +109,8 @@
         self._allocators: dict[str, SlotAllocator] = {}
         self._grants: dict[str, Future[Worker | None]] = {}
         self._checking: set[str] = set()
+        self._released: dict[InstanceId, ReleasedSlots] = {}
+        """Slots of instances that are down, or only silent."""
 
     def set_bounds(self, bounds: GatewayBounds) -> None:
         """Apply changed bounds of the operators."""
@@ -267,8 +269,8 @@
         allocator = self._allocators.get(message.service)
         if allocator is not None:
             now_s = self._clock.monotonic_s()
-            reservation = allocator.reservation(message.permit)
-            record_report(self.limits, f"peer {peer}", reservation, message, now_s)
+            held = allocator.reservation(message.permit)
+            record_report(self.limits, f"peer {peer}", held, message, now_s)
             if allocator.record_start(message.permit, message.elapsed_ms, now_s):
                 estimate = allocator.engine_times.estimate
                 self._log(
@@ -288,6 +290,8 @@
         record_report(self.limits, f"peer {peer}", reservation, message, now_s)
         if reservation is None:
             self._cancel_request(allocator, message.permit)
+            if peer in self._released:
+                self._released[peer].end(message.service, message.permit)
             return
         if message.retry_after_ms > 0:
             until_s = now_s + to_s(message.retry_after_ms)
@@ -387,10 +391,21 @@
         """Remove the work of an instance that went down."""
         for admission in self._admissions.values():
             admission.remove_owner(instance)
+        released = ReleasedSlots(self._clock.monotonic_s())
+        self._released[instance] = released
         for service, allocator in self._allocators.items():
-            allocator.release_owner(instance)
+            released.by_service[service] = allocator.release_owner(instance)
             self._assign(service)
 
+    def restore_owner(self, instance: InstanceId, uptime_ms: float) -> None:
+        """Reserve the slots of an instance again that was only silent."""
+        released = self._released.pop(instance, None)
+        started_s = self._clock.monotonic_s() - to_s(uptime_ms)
+        if released is not None and started_s <= released.at_s:
+            for service, reservations in released.by_service.items():
+                for permit, reservation in reservations.items():
+                    self._allocators[service].restore(permit, reservation)
+
     def workers_changed(self) -> None:
         """Update all queues after a change of the workers."""
         for scheduler in self._schedulers.values():
@@ -461,10 +476,8 @@
         allocator = self._allocators[service]
         now_s = self._clock.monotonic_s()
         workers = self._catalogue.workers_of(ServiceName(service))
-        for request in [
-            *allocator.pop_expired(now_s),
-            *allocator.pop_hopeless(workers, now_s),
-        ]:
+        expired = allocator.pop_expired(now_s)
+        for request in expired + allocator.pop_hopeless(workers, now_s):
             self._grants[request.permit].set_result(None)
         for request, worker in allocator.assign(workers, now_s):
             grant = self._grants.get(request.permit)
--- a/src/acaciapier/gateway/dispatch/refusal.py
+++ b/src/acaciapier/gateway/dispatch/refusal.py
@@ -21,7 +21,7 @@
 
 
 CANCELLED = "cancelled"
-"""Cause of a refusal of work that was withdrawn, or whose instance seemed to be down."""
+"""Cause of a refusal of work that was withdrawn, or whose instance seemed down."""
 
 
 class Refused(AcaciapierError):
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -48,3 +48,15 @@
     """Expected time to the first part of the answer."""
     prefilled_tokens: float = 0.0
     """Prompt tokens that the engine prefills before the first part."""
+
+
+@dataclass(eq=False)
+class ReleasedSlots:
+    """Slots of an instance that seemed down at `at_s`, by service and permit."""
+
+    at_s: float
+    by_service: dict[str, dict[str, SlotReservation]] = field(default_factory=dict)
+
+    def end(self, service: str, permit: str) -> None:
+        """Forget a slot whose request has ended."""
+        self.by_service.get(service, {}).pop(permit, None)
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -317,18 +317,16 @@
             self._reservations[permit] = reservation
             self._permits_by_worker.setdefault(reservation.worker, set()).add(permit)
 
-    def release_owner(
-        self, owner: str, still_held: frozenset[str] = frozenset()
-    ) -> None:
-        """Release the slots of an instance, except those that it still holds."""
-        owned = [
-            p
-            for p, reservation in self._reservations.items()
+    def release_owner(self, owner: str) -> dict[str, SlotReservation]:
+        """Release and return the slots of an instance, by permit."""
+        owned = {
+            permit: reservation
+            for permit, reservation in self._reservations.items()
             if reservation.owner == owner
-        ]
+        }
         for permit in owned:
-            if permit not in still_held:
-                self.release(permit)
+            self.release(permit)
+        return owned
 
     def retain_workers(self, workers: Sequence[Worker]) -> None:
         """Remove the state of workers that are gone."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -236,6 +236,7 @@
         self.peers.required_peers = self._required_peers
         self.peers.standby_peers = partial(self._dispatchers, 1)
         self.peers.on_down = self.dispatcher.remove_owner
+        self.peers.on_up = self.dispatcher.restore_owner
         self._register_handlers(peer_sync)
         await nursery.start(
             self.network.serve, settings.control.host, settings.control.port
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -115,6 +115,8 @@
             lambda peer, heartbeat: None
         )
         self.on_down: Callable[[InstanceId], None] = lambda peer: None
+        self.on_up: Callable[[InstanceId, float], None] = lambda peer, uptime_ms: None
+        """Called with the uptime of a peer that had seemed to be down."""
         self.required_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
         """Returns the peers that get heartbeats often in a large fleet."""
         self.standby_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
@@ -284,6 +286,7 @@
             peer.up = True
             self._ranks.clear()
             self._on_change("peer_up", peer=instance)
+            self.on_up(instance, heartbeat.uptime_ms)
         self.on_heartbeat(instance, heartbeat)
 
     async def join(self, address: Address) -> InstanceId:
