Reserve the slots of an instance that was silent for five seconds only

Read in the code, not seen: if the instance, too, had taken the dispatcher for down, its requests ended at another one, and their slots would have stayed reserved for 30 s.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -402,9 +402,8 @@
         released = self._released.pop(instance, None)
         started_s = self._clock.monotonic_s() - to_s(uptime_ms)
         if released is not None and started_s <= released.at_s:
-            for service, reservations in released.by_service.items():
-                for permit, reservation in reservations.items():
-                    self._allocators[service].restore(permit, reservation)
+            for service, permit, reservation in released.left(self._clock):
+                self._allocators[service].restore(permit, reservation)
 
     def workers_changed(self) -> None:
         """Update all queues after a change of the workers."""
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -1,7 +1,13 @@
 """Requests for slots at workers, and the slots reserved for them."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from ...core.clock import Clock, to_s
+
+RESTORED_SLOT_TTL_MS = 5_000.0
+"""Time for which a slot is reserved again after a silence: most requests end in it."""
+
 
 @dataclass(eq=False)
 class SlotRequest:
@@ -57,6 +63,18 @@
     at_s: float
     by_service: dict[str, dict[str, SlotReservation]] = field(default_factory=dict)
 
+    def left(self, clock: Clock) -> Iterator[tuple[str, str, SlotReservation]]:
+        """Yield service, permit and reservation of the slots that may still be held.
+
+        Their requests may have ended at another dispatcher meanwhile, so they are
+        reserved for a short time only.
+        """
+        latest_s = clock.monotonic_s() + to_s(RESTORED_SLOT_TTL_MS)
+        for service, reservations in self.by_service.items():
+            for permit, reservation in reservations.items():
+                reservation.until_s = min(reservation.until_s, latest_s)
+                yield service, permit, reservation
+
     def end(self, service: str, permit: str) -> None:
         """Forget a slot whose request has ended."""
         self.by_service.get(service, {}).pop(permit, None)
--- a/tests/gateway/test_silent_instances.py
+++ b/tests/gateway/test_silent_instances.py
@@ -4,6 +4,7 @@
 
 from acaciapier.core.clock import ManualClock
 from acaciapier.gateway.dispatch.refusal import CANCELLED
+from acaciapier.gateway.dispatch.slot_requests import RESTORED_SLOT_TTL_MS
 from acaciapier.gateway.worker_limits import WorkerLimits
 from acaciapier.wire.messages.gateway import (
     EnterStages,
@@ -45,6 +46,9 @@
         assert allocator.reserved == 2
         await dispatcher.permit_ended(OTHER, PermitEnded("book", "p2", "done", 50.0))
         assert allocator.reserved == 1
+        clock.advance(RESTORED_SLOT_TTL_MS / 1_000.0 + 0.1)
+        await dispatcher.acquire(OTHER, ask("p4"))
+        assert allocator.reserved == 1
 
 
 async def test_a_dispatcher_forgets_the_slots_of_an_instance_that_started_again():
