Play limits of workers and answers without end in the soak

Two faults and a check of the users' rule on limits: requests that reach a worker in any 4 s, from gateways that it had told and that were not disturbed since. The check finds 12 requests at a limit of 1 a second, and lets 11 pass.

--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -18,6 +18,10 @@
 SERVED_AFTER = 0.25
 TURNED_AWAY_SLACK_S = 0.5
 MOST_TURNED_AWAY = 2
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLE_S = 3.0
+LIMIT_TOLD_S = 0.5
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
 
 
 @dataclass
@@ -30,10 +34,13 @@
         Since when workers announce their shutdown.
     disturbed_s : dict of str to list of float
         When gateways were started, stopped or paused; they may forget announcements.
+    limits : dict of str to tuple of float
+        Requests a second that workers take, and since when they name them.
     """
 
     leaving_s: dict[str, float] = field(default_factory=dict)
     disturbed_s: dict[str, list[float]] = field(default_factory=dict)
+    limits: dict[str, tuple[float, float]] = field(default_factory=dict)
 
     def remembers(self, gateway: str, from_s: float, to_s: float) -> bool:
         """Return whether a gateway ran undisturbed all the time."""
@@ -76,6 +83,7 @@
     found += _check_left(records, runs)
     found += _check_leaving(known, run_log, announcements)
     found += _check_turned_away(known, run_log, announcements)
+    found += _check_limits(known, run_log, announcements)
     found += _check_recovery(records, calm_from_s)
     return found
 
@@ -175,6 +183,53 @@
     return found
 
 
+def _check_limits(
+    known: dict[str, Received], run_log: RunLog, announcements: Announcements
+) -> list[str]:
+    """Check that all gateways together keep to the limits that workers named.
+
+    A gateway counts from half a second after it had an answer that named the limit,
+    until it is disturbed.
+    """
+    found = []
+    for worker, (per_s, named_s) in announcements.limits.items():
+        told_s: dict[str, float] = {}
+        for run in run_log.runs:
+            record = known.get(run.attempt)
+            if record is None or run.worker != worker or not run.complete:
+                continue
+            if run.ended_s is not None and run.started_s > named_s:
+                first_s = told_s.get(record.gateway, run.ended_s)
+                told_s[record.gateway] = min(first_s, run.ended_s)
+        counted = []
+        for arrival in run_log.arrivals:
+            record = known.get(arrival.attempt)
+            if record is None or arrival.worker != worker:
+                continue
+            first_s = told_s.get(record.gateway)
+            if (
+                first_s is not None
+                and arrival.at_s
+                >= max(first_s + LIMIT_TOLD_S, named_s + LIMIT_SETTLE_S)
+                and announcements.remembers(record.gateway, first_s, arrival.at_s)
+            ):
+                counted.append(arrival.at_s)
+        allowed = LIMIT_FACTOR * per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (
+                sum(start_s <= at_s < start_s + LIMIT_WINDOW_S for at_s in counted)
+                for start_s in counted
+            ),
+            default=0,
+        )
+        if most > allowed:
+            found.append(
+                f"{worker} got {most} requests in {LIMIT_WINDOW_S:g} s and takes "
+                f"{per_s:g} a second"
+            )
+    return found
+
+
 def _check_left(records: list[Received], runs: dict[str, list[Run]]) -> list[str]:
     late = [
         record.attempt
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -16,6 +16,7 @@
 from acaciapier.platform.workers import PEER_KIND
 from acaciapier_standins.platform.example import KINDS, ROUTES, services
 from acaciapier_standins.platform.platform import StandInPlatform, configuration
+from acaciapier_standins.platform.workers import ENDLESS
 from acaciapier_standins.ports import free_ports
 
 from .callers import HOST, Received, SoakCaller
@@ -66,7 +67,21 @@
 REFUSAL_FAULTS = ("busy", "full", "full_twice")
 """Answers with 503 after a run and without one, and second copies of the latter."""
 
-ALL_FAULTS = FAULTS + ANNOUNCEMENT_FAULTS + FRAMING_FAULTS + REFUSAL_FAULTS
+LIMIT_FAULTS = ("limit",)
+"""Workers that name a limit from then on."""
+
+ENDLESS_FAULTS = ("endless",)
+"""Answers without end, of one kind each."""
+
+ALL_FAULTS = (
+    FAULTS
+    + ANNOUNCEMENT_FAULTS
+    + FRAMING_FAULTS
+    + REFUSAL_FAULTS
+    + LIMIT_FAULTS
+    + ENDLESS_FAULTS
+)
+LIMIT_PER_S = 1.0
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
 
@@ -351,6 +366,13 @@
             fresh = f"{service}-{number}y"
             if fresh not in self._links:
                 await self._add_worker(fresh, service, KINDS[service])
+        elif kind == "limit":
+            now_s = trio.current_time()
+            self._announcements.limits.setdefault(name, (LIMIT_PER_S, now_s))
+            worker.faults.limit = str(LIMIT_PER_S)
+        elif kind == "endless":
+            if worker.kind != "stage":
+                worker.faults.endless = self._random.choice(sorted(ENDLESS))
         elif kind == "turn_away":
             worker.faults.turn_away = str(TURN_AWAY_S)
         elif kind == "extra":
@@ -373,7 +395,7 @@
         worker.faults.status = worker.faults.late_copy_s = None
         worker.faults.refuse_share = 0.0
         worker.faults.cut_after = None
-        worker.faults.turn_away = None
+        worker.faults.turn_away = worker.faults.endless = None
         link.faults.cut_to_server = link.faults.refuse = False
 
     def _end_processes(self) -> None:
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -137,6 +137,15 @@
     until_s: float
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """One request that reached a worker, whatever became of it."""
+
+    worker: str
+    attempt: str
+    at_s: float
+
+
 @dataclass
 class RunLog:
     """Log of what all workers ran; tests compare it with the answers of callers."""
@@ -145,6 +154,7 @@
     turned_away: list[TurnedAway] = field(default_factory=list)
     pieces: Counter = field(default_factory=Counter)
     freed: int = 0
+    arrivals: list[Arrival] = field(default_factory=list)
 
     def runs_of(self, attempt: str) -> list[Run]:
         """Return the runs of an attempt."""
@@ -207,7 +217,10 @@
             for name, value in request.headers
         }
         self.requests += 1
-        self.arrivals_s.append(trio.current_time())
+        now_s = trio.current_time()
+        self.arrivals_s.append(now_s)
+        attempt = headers.get("attempt-id", "")
+        self._run_log.arrivals.append(Arrival(self.name, attempt, now_s))
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
         elif self.faults.turn_away is not None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,12 +10,14 @@
 )
 from acaciapier_bench.soak.run import (
     ANNOUNCEMENT_FAULTS,
+    ENDLESS_FAULTS,
     FAULTS,
     FRAMING_FAULTS,
+    LIMIT_FAULTS,
     SoakPlan,
     run_soak,
 )
-from acaciapier_standins.platform.workers import Run, RunLog, TurnedAway
+from acaciapier_standins.platform.workers import Arrival, Run, RunLog, TurnedAway
 
 STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
 
@@ -166,3 +168,26 @@
 def test_seeds_that_failed_before_keep_all_promises(seed):
     report = run_soak(SoakPlan(seed))
     assert report.broken == []
+
+
+@pytest.mark.parametrize(
+    ("count", "disturbed_s", "findings"),
+    [(12, {}, 1), (11, {}, 0), (12, {"edge-1": [6.0]}, 0), (12, {"edge-2": [6.0]}, 1)],
+)
+def test_requests_beyond_the_limit_that_a_worker_named_are_found(
+    count, disturbed_s, findings
+):
+    times_s = [1.0, *(7.0 + 0.1 * number for number in range(count))]
+    records = [
+        Received(f"a{n}", "lookup", "edge-1", at_s) for n, at_s in enumerate(times_s)
+    ]
+    log = RunLog([ran_at(f"a{n}", at_s) for n, at_s in enumerate(times_s)])
+    log.arrivals = [Arrival("w", f"a{n}", at_s) for n, at_s in enumerate(times_s)]
+    announcements = Announcements(limits={"w": (1.0, 0.5)}, disturbed_s=disturbed_s)
+    assert len(check(records, log, {}, 1e9, announcements)) == findings
+
+
+def test_a_soak_with_limits_and_answers_without_end_keeps_all_promises(tmp_path):
+    faults = (*LIMIT_FAULTS, *ENDLESS_FAULTS, "term", "kill", "peer_reset")
+    plan = SoakPlan(seed=31, seconds=10.0, gateways=3, callers=10, faults=faults)
+    assert run_soak(plan, tmp_path).broken == []
