Skip a second copy of a stage worker's answer that comes within a later call

Results of one request could become inputs of another one, and its caller got 503 or an answer made of them (a report of operators of similar systems: a second copy of an answer, late, on a connection that was in use again). Answers to calls of stages have no id, so a copy was taken for the answer to the next call if it had as many results; an answer of another size was rejected, but its connection was used again, on which the call's own answer followed.

Change: handles of received results are remembered (5,000), an answer with one of them is a copy and is skipped, as answers to other attempts are; after an answer that cannot be the call's own the connection is closed. A copy that names no result stays unknown.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -172,7 +172,9 @@
             self._workers_changed,
             self.limits,
         )
-        client = StageClient(worker_connections, tasks, self.notices, self.clock)
+        client = StageClient(
+            worker_connections, tasks, self.notices, self.clock, self.log.write
+        )
         self.dispatcher = Dispatcher(
             self.catalogue,
             client,
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -1,9 +1,14 @@
 """Client of stage workers."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ..core.clock import Clock
-from ..http.client import OutgoingRequest
+from ..http.client import (
+    ConnectionBroken,
+    HttpConnection,
+    OutgoingRequest,
+    ResponseHead,
+)
 from ..platform import requests as request_format
 from ..platform import stages as stage_format
 from .connection_pool import WorkerConnectionPool
@@ -12,6 +17,12 @@
 from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
 
+MAX_REMEMBERED_HANDLES = 5_000
+"""Handles by which second copies of answers are recognised: those of some seconds."""
+
+MAX_COPIES = 8
+"""Second copies of answers that are skipped before the answer to a call."""
+
 MAX_RESPONSE_BYTES = 1_000_000
 """A response contains a handle of some tens of bytes for each piece of a call."""
 
@@ -29,6 +40,8 @@
         What the workers announced.
     clock : Clock
         Source of time.
+    log : callable
+        Writes a log event, given as a kind and fields.
     """
 
     def __init__(
@@ -37,11 +50,15 @@
         tasks: TaskSupervisor,
         notices: WorkerNotices,
         clock: Clock,
+        log: Callable[..., None],
     ):
         self._connections = connections
         self._tasks = tasks
         self._notices = notices
         self._clock = clock
+        self._log = log
+        self._received: dict[tuple[str, str], None] = {}
+        """Worker and handle of received results; oldest first."""
 
     async def run(
         self, worker: Worker, pieces: Sequence[tuple[Piece, float]]
@@ -58,15 +75,44 @@
             If its response is malformed.
         """
         body = stage_format.encode_run(pieces)
-        response = await self._call(worker, stage_format.RUN_PATH, body)
-        return stage_format.decode_run(response, len(pieces))
+        results: list[PieceResult] = []
+        await self._call(
+            worker,
+            stage_format.RUN_PATH,
+            body,
+            lambda body: results.extend(stage_format.decode_run(body, len(pieces))),
+        )
+        for result in results:
+            if result.handle is not None:
+                self._received[worker.key, result.handle] = None
+        while len(self._received) > MAX_REMEMBERED_HANDLES:
+            del self._received[next(iter(self._received))]
+        return results
 
     async def free(self, worker: Worker, handles: Sequence[str]) -> None:
         """Tell a worker to free results."""
         body = stage_format.encode_free(handles)
         await self._call(worker, stage_format.FREE_PATH, body)
 
-    async def _call(self, worker: Worker, path: bytes, body: bytes) -> bytes:
+    def _is_copy(self, worker: Worker, body: bytes) -> bool:
+        """Return whether a response has results of an earlier one.
+
+        Responses to calls have no id: a second copy of one, which arrives late on a
+        connection that is in use again, would be taken for the next one.
+        """
+        return any(
+            (worker.key, handle) in self._received
+            for handle in stage_format.decode_handles(body)
+        )
+
+    async def _call(
+        self,
+        worker: Worker,
+        path: bytes,
+        body: bytes,
+        decode: Callable[[bytes], None] = lambda body: None,
+    ) -> None:
+        """Make a call; `decode` gets the body of the response if the call was run."""
         refusal = self._notices.refusal(worker)
         if refusal is not None:
             raise WorkerRefused(
@@ -77,8 +123,14 @@
         request = OutgoingRequest(b"POST", path, headers, body)
         async with self._connections.acquire(worker, repeatable=True) as connection:
             await connection.send(request, self._tasks)
-            head = await connection.receive_head()
-            response_body = await connection.receive_full_body(MAX_RESPONSE_BYTES)
+            head, response_body = await self._receive(worker, connection)
+            if head.status == 200:
+                try:
+                    decode(response_body)
+                except ValueError:
+                    # It may be the answer to another call, and this one's follows.
+                    connection.close()
+                    raise
         response = request_format.decode_response_metadata(head)
         ran = head.status == 200 and path == stage_format.RUN_PATH
         self._notices.observe(worker, response, sent_s if ran else None)
@@ -88,4 +140,16 @@
                 response.wrong_worker,
                 self._notices.blocked_ms(worker),
             )
-        return response_body
+
+    async def _receive(
+        self, worker: Worker, connection: HttpConnection
+    ) -> tuple[ResponseHead, bytes]:
+        """Return the response to a call; skip copies of earlier ones."""
+        for _ in range(MAX_COPIES):
+            head = await connection.receive_head()
+            body = await connection.receive_full_body(MAX_RESPONSE_BYTES)
+            if not self._is_copy(worker, body):
+                return head, body
+            self._log("stage_answer_skipped", worker=worker.id)
+            connection.expect_another_response()
+        raise ConnectionBroken(f"{worker.address}: copies of earlier answers")
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -318,6 +318,17 @@
         content_bytes = self._content_bytes
         async for _ in self.receive_body():
             self._content_bytes = content_bytes
+        self.expect_another_response()
+        self._skipping = False
+
+    def expect_another_response(self) -> None:
+        """Take the response that was read for one to an earlier request.
+
+        Raises
+        ------
+        ConnectionBroken
+            If the server closed the connection after it.
+        """
         rest, closed = self._parser.trailing_data
         if closed:
             raise ConnectionBroken(f"{self.address}: closed after a stray answer")
@@ -329,7 +340,6 @@
         self._parser.send(h11.EndOfMessage())
         if rest:
             self._parser.receive_data(rest)
-        self._skipping = False
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         """Store how long the server keeps an idle connection open."""
--- a/src/acaciapier/platform/stages.py
+++ b/src/acaciapier/platform/stages.py
@@ -55,6 +55,15 @@
     return [_result(outcome) for outcome in outcomes]
 
 
+def decode_handles(body: bytes) -> list[str]:
+    """Decode the handles in a response to a call; none if it is malformed."""
+    try:
+        outcomes = msgspec.json.decode(body, type=_Outcomes).items
+    except msgspec.MsgspecError:
+        return []
+    return [outcome.handle for outcome in outcomes if outcome.handle]
+
+
 def encode_free(handles: Sequence[str]) -> bytes:
     """Encode a call that frees results."""
     return msgspec.json.encode({"handles": list(handles)})
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -51,6 +51,10 @@
     """Number of requests that are refused without a run from the start on."""
     late_copy_s: float | None = None
     """Time after which the refusal of a request is sent a second time."""
+    stray_stage_answer: bool = False
+    """Send an empty answer ahead of the answer to a call of a stage."""
+    repeats_answers: bool = False
+    """Send the answer to the last call a second time ahead of the next one."""
     cut_after: int | None = None
     """Events after which a stream is aborted; a plain answer is aborted midway."""
     ends_early: bool = False
@@ -154,6 +158,8 @@
     turned_away: list[TurnedAway] = field(default_factory=list)
     pieces: Counter = field(default_factory=Counter)
     freed: int = 0
+    mixed_inputs: int = 0
+    """Pieces and requests that were given a result of another request."""
     arrivals: list[Arrival] = field(default_factory=list)
 
     def runs_of(self, attempt: str) -> list[Run]:
@@ -207,6 +213,8 @@
         self.arrivals_s: list[float] = []
         """Times of all requests."""
         self._handle_count = 0
+        self._last_answers: dict[int, bytes] = {}
+        """By connection."""
         self._results = {} if results is None else results
         self._on_begin = on_begin
 
@@ -262,13 +270,18 @@
         answers = [self._run_piece(item) for item in json.loads(request.body)["items"]]
         body = json.dumps({"items": answers}).encode()
         headers = [(b"Content-Type", b"application/json"), *self._state_headers()]
+        if self.faults.stray_stage_answer:
+            await exchange.send_raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        if self.faults.repeats_answers:
+            connection = id(exchange._connection)
+            await exchange.send_raw(self._last_answers.get(connection, b""))
+            length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+            self._last_answers[connection] = b"HTTP/1.1 200 OK\r\n" + length + body
         await exchange.respond(200, headers, body)
 
     def _run_piece(self, item: dict[str, Any]) -> dict[str, str]:
         inputs = item.get("inputs", [])
-        if any(
-            self._results.get(input_handle) != item["id"] for input_handle in inputs
-        ):
+        if not self._owns(item["id"], inputs):
             return {"reason": "gone"}
         self._handle_count += 1
         handle = f"{self.address}/{self._handle_count:x}"
@@ -276,6 +289,14 @@
         self._run_log.pieces[item["id"], item["stage"], item["segment"]] += 1
         return {"handle": handle}
 
+    def _owns(self, attempt: str, inputs: list[str]) -> bool:
+        """Return whether all results are there and belong to an attempt."""
+        owners = [self._results.get(handle) for handle in inputs]
+        self._run_log.mixed_inputs += any(
+            owner not in (None, attempt) for owner in owners
+        )
+        return all(owner == attempt for owner in owners)
+
     async def _run_request(
         self, request: IncomingRequest, headers: dict[str, str], exchange: Exchange
     ) -> None:
@@ -293,7 +314,7 @@
             for input_handle in headers.get("inputs", "").split(",")
             if input_handle
         ]
-        if any(self._results.get(input_handle) != attempt for input_handle in inputs):
+        if not self._owns(attempt, inputs):
             await exchange.respond(409, [(b"Not-Run", b"1"), *self._state_headers()])
             return
         run = Run(
--- /dev/null
+++ b/tests/gateway/test_late_stage_answers.py
@@ -0,0 +1,49 @@
+"""A stage worker's answer that is sent twice, the second time within a later call."""
+
+import trio
+
+from .support import deployment
+
+
+async def test_a_second_copy_of_a_stage_answer_is_not_taken_for_the_next_one():
+    async with deployment() as world:
+        for name in ("encode-1", "encode-2"):
+            world.platform.workers[name].faults.repeats_answers = True
+        answers, callers = [], [world.caller() for _ in range(3)]
+
+        async def call(number: int) -> None:
+            for serial in range(15):
+                answers.append(
+                    await callers[number].request(
+                        "POST",
+                        "/staged/1",
+                        b"{}",
+                        Attempt_Id=f"a{number}-{serial}",
+                        Chunk_Count="2,2",
+                        Chunk_Key="k",
+                    )
+                )
+
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(call, number)
+        assert world.platform.run_log.mixed_inputs == 0
+        assert {answer.status for answer in answers} == {200}
+
+
+async def test_an_answer_that_cannot_be_the_calls_own_closes_its_connection():
+    async with deployment() as world:
+        worker = world.platform.workers["encode-1"]
+        for name in ("encode-1", "encode-2"):
+            world.platform.workers[name].faults.stray_stage_answer = True
+        for serial in range(6):
+            await world.caller().request(
+                "POST",
+                "/staged/1",
+                b"{}",
+                Attempt_Id=f"a{serial}",
+                Chunk_Count="1,1",
+                Chunk_Key="k",
+            )
+        assert worker.requests
+        assert world.platform.run_log.mixed_inputs == 0
