Bound the small parts of skipped and buffered bodies by their size

Cause: 256 KiB of it were parsed before the bound, part by part; a buffered body had 20,000 parts. Now both may have 2,000 small parts, and further ones of 256 bytes on average, so large sound bodies pass.

--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -31,8 +31,9 @@
 OVERHEAD_FACTOR = 8
 """Chunks of one byte have an overhead of five bytes."""
 
-MAX_BODY_PARTS = 20_000
-"""Maximum number of parts in which a body is received that is buffered as a whole."""
+MAX_SMALL_PARTS, MIN_PART_BYTES = 2_000, 256
+"""Parts of a body that is skipped, or buffered as a whole, may be small until there are
+so many; further ones have so many bytes on average. Each part costs processor time."""
 
 PARTS_PER_CHECKPOINT = 16
 """Parsed parts after which other tasks run, though more input is buffered."""
@@ -255,15 +256,21 @@
     async def receive_full_body(self, max_bytes: int) -> bytes:
         """Return the complete body, or raise `ConnectionBroken`."""
         body = bytearray()
-        parts = 0
-        async for data in self.receive_body():
+        async for data in self._receive_bounded(max_bytes):
             body += data
+        return bytes(body)
+
+    async def _receive_bounded(self, max_bytes: int) -> AsyncIterator[bytes]:
+        """Yield a body that is bounded in bytes and in small parts."""
+        size_bytes = parts = 0
+        async for data in self.receive_body():
+            size_bytes += len(data)
             parts += 1
-            if len(body) > max_bytes:
+            if size_bytes > max_bytes:
                 raise ConnectionBroken(f"{self.address}: over {max_bytes} bytes")
-            if parts > MAX_BODY_PARTS:
-                raise ConnectionBroken(f"{self.address}: over {parts - 1} parts")
-        return bytes(body)
+            if parts > MAX_SMALL_PARTS + size_bytes / MIN_PART_BYTES:
+                raise ConnectionBroken(f"{self.address}: over {parts - 1} small parts")
+            yield data
 
     def close(self) -> None:
         """Close immediately."""
@@ -316,7 +323,7 @@
         """Discard the response to an earlier request; the parser expects the next."""
         self._skipping = True
         content_bytes = self._content_bytes
-        async for _ in self.receive_body():
+        async for _ in self._receive_bounded(MAX_OVERHEAD_BYTES):
             self._content_bytes = content_bytes
         self.expect_another_response()
         self._skipping = False
