Log that a limit is forgotten on a dispatcher's word

From an id to its cause: worker_limit_ended was missing where an instance drops a limit that its dispatcher has seen end. Read in the code; no test hangs on it.

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -342,7 +342,8 @@
         if answer.limits_considered:
             if limit.named_s > asked_s:
                 return False
-            self._limits.forget(worker.key)
+            dispatcher = self._dispatchers[worker.service]
+            self._limits.forget(worker.key, f"dispatcher {dispatcher}")
             return True
         # A dispatcher of an earlier release does not pace: each instance takes a share.
         now_s, share = self._clock.monotonic_s(), 1.0 / self._peers.live_count
--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -52,6 +52,7 @@
     next_s: float
     """When the next send is due at a steady pace (virtual scheduling of GCRA)."""
     sends_s: deque[float] = field(default_factory=deque)
+    """Times of the recent sends."""
 
 
 class WorkerLimits:
@@ -188,9 +189,10 @@
             if (limit := self.find(worker.key)) is not None
         )
 
-    def forget(self, key: str) -> None:
-        """Forget a limit that a dispatcher with newer answers does not know."""
-        self._limits.pop(WorkerKey(key), None)
+    def forget(self, key: str, origin: str) -> None:
+        """Forget a limit that a dispatcher has seen end."""
+        if self._limits.pop(WorkerKey(key), None) is not None:
+            self._log("worker_limit_ended", worker=key, origin=origin)
 
     def find(self, key: str) -> NamedLimit | None:
         """Return the limit of a worker; None if it has named none."""
@@ -207,7 +209,7 @@
         }
 
     def rate_per_ms(self, key: str) -> float:
-        """Return how many requests a worker may get a millisecond."""
+        """Return how many requests a worker may get a millisecond; may be infinite."""
         limit = self.find(key)
         return math.inf if limit is None else self._pace_per_s(limit) / 1_000.0
 
