Let the test of another version's grant run what it claims to run

The test replaced Dispatcher.acquire, but the client of the own dispatcher holds the function since import, so the replacement was never called: a version of the test whose replacement raises passed as well. It replaces the entry that the client uses now, and checks that the second grant was asked with the stream's version.

--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -4,11 +4,12 @@
 import pytest
 import trio
 
+from acaciapier.gateway.dispatch import dispatch_client
 from acaciapier.gateway.dispatch.dispatcher import Dispatcher
 from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
 from acaciapier.gateway.models import ServiceName, ServiceRule, WorkerState
 from acaciapier.platform.workers import decode_worker
-from acaciapier.wire.messages.gateway import WorkerEntry
+from acaciapier.wire.messages.gateway import AcquireWorker, WorkerEntry
 
 from .support import deployment
 from .test_broken_streams import EVENTS
@@ -95,15 +96,19 @@
 
 
 async def test_a_worker_of_another_version_that_is_granted_gets_nothing(monkeypatch):
-    acquire = Dispatcher.acquire
+    versions_asked = []
 
     async def acquire_any(self, peer, message):
         """Grant workers of any version, as dispatchers of earlier releases do."""
+        versions_asked.append(message.software_version)
         message = msgspec.structs.replace(message, software_version=None)
-        return await acquire(self, peer, message)
+        return await Dispatcher.acquire(self, peer, message)
 
-    monkeypatch.setattr(Dispatcher, "acquire", acquire_any)
+    monkeypatch.setitem(dispatch_client._LOCAL_CALLS, AcquireWorker, acquire_any)
     async with deployment() as world:
         answer, workers = await resumed(world, {"model-1": "v1", "model-2": "v2"})
+        assert versions_asked[0] is None
+        assert set(versions_asked[1:]) <= {"v1", "v2"}
+        assert versions_asked[1:]
         assert len(workers) == 1
         assert not answer.complete
