Spend no retries on the search for a replacement that finds none

Change: a retry that is not granted is given back, and the silent worker is not granted as its own replacement (appended field only_untried; a dispatcher of an earlier release ignores it, and the grant is released as before). Both tests need the change to run.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -208,6 +208,8 @@
                 for worker in workers
                 if worker.software_version == message.software_version
             ]
+        if message.only_untried:
+            workers = [worker for worker in workers if worker.id not in message.avoid]
         if allocator is None or not workers:
             return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
@@ -230,22 +232,20 @@
             input_bytes=dict(message.input_bytes),
             avoid=frozenset(message.avoid),
             software_version=message.software_version,
+            only_untried=message.only_untried,
         )
         forecast_ms = allocator.forecast_ms(request, workers, now_s)
-        if forecast_ms > message.expires_ms:
-            retry_ms = MIN_RETRY_MS + forecast_ms / 2
-            return make_refusal(
-                "overload", retry_ms, allocator, self.limits, workers, now_s
-            )
-        worker = await self._wait_for_slot(allocator, message.service, request)
-        if worker is None and self.stopping:
-            return WorkRefused(HANDED_OVER, max(MIN_RETRY_MS, forecast_ms))
-        if worker is None:
-            retry_ms = max(MIN_RETRY_MS, forecast_ms)
-            return make_refusal(
-                "expired", retry_ms, allocator, self.limits, workers, now_s
-            )
-        return make_grant(self.limits, worker, now_s, self._clock.monotonic_s())
+        cause, retry_ms, worker = "overload", MIN_RETRY_MS + forecast_ms / 2, None
+        if forecast_ms <= message.expires_ms:
+            cause, retry_ms = "expired", max(MIN_RETRY_MS, forecast_ms)
+            worker = await self._wait_for_slot(allocator, message.service, request)
+        if worker is not None:
+            return make_grant(self.limits, worker, now_s, self._clock.monotonic_s())
+        if message.repeat:
+            budget.refund()
+        if self.stopping and cause == "expired":
+            return WorkRefused(HANDED_OVER, retry_ms)
+        return make_refusal(cause, retry_ms, allocator, self.limits, workers, now_s)
 
     async def _wait_for_slot(
         self, allocator: SlotAllocator, service: str, request: SlotRequest
--- a/src/acaciapier/gateway/dispatch/retry_budget.py
+++ b/src/acaciapier/gateway/dispatch/retry_budget.py
@@ -44,6 +44,11 @@
         self._retries.append(now_s)
         return True
 
+    def refund(self) -> None:
+        """Take the newest retry back, which was not granted."""
+        if self._retries:
+            self._retries.pop()
+
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
         for times in (self._first_sends, self._retries):
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -30,6 +30,8 @@
     avoid: frozenset[str] = frozenset()
     software_version: str | None = None
     """Version of the workers that may run the request; None for any."""
+    only_untried: bool = False
+    """Whether the workers in `avoid` must not be granted."""
 
     @property
     def begun(self) -> bool:
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -357,7 +357,8 @@
             and not self._limits.wait_ms(worker.key, now_s)
         ]
         untried = [worker for worker in usable if worker.id not in request.avoid]
-        usable = untried or usable
+        if untried or request.only_untried:
+            usable = untried
         preferred = [worker for worker in usable if self._is_preferred(worker, now_s)]
         return min(
             preferred or usable,
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -348,7 +348,9 @@
         if state.route.stages and not (state.stages and state.stages.has_inputs):
             return self._has_other_worker(state)
         message = msgspec.structs.replace(
-            self._acquire_message(state), expires_ms=REPLACEMENT_WAIT_MS
+            self._acquire_message(state),
+            expires_ms=REPLACEMENT_WAIT_MS,
+            only_untried=True,
         )
         reason = "same_worker"
         try:
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -211,6 +211,8 @@
     """Only workers of this version may be granted; None for any."""
     limits: tuple[WorkerLimitEntry, ...] = ()
     """Limits of the service's workers that the requesting instance knows."""
+    only_untried: bool = False
+    """Whether the workers in `avoid` must not be granted."""
 
 
 class WorkerGranted(Message, frozen=True):
--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -2,9 +2,11 @@
 
 import trio
 
-from acaciapier.gateway.models import ServiceName
+from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
+from acaciapier.gateway.models import ServiceName, ServiceRule
 
 from .support import deployment
+from .test_instance_state import worker
 
 EVENTS = b"".join(f"id: {n}\ndata: a1 {n}\n\n".encode() for n in range(1, 5))
 
@@ -52,14 +54,14 @@
 async def test_a_stalled_stream_that_sends_a_byte_now_and_then_is_taken_over():
     async with deployment() as world:
         workers = [world.platform.workers[f"model-{n}"] for n in (1, 2)]
-        for worker in workers:
-            worker.faults.drip_after = 1
+        for stalled in workers:
+            stalled.faults.drip_after = 1
         caller = world.caller()
         await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
         await world.until(lambda: world.platform.run_log.runs)
-        for worker in workers:
-            if worker.name != world.platform.run_log.runs[0].worker:
-                worker.faults.drip_after = None
+        for other in workers:
+            if other.name != world.platform.run_log.runs[0].worker:
+                other.faults.drip_after = None
         start_s = trio.current_time()
         answer = await caller.receive()
         assert (answer.body, answer.complete) == (EVENTS, True)
@@ -78,3 +80,35 @@
         with trio.fail_after(1.0):
             while any(run.ended_s is None for run in world.platform.run_log.runs):
                 await trio.sleep(0.01)
+
+
+async def test_a_silent_worker_whose_request_nobody_takes_over_costs_no_retries():
+    async with deployment() as world:
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.delay_s = 1.9
+        dispatcher = world.gateways[0].dispatcher
+        asked = []
+
+        async def refuse(allocator, service, request):
+            asked.append((request.only_untried, len(request.avoid)))
+            return (
+                None
+                if request.only_untried
+                else await wait(allocator, service, request)
+            )
+
+        wait, dispatcher._wait_for_slot = dispatcher._wait_for_slot, refuse
+        assert (await request(world, "lookup")).status == 200
+        assert asked[0] == (False, 0)
+        assert set(asked[1:]) == {(True, 1)}
+        assert not dispatcher._budget("book")._retries
+
+
+def test_a_worker_that_has_the_request_is_not_granted_as_its_replacement():
+    allocator = SlotAllocator(ServiceRule(ServiceName("book"), 10))
+    workers = [worker("w1"), worker("w2")]
+    tried = frozenset({"w1", "w2"})
+    allocator.add(SlotRequest("p1", "i", 9.0, 9.0, avoid=tried, only_untried=True))
+    allocator.add(SlotRequest("p2", "i", 9.0, 9.0, avoid=tried))
+    granted = [given.permit for given, _ in allocator.assign(workers, 0.0)]
+    assert granted == ["p2"]
