Test answers without end on the path to stage workers, too

The stand-in's stage workers answer without end as its others do. 14 kinds at one of two workers of a first stage: all four requests of each are answered in time, by the other worker. No change of the product was needed: calls end by their own timeout or by the bounds of http/client.

--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -267,6 +267,8 @@
         await trio.sleep(self._gap_s + self.faults.delay_s)
         if self.faults.mute:
             await trio.sleep_forever()
+        if self.faults.endless is not None:
+            await self._send_without_end("", exchange)
         answers = [self._run_piece(item) for item in json.loads(request.body)["items"]]
         body = json.dumps({"items": answers}).encode()
         headers = [(b"Content-Type", b"application/json"), *self._state_headers()]
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -95,3 +95,22 @@
         assert not answer.complete
         after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         assert after_kb - before_kb < 50_000
+
+
+@pytest.mark.parametrize("kind", sorted(ENDLESS))
+async def test_a_stage_worker_that_answers_without_end_is_replaced(kind):
+    async with deployment() as world:
+        world.platform.workers["encode-1"].faults.endless = kind
+        statuses = set()
+        for number in range(4):
+            answer = await request(
+                world,
+                "staged",
+                Attempt_Id=f"a{number}",
+                Chunk_Count="1,1",
+                Chunk_Key="k",
+                Deadline_Ms="2000",
+            )
+            statuses.add((answer.status, answer.complete))
+        assert statuses == {(200, True)}
+        assert world.platform.workers["encode-1"].requests
