--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -108,6 +108,10 @@
         """Send a part of the body."""
         await self._exchange.send_raw(data)
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes outside the protocol."""
+        await self._exchange.send_raw(data)
+
     async def end(self) -> None:
         """Count the answer as complete; the server then closes the connection."""
         self.ended = True
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -87,6 +87,18 @@
         assert (await request(world, "confirm")).status == 503
 
 
+@pytest.mark.parametrize("fault", ["endless", "extra_answer", "leaving_stray"])
+async def test_the_stand_in_plays_faults_beside_answers_without_framing(fault):
+    """Soak seed 608: an overlap of two faults ended the stand-in."""
+    async with deployment() as world:
+        faults = {"unframed": True, fault: "body" if fault == "endless" else True}
+        for number in (1, 2):
+            for name, value in faults.items():
+                setattr(world.platform.workers[f"book-{number}"].faults, name, value)
+        answer = await request(world, "confirm")
+        assert answer.status == (502 if fault == "endless" else 200)
+
+
 async def test_memory_stays_flat_beside_events_without_end():
     async with deployment() as world:
         set_endless(world, "event")
