Let a stream that its caller takes up go on at the software version that began it

An instance now records the version of a stream under the caller's attempt before it forwards the first event: itself, and, while several versions may serve the service, at two others that a hash of the attempt selects among eight. A later try is bound to the recorded service and version from its first grant on, in waiting, replacements and retries. If nobody has the record, the version is concluded only if a single one has served lately, as far as the instances that answer know; otherwise the request is refused, which is true and never a guess. Streams that began before versions mixed are shared at the moment they do. A malformed name of an attempt is a 400. Processes of earlier releases do not take records; the next instance does.

Ways that were weighed: the dispatcher as holder (all streams of a service lost with two instances), all instances asked without copies (lost with the first instance), the store (a write a stream, in front of the first event). Cost where versions mix: two calls a stream and one round trip, 60 ms at most, before the first event; else none.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -26,6 +26,7 @@
     WorkerState,
 )
 from .settings import DEFAULT_WORKER_HEARTBEAT_MS
+from .software_versions import ServingVersions
 
 EXPIRED_WORKER_GRACE_MS = 1_700.0
 """Workers whose entries expired during a store outage register again within 2,000 ms
@@ -77,6 +78,7 @@
         """First term of the store that was seen here."""
         self.workers_digest = 0
         self.workers: dict[WorkerId, Worker] = {}
+        self.serving = ServingVersions(clock)
         self._clock = clock
         self._decode = decode_configuration
         self._on_change = on_change
@@ -361,6 +363,7 @@
         self._data_centres = {
             worker.address: worker.data_centre for worker in self.workers.values()
         }
+        self.serving.update(self.workers.values())
         self.workers_digest = _digest(self.workers)
 
 
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -35,6 +35,7 @@
 )
 from ..wire.messages.operations import FetchCrashRecords
 from ..wire.messages.quarantine import Strikes
+from ..wire.messages.streams import FindStream, StreamsBegun
 from ..wire.network import PeerNetwork
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool, sweep_idle
@@ -50,6 +51,7 @@
 from .settings import GatewaySettings
 from .stage_client import StageClient
 from .status_server import StatusServer
+from .stream_records import StreamRecords
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
 from .worker_exchange import WorkerExchange
@@ -188,6 +190,15 @@
         self.quarantine = RequestQuarantine(
             self.clock, self._random, self.peers, self.log.write, tasks
         )
+        self.streams = StreamRecords(
+            self.peers,
+            self.catalogue.serving,
+            self.clock,
+            self.log.write,
+            tasks,
+            lambda: self.sync.reachable,
+            self.followers.chosen,
+        )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
         )
@@ -200,12 +211,14 @@
             self.observer,
             tasks,
             self.notices,
+            self.streams,
         )
         self.relay = Relay(
             self.catalogue,
             self.dispatch_client,
             workers,
             self.quarantine,
+            self.streams,
             self.clock,
             self._random,
             self.observer,
@@ -221,7 +234,7 @@
             self.clock,
             lambda: self._random.uniform(0.7, 1.3),
             self.log.write,
-            self.dispatcher.workers_changed,
+            self._workers_changed,
             self.followers,
         )
         peer_sync = PeerSync(
@@ -229,7 +242,7 @@
             self.peers,
             tasks,
             self.log.write,
-            self.dispatcher.workers_changed,
+            self._workers_changed,
             own,
             self.clock,
         )
@@ -280,6 +293,8 @@
         register(CancelWork, self.dispatcher.cancel_work)
         register(HeldPermits, self.dispatcher.held_permits)
         register(HeldResults, self.dispatcher.held_results)
+        register(StreamsBegun, self.streams.handle_begun)
+        register(FindStream, self.streams.answer_find)
 
     def _required_peers(self) -> set[InstanceId]:
         """Return the dispatchers of all services and the followers of the store."""
@@ -320,6 +335,7 @@
 
     def _workers_changed(self) -> None:
         self.dispatcher.workers_changed()
+        self.streams.workers_changed()
 
     def _worker_limits(self) -> list[tuple[str, str, float]]:
         """Return service, id and limit of the listed workers that have named one."""
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -329,6 +329,22 @@
 """Value of a generated token in prompt tokens, from the users' scoring rules."""
 
 
+@dataclass(frozen=True, slots=True)
+class Resumption:
+    """A caller's wish to take up a stream again that broke off.
+
+    Parameters
+    ----------
+    after : str
+        Id of the last event that the caller has received.
+    attempt : AttemptId or None
+        Attempt that brought the first event; None if the caller does not name it.
+    """
+
+    after: str
+    attempt: AttemptId | None
+
+
 class PieceFailure(Enum):
     """Why a stage worker produced no result for a piece."""
 
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -190,6 +190,10 @@
         peer = self._peers.get(instance)
         return peer is not None and peer.up and not peer.stopping
 
+    def up_instances(self) -> list[InstanceId]:
+        """Return the other instances that are up, stopping ones included."""
+        return [instance for instance, peer in self._peers.items() if peer.up]
+
     def follows_store(self, instance: InstanceId) -> bool:
         """Return whether an instance is up and reported that it follows the store."""
         peer = self._peers.get(instance)
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -14,7 +14,7 @@
 from .catalogue import Catalogue
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.refusal import NO_WORKER_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
-from .models import RequestKind
+from .models import RequestKind, Resumption, RouteRule
 from .pipeline import StageRun
 from .request_quarantine import RequestQuarantine
 from .request_state import (
@@ -26,6 +26,7 @@
 )
 from .routing import RouteTable, choose_service, request_priority
 from .stage_times import StageTimes
+from .stream_records import StreamRecords
 from .worker_exchange import WorkerExchange, response_headers
 
 MAX_SENDS = 4
@@ -64,6 +65,8 @@
         Sends requests to workers.
     quarantine : RequestQuarantine
         Blocks requests that crash workers.
+    streams : StreamRecords
+        Finds the software versions of streams that callers take up again.
     clock : Clock
         Source of time that also advances while the machine is suspended.
     random : random.Random
@@ -78,6 +81,7 @@
         dispatch_client: DispatchClient,
         workers: WorkerExchange,
         quarantine: RequestQuarantine,
+        streams: StreamRecords,
         clock: Clock,
         random: random_module.Random,
         observer,
@@ -89,6 +93,7 @@
         self._dispatch_client = dispatch_client
         self._workers = workers
         self._quarantine = quarantine
+        self._streams = streams
         self._clock = clock
         self._random = random
         self._observer = observer
@@ -143,6 +148,11 @@
         if table.needs_key(route) and workspace is None:
             await exchange.respond(401, [])
             return "unknown_key", {"route": route.name, "version": version}
+        try:
+            resumption = _resumption_of(request, route)
+        except ValueError as error:
+            await exchange.respond(400, [])
+            return "malformed", {"route": route.name, "error": str(error)}
         deadline_ms = min(metadata.deadline_ms or DEFAULT_DEADLINE_MS, route.timeout_ms)
         state = RequestState(
             request=request,
@@ -155,6 +165,7 @@
             due_s=start_s + route.objective_ms / 1_000.0,
             abandon_at_s=start_s + abandon_after_ms(route, deadline_ms) / 1_000.0,
             fingerprint=request_fingerprint(request, metadata.key),
+            resumption=resumption,
         )
         blocked = self._quarantine.block_reason(state)
         if blocked is not None:
@@ -168,12 +179,16 @@
             "priority": state.priority,
             "sends": state.sends,
         }
+        if state.resumption is not None:
+            fields["resumes"] = state.resumption.attempt
         if state.stages is not None:
             fields["admission_ms"] = round(state.stages.admission_ms)
         if state.framing is not None:
             fields["framing"] = state.framing.value
         if state.events.last_id is not None:
             fields["last_event"] = state.events.last_id
+        if state.software_version is not None:
+            fields["software_version"] = state.software_version
         return outcome, fields
 
     def _route_table(self) -> RouteTable | None:
@@ -252,6 +267,8 @@
     async def _serve(self, state: RequestState, exchange: Exchange) -> tuple[str, dict]:
         """Run the stages and then the request, with retries on other workers."""
         last_refusal = Refused("no_worker", NO_WORKER_RETRY_MS)
+        if state.resumption is not None:
+            await self._bind_to_version(state, state.resumption)
         while state.sends < MAX_SENDS:
             await self._ensure_inputs(state)
             self._check_blocked(state)
@@ -285,6 +302,25 @@
                 self._dispatch_client.release_permit(permit)
         raise last_refusal
 
+    async def _bind_to_version(
+        self, state: RequestState, resumption: Resumption
+    ) -> None:
+        """Bind a stream that its caller takes up again to its service and version."""
+        stream = await self._streams.find(
+            state.workspace or "",
+            resumption.attempt,
+            [service for service, _ in state.route.services],
+        )
+        state.service = stream.service
+        state.software_version = stream.software_version
+        self._observer.decided(
+            "resumed_by_caller",
+            state.metadata.attempt,
+            resumes=resumption.attempt,
+            after_event=resumption.after,
+            software_version=stream.software_version,
+        )
+
     def _check_blocked(self, state: RequestState) -> None:
         """Raise `Refused` if the request was blocked while it waited."""
         if self._quarantine.block_reason(state) is not None:
@@ -418,3 +454,16 @@
     def _locate(self, handle: str) -> str:
         """Return the data centre in which a stage result is stored."""
         return self._catalogue.locate(handle.partition("/")[0])
+
+
+def _resumption_of(request: IncomingRequest, route: RouteRule) -> Resumption | None:
+    """Return which stream a request takes up again, if its route allows that.
+
+    Raises
+    ------
+    ValueError
+        If the request names the stream in a malformed way.
+    """
+    if not route.resumable or route.kind is not RequestKind.STREAMING:
+        return None
+    return request_format.decode_resumption(request.headers)
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -9,7 +9,13 @@
 from ..http.client import Framing, ResponseHead
 from .dispatch.dispatch_client import Permit
 from .event_stream import EventSplitter
-from .models import RequestKind, RequestMetadata, RouteRule, SoftwareVersion
+from .models import (
+    RequestKind,
+    RequestMetadata,
+    Resumption,
+    RouteRule,
+    SoftwareVersion,
+)
 from .pipeline import StageRun
 
 BASE_VALUE, REFERENCE_SIZE_TOKENS, MAX_VALUE = 0.3, 5_000.0, 4.0
@@ -64,7 +70,11 @@
     framing: Framing | None = None
     """Framing of the last response of a worker."""
     software_version: SoftwareVersion | None = None
-    """Version of the workers that wrote the events that were forwarded."""
+    """Version of the workers that wrote the events that the caller has."""
+    version_recorded: bool = False
+    """Whether this version has been recorded under the attempt."""
+    resumption: Resumption | None = None
+    """The stream that the caller takes up again."""
     begun_s: float | None = None
     """Time at which the last worker began to write its response."""
     events: EventSplitter = field(default_factory=EventSplitter)
--- /dev/null
+++ b/src/acaciapier/gateway/software_versions.py
@@ -0,0 +1,133 @@
+"""Software versions that serve a service, and the versions that began streams.
+
+What two software versions write does not fit together, and workers do not check it. A
+stream that its caller takes up again may go on only at the version that began it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ..core.clock import Clock, to_s
+from .models import AttemptId, ServiceName, SoftwareVersion, Worker
+
+RETENTION_MS = 60_000.0
+"""Time for which a version counts as serving after its last worker was removed, and
+for which the version of a stream is kept: twice the default deadline of a request."""
+
+MAX_STREAMS = 50_000
+"""Maximum number of streams whose versions an instance keeps; about 10 MB."""
+
+
+class BegunStream(NamedTuple):
+    """The software version of the workers that wrote the events of one attempt."""
+
+    attempt: AttemptId
+    workspace: str
+    """Workspace of the caller; empty on a route without access keys."""
+    service: ServiceName
+    software_version: SoftwareVersion
+
+
+class ServingVersions:
+    """Software versions of the workers of each service, at present and lately.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._first_s: float | None = None
+        self._listed: set[tuple[str, str]] = set()
+        self._removed_s: dict[tuple[str, str], float] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether the list of workers has been known for the retention time."""
+        now_s = self._clock.monotonic_s()
+        return self._first_s is not None and now_s - self._first_s >= to_s(RETENTION_MS)
+
+    @property
+    def services(self) -> set[ServiceName]:
+        """Services that have listed workers."""
+        return {ServiceName(service) for service, _ in self._listed}
+
+    def update(self, workers: Iterable[Worker]) -> None:
+        """Record the listed workers."""
+        now_s = self._clock.monotonic_s()
+        if self._first_s is None:
+            self._first_s = now_s
+        listed = {(worker.service, worker.software_version) for worker in workers}
+        for removed in self._listed - listed:
+            self._removed_s[removed] = now_s
+        self._listed = listed
+        oldest_s = now_s - to_s(RETENTION_MS)
+        for version, removed_s in list(self._removed_s.items()):
+            if version in listed or removed_s < oldest_s:
+                del self._removed_s[version]
+
+    def of(self, service: str) -> frozenset[SoftwareVersion]:
+        """Return the versions whose workers serve a service, or did lately."""
+        oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
+        lately = {
+            version
+            for version, removed_s in self._removed_s.items()
+            if removed_s >= oldest_s
+        }
+        return frozenset(
+            SoftwareVersion(version)
+            for name, version in self._listed | lately
+            if name == service
+        )
+
+
+class BegunStreams:
+    """Bounded table of the software versions of streams.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._streams: OrderedDict[
+            tuple[str, AttemptId], tuple[float, BegunStream | None]
+        ] = OrderedDict()
+        """Time and stream by workspace and attempt, oldest first; None if an attempt
+        was recorded with two versions."""
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def add(self, stream: BegunStream) -> None:
+        """Add a stream, and remove those that are too old or too many."""
+        key = stream.workspace, stream.attempt
+        now_s = self._clock.monotonic_s()
+        _, known = self._streams.pop(key, (now_s, stream))
+        self._streams[key] = now_s, stream if known == stream else None
+        while len(self._streams) > MAX_STREAMS or self._oldest_s() < now_s - to_s(
+            RETENTION_MS
+        ):
+            self._streams.popitem(last=False)
+
+    def find(self, workspace: str, attempt: AttemptId) -> BegunStream | None:
+        """Return the stream of an attempt; None if its version is not known."""
+        added_s, stream = self._streams.get((workspace, attempt), (0.0, None))
+        oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
+        return stream if added_s >= oldest_s else None
+
+    def of_service(self, service: str) -> list[BegunStream]:
+        """Return the streams of a service, oldest first."""
+        return [
+            stream
+            for _, stream in self._streams.values()
+            if stream is not None and stream.service == service
+        ]
+
+    def _oldest_s(self) -> float:
+        return next(iter(self._streams.values()))[0]
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -29,9 +29,18 @@
     OUTCOME_UNREACHABLE,
 )
 from .event_stream import event_ids
-from .models import RequestKind, ResponseMetadata, RouteRule, Worker
+from .models import (
+    RequestKind,
+    ResponseMetadata,
+    RouteRule,
+    ServiceName,
+    SoftwareVersion,
+    Worker,
+)
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
+from .software_versions import BegunStream
+from .stream_records import StreamRecords
 from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
 
@@ -85,6 +94,8 @@
         Runs the tasks that write long request bodies.
     notices : WorkerNotices
         What the workers announced.
+    streams : StreamRecords
+        Records the software versions of streams.
     """
 
     def __init__(
@@ -97,7 +108,9 @@
         observer,
         tasks: TaskSupervisor,
         notices: WorkerNotices,
+        streams: StreamRecords,
     ):
+        self._streams = streams
         self._notices = notices
         self._catalogue = catalogue
         self._dispatch_client = dispatch_client
@@ -373,7 +386,7 @@
             if complete:
                 if not received:
                     state.begun_s = self._clock.monotonic_s()
-                    state.software_version = worker.software_version
+                    await self._record_version(state, worker)
                 received = True
                 yield complete
                 idle_at_s = trio.current_time() + idle_timeout_s
@@ -382,6 +395,21 @@
         if framing is Framing.CONNECTION_END and not received:
             raise ConnectionBroken("the connection ended before the first event")
 
+    async def _record_version(self, state: RequestState, worker: Worker) -> None:
+        """Record the version of a stream before its first event is forwarded."""
+        state.software_version = SoftwareVersion(worker.software_version)
+        if state.version_recorded or not state.route.resumable:
+            return
+        state.version_recorded = True
+        await self._streams.record(
+            BegunStream(
+                state.metadata.attempt,
+                state.workspace or "",
+                ServiceName(state.service),
+                state.software_version,
+            )
+        )
+
     def _head_timeout_s(self, state: RequestState) -> float:
         """Return the timeout for the response head; infinite if no retry is allowed."""
         last_run = state.runs >= state.route.max_attempts
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -9,6 +9,7 @@
     PromptPart,
     RequestMetadata,
     ResponseMetadata,
+    Resumption,
 )
 from ..http.client import Headers, ResponseHead, end_to_end_headers
 from .workers import decode_load
@@ -22,6 +23,8 @@
 EXPECT_WORKER_HEADER = b"expect-instance"
 LEAVING_HEADER = b"server-leaving"
 RETRY_AFTER_HEADER = b"retry-after"
+LAST_EVENT_HEADER = b"last-event-id"
+RESUMES_HEADER = b"resumes"
 LIMIT_HEADER = b"server-limit"
 UNAVAILABLE_STATUS = 503
 WRONG_WORKER_STATUS = 421
@@ -33,6 +36,9 @@
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 """Excludes what `float` also accepts, such as "inf", "nan" and "1_0"."""
 
+ATTEMPT_PATTERN = re.compile(rb"[!-~]{1,256}")
+"""An attempt's id: visible ASCII characters without spaces."""
+
 MS_PER_S = 1_000.0
 
 # Headers that the gateway sets itself; those from callers are never forwarded.
@@ -70,6 +76,26 @@
     )
 
 
+def decode_resumption(headers: Headers) -> Resumption | None:
+    """Decode which stream a request takes up again; None if it begins a new one.
+
+    Raises
+    ------
+    ValueError
+        If the attempt's id is malformed, or if a header is given twice.
+    """
+    events = _get_all(headers, LAST_EVENT_HEADER)
+    attempts = _get_all(headers, RESUMES_HEADER)
+    if len(events) > 1 or len(attempts) > 1:
+        raise ValueError("a header of a resumed stream is given twice")
+    if attempts and not ATTEMPT_PATTERN.fullmatch(attempts[0]):
+        raise ValueError(f"malformed id of an attempt: {attempts[0][:64]!r}")
+    if not events or not events[0]:
+        return None
+    attempt = AttemptId(attempts[0].decode("ascii")) if attempts else None
+    return Resumption(events[0].decode("latin-1"), attempt)
+
+
 def forwarded_headers(
     headers: Headers,
     deadline_ms: float,
@@ -97,7 +123,7 @@
     """
     removed = RESERVED | {b"content-length", b"expect"}
     if resume_after is not None:
-        removed |= {b"last-event-id"}
+        removed |= {LAST_EVENT_HEADER}
     sent = [
         (name, value)
         for name, value in end_to_end_headers(headers)
@@ -154,6 +180,10 @@
     return [(b"Retry-After", f"{after_s:.3f}".encode())]
 
 
+def _get_all(headers: Headers, name: bytes) -> list[bytes]:
+    return [value.strip() for key, value in headers if key.lower() == name]
+
+
 def _parse_retry_after(head: ResponseHead) -> tuple[float | None, str | None]:
     """Return the time that a refusal names, in ms, or else its malformed text."""
     value = head.get(RETRY_AFTER_HEADER)
--- /dev/null
+++ b/src/acaciapier/wire/messages/streams.py
@@ -0,0 +1,45 @@
+"""Messages by which gateway instances find the software version of a stream."""
+
+import msgspec
+
+from .base import Message
+
+
+class StreamEntry(msgspec.Struct, frozen=True, array_like=True):
+    """The software version of the workers that wrote the events of one attempt."""
+
+    attempt: str
+    workspace: str
+    service: str
+    software_version: str
+
+
+class StreamsBegun(Message, frozen=True):
+    """Asks an instance to keep the software versions of streams that have begun."""
+
+    streams: tuple[StreamEntry, ...]
+
+
+class FindStream(Message, frozen=True):
+    """Asks for the record of an attempt, and which versions serve its services."""
+
+    attempt: str
+    """Empty if the caller named none."""
+    workspace: str
+    services: tuple[str, ...]
+
+
+class ServiceVersions(msgspec.Struct, frozen=True, array_like=True):
+    """Software versions that an instance has lately seen serving a service."""
+
+    service: str
+    software_versions: tuple[str, ...]
+
+
+class StreamFound(Message, frozen=True):
+    """Answer to `FindStream`; `stream` is None if the instance has no record."""
+
+    stream: StreamEntry | None
+    versions: tuple[ServiceVersions, ...]
+    current: bool
+    """Whether the instance reads the list of workers from the store at present."""
--- a/tests/gateway/test_platform_formats.py
+++ b/tests/gateway/test_platform_formats.py
@@ -5,9 +5,11 @@
 from acaciapier.core.findings import Findings
 from acaciapier.exceptions import FindingsError
 from acaciapier.gateway.models import (
+    AttemptId,
     Piece,
     PieceFailure,
     RequestKind,
+    Resumption,
     WorkerState,
 )
 from acaciapier.http.client import ResponseHead
@@ -15,6 +17,7 @@
 from acaciapier.platform.requests import (
     decode_request_metadata,
     decode_response_metadata,
+    decode_resumption,
     forwarded_headers,
 )
 from acaciapier.platform.settings import FLEET_KEY_VARIABLE, decode_settings
@@ -229,3 +232,18 @@
 def test_a_malformed_response_of_a_stage_worker_is_an_error(body):
     with pytest.raises(ValueError):
         decode_run(body, 2)
+
+
+def test_a_resumption_names_the_last_event_and_the_first_attempt():
+    after, attempt = (b"Last-Event-Id", b"7"), (b"Resumes", b"a1")
+    decode = decode_resumption
+    assert decode([after, attempt]) == Resumption("7", AttemptId("a1"))
+    assert decode([after]) == Resumption("7", None)
+    assert decode([attempt]) is None
+    assert decode([(b"Last-Event-Id", b"")]) is None
+    for malformed in (b"", b"a b", b"\xff", b"x" * 257):
+        with pytest.raises(ValueError, match="malformed"):
+            decode([after, (b"Resumes", malformed)])
+    for twice in ([after, after], [after, attempt, attempt]):
+        with pytest.raises(ValueError, match="twice"):
+            decode(twice)
