--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -68,9 +68,33 @@
             "seq": 1,
             "born": int(time.time() * 1_000),
         }
+        worker.started_ms = self._entries[name]["born"]
         self.register(name)
         return worker
 
+    async def restart(self, name: str) -> int:
+        """Start a worker again under its id and address; return its new start time.
+
+        Its entry stays as it is until it is written with `register`.
+        """
+        former = self.workers[name]
+        self.crash(name)
+        await trio.sleep(0.05)
+        worker = StandInWorker(
+            name,
+            former.address,
+            self.run_log,
+            kind=former.kind,
+            results=self._results,
+            on_begin=self._begin_writing,
+        )
+        now_ms = int(time.time() * 1_000)
+        worker.started_ms = max(now_ms, former.started_ms + 1)
+        port = int(former.address.rpartition(":")[2])
+        await self._listen(name, worker.answer, port)
+        self.workers[name] = worker
+        return worker.started_ms
+
     def register(self, name: str, **changes: Any) -> None:
         """Write the store entry of a worker, with `changes` to its fields."""
         self._entries[name] |= changes
@@ -130,8 +154,8 @@
             ]
         )
 
-    async def _listen(self, name: str, answer) -> int:
-        listeners = await trio.open_tcp_listeners(0, host=HOST)
+    async def _listen(self, name: str, answer, port: int = 0) -> int:
+        listeners = await trio.open_tcp_listeners(port, host=HOST)
         scope = self._scopes[name] = trio.CancelScope()
 
         async def serve(stream: trio.SocketStream) -> None:
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -13,6 +13,7 @@
 
 RUN_PATH = b"/api/stage-run"
 FREE_PATH = b"/api/stage-free"
+REPORT_PATH = b"/api/report"
 
 
 HEAD = "HTTP/1.1 200 OK\r\nServer-Seal: x\r\nAttempt-Id: {}\r\n"
@@ -66,6 +67,9 @@
     extra_answer: bool = False
     leaving_stray: bool = False
     """Send an answer to another attempt first, which announces the shutdown."""
+    report: str | None = None
+    """What to send for a report: ``silent``, ``without_start``, ``error``, or ``twice``
+    for a second copy ahead of the next answer."""
     unframed: bool = False
     """Answer with neither a length nor chunks; an answer that is cut ends like a
     complete one, with the end of its connection."""
@@ -133,6 +137,8 @@
     started_s: float
     ended_s: float | None = None
     complete: bool = False
+    started_ms: int = 0
+    """Start of the worker's incarnation."""
 
 
 @dataclass(frozen=True)
@@ -213,6 +219,11 @@
         self.kind = kind
         self._events = events
         self._gap_s = gap_s
+        self.started_ms = 0
+        self.reports = 0
+        """Number of reports that were asked for."""
+        self._copied_reports: dict[int, bytes] = {}
+        """By connection."""
         self.requests = 0
         self.arrivals_s: list[float] = []
         """Times of all requests."""
@@ -228,6 +239,12 @@
             name.decode().lower(): value.decode("latin-1")
             for name, value in request.headers
         }
+        if request.target == REPORT_PATH:
+            await self._report(headers, exchange)
+            return
+        copy = self._copied_reports.pop(id(exchange._connection), None)
+        if copy is not None:
+            await exchange.send_raw(copy)
         self.requests += 1
         now_s = trio.current_time()
         self.arrivals_s.append(now_s)
@@ -253,6 +270,28 @@
         else:
             await self._run_request(request, headers, exchange)
 
+    async def _report(self, headers: dict[str, str], exchange: Exchange) -> None:
+        """Answer with what the worker says of itself."""
+        self.reports += 1
+        if headers.get("expect-instance", self.name) != self.name:
+            await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
+            return
+        if self.faults.report == "silent":
+            await trio.sleep_forever()
+        if self.faults.report == "error":
+            await exchange.respond(500, [])
+            return
+        report = {"queued": 0, "running": 0, "state": "ready", "runs": []}
+        if self.faults.report != "without_start":
+            report["born"] = self.started_ms
+        body = json.dumps(report).encode()
+        if self.faults.report == "twice":
+            length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+            self._copied_reports[id(exchange._connection)] = (
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + length + body
+            )
+        await exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+
     def _log_turned_away(self, headers: dict[str, str]) -> None:
         now_s = trio.current_time()
         self._run_log.turned_away.append(
@@ -330,6 +369,7 @@
             request.body,
             headers,
             trio.current_time(),
+            started_ms=self.started_ms,
         )
         self._run_log.runs.append(run)
         if faults.unframed:
