Check the incarnation of a worker before a resumable stream goes to it

Callers saw events of two software versions in one stream: the version that a gateway goes by is that of the worker's entry, but until the entry of a worker that started again under its id and address is known here, Expect-Instance holds and connections lead to the new incarnation. A connection that was opened meanwhile is pooled under the former one, too.

A connection is now checked by the worker's own report (GET /api/report, field born) before it carries a resumable stream, once, and only where it matters: the stream has a version already, the workers listed for the service have several, or a connection to the incarnation was refused or broken since it was last confirmed. A different start ends the listed incarnation like an announced shutdown, for all instances; the new one is used as soon as its entry comes. Without a report a begun stream is not sent there; a new one is sent as before, and the check is left out for 5 s. Entries without a start are not checked. The report's answer counts for no request, nor does a late copy of it.

Of 6 streams in turn, none asks for a report while one version is listed and nothing failed; with two listed, each of at most 3 connections does once.

--- /dev/null
+++ b/src/acaciapier/gateway/incarnations.py
@@ -0,0 +1,99 @@
+"""Decides when the incarnation of a worker is checked, and what its report means.
+
+A worker may start again under its id and address with another software version. Until
+its new entry is known, its id and address still lead to it.
+"""
+
+from collections.abc import Collection
+from enum import Enum
+
+from ..core.clock import to_s
+from .models import SoftwareVersion, Worker, WorkerKey
+
+MAX_REMEMBERED_WORKERS = 2_000
+"""Number of incarnations of which something is remembered; the oldest are forgotten
+first."""
+
+NO_REPORT_PERIOD_MS = 5_000.0
+"""Time after a failed check in which new streams are not delayed by another one."""
+
+
+class Verdict(Enum):
+    """Whether a worker is the incarnation that is listed."""
+
+    SAME = "same"
+    DIFFERENT = "different"
+    UNKNOWN = "unknown"
+
+
+class Incarnations:
+    """Records what was learned of the listed incarnations of workers."""
+
+    def __init__(self):
+        self._failed_s: dict[WorkerKey, float] = {}
+        """Last failures of connections since the incarnation was last confirmed."""
+        self._no_report_s: dict[WorkerKey, float] = {}
+        """Times of the last checks that failed."""
+
+    def record_failure(self, worker: Worker, now_s: float) -> None:
+        """Record that a connection to a worker was refused or broken."""
+        if worker.started_ms:
+            _remember(self._failed_s, worker.key, now_s)
+
+    def needs_check(
+        self,
+        worker: Worker,
+        version: SoftwareVersion | None,
+        listed_versions: Collection[SoftwareVersion],
+        now_s: float,
+    ) -> bool:
+        """Return whether the incarnation is checked before a stream is sent.
+
+        Parameters
+        ----------
+        worker : Worker
+            The listed incarnation.
+        version : SoftwareVersion or None
+            Version of the stream's events so far; None if it has none yet.
+        listed_versions : collection of SoftwareVersion
+            Versions of the workers of its service.
+        now_s : float
+            Current time.
+        """
+        if not worker.started_ms:
+            return False
+        if version is not None:
+            return True
+        no_report_s = self._no_report_s.get(worker.key)
+        if no_report_s is not None and now_s < no_report_s + to_s(NO_REPORT_PERIOD_MS):
+            return False
+        return len(listed_versions) > 1 or worker.key in self._failed_s
+
+    def judge(self, worker: Worker, started_ms: int | None, asked_s: float) -> Verdict:
+        """Return what the report of a worker says, and record it.
+
+        Parameters
+        ----------
+        worker : Worker
+            The listed incarnation.
+        started_ms : int or None
+            Start time in the report; None if there is no report, or none in it.
+        asked_s : float
+            Time at which the report was asked for.
+        """
+        if started_ms is None:
+            _remember(self._no_report_s, worker.key, asked_s)
+            return Verdict.UNKNOWN
+        if started_ms != worker.started_ms:
+            return Verdict.DIFFERENT
+        if self._failed_s.get(worker.key, asked_s) <= asked_s:
+            self._failed_s.pop(worker.key, None)
+        return Verdict.SAME
+
+
+def _remember(memory: dict[WorkerKey, float], key: WorkerKey, value: float) -> None:
+    """Set the newest entry of a bounded memory and drop the oldest if it is full."""
+    memory.pop(key, None)
+    memory[key] = value
+    if len(memory) > MAX_REMEMBERED_WORKERS:
+        del memory[next(iter(memory))]
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -41,6 +41,8 @@
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.dispatcher import Dispatcher
 from .followers import StoreFollowers
+from .incarnation_check import CheckedConnections
+from .incarnations import Incarnations
 from .models import InputLimits, PeerRecord
 from .observing import RequestObserver, StructuredLog
 from .peer_sync import PeerSync
@@ -200,6 +202,14 @@
             self.observer,
             tasks,
             self.notices,
+            CheckedConnections(
+                worker_connections,
+                Incarnations(),
+                self.catalogue,
+                self.notices,
+                self.clock,
+                self.observer,
+            ),
         )
         self.relay = Relay(
             self.catalogue,
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -29,6 +29,7 @@
     OUTCOME_UNREACHABLE,
 )
 from .event_stream import event_ids
+from .incarnation_check import CheckedConnections
 from .models import RequestKind, ResponseMetadata, RouteRule, Worker
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
@@ -85,6 +86,8 @@
         Runs the tasks that write long request bodies.
     notices : WorkerNotices
         What the workers announced.
+    checked_connections : CheckedConnections
+        Connections of the pool that lead to the listed incarnations.
     """
 
     def __init__(
@@ -97,8 +100,10 @@
         observer,
         tasks: TaskSupervisor,
         notices: WorkerNotices,
+        checked_connections: CheckedConnections,
     ):
         self._notices = notices
+        self._checked_connections = checked_connections
         self._catalogue = catalogue
         self._dispatch_client = dispatch_client
         self._connections = connections
@@ -140,8 +145,8 @@
             self._log_decision(state, worker, "not_asked", refusal)
             raise WorkerDidNotRun(refusal)
         try:
-            async with self._connections.acquire(
-                worker, state.route.repeatable, force_new=sent_before
+            async with self._checked_connections.acquire(
+                state, worker, force_new=sent_before
             ) as connection:
                 self._check_usable(state, permit)
                 return await self._exchange(
@@ -149,10 +154,12 @@
                 )
         except ConnectFailed as error:
             permit.outcome = OUTCOME_UNREACHABLE
+            self._checked_connections.record_failure(worker)
             self._log_decision(state, worker, "unreachable", str(error))
             raise WorkerDidNotRun("unreachable") from error
         except ConnectionBroken as error:
             permit.outcome = OUTCOME_FAILED
+            self._checked_connections.record_failure(worker)
             self._log_decision(state, worker, "broken", str(error))
             self._quarantine.check_for_crash(state, worker)
             raise RequestFailed(f"broken: {error}") from error
@@ -200,6 +207,10 @@
             """
             nonlocal response
             response = request_format.decode_response_metadata(head)
+            if self._checked_connections.is_late_report(
+                connection, head.status, response
+            ):
+                return False
             own = response.attempt == state.metadata.attempt and response.has_seal
             self._notices.observe(worker, response, sent_s if own else None)
             if response.attempt == state.metadata.attempt:
--- a/src/acaciapier/gateway/worker_notices.py
+++ b/src/acaciapier/gateway/worker_notices.py
@@ -95,6 +95,10 @@
             return "worker_turns_away"
         return None
 
+    def record_ended(self, worker: Worker, origin: str) -> None:
+        """Record that this incarnation of a worker has ended, for all instances."""
+        self._record_leaving(worker.key, worker.address, origin)
+
     def shared_leaving(self) -> tuple[WorkerKey, ...]:
         """Return the leaving workers that heartbeats hand on."""
         oldest_s = self._clock.monotonic_s() - to_s(SHARE_PERIOD_MS)
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -128,6 +128,7 @@
     def __init__(self, stream: trio.SocketStream, address: str):
         self.address = address
         self.exchanges = 0
+        """Requests that were sent since it was opened or last checked."""
         self.idle_since_s = 0.0
         self.keep_alive_ms: float | None = None
         self._stream = stream
@@ -191,7 +192,7 @@
         ConnectionBroken
             If the connection fails; the server may have read the request.
         """
-        if self.exchanges:
+        if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         self.exchanges += 1
         self._received_bytes = self._content_bytes = 0
--- a/src/acaciapier/platform/workers.py
+++ b/src/acaciapier/platform/workers.py
@@ -9,6 +9,7 @@
 
 WORKER_KIND = "servers"
 PEER_KIND = "acaciapier-instances"
+REPORT_PATH = b"/api/report"
 
 
 class _Entry(msgspec.Struct):
@@ -23,6 +24,10 @@
     born: int = 0
 
 
+class _Report(msgspec.Struct):
+    born: int | None = None
+
+
 class _Instance(msgspec.Struct):
     host: str
     port: int
@@ -60,6 +65,20 @@
     )
 
 
+def decode_report_start(body: bytes) -> int | None:
+    """Return the Unix time in ms of a worker's start from its report; None if missing.
+
+    Raises
+    ------
+    ValueError
+        If the report is malformed.
+    """
+    try:
+        return msgspec.json.decode(body, type=_Report).born
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"a worker's report is malformed: {error}") from error
+
+
 def encode_peer(peer: PeerRecord) -> dict[str, Any]:
     """Encode the value of an instance's own entry."""
     return {
