Reproduce software versions that a peer of an earlier release erases, as known red

An instance of an earlier release hands on workers without their versions. The whole table of an instance that takes it over then counts as of one version, and streams are resumed anywhere; a list of the store at the same position does not change that. Both tests fail.

--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -13,7 +13,7 @@
 
 from .support import deployment
 from .test_broken_streams import EVENTS
-from .test_instance_state import worker
+from .test_instance_state import at, make_catalogue, worker
 
 ENTRY = {"service": "model", "addr": "10.0.0.1:80", "zone": "a", "state": "ready"}
 
@@ -112,3 +112,31 @@
         assert versions_asked[1:]
         assert len(workers) == 1
         assert not answer.complete
+
+
+def test_a_peer_of_an_earlier_release_does_not_erase_versions():
+    catalogue, _, _ = make_catalogue()
+    listed = [versioned("w1", "v1"), versioned("w2", "v2")]
+    catalogue.update_workers(at(1), listed, "store")
+    unversioned = [versioned("w1", ""), versioned("w2", "")]
+    catalogue.update_workers(at(2), [*unversioned, versioned("w3", "")], "peer e2")
+    versions = {w.id: w.software_version for w in catalogue.workers.values()}
+    assert versions == {"w1": "v1", "w2": "v2", "w3": ""}
+    later = msgspec.structs.replace(versioned("w1", ""), started_ms=9)
+    catalogue.apply_worker_changes(at(3), [("w1", later)], "peer e2")
+    assert catalogue.workers["w1"].software_version == ""
+
+
+def test_a_list_of_the_store_adds_the_versions_that_a_peer_did_not_know():
+    catalogue, _, _ = make_catalogue()
+    unversioned = [versioned("w1", ""), versioned("w2", "")]
+    catalogue.update_workers(at(2), unversioned, "peer e2")
+    changes = []
+    catalogue._on_change = lambda kind, **fields: changes.append(kind)
+    listed = [versioned("w1", "v1"), versioned("w2", "v2")]
+    catalogue.update_workers(at(2), listed, "store")
+    versions = {w.id: w.software_version for w in catalogue.workers.values()}
+    assert versions == {"w1": "v1", "w2": "v2"}
+    (first, second) = catalogue.workers_of(ServiceName("book"))
+    assert (first.software_version, second.software_version) == ("v1", "v2")
+    assert not changes
