Keep software versions that a peer of an earlier release does not hand on

While gateways of the release before software versions run beside newer ones, an instance that takes the worker table over from an older one lost all versions: all workers then count as of one version, and a broken stream may go on at any of them. A list of the store at the same or an older position was ignored.

An entry without a version now leaves the known version of the same incarnation as it is, and a list whose position is known adds the versions that are missing.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -183,9 +183,9 @@
         a grace period, since their entries may have expired during the outage.
         """
         self._begin_term(position)
-        if position < self.workers_position:
-            return False
-        if position == self.workers_position and not self._unsettled:
+        is_known = position == self.workers_position and not self._unsettled
+        if position < self.workers_position or is_known:
+            self._add_versions(workers)
             return False
         restored = self._restored
         self._unsettled = restored
@@ -293,6 +293,8 @@
         known = self.workers.get(worker_id)
         self._kept_until_s.pop(worker_id, None)
         self._gone.pop(worker.key, None)
+        if known is not None and known.key == worker.key:
+            worker = _with_version_of(worker, known)
         if worker.state is WorkerState.READY and self.is_leaving(worker):
             worker = msgspec.structs.replace(worker, state=WorkerState.DRAINING)
         self.workers[worker_id] = worker
@@ -307,6 +309,14 @@
                 origin=origin,
             )
 
+    def _add_versions(self, workers: Iterable[Worker]) -> None:
+        """Add the software versions that are missing for known incarnations."""
+        for worker in workers:
+            known = self.find(worker.key)
+            if known is not None:
+                self.workers[WorkerId(worker.id)] = _with_version_of(known, worker)
+        self._update_indexes(self.workers_position)
+
     def _remove(
         self, worker: Worker, may_return: bool, origin: str, position: StorePosition
     ) -> None:
@@ -364,6 +374,16 @@
         self.workers_digest = _digest(self.workers)
 
 
+def _with_version_of(worker: Worker, other: Worker) -> Worker:
+    """Return a worker with the software version of `other` if it has none.
+
+    Processes of earlier releases hand on workers without versions.
+    """
+    if worker.software_version or not other.software_version:
+        return worker
+    return msgspec.structs.replace(worker, software_version=other.software_version)
+
+
 def _remember(memory: dict[WorkerKey, str], key: WorkerKey, value: str) -> None:
     """Add an entry to a bounded memory and drop the oldest one if it is full."""
     memory[key] = value
