Reproduce a stream that began before its worker's new entry, as known red

One version is listed and no connection failed here, so a stream begins unchecked at a worker that restarted with another version. Its entry comes while the stream runs; when the stream breaks it goes on at the former version. The test fails; its counterpart, with an entry of the same version, passes.

--- a/tests/gateway/test_incarnations.py
+++ b/tests/gateway/test_incarnations.py
@@ -373,3 +373,39 @@
     assert line["worker"] == other
     assert line["listed"] == listed[other]
     assert line["reported"] == world.platform.workers[other].started_ms
+
+
+async def begin_at_restarted(world, version: str):
+    """Begin a stream at a worker whose new entry then comes; return its caller."""
+    catalogue = world.gateways[0].catalogue
+    world.platform.register("model-2", state="draining")
+    await world.until(lambda: len(catalogue.workers_of(MODEL)) == 1)
+    started_ms = await world.platform.restart("model-1")
+    caller, first = await begin_stream(world)
+    assert incarnations(world) == [("model-1", started_ms)]
+    world.platform.register("model-1", version=version, born=started_ms)
+    world.platform.register("model-2", state="ready")
+    await world.until(
+        lambda: (
+            {(listed.id, listed.started_ms) for listed in catalogue.workers_of(MODEL)}
+            >= {("model-1", started_ms)}
+            and len(catalogue.workers_of(MODEL)) == 2
+        )
+    )
+    world.platform.crash(first)
+    return caller
+
+
+async def test_a_stream_begun_before_a_new_entry_came_stays_off_the_former_version():
+    async with deployment() as world:
+        caller = await begin_at_restarted(world, "v2")
+        assert not (await caller.receive()).complete
+        assert [name for name, _ in incarnations(world)] == ["model-1"]
+
+
+async def test_a_stream_begun_before_a_new_entry_came_is_resumed_at_the_same_version():
+    async with deployment() as world:
+        caller = await begin_at_restarted(world, "v1")
+        answer = await caller.receive()
+        assert (answer.body, answer.complete) == (EVENTS, True)
+        assert [name for name, _ in incarnations(world)] == ["model-1", "model-2"]
