Do not resume a stream whose version became unknown while it ran

Where one version is listed and no connection failed, a resumable stream begins unchecked. If its worker had started again with other software, and the new entry came while the stream ran, a broken stream went on at the former version: events of two versions in one response.

If such a stream ends early while another incarnation with another version is listed for its worker, its version now counts as unknown, and no worker resumes it. The test that failed passes, and a stream whose worker's new entry has the same version is resumed as before.

--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -13,7 +13,14 @@
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool
 from .incarnations import Incarnations, Verdict
-from .models import RequestKind, ResponseMetadata, ServiceName, Worker
+from .models import (
+    RequestKind,
+    ResponseMetadata,
+    ServiceName,
+    SoftwareVersion,
+    Worker,
+    WorkerId,
+)
 from .request_state import RequestState, WorkerDidNotRun
 from .worker_notices import WorkerNotices
 
@@ -22,6 +29,9 @@
 
 MAX_REPORT_BYTES = 262_144
 
+UNKNOWN_VERSION = SoftwareVersion("\x00unknown")
+"""Version of a stream that no worker may resume; no worker has it."""
+
 
 class CheckedConnections:
     """Connections of the pool, with the incarnation of the worker checked if needed.
@@ -94,7 +104,33 @@
         async with self._connections.acquire(
             worker, repeatable, force_new=force_new
         ) as connection:
-            yield connection
+            try:
+                yield connection
+            except Exception:
+                self._review_version(state, worker)
+                raise
+
+    def _review_version(self, state: RequestState, worker: Worker) -> None:
+        """Forget the version of a stream that another incarnation may have written.
+
+        The connection was not checked, and a new entry of the worker came meanwhile.
+        """
+        listed = self._catalogue.workers.get(WorkerId(worker.id))
+        if (
+            state.software_version in (None, UNKNOWN_VERSION)
+            or listed is None
+            or listed.key == worker.key
+            or listed.software_version == state.software_version
+        ):
+            return
+        self._log(
+            state,
+            worker,
+            "stream_version_unknown",
+            listed=listed.software_version,
+            former=state.software_version,
+        )
+        state.software_version = UNKNOWN_VERSION
 
     def record_failure(self, worker: Worker) -> None:
         """Record that a connection to a worker was refused or broken."""
