Reproduce streams that begin unchecked beside draining workers, as known red

Only the versions of ready workers are counted. Once the workers of other versions drain, or a report showed that they had ended, a stream begins unchecked at a worker that restarted.

--- a/tests/gateway/test_incarnations.py
+++ b/tests/gateway/test_incarnations.py
@@ -409,3 +409,13 @@
         answer = await caller.receive()
         assert (answer.body, answer.complete) == (EVENTS, True)
         assert [name for name, _ in incarnations(world)] == ["model-1", "model-2"]
+
+
+async def test_a_draining_worker_of_another_version_lets_streams_be_checked():
+    async with deployment() as world:
+        world.platform.register("model-2", version="v2", state="draining")
+        catalogue = world.gateways[0].catalogue
+        await world.until(lambda: len(catalogue.workers_of(MODEL)) == 1)
+        await world.platform.restart("model-1")
+        assert (await stream(world, "a1")).status == 503
+        assert incarnations(world) == []
