Count the versions of draining workers where streams are checked

A resumable stream without a version is checked where its service has workers of several versions. Draining workers were left out, also those that a report had shown to have ended: streams that followed began unchecked at other workers that had restarted.

The catalogue now keeps the versions of all listed workers of a service.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -9,7 +9,7 @@
   until the workers have had time to write their entries again.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
 
 import msgspec
 import xxhash
@@ -19,6 +19,7 @@
     NO_POSITION,
     GatewayConfiguration,
     ServiceName,
+    SoftwareVersion,
     StorePosition,
     Worker,
     WorkerId,
@@ -81,6 +82,7 @@
         self._decode = decode_configuration
         self._on_change = on_change
         self._by_service: dict[ServiceName, tuple[Worker, ...]] = {}
+        self._versions: dict[ServiceName, set[SoftwareVersion]] = {}
         self._data_centres: dict[str, str] = {}
         self._kept_until_s: dict[WorkerId, float] = {}
         """Until when workers are kept whose entries may be written again."""
@@ -109,6 +111,10 @@
         self._remove_expired()
         return self._by_service.get(service, ())
 
+    def versions_of(self, service: ServiceName) -> Set[SoftwareVersion]:
+        """Return the software versions of a service's workers, draining ones too."""
+        return self._versions.get(service, frozenset())
+
     def locate(self, address: str) -> str:
         """Return the data centre of the worker at `address`, or "" if unknown."""
         return self._data_centres.get(address, "")
@@ -361,7 +367,10 @@
         """Set the position and rebuild the indexes and digest of the worker table."""
         self.workers_position = position
         by_service: dict[ServiceName, list[Worker]] = {}
+        self._versions = {}
         for worker in self.workers.values():
+            versions = self._versions.setdefault(ServiceName(worker.service), set())
+            versions.add(SoftwareVersion(worker.software_version))
             if worker.state is WorkerState.READY:
                 by_service.setdefault(ServiceName(worker.service), []).append(worker)
         self._by_service = {
--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -155,8 +155,7 @@
     def _needs_check(self, state: RequestState, worker: Worker) -> bool:
         if state.route.kind is not RequestKind.STREAMING or not state.route.resumable:
             return False
-        listed = self._catalogue.workers_of(ServiceName(worker.service))
-        versions = {other.software_version for other in listed}
+        versions = self._catalogue.versions_of(ServiceName(worker.service))
         return self._incarnations.needs_check(
             worker, state.software_version, versions, self._clock.monotonic_s()
         )
