Test that a broken connection alone leads to a check of the worker

The former test also passed on a scratch copy of the sources that records no failures, since its streams never went to the worker that restarted. Its other worker now drains, so that they do; it fails on that copy.

--- a/tests/gateway/test_incarnations.py
+++ b/tests/gateway/test_incarnations.py
@@ -260,12 +260,22 @@
         await world.platform.restart(first)
         answer = await caller.receive()
         assert (answer.body, answer.complete) == (EVENTS, True)
-        assert len({worker for worker, _ in incarnations(world)}) == 2
-        for number in range(6):
-            answer = await stream(world, f"b{number}")
-            assert answer.complete
-            assert first not in [name for name, _ in incarnations(world, f"b{number}")]
-        assert world.platform.workers[first].reports <= 1
+        _, (other, _) = incarnations(world)
+        assert other != first
+        world.platform.register(other, state="draining")
+        catalogue = world.gateways[0].catalogue
+        await world.until(lambda: len(catalogue.workers_of(MODEL)) == 1)
+        restarted = world.platform.workers[first]
+        with trio.fail_after(5.0):
+            while not restarted.reports:
+                assert (await stream(world, f"b{trio.current_time()}")).status == 503
+        assert restarted.reports == 1
+        assert not catalogue.workers_of(MODEL)
+        assert not [
+            run
+            for run in world.platform.run_log.runs
+            if run.started_ms == restarted.started_ms and run.worker == first
+        ]
 
 
 async def test_a_broken_stream_is_not_resumed_at_its_own_worker_after_a_restart():
