Reproduce a stream that begins at a restarted worker that nobody missed, as known red

One version is listed and no connection of this instance failed, so a stream begins unchecked at a worker that restarted with other software. If it breaks before the new entry comes, it goes on at the former version. A check of each new connection that carries a resumable stream would end this; it costs a report for each.

--- a/tests/gateway/test_incarnations.py
+++ b/tests/gateway/test_incarnations.py
@@ -429,3 +429,20 @@
         await world.platform.restart("model-1")
         assert (await stream(world, "a1")).status == 503
         assert incarnations(world) == []
+
+
+async def test_a_stream_begun_at_a_restarted_worker_that_nobody_missed_is_not_mixed():
+    async with deployment() as world:
+        catalogue = world.gateways[0].catalogue
+        world.platform.register("model-2", state="draining")
+        await world.until(lambda: len(catalogue.workers_of(MODEL)) == 1)
+        await world.platform.restart("model-1")
+        world.platform.workers["model-1"].faults.pause_s = 0.4
+        caller = world.caller()
+        await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        await trio.sleep(0.1)
+        world.platform.register("model-2", state="ready")
+        await trio.sleep(0.2)
+        world.platform.crash("model-1")
+        await caller.receive()
+        assert len(incarnations(world)) <= 1
