--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -14,9 +14,11 @@
     RequestMetadata,
     Resumption,
     RouteRule,
+    ServiceName,
     SoftwareVersion,
 )
 from .pipeline import StageRun
+from .software_versions import BegunStream
 
 BASE_VALUE, REFERENCE_SIZE_TOKENS, MAX_VALUE = 0.3, 5_000.0, 4.0
 """A generation's value grows with its size, by the users' scoring rules. These refer to
@@ -80,6 +82,16 @@
     events: EventSplitter = field(default_factory=EventSplitter)
     """Splits a stream into events and tracks the last one forwarded."""
 
+    @property
+    def begun_stream(self) -> BegunStream:
+        """The record of the stream's version, under the caller's attempt."""
+        return BegunStream(
+            self.metadata.attempt,
+            self.workspace or "",
+            ServiceName(self.service),
+            self.software_version or SoftwareVersion(""),
+        )
+
     @property
     def value(self) -> float:
         """Value of a response within its objective, relative to others of its route."""
--- a/src/acaciapier/gateway/software_versions.py
+++ b/src/acaciapier/gateway/software_versions.py
@@ -15,6 +15,9 @@
 """Time for which a version counts as serving after its last worker was removed, and
 for which the version of a stream is kept: twice the default deadline of a request."""
 
+UNKNOWN_VERSION = SoftwareVersion("\x00unknown")
+"""Version of a stream that no worker may resume; no worker has it."""
+
 MAX_STREAMS = 50_000
 """Maximum number of streams whose versions an instance keeps; about 10 MB."""
 
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -120,6 +120,15 @@
             return
         self._log("stream_version_not_shared", request=stream.attempt)
 
+    def invalidate(self, stream: BegunStream) -> None:
+        """Withdraw a version that was recorded for an attempt and may be wrong.
+
+        A second version under the same attempt makes it unknown at each holder.
+        """
+        self._begun_here.add(stream)
+        for holder in self._holders(stream.attempt)[:COPIES]:
+            self._peers.send(holder, StreamsBegun((StreamEntry(*stream),)))
+
     async def find(
         self, workspace: str, attempt: AttemptId | None, services: list[ServiceName]
     ) -> BegunStream:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -29,17 +29,17 @@
     OUTCOME_UNREACHABLE,
 )
 from .event_stream import event_ids
+from .incarnation_check import CheckedConnections
 from .models import (
     RequestKind,
     ResponseMetadata,
     RouteRule,
-    ServiceName,
     SoftwareVersion,
     Worker,
 )
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
-from .software_versions import BegunStream
+from .software_versions import UNKNOWN_VERSION
 from .stream_records import StreamRecords
 from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
@@ -96,6 +96,8 @@
         What the workers announced.
     streams : StreamRecords
         Records the software versions of streams.
+    checked_connections : CheckedConnections
+        Connections of the pool that lead to the listed incarnations.
     """
 
     def __init__(
@@ -109,9 +111,11 @@
         tasks: TaskSupervisor,
         notices: WorkerNotices,
         streams: StreamRecords,
+        checked_connections: CheckedConnections,
     ):
         self._streams = streams
         self._notices = notices
+        self._checked_connections = checked_connections
         self._catalogue = catalogue
         self._dispatch_client = dispatch_client
         self._connections = connections
@@ -153,8 +157,8 @@
             self._log_decision(state, worker, "not_asked", refusal)
             raise WorkerDidNotRun(refusal)
         try:
-            async with self._connections.acquire(
-                worker, state.route.repeatable, force_new=sent_before
+            async with self._checked_connections.acquire(
+                state, worker, force_new=sent_before
             ) as connection:
                 self._check_usable(state, permit)
                 return await self._exchange(
@@ -162,10 +166,12 @@
                 )
         except ConnectFailed as error:
             permit.outcome = OUTCOME_UNREACHABLE
+            self._checked_connections.record_failure(worker)
             self._log_decision(state, worker, "unreachable", str(error))
             raise WorkerDidNotRun("unreachable") from error
         except ConnectionBroken as error:
             permit.outcome = OUTCOME_FAILED
+            self._checked_connections.record_failure(worker)
             self._log_decision(state, worker, "broken", str(error))
             self._quarantine.check_for_crash(state, worker)
             raise RequestFailed(f"broken: {error}") from error
@@ -174,6 +180,9 @@
             self._log_decision(state, worker, "silent", "no part of the answer in time")
             self._quarantine.record_end(state, worker, False)
             raise RequestFailed("silent") from error
+        finally:
+            if state.version_recorded and state.software_version == UNKNOWN_VERSION:
+                self._streams.invalidate(state.begun_stream)
 
     def _check_usable(self, state: RequestState, permit: Permit) -> None:
         """Raise `WorkerDidNotRun` if a permit was granted too long ago."""
@@ -213,6 +222,10 @@
             """
             nonlocal response
             response = request_format.decode_response_metadata(head)
+            if self._checked_connections.is_late_report(
+                connection, head.status, response
+            ):
+                return False
             own = response.attempt == state.metadata.attempt and response.has_seal
             self._notices.observe(worker, response, sent_s if own else None)
             if response.attempt == state.metadata.attempt:
@@ -401,14 +414,7 @@
         if state.version_recorded or not state.route.resumable:
             return
         state.version_recorded = True
-        await self._streams.record(
-            BegunStream(
-                state.metadata.attempt,
-                state.workspace or "",
-                ServiceName(state.service),
-                state.software_version,
-            )
-        )
+        await self._streams.record(state.begun_stream)
 
     def _head_timeout_s(self, state: RequestState) -> float:
         """Return the timeout for the response head; infinite if no retry is allowed."""
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -452,3 +452,21 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_an_invalidated_version_is_known_to_nobody():
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, versions=("v1", "v2"))
+            for name in NAMES:
+                fleet.start(name)
+            first = fleet.nodes["i0"].records
+            await first.record(stream("a", "v1"))
+            first.invalidate(stream("a", software_versions.UNKNOWN_VERSION))
+            await trio.sleep(0.01)
+            for node in fleet.nodes.values():
+                with pytest.raises(Refused, match="software_version_unknown"):
+                    await node.records.find("", AttemptId("a"), [MODEL])
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
