Run no stages for a stream whose software version serves no more

The workers of its version are looked for as soon as the version is known. test_no_stage_runs_for_a_stream_whose_version_serves_no_more fails without the check (two pieces run) and passes with it.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -326,6 +326,11 @@
             software_version=stream.software_version,
             recorded=found.recorded,
         )
+        if not any(
+            worker.software_version == stream.software_version
+            for worker in self._catalogue.workers_of(stream.service)
+        ):
+            raise Refused("no_worker", NO_WORKER_RETRY_MS)
 
     def _check_blocked(self, state: RequestState) -> None:
         """Raise `Refused` if the request was blocked while it waited."""
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -5,9 +5,12 @@
 import pytest
 import trio
 
-from acaciapier.gateway.models import ServiceName
+from acaciapier.gateway.models import AttemptId, ServiceName
+from acaciapier.gateway.software_versions import BegunStream
+from acaciapier_standins.platform.example import ROUTES
+from acaciapier_standins.platform.platform import configuration
 
-from .support import deployment
+from .support import SERVICES, deployment
 
 VERSIONS = {"model-1": "v1", "model-2": "v2", "model-3": "v1", "model-4": "v2"}
 FIRST_EVENT = b"id: 1\n"
@@ -159,6 +162,31 @@
         assert not world.platform.run_log.runs_of("a")
 
 
+async def test_no_stage_runs_for_a_stream_whose_version_serves_no_more():
+    async with deployment() as world:
+        await mix_versions(world)
+        routes = [
+            dict(one, resumable=True) for one in ROUTES if one["name"] == "staged"
+        ]
+        world.platform.configure(configuration(2, routes, SERVICES))
+        await world.until(lambda: world.gateways[0].catalogue.version == 2)
+        streams = world.gateways[0].streams
+        gone = BegunStream(AttemptId("first"), "", ServiceName("model"), "v9")
+        await streams.record(gone)
+        answer = await world.caller().request(
+            "POST",
+            "/staged/1",
+            b"{}",
+            Attempt_Id="a",
+            Resumes="first",
+            Last_Event_Id="1",
+            Chunk_Count="1,1",
+            Chunk_Key="k",
+        )
+        assert answer.status == 503
+        assert not world.platform.run_log.pieces
+
+
 @pytest.mark.parametrize(
     "value", ["", "x" * 300, "one two"], ids=["empty", "long", "two_words"]
 )
