Exclude an unreachable worker for the instances that fail at it

Cause: one failed connection, reported by any instance, excluded the worker for the whole fleet, for up to 6 s. It tells of the link of one instance to one worker.

Change: `Reachability` keeps the exclusions by instance and worker, doubling as before and ended by a success of that instance there. A failure counts against the worker itself once its instance has reached another worker of the service, which a partitioned instance cannot; two such instances, with nobody reaching the worker meanwhile, exclude it for all. Instances that reached it within the last second still may use it until four have confirmed the failure. Whoever reaches it ends that exclusion.

An instance that failed twice in a row and reached no worker since probes one worker a second. Its requests are refused at once (cause `unreachable`), with the time until its next probe, as soon as others have reached one of the workers at which it failed; without such evidence they wait, as before, unless they would expire. After its return, the workers that others reached meanwhile are open to it at once. Its answers do not count as slow, nor its broken connections as failures of the worker. A worker that turns a request away is excluded for all as before. `worker_excluded` names the instance, or "all".

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -33,7 +33,8 @@
 from ..engine_times import DEFAULT_ESTIMATE, EngineEstimate
 from ..models import ServiceName, Worker, WorkerId
 from ..peers import Peers
-from .dispatcher import HANDED_OVER, OUTCOME_CANCELLED, Dispatcher
+from .dispatcher import HANDED_OVER, Dispatcher
+from .outcomes import OUTCOME_CANCELLED
 from .refusal import (
     CANCELLED,
     DISPATCHER_CHANGE_RETRY_MS,
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatcher: schedules work for the services that are assigned to this instance."""
 
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -31,7 +32,10 @@
 from .admission import StageAdmission
 from .future import Future
 from .limit_reports import make_grant, make_refusal, record_report
+from .outcomes import record_outcome
+from .partition import partition_wait_ms, pop_partitioned
 from .piece_groups import PieceGroup
+from .reachability import Reachability
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
 from .slot_requests import ReleasedSlots, SlotRequest, SlotReservation
@@ -50,12 +54,6 @@
 """Cause of a refusal by a stopping dispatcher; the sender calls the next dispatcher
 without a retry delay."""
 
-OUTCOME_DONE = "done"
-OUTCOME_FAILED = "failed"
-OUTCOME_UNREACHABLE = "unreachable"
-OUTCOME_FULL = "full"
-OUTCOME_CANCELLED = "cancelled"
-
 
 class Dispatcher:
     """Queues and slots of all services that this instance dispatches.
@@ -245,6 +243,10 @@
             budget.refund()
         if self.stopping and cause == "expired":
             return WorkRefused(HANDED_OVER, retry_ms)
+        ended_s = self._clock.monotonic_s()
+        partition_ms = partition_wait_ms(allocator, request, workers, ended_s)
+        if partition_ms is not None:
+            return WorkRefused("unreachable", max(MIN_RETRY_MS, partition_ms))
         return make_refusal(cause, retry_ms, allocator, self.limits, workers, now_s)
 
     async def _wait_for_slot(
@@ -293,22 +295,7 @@
             if peer in self._released:
                 self._released[peer].end(message.service, message.permit)
             return
-        if message.retry_after_ms > 0:
-            until_s = now_s + to_s(message.retry_after_ms)
-            allocator.turn_away(peer, reservation.worker, until_s)
-        if message.outcome == OUTCOME_DONE:
-            allocator.record_duration(reservation.worker, message.elapsed_ms, now_s)
-        elif message.outcome == OUTCOME_FAILED:
-            allocator.health.record_failure(reservation.worker)
-        elif message.outcome in (OUTCOME_UNREACHABLE, OUTCOME_FULL):
-            excluded_ms = allocator.health.exclude(reservation.worker, now_s)
-            self._log(
-                "worker_excluded",
-                service=message.service,
-                worker=reservation.worker,
-                reason=message.outcome,
-                excluded_ms=excluded_ms,
-            )
+        record_outcome(allocator, reservation, message, now_s, self._log)
         self._assign(message.service)
 
     def _cancel_request(self, allocator: SlotAllocator, permit: str) -> None:
@@ -395,6 +382,7 @@
         self._released[instance] = released
         for service, allocator in self._allocators.items():
             released.by_service[service] = allocator.release_owner(instance)
+            allocator.reachability.remove_instance(instance)
             self._assign(service)
 
     def restore_owner(self, instance: InstanceId, uptime_ms: float) -> None:
@@ -449,7 +437,9 @@
         allocator = self._allocators.get(service)
         if allocator is None:
             allocator = self._allocators[service] = SlotAllocator(
-                rule, limits=self.limits
+                rule,
+                limits=self.limits,
+                reachability=Reachability(partial(self._log, service=service)),
             )
         allocator.rule = rule
         allocator.prefix_reuse_ms = self._bounds.prefix_reuse_ms
@@ -475,8 +465,10 @@
         allocator = self._allocators[service]
         now_s = self._clock.monotonic_s()
         workers = self._catalogue.workers_of(ServiceName(service))
-        expired = allocator.pop_expired(now_s)
-        for request in expired + allocator.pop_hopeless(workers, now_s):
+        popped = allocator.pop_expired(now_s)
+        popped += pop_partitioned(allocator, workers, now_s)
+        popped += allocator.pop_hopeless(workers, now_s)
+        for request in popped:
             self._grants[request.permit].set_result(None)
         for request, worker in allocator.assign(workers, now_s):
             grant = self._grants.get(request.permit)
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
+from ..models import Worker
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
@@ -38,6 +39,12 @@
         """Whether it is a broken stream, of which the caller has events."""
         return self.software_version is not None
 
+    def accepts(self, worker: Worker) -> bool:
+        """Return whether the request may be granted a slot at a worker."""
+        if self.only_untried and worker.id in self.avoid:
+            return False
+        return self.software_version in (None, worker.software_version)
+
 
 @dataclass(eq=False)
 class SlotReservation:
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -6,7 +6,7 @@
 happens to be slow.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ..engine_times import EngineTimes
 from ..models import ServiceRule, Worker
@@ -14,6 +14,7 @@
 from ..worker_limits import WorkerLimits
 from .health import WorkerHealth
 from .prefix_cache import PrefillLog, PrefixCacheModel
+from .reachability import Reachability
 from .slot_requests import SlotRequest, SlotReservation
 
 DEFAULT_PREFILL_MS_PER_TOKEN = 0.015
@@ -69,6 +70,8 @@
         preferably sent to the worker that has it cached.
     limits : WorkerLimits, optional
         Paces the requests to workers that have named a limit.
+    reachability : Reachability, optional
+        Excludes workers for instances that do not reach them.
     """
 
     def __init__(
@@ -76,8 +79,10 @@
         rule: ServiceRule,
         prefix_reuse_ms: float = DEFAULT_PREFIX_REUSE_MS,
         limits: WorkerLimits | None = None,
+        reachability: Reachability | None = None,
     ):
         self._limits = limits or WorkerLimits()
+        self.reachability = reachability or Reachability()
         self.rule = rule
         self.prefix_reuse_ms = prefix_reuse_ms
         self.health = WorkerHealth()
@@ -90,8 +95,6 @@
         self._prefix_caches: dict[str, PrefixCacheModel] = {}
         self._prefills = PrefillLog()
         self._waiting: list[SlotRequest] = []
-        self._turned_away_until_s: dict[tuple[str, str], float] = {}
-        """By instance and worker."""
 
     @property
     def waiting(self) -> int:
@@ -112,7 +115,7 @@
     ) -> float:
         """Return how long a new request would wait for its slot."""
         blocked_ms = {
-            worker.key: self._blocked_ms(request.owner, worker, now_s)
+            worker.key: self.blocked_ms(request.owner, worker, now_s)
             for worker in workers
         }
         open_workers = [worker for worker in workers if not blocked_ms[worker.key]]
@@ -124,7 +127,9 @@
         if not self._waiting:
             return next_ms
         ahead = sum(
-            1 for waiting in self._waiting if waiting.priority <= request.priority
+            waiting.priority <= request.priority
+            and not self.reachability.may_be_partitioned(waiting.owner)
+            for waiting in self._waiting
         )
         return max(next_ms, (ahead + 1) / self._rate_per_ms(open_workers))
 
@@ -162,14 +167,13 @@
 
     def turn_away(self, owner: str, key: str, until_s: float) -> None:
         """Record that a worker wants no requests from an instance until then."""
-        self._turned_away_until_s[owner, key] = until_s
+        self.reachability.turn_away(owner, key, until_s)
 
-    def _blocked_ms(self, owner: str, worker: Worker, now_s: float) -> float:
-        """Return for how long a worker wants no requests from an instance."""
-        if not self._turned_away_until_s:
-            return 0.0
-        until_s = self._turned_away_until_s.get((owner, worker.key), 0.0)
-        return max(0.0, (until_s - now_s) * 1_000.0)
+    def blocked_ms(self, owner: str, worker: Worker, now_s: float) -> float:
+        """Return for how long a worker is not open to the requests of an instance."""
+        permits = self._permits_by_worker.get(worker.key, ())
+        reservations = (self._reservations[permit] for permit in permits)
+        return self.reachability.wait_ms(owner, worker.key, reservations, now_s)
 
     def add(self, request: SlotRequest) -> None:
         """Add a request that waits for `assign`."""
@@ -177,23 +181,24 @@
 
     def cancel(self, permit: str) -> None:
         """Remove a waiting request."""
-        self._waiting = [
-            request for request in self._waiting if request.permit != permit
-        ]
+        self.pop(lambda request: request.permit == permit)
 
     def pop_all(self) -> list[SlotRequest]:
         """Remove and return all waiting requests, for another dispatcher."""
         waiting, self._waiting = self._waiting, []
         return waiting
 
+    def pop(self, condition: Callable[[SlotRequest], bool]) -> list[SlotRequest]:
+        """Remove and return the waiting requests that meet a condition."""
+        popped, kept = [], []
+        for request in self._waiting:
+            (popped if condition(request) else kept).append(request)
+        self._waiting = kept
+        return popped
+
     def pop_expired(self, now_s: float) -> list[SlotRequest]:
         """Remove and return the waiting requests that have expired."""
-        expired = [request for request in self._waiting if request.expires_s <= now_s]
-        if expired:
-            self._waiting = [
-                request for request in self._waiting if request.expires_s > now_s
-            ]
-        return expired
+        return self.pop(lambda request: request.expires_s <= now_s)
 
     def pop_hopeless(
         self, workers: Sequence[Worker], now_s: float
@@ -258,6 +263,12 @@
         if reservation is None or reservation.started:
             return False
         reservation.started = True
+        key, granted_s = reservation.worker, reservation.granted_s
+        if not self.reachability.record_reached(
+            reservation.owner, key, granted_s, now_s
+        ):
+            reservation.pending_prefill_tokens = 0.0
+            return False
         if reservation.pending_prefill_tokens > 0:
             observed = min(
                 elapsed_ms / reservation.pending_prefill_tokens,
@@ -334,11 +345,7 @@
         self.health.keep_only(keys)
         for key in self._prefix_caches.keys() - keys:
             del self._prefix_caches[key]
-        self._turned_away_until_s = {
-            (owner, key): until_s
-            for (owner, key), until_s in self._turned_away_until_s.items()
-            if key in keys
-        }
+        self.reachability.keep_workers(keys)
 
     def _choose(
         self,
@@ -350,15 +357,14 @@
         usable = [
             worker
             for worker in workers
-            if request.software_version in (None, worker.software_version)
+            if request.accepts(worker)
             and self.health.usable(worker.key, now_s)
             and self._has_capacity(worker, request)
-            and not self._blocked_ms(request.owner, worker, now_s)
+            and not self.blocked_ms(request.owner, worker, now_s)
             and not self._limits.wait_ms(worker.key, now_s)
         ]
         untried = [worker for worker in usable if worker.id not in request.avoid]
-        if untried or request.only_untried:
-            usable = untried
+        usable = untried or usable
         preferred = [worker for worker in usable if self._is_preferred(worker, now_s)]
         return min(
             preferred or usable,
@@ -456,6 +462,7 @@
         )
         self._permits_by_worker.setdefault(worker.key, set()).add(request.permit)
         self._limits.record_send(worker.key, now_s)
+        self.reachability.record_granted(request.owner, worker.key, now_s)
         if self.rule.engine is not None:
             cache = self._prefix_caches.get(worker.key)
             if cache is None:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -21,7 +21,7 @@
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool
 from .dispatch.dispatch_client import DispatchClient, Permit
-from .dispatch.dispatcher import (
+from .dispatch.outcomes import (
     OUTCOME_CANCELLED,
     OUTCOME_DONE,
     OUTCOME_FAILED,
