Do not take the return of all workers for a partition of one instance

After all instances had reached no worker, those whose next probe was not yet due were taken for partitioned as soon as another one reached a worker: their requests were refused, and workers stayed excluded for them for up to 6 s.

Cause: a success of another instance counted as evidence although this instance's last attempt was older than the return of the workers. Now a success after 2 s without any, at a worker or at all of them, is a return: every instance may probe at once, and only sends granted later show a partition. The successes of others count at any worker of the service, if they are recent at the instance's last attempt, so that a service with little traffic needs no success at exactly the worker at which it failed.

--- a/src/acaciapier/gateway/dispatch/partition.py
+++ b/src/acaciapier/gateway/dispatch/partition.py
@@ -16,21 +16,22 @@
     """Return when to retry a request whose instance reaches none of its workers.
 
     None if it may get a slot: a worker is open to it, or will be before it expires and
-    is not known to be reached by other instances.
+    no other instance is known to reach any.
     """
     reachability = allocator.reachability
     if not reachability.may_be_partitioned(request.owner):
         return None
-    usable = [worker for worker in workers if request.accepts(worker)]
     wait_ms = min(
-        (allocator.blocked_ms(request.owner, worker, now_s) for worker in usable),
+        (
+            allocator.blocked_ms(request.owner, worker, now_s)
+            for worker in request.usable(workers)
+        ),
         default=0.0,
     )
     if not wait_ms:
         return None
-    keys = [worker.key for worker in usable]
     in_time = now_s + wait_ms / 1_000.0 < request.expires_s
-    if in_time and not reachability.is_partitioned(request.owner, keys):
+    if in_time and not reachability.is_partitioned(request.owner):
         return None
     return wait_ms
 
--- a/src/acaciapier/gateway/dispatch/reachability.py
+++ b/src/acaciapier/gateway/dispatch/reachability.py
@@ -30,6 +30,10 @@
 """Time for which an instance that reached a worker is still sent there while fewer
 instances confirm that it is unreachable."""
 
+RETURN_GAP_S = 2.0
+"""Time without a success, at a worker or at all of them, after which the next one shows
+that what all instances failed to reach is back."""
+
 ALL_INSTANCES = "all"
 """Logged in place of an instance if an exclusion holds for all of them."""
 
@@ -77,6 +81,8 @@
     failures: int = 0
     """Number since it last reached a worker."""
     failed_first_s: float = 0.0
+    tried_s: float = 0.0
+    """When the slot of its last failure was granted."""
     failed_at: set[str] = field(default_factory=set)
     """Workers at which it failed since it last reached one."""
     probed_s: float = float("-inf")
@@ -98,6 +104,9 @@
         self._log = log
         self._workers: dict[str, _WorkerState] = {}
         self._instances: dict[str, _InstanceState] = {}
+        self._reached_s = float("-inf")
+        self._returned_s = float("-inf")
+        """When a worker was first reached after none had been for a while."""
         self._turned_away_until_s: dict[tuple[str, str], float] = {}
         """By instance and worker."""
 
@@ -116,9 +125,13 @@
             Whether the time that the answer took tells of the worker: the instance
             failed at no worker meanwhile.
         """
+        if now_s - self._reached_s >= RETURN_GAP_S:
+            self._returned_s = now_s
+        self._reached_s = now_s
         worker = self._workers.setdefault(key, _WorkerState())
-        if worker.duration_ms:
-            self._end_for_all(worker, now_s)
+        worker.end()
+        if now_s - worker.reached_s >= RETURN_GAP_S:
+            self._reopen(worker, now_s)
         worker.witnesses.clear()
         worker.reached_s = now_s
         link = worker.links.setdefault(instance, _Link())
@@ -146,6 +159,7 @@
             return
         if not state.failures:
             state.failed_first_s = now_s
+        state.tried_s = granted_s
         state.failures += 1
         state.failed_at.add(key)
         link.extend(now_s)
@@ -196,11 +210,18 @@
         state = self._instances.get(instance)
         return state is not None and state.failures >= PARTITION_FAILURES
 
-    def is_partitioned(self, instance: str, keys: Iterable[str]) -> bool:
-        """Return whether others reach workers at which an instance only fails."""
+    def is_partitioned(self, instance: str) -> bool:
+        """Return whether others reach workers while an instance reaches none.
+
+        Sends from before a return of the workers do not show this.
+        """
         if not self.may_be_partitioned(instance):
             return False
-        return any(self._reached_by_others(instance, key) for key in keys)
+        state = self._instances[instance]
+        if self._returned_s > state.tried_s:
+            return False
+        recent_s = max(state.failed_first_s, state.tried_s - RETURN_GAP_S)
+        return self._reached_s > recent_s
 
     def keep_workers(self, keys: Collection[str]) -> None:
         """Remove the state of all other workers."""
@@ -233,14 +254,6 @@
         until_s = min(link.until_s, link.failed_s + longest_s)
         return max(until_s, state.probed_s + PARTITION_PROBE_S)
 
-    def _reached_by_others(self, instance: str, key: str) -> bool:
-        """Return whether a worker was reached since an instance failed at it."""
-        worker = self._workers.get(key)
-        link = worker.links.get(instance) if worker is not None else None
-        if worker is None or link is None:
-            return False
-        return bool(link.duration_ms) and worker.reached_s > link.failed_s
-
     def _record_recovery(
         self, instance: str, state: _InstanceState, now_s: float
     ) -> None:
@@ -272,15 +285,12 @@
             worker.extend(now_s)
             self._log_exclusion(key, ALL_INSTANCES, worker)
 
-    def _end_for_all(self, worker: _WorkerState, now_s: float) -> None:
-        """End a worker's exclusion for all; each instance may probe it at once.
-
-        Not if the exclusion was never over: then the worker was reached all the time.
-        """
-        lasted = now_s >= worker.until_s
-        worker.end()
-        for link in worker.links.values() if lasted else ():
+    def _reopen(self, worker: _WorkerState, now_s: float) -> None:
+        """Let each instance probe a worker that nobody had reached for a while."""
+        for instance, link in worker.links.items():
             link.until_s = min(link.until_s, now_s)
+            if (state := self._instances.get(instance)) is not None:
+                state.probed_s = float("-inf")
 
     def _log_exclusion(self, key: str, instance: str, exclusion: _Exclusion) -> None:
         self._log(
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -1,6 +1,6 @@
 """Requests for slots at workers, and the slots reserved for them."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
@@ -39,11 +39,17 @@
         """Whether it is a broken stream, of which the caller has events."""
         return self.software_version is not None
 
-    def accepts(self, worker: Worker) -> bool:
-        """Return whether the request may be granted a slot at a worker."""
-        if self.only_untried and worker.id in self.avoid:
-            return False
-        return self.software_version in (None, worker.software_version)
+    def usable(self, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return the workers at which the request may be granted a slot."""
+        if self.software_version is not None:
+            workers = [
+                worker
+                for worker in workers
+                if worker.software_version == self.software_version
+            ]
+        if self.only_untried:
+            workers = [worker for worker in workers if worker.id not in self.avoid]
+        return workers
 
 
 @dataclass(eq=False)
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -356,9 +356,8 @@
     ) -> Worker | None:
         usable = [
             worker
-            for worker in workers
-            if request.accepts(worker)
-            and self.health.usable(worker.key, now_s)
+            for worker in request.usable(workers)
+            if self.health.usable(worker.key, now_s)
             and self._has_capacity(worker, request)
             and not self.blocked_ms(request.owner, worker, now_s)
             and not self._limits.wait_ms(worker.key, now_s)
--- a/tests/gateway/test_cut_off_instances.py
+++ b/tests/gateway/test_cut_off_instances.py
@@ -283,7 +283,12 @@
     assert fleet.failed(CUT_S, END_S).total() <= 6 * count
 
 
-async def test_a_service_is_used_again_after_all_its_workers_were_gone(autojump_clock):
-    fleet = await run_fleet(cut(INSTANCES))
-    served, sent = fleet.served(INSTANCES, END_S + 3.0, LAST_S)
+@pytest.mark.parametrize("connect_s", [REFUSED_S, SILENT_S])
+@pytest.mark.parametrize("workers", [1, 2])
+async def test_a_service_is_used_again_after_all_its_workers_were_gone(
+    autojump_clock, workers, connect_s
+):
+    """Guards against instances that take the return of a worker for their own fault."""
+    fleet = await run_fleet(cut(INSTANCES), connect_s, workers)
+    served, sent = fleet.served(INSTANCES, END_S, LAST_S)
     assert served == sent
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -161,6 +161,34 @@
     assert wait_ms(reachability, "edge-1", SECOND, now_s + 1.0) == 0.0
 
 
+def test_an_instance_is_partitioned_if_others_reach_workers_while_it_fails():
+    reachability = Reachability()
+    reach(reachability, "edge-9", FIRST, 0.0)
+    fail(reachability, "edge-1", FIRST, 0.1)
+    reach(reachability, "edge-9", FIRST, 0.2)
+    assert not reachability.is_partitioned("edge-1")
+    fail(reachability, "edge-1", SECOND, 0.3)
+    assert reachability.is_partitioned("edge-1")
+    assert not reachability.is_partitioned("edge-9")
+    reach(reachability, "edge-1", SECOND, 0.4)
+    assert not reachability.is_partitioned("edge-1")
+
+
+def test_an_instance_is_not_partitioned_if_no_other_reaches_a_worker_either():
+    reachability = Reachability()
+    reach(reachability, "edge-9", FIRST, 0.0)
+    fail(reachability, "edge-1", FIRST, 0.1)
+    reach(reachability, "edge-9", FIRST, 0.2)
+    fail(reachability, "edge-1", SECOND, 5.0)
+    assert not reachability.is_partitioned("edge-1")
+    # The next success shows that the workers are back.
+    reach(reachability, "edge-9", FIRST, 6.0)
+    assert not reachability.is_partitioned("edge-1")
+    assert wait_ms(reachability, "edge-1", FIRST, 6.0) == 0.0
+    fail(reachability, "edge-1", FIRST, 6.1)
+    assert reachability.is_partitioned("edge-1")
+
+
 def test_answers_from_a_partition_make_no_worker_look_slow():
     allocator = SlotAllocator(ServiceRule(ServiceName("book"), 100))
     # Granted before the failures, answered after the links were back.
