--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -1,9 +1,10 @@
 """Requests for slots at workers, and the slots reserved for them."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
+from ..models import Worker
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
@@ -38,6 +39,18 @@
         """Whether it is a broken stream, of which the caller has events."""
         return self.software_version is not None
 
+    def usable(self, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return the workers at which the request may be granted a slot."""
+        if self.software_version is not None:
+            workers = [
+                worker
+                for worker in workers
+                if worker.software_version == self.software_version
+            ]
+        if self.only_untried:
+            workers = [worker for worker in workers if worker.id not in self.avoid]
+        return workers
+
 
 @dataclass(eq=False)
 class SlotReservation:
