--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -305,6 +305,7 @@
                 "worker_" + worker.state.value,
                 worker=worker.id,
                 service=worker.service,
+                software_version=worker.software_version,
                 started_ms=worker.started_ms,
                 term=position.term,
                 revision=position.revision,
