Play software versions and resumed streams in the soak

Callers of the soak never took a broken stream up, and its workers had no software version, so the soak could not see a stream that went on at another version than the one that began it.

With the faults `upgrade` and `release` in its plan, the workers of a soak have one of several versions, which all events of the stand-in tell. `upgrade` starts a worker again under its id; its entry tells the new version up to half a second after it serves. `release` replaces the workers of the earliest version one after the other. Callers break some streams off and take these, and those that broke, up at a random gateway over a new connection, with `Last-Event-Id` and `Resumes` (the attempt that brought the first event), up to four times. The checker wants one version in all attempts of a stream, no gap and no repeat, and half the share of the new streams that begin for those whose version two workers serve, at gateways in touch. `silence` is a sound worker that answers nothing for a second. Plans without the two faults play as before. `--fault` chooses faults.

--- a/src/acaciapier_bench/soak/callers.py
+++ b/src/acaciapier_bench/soak/callers.py
@@ -1,6 +1,8 @@
 """Callers that keep their connections and note what they received."""
 
+import math
 import random as random_module
+import re
 from dataclasses import dataclass
 
 import h11
@@ -9,6 +11,16 @@
 HOST = "127.0.0.1"
 ANSWER_TIMEOUT_S = 6.0
 KINDS = ("lookup", "confirm", "chat", "mail", "staged")
+RESUMABLE = "mail"
+EVENTS = 4
+"""Number of events of each stream."""
+
+DEADLINE_S = 4.0
+MOST_RESUMPTIONS = 4
+RESUMED_SHARE = 0.4
+"""Share of the streams on resumable routes whose connection breaks at the caller."""
+
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)(?: (v\d+))?\n\n")
 
 
 @dataclass
@@ -26,6 +38,15 @@
     seal: str = ""
     left: bool = False
     never_sent: bool = False
+    resumes: str = ""
+    """Attempt that brought the first event, if this one takes its stream up."""
+    last_id: int = 0
+    """Id of the last event that earlier attempts brought."""
+
+    def events(self) -> list[tuple[int, str]]:
+        """Return the ids and software versions of the whole events of a stream."""
+        found = _EVENT.finditer(self.body)
+        return [(int(one[1]), (one[4] or b"").decode()) for one in found]
 
 
 class SoakCaller:
@@ -41,6 +62,8 @@
         Choices.
     records : list of Received
         Where results are noted.
+    resumes : bool
+        Whether it takes up broken streams, and asks for more that can be taken up.
     """
 
     def __init__(
@@ -49,11 +72,13 @@
         ports: dict[str, int],
         random: random_module.Random,
         records: list[Received],
+        resumes: bool = False,
     ):
         self._name = name
         self._ports = ports
         self._random = random
         self._records = records
+        self._resumes = resumes
         self._stream: trio.SocketStream | None = None
         self._parser = h11.Connection(h11.CLIENT)
         self._gateway = ""
@@ -63,13 +88,33 @@
         serial = 0
         while trio.current_time() < until_s:
             serial += 1
-            await self._ask(f"{self._name}-{serial}")
+            kinds = (*KINDS, *(RESUMABLE,) * 5) if self._resumes else KINDS
+            attempt = f"{self._name}-{serial}"
+            record = Received(attempt, self._random.choice(kinds), "", 0.0)
+            await self._ask(record)
+            if self._resumes and record.kind == RESUMABLE:
+                await self._resume(record)
             await trio.sleep(self._random.expovariate(8.0))
         self._drop()
 
-    async def _ask(self, attempt: str) -> None:
-        kind = self._random.choice(KINDS)
-        record = Received(attempt, kind, self._gateway, trio.current_time())
+    async def _resume(self, first: Received) -> None:
+        """Take a broken stream up at a random gateway until it is whole."""
+        until_s, last = first.sent_s + DEADLINE_S, first
+        last_id = 0
+        for number in range(MOST_RESUMPTIONS):
+            last_id = max([last_id, *(event_id for event_id, _ in last.events())])
+            if last_id in (0, EVENTS) or (last.whole and last.status == 200):
+                return
+            await trio.sleep(self._random.uniform(0.0, 0.3))
+            if trio.current_time() > until_s:
+                return
+            self._drop()
+            last = Received(f"{first.attempt}.{number}", first.kind, "", 0.0)
+            last.resumes, last.last_id = first.attempt, last_id
+            await self._ask(last, until_s)
+
+    async def _ask(self, record: Received, until_s: float | None = None) -> None:
+        record.gateway, record.sent_s = self._gateway, trio.current_time()
         self._records.append(record)
         leaves = self._random.random() < 0.05
         limit_s = self._random.uniform(0.01, 0.2) if leaves else ANSWER_TIMEOUT_S
@@ -78,7 +123,7 @@
                 if self._stream is None:
                     await self._connect()
                 record.gateway = self._gateway
-                await self._send(attempt, kind)
+                await self._send(record, until_s)
                 await self._receive(record)
             except (
                 OSError,
@@ -88,7 +133,7 @@
             ):
                 record.never_sent = self._stream is None
                 self._drop()
-        record.left = leaves and scope.cancelled_caught
+        record.left |= leaves and scope.cancelled_caught
         record.ended_s = trio.current_time()
         if scope.cancelled_caught or not record.whole:
             self._drop()
@@ -98,23 +143,33 @@
         self._stream = await trio.open_tcp_stream(HOST, self._ports[self._gateway])
         self._parser = h11.Connection(h11.CLIENT)
 
-    async def _send(self, attempt: str, kind: str) -> None:
+    async def _send(self, record: Received, until_s: float | None) -> None:
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
+        left_s = DEADLINE_S if until_s is None else until_s - trio.current_time()
+        left_s = max(0.001, left_s)
         body = b'{"n": 1}' * self._random.choice((1, 1, 8_000))
         headers = [
             ("Host", "orders.example"),
-            ("Attempt-Id", attempt),
-            ("Deadline-Ms", "4000"),
+            ("Attempt-Id", record.attempt),
+            ("Deadline-Ms", str(int(1_000 * left_s))),
             ("Content-Length", str(len(body))),
             ("Chunk-Count", "2,2"),
             ("Chunk-Key", "k"),
         ]
-        request = h11.Request(method="POST", target=f"/{kind}/1", headers=headers)
+        if record.resumes:
+            headers.append(("Last-Event-Id", str(record.last_id)))
+            headers.append(("Resumes", record.resumes))
+        target = f"/{record.kind}/1"
+        request = h11.Request(method="POST", target=target, headers=headers)
         data = self._parser.send(request) + self._parser.send(h11.Data(data=body))
         await self._stream.send_all(data + self._parser.send(h11.EndOfMessage()))
 
     async def _receive(self, record: Received) -> None:
+        breaks_after = math.inf
+        if self._resumes and record.kind == RESUMABLE:
+            if self._random.random() < RESUMED_SHARE:
+                breaks_after = self._random.randint(1, 3)
         while True:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
@@ -124,6 +179,9 @@
                 record.seal = dict(event.headers).get(b"server-seal", b"").decode()
             elif isinstance(event, h11.Data):
                 record.body += event.data
+                if len(record.events()) >= breaks_after:
+                    record.left = True
+                    raise trio.BrokenResourceError("the connection broke")
             elif isinstance(event, h11.EndOfMessage):
                 record.whole = True
                 if self._parser.our_state is h11.MUST_CLOSE:
--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -1,16 +1,17 @@
 """Checks the promises of the platform's rules from what both ends saw."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from acaciapier_standins.platform.workers import Run, RunLog
 
-from .callers import Received
+from .callers import EVENTS, Received
 
 UNREPEATABLE = frozenset({"confirm", "chat"})
+VERSION = re.compile(rb" v\d+(?=\n\n)")
 STREAMS = frozenset({"chat", "mail", "staged"})
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
-EVENTS = 4
 DRAIN_S = 2.0
 LEFT_S = 0.5
 LEFT_SLACK_S = 0.4
@@ -122,9 +123,9 @@
     if record.kind not in STREAMS:
         ok = record.body.endswith(f" did {record.attempt}".encode())
     else:
-        numbers = range(1, EVENTS + 1)
+        numbers = range(record.last_id + 1, EVENTS + 1)
         want = "".join(f"id: {n}\ndata: {record.attempt} {n}\n\n" for n in numbers)
-        ok = record.body == want.encode()
+        ok = VERSION.sub(b"", record.body) == want.encode()
     return [] if ok else [f"{record.attempt}: a wrong body, {record.body[:80]!r}"]
 
 
--- a/src/acaciapier_bench/soak/command.py
+++ b/src/acaciapier_bench/soak/command.py
@@ -29,6 +29,9 @@
     earlier_faults: Annotated[
         bool, cappa.Arg(long=True, help="Without announcements and restored stores.")
     ] = False
+    fault: Annotated[
+        list[str], cappa.Arg(long=True, help="Faults to play instead of all.")
+    ] = field(default_factory=list)
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder for settings and logs.")
     ] = None
@@ -38,6 +41,7 @@
         broken = False
         for seed in self._seeds():
             faults = FAULTS if self.earlier_faults else ALL_FAULTS
+            faults = tuple(self.fault) or faults
             plan = SoakPlan(seed, self.seconds, self.gateways, self.callers, faults)
             folder = self.keep / str(seed) if self.keep else None
             report = run_soak(plan, folder)
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -22,6 +22,8 @@
 from .callers import HOST, Received, SoakCaller
 from .checker import Announcements, check, check_planned_work
 from .proxy import Link
+from .releases import Releases
+from .streams import StreamCounts, check_streams
 
 RECOVERY_S = 4.0
 """Time after the last fault in which the deployment recovers."""
@@ -73,6 +75,13 @@
 ENDLESS_FAULTS = ("endless",)
 """Answers without end, of one kind each."""
 
+SILENCE_FAULTS = ("silence",)
+"""Sound workers that answer nothing for a second."""
+
+VERSION_FAULTS = ("upgrade", "release")
+"""Workers of another software version under the same id or in the place of others. With
+them, workers have versions and callers take up streams."""
+
 ALL_FAULTS = (
     FAULTS
     + ANNOUNCEMENT_FAULTS
@@ -80,12 +89,15 @@
     + REFUSAL_FAULTS
     + LIMIT_FAULTS
     + ENDLESS_FAULTS
+    + SILENCE_FAULTS
+    + VERSION_FAULTS
 )
 LIMIT_PER_S = 1.0
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
 
 TURN_AWAY_S = 2.0
+SILENCE_S = 1.0
 SERVICES = services(call_ms=20.0, item_ms=1.0)
 
 
@@ -99,6 +111,11 @@
     callers: int = 8
     faults: tuple[str, ...] = FAULTS
 
+    @property
+    def has_versions(self) -> bool:
+        """Return whether workers have several software versions."""
+        return not set(VERSION_FAULTS).isdisjoint(self.faults)
+
 
 @dataclass
 class SoakReport:
@@ -108,14 +125,24 @@
     faults: list[str] = field(default_factory=list)
     records: list[Received] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
+    streams: StreamCounts = field(default_factory=StreamCounts)
 
     def summary(self) -> str:
         """Return one line."""
         done = sum(one.whole and one.status == 200 for one in self.records)
-        return (
+        line = (
             f"seed {self.plan.seed}: {done} of {len(self.records)} requests done, "
             f"{len(self.faults)} faults, {len(self.broken)} promises broken"
         )
+        streams = self.streams
+        if streams.went_on.count:
+            line += (
+                f"; {streams.went_on} resumed streams went on, {streams.refused} were "
+                f"refused, {streams.began} new ones began; with two workers of their "
+                f"version {streams.went_on_of_served} went on; {streams.mixed} streams "
+                f"mixed, {streams.mixed_within} of them within an answer"
+            )
+        return line
 
 
 class Soak:
@@ -156,14 +183,18 @@
     async def _start(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self._platform = StandInPlatform(nursery)
+        self._releases = Releases(
+            self._platform, self._links, self._drained_s, self._add_worker, nursery
+        )
         await self._platform.start()
         self._store_link = Link(self._platform.store_port)
         await nursery.start(self._store_link.run)
         self._platform.store.translate = self._translate
         self._platform.configure(configuration(1, ROUTES, SERVICES))
         for service, kind in KINDS.items():
-            for number in (1, 2, 3):
-                await self._add_worker(f"{service}-{number}", service, kind)
+            for number in (1, 2, 3, 4) if self._plan.has_versions else (1, 2, 3):
+                version = f"v{1 + number % 2}" if self._plan.has_versions else None
+                await self._add_worker(f"{service}-{number}", service, kind, version)
         for number in range(self._plan.gateways):
             name = f"edge-{number + 1}"
             self._ports[name] = tuple(free_ports(HOST, 3))
@@ -182,8 +213,13 @@
             return spec
         return spec | {"port": self._peer_links[name].port}
 
-    async def _add_worker(self, name: str, service: str, kind: str) -> None:
-        worker = await self._platform.add_worker(name, service, kind=kind)
+    async def _add_worker(
+        self, name: str, service: str, kind: str, version: str | None = None
+    ) -> None:
+        fields = {"kind": kind}
+        if version is not None:
+            fields |= self._releases.begin(name, kind, version)
+        worker = await self._platform.add_worker(name, service, **fields)
         link = self._links[name] = Link(int(worker.address.rpartition(":")[2]))
         await self._nursery.start(link.run)
         worker.address = f"{HOST}:{link.port}"
@@ -236,6 +272,7 @@
                     fronts,
                     random_module.Random(self._plan.seed * 1_000 + number),
                     self.report.records,
+                    self._plan.has_versions,
                 )
                 nursery.start_soon(caller.run, until_s)
             while trio.current_time() < faults_end_s:
@@ -249,6 +286,13 @@
             calm_from_s,
             self._announcements,
         )
+        if self._plan.has_versions:
+            found, self.report.streams = check_streams(
+                self.report.records,
+                self._releases.lifetimes,
+                self._announcements.remembers,
+            )
+            self.report.broken += found
         if set(self._plan.faults) <= set(PLANNED_FAULTS):
             self.report.broken += check_planned_work(
                 self.report.records, self._platform.run_log
@@ -272,6 +316,10 @@
             self._platform.configure(configuration(self._version, ROUTES, SERVICES))
         elif kind == "compact":
             self._platform.store.compact()
+        elif kind == "upgrade":
+            await self._releases.upgrade(self._random, self._announcements.leaving_s)
+        elif kind == "release":
+            await self._releases.release(self._random)
         else:
             await self._harm_worker(kind, worker, length_s)
 
@@ -343,6 +391,8 @@
 
     async def _harm_worker(self, kind: str, name: str, length_s: float) -> None:
         worker, link = self._platform.workers[name], self._links[name]
+        if kind in ("drain", "leaving", "limit", "turn_away"):
+            self._releases.end(name)
         if kind == "worker_reset":
             link.reset_all()
         elif kind == "worker_cut":
@@ -358,14 +408,14 @@
             service, _, number = name.partition("-")
             fresh = f"{service}-{number}x"
             if fresh not in self._links:
-                await self._add_worker(fresh, service, KINDS[service])
+                await self._add_worker(fresh, service, KINDS[service], worker.version)
         elif kind == "leaving":
             self._announcements.leaving_s.setdefault(name, trio.current_time())
             worker.faults.leaving = True
             service, _, number = name.partition("-")
             fresh = f"{service}-{number}y"
             if fresh not in self._links:
-                await self._add_worker(fresh, service, KINDS[service])
+                await self._add_worker(fresh, service, KINDS[service], worker.version)
         elif kind == "limit":
             now_s = trio.current_time()
             self._announcements.limits.setdefault(name, (LIMIT_PER_S, now_s))
@@ -375,6 +425,9 @@
                 worker.faults.endless = self._random.choice(sorted(ENDLESS))
         elif kind == "turn_away":
             worker.faults.turn_away = str(TURN_AWAY_S)
+        elif kind == "silence":
+            await self._silence(name)
+            return
         elif kind == "extra":
             worker.faults.extra_answer = True
         elif kind == "busy":
@@ -398,6 +451,14 @@
         worker.faults.turn_away = worker.faults.endless = None
         link.faults.cut_to_server = link.faults.refuse = False
 
+    async def _silence(self, name: str) -> None:
+        faults, over = self._platform.workers[name].faults, trio.Event()
+        faults.silence = over
+        await trio.sleep(SILENCE_S)
+        over.set()
+        if faults.silence is over:
+            faults.silence = None
+
     def _end_processes(self) -> None:
         for process in self._processes.values():
             if process.poll() is None:
--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -61,7 +61,7 @@
             "service": service,
             "addr": worker.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": worker.version or "v1",
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -81,6 +81,8 @@
     """Name this limit, in requests a second, in all answers."""
     endless: str | None = None
     """A key of `ENDLESS`: send these bytes until the caller closes."""
+    silence: trio.Event | None = None
+    """Leave requests unanswered, and streams where they are, until this is set."""
 
 
 class UnframedExchange:
@@ -193,6 +195,8 @@
     on_begin : callable, optional
         Called with the worker's name and the parts of a prompt when a stream on it
         begins to be written; it may crash the worker.
+    version : str, optional
+        Software version, which all events tell.
     """
 
     def __init__(
@@ -205,10 +209,12 @@
         gap_s: float = 0.01,
         results: dict[str, str] | None = None,
         on_begin: Callable[[str, tuple[str, ...]], None] | None = None,
+        version: str | None = None,
     ):
         self.name = name
         self.address = address
         self.faults = WorkerFaults()
+        self.version = version
         self._run_log = run_log
         self.kind = kind
         self._events = events
@@ -233,6 +239,7 @@
         self.arrivals_s.append(now_s)
         attempt = headers.get("attempt-id", "")
         self._run_log.arrivals.append(Arrival(self.name, attempt, now_s))
+        await self._keep_silence()
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
         elif self.faults.turn_away is not None:
@@ -269,6 +276,7 @@
             await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
             return
         await trio.sleep(self._gap_s + self.faults.delay_s)
+        await self._keep_silence()
         if self.faults.mute:
             await trio.sleep_forever()
         if self.faults.endless is not None:
@@ -378,6 +386,7 @@
 
     async def _plain(self, run: Run, exchange: Exchange) -> None:
         await trio.sleep(self._gap_s)
+        await self._keep_silence()
         if self.faults.cut_after is not None:
             length = [] if self.faults.unframed else [(b"Content-Length", b"1000")]
             await exchange.start(200, [*self._identity_headers(run), *length])
@@ -403,6 +412,7 @@
             await exchange.respond(self.faults.status, self._identity_headers(run))
             return
         first = int(headers.get("last-event-id", "0")) + 1
+        mark = "" if self.version is None else f" {self.version}"
         content_type = (b"Content-Type", b"text/event-stream")
         await exchange.start(200, [*self._identity_headers(run), content_type])
         if self._on_begin is not None:
@@ -417,7 +427,8 @@
                 await self._drip(exchange)
             if sent == 1:
                 await trio.sleep(self.faults.pause_s)
-            event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
+            await self._keep_silence()
+            event = f"id: {number}\ndata: {run.attempt} {number}{mark}\n\n".encode()
             if sent == self.faults.cut_after:
                 await exchange.send(event[: len(event) // 2])
                 if self.faults.ends_early:
@@ -429,6 +440,10 @@
             await trio.sleep(self._gap_s)
         await exchange.end()
 
+    async def _keep_silence(self) -> None:
+        if self.faults.silence is not None:
+            await self.faults.silence.wait()
+
     async def _drip(self, exchange: Exchange) -> None:
         while True:
             await exchange.send(b"x")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,9 +14,11 @@
     FAULTS,
     FRAMING_FAULTS,
     LIMIT_FAULTS,
+    VERSION_FAULTS,
     SoakPlan,
     run_soak,
 )
+from acaciapier_bench.soak.streams import Lifetime, check_streams
 from acaciapier_standins.platform.workers import Arrival, Run, RunLog, TurnedAway
 
 STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
@@ -191,3 +193,77 @@
     faults = (*LIMIT_FAULTS, *ENDLESS_FAULTS, "term", "kill", "peer_reset")
     plan = SoakPlan(seed=31, seconds=10.0, gateways=3, callers=10, faults=faults)
     assert run_soak(plan, tmp_path).broken == []
+
+
+def piece(attempt: str, sent_s: float, events: str, **fields) -> Received:
+    """Return an attempt whose body has the events of `events`, as ``"1v1 2v2"``."""
+    pairs = [event.split("v") for event in events.split()]
+    body = "".join(f"id: {n}\ndata: {attempt} {n} v{v}\n\n" for n, v in pairs)
+    known = {"ended_s": sent_s + 0.4, "status": 200, "body": body.encode()}
+    return Received(attempt, "mail", "edge-1", sent_s, **(known | fields))
+
+
+@pytest.mark.parametrize(
+    ("last_id", "events", "findings"),
+    [
+        (2, "3v1 4v1", 0),
+        (2, "3v2 4v2", 1),
+        (2, "3v1 4v2", 1),
+        (2, "2v1 3v1 4v1", 1),
+        (2, "4v1", 1),
+        (2, "", 0),
+    ],
+    ids=["good", "other version", "mixed within", "repeat", "gap", "nothing"],
+)
+def test_events_of_several_versions_gaps_and_repeats_are_found(
+    last_id, events, findings
+):
+    first = piece("a", 1.0, "1v1 2v1")
+    taken_up = piece("a.0", 1.5, events, resumes="a", last_id=last_id)
+    found, counts = check_streams([first, taken_up], [], lambda *times: True)
+    assert len(found) == findings
+    assert counts.went_on.count == 1
+
+
+def test_a_mix_over_a_chain_of_attempts_is_found_once():
+    chain = [
+        piece("a", 1.0, "1v1"),
+        piece("a.0", 1.5, "2v1", resumes="a", last_id=1),
+        piece("a.1", 2.0, "3v2 4v2", resumes="a", last_id=2),
+    ]
+    found, counts = check_streams(chain, [], lambda *times: True)
+    assert (len(found), counts.mixed, counts.mixed_within) == (1, 1, 0)
+
+
+def test_a_resumed_stream_has_the_rest_of_the_events():
+    fields = {"whole": True, "seal": "s", "resumes": "a", "last_id": 2}
+    whole = piece("a.0", 1.5, "3v1 4v1", **fields)
+    assert check([whole], RunLog(), {}, 1e9) == []
+    cut = piece("a.0", 1.5, "3v1", **fields)
+    assert len(check([cut], RunLog(), {}, 1e9)) == 1
+
+
+@pytest.mark.parametrize(
+    ("workers", "in_touch", "findings"), [(2, True, 1), (1, True, 0), (2, False, 0)]
+)
+def test_refusals_of_streams_whose_version_serves_are_found(
+    workers, in_touch, findings
+):
+    records = []
+    for number in range(12):
+        records.append(piece(f"a{number}", 5.0, "1v1 2v1"))
+        fields = {"resumes": f"a{number}", "last_id": 2}
+        if number >= 5:
+            fields |= {"status": 503, "whole": True, "body": b""}
+        records.append(piece(f"a{number}.0", 5.5, "3v1 4v1", **fields))
+    lifetimes = [Lifetime(f"w{number}", "v1", 0.0) for number in range(workers)]
+    found, counts = check_streams(records, lifetimes, lambda *times: in_touch)
+    assert len(found) == findings
+    assert (str(counts.went_on), counts.refused) == ("5 of 12", 7)
+
+
+def test_streams_that_callers_take_up_hold_events_of_one_version():
+    faults = (*VERSION_FAULTS, "kill", "break", "silence")
+    report = run_soak(SoakPlan(seed=2, seconds=6.0, callers=6, faults=faults))
+    assert report.broken == []
+    assert report.streams.went_on.count
