Partition gateways from all workers in the soak

No fault of the soak took all workers from a gateway: its proxies stood before the workers, for all gateways alike.

With a fault `partition_silent`, `partition_reset`, `partition_refused` or `partition_old_live` in its plan, entries of workers name a host, which each gateway process resolves to a loopback address of its own, so that a proxy stands between each gateway and each worker. One gateway, most, all, or the one that ranks first as a service's dispatcher are cut off for 4 to 8 s: all connections hang and new ones are not established; all are reset; old ones are reset and new ones refused; only new ones are refused. Other plans play as before.

`soak` prints the figures of each partition.

A caller that could not connect noted the gateway of its former connection; it now notes the one that it tried.

--- a/src/acaciapier_bench/soak/callers.py
+++ b/src/acaciapier_bench/soak/callers.py
@@ -122,7 +122,6 @@
             try:
                 if self._stream is None:
                     await self._connect()
-                record.gateway = self._gateway
                 await self._send(record, until_s)
                 await self._receive(record)
             except (
@@ -133,6 +132,7 @@
             ):
                 record.never_sent = self._stream is None
                 self._drop()
+        record.gateway = self._gateway
         record.left |= leaves and scope.cancelled_caught
         record.ended_s = trio.current_time()
         if scope.cancelled_caught or not record.whole:
--- a/src/acaciapier_bench/soak/command.py
+++ b/src/acaciapier_bench/soak/command.py
@@ -9,7 +9,8 @@
 
 import cappa
 
-from .run import ALL_FAULTS, FAULTS, SoakPlan, run_soak
+from .plan import ALL_FAULTS, FAULTS, SoakPlan
+from .run import run_soak
 
 
 @cappa.command(name="soak")
@@ -45,7 +46,7 @@
             plan = SoakPlan(seed, self.seconds, self.gateways, self.callers, faults)
             folder = self.keep / str(seed) if self.keep else None
             report = run_soak(plan, folder)
-            print(report.summary(), flush=True)
+            print(report.summary(), *report.partitions, sep="\n  ", flush=True)
             for line in report.broken:
                 print(f"  {line}", flush=True)
             broken = broken or bool(report.broken)
--- /dev/null
+++ b/src/acaciapier_bench/soak/plan.py
@@ -0,0 +1,88 @@
+"""Faults, size and seed of a soak."""
+
+from dataclasses import dataclass
+
+from .partitions import Way
+
+PLANNED_FAULTS = ("term", "hup", "config")
+FAULTS = (
+    "kill",
+    "pause",
+    "term",
+    "hup",
+    "store_down",
+    "store_silent",
+    "store_slow",
+    "store_cut",
+    "store_reset",
+    "peer_cut",
+    "peer_deaf",
+    "peer_slow",
+    "peer_reset",
+    "worker_cut",
+    "worker_reset",
+    "worker_mute",
+    "worker_crash",
+    "drain",
+    "extra",
+    "break",
+    "config",
+    "compact",
+)
+ANNOUNCEMENT_FAULTS = ("store_restored", "leaving", "turn_away")
+"""Faults that `FAULTS` does not contain, so that earlier seeds play as before."""
+
+FRAMING_FAULTS = ("unframed", "unframed_break")
+"""Answers that end with their connection, and streams that do so within an event."""
+
+REFUSAL_FAULTS = ("busy", "full", "full_twice")
+"""Answers with 503 after a run and without one, and second copies of the latter."""
+
+LIMIT_FAULTS = ("limit",)
+"""Workers that name a limit from then on."""
+
+ENDLESS_FAULTS = ("endless",)
+"""Answers without end, of one kind each."""
+
+SILENCE_FAULTS = ("silence",)
+"""Sound workers that answer nothing for a second."""
+
+VERSION_FAULTS = ("upgrade", "release")
+"""Workers of another software version under the same id or in the place of others. With
+them, workers have versions and callers take up streams."""
+
+PARTITION_FAULTS = tuple(f"partition_{way.value}" for way in Way)
+"""Gateways that reach no worker for some seconds. Other faults of workers would blur
+what callers may notice, so `ALL_FAULTS` does not contain them."""
+
+ALL_FAULTS = (
+    FAULTS
+    + ANNOUNCEMENT_FAULTS
+    + FRAMING_FAULTS
+    + REFUSAL_FAULTS
+    + LIMIT_FAULTS
+    + ENDLESS_FAULTS
+    + SILENCE_FAULTS
+    + VERSION_FAULTS
+)
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """Size and seed of one soak."""
+
+    seed: int
+    seconds: float = 8.0
+    gateways: int = 3
+    callers: int = 8
+    faults: tuple[str, ...] = FAULTS
+
+    @property
+    def has_versions(self) -> bool:
+        """Return whether workers have several software versions."""
+        return not set(VERSION_FAULTS).isdisjoint(self.faults)
+
+    @property
+    def has_partitions(self) -> bool:
+        """Return whether gateways reach workers over links of their own."""
+        return not set(PARTITION_FAULTS).isdisjoint(self.faults)
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -21,6 +21,15 @@
 
 from .callers import HOST, Received, SoakCaller
 from .checker import Announcements, check, check_planned_work
+from .gateway import ADDRESS_VARIABLE
+from .partitions import BEFORE_S, Partitions, Way, check_partitions
+from .plan import (
+    FRAMING_FAULTS,
+    PARTITION_FAULTS,
+    PLANNED_FAULTS,
+    REFUSAL_FAULTS,
+    SoakPlan,
+)
 from .proxy import Link
 from .releases import Releases
 from .streams import StreamCounts, check_streams
@@ -35,63 +44,6 @@
 RESTART_AFTER_S = 0.3
 """Pause after which the platform starts a process again."""
 
-PLANNED_FAULTS = ("term", "hup", "config")
-FAULTS = (
-    "kill",
-    "pause",
-    "term",
-    "hup",
-    "store_down",
-    "store_silent",
-    "store_slow",
-    "store_cut",
-    "store_reset",
-    "peer_cut",
-    "peer_deaf",
-    "peer_slow",
-    "peer_reset",
-    "worker_cut",
-    "worker_reset",
-    "worker_mute",
-    "worker_crash",
-    "drain",
-    "extra",
-    "break",
-    "config",
-    "compact",
-)
-ANNOUNCEMENT_FAULTS = ("store_restored", "leaving", "turn_away")
-"""Faults that `FAULTS` does not contain, so that earlier seeds play as before."""
-
-FRAMING_FAULTS = ("unframed", "unframed_break")
-"""Answers that end with their connection, and streams that do so within an event."""
-
-REFUSAL_FAULTS = ("busy", "full", "full_twice")
-"""Answers with 503 after a run and without one, and second copies of the latter."""
-
-LIMIT_FAULTS = ("limit",)
-"""Workers that name a limit from then on."""
-
-ENDLESS_FAULTS = ("endless",)
-"""Answers without end, of one kind each."""
-
-SILENCE_FAULTS = ("silence",)
-"""Sound workers that answer nothing for a second."""
-
-VERSION_FAULTS = ("upgrade", "release")
-"""Workers of another software version under the same id or in the place of others. With
-them, workers have versions and callers take up streams."""
-
-ALL_FAULTS = (
-    FAULTS
-    + ANNOUNCEMENT_FAULTS
-    + FRAMING_FAULTS
-    + REFUSAL_FAULTS
-    + LIMIT_FAULTS
-    + ENDLESS_FAULTS
-    + SILENCE_FAULTS
-    + VERSION_FAULTS
-)
 LIMIT_PER_S = 1.0
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
@@ -101,22 +53,6 @@
 SERVICES = services(call_ms=20.0, item_ms=1.0)
 
 
-@dataclass(frozen=True)
-class SoakPlan:
-    """Size and seed of one soak."""
-
-    seed: int
-    seconds: float = 8.0
-    gateways: int = 3
-    callers: int = 8
-    faults: tuple[str, ...] = FAULTS
-
-    @property
-    def has_versions(self) -> bool:
-        """Return whether workers have several software versions."""
-        return not set(VERSION_FAULTS).isdisjoint(self.faults)
-
-
 @dataclass
 class SoakReport:
     """What one soak saw."""
@@ -126,6 +62,8 @@
     records: list[Received] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     streams: StreamCounts = field(default_factory=StreamCounts)
+    partitions: list[str] = field(default_factory=list)
+    """What callers noticed of each partition."""
 
     def summary(self) -> str:
         """Return one line."""
@@ -168,6 +106,8 @@
         self._links: dict[str, Link] = {}
         self._peer_links: dict[str, Link] = {}
         self._version = 1
+        names = [f"edge-{number + 1}" for number in range(plan.gateways)]
+        self._partitions = Partitions(names) if plan.has_partitions else None
 
     async def run(self) -> SoakReport:
         """Run the soak and check it."""
@@ -223,6 +163,8 @@
         link = self._links[name] = Link(int(worker.address.rpartition(":")[2]))
         await self._nursery.start(link.run)
         worker.address = f"{HOST}:{link.port}"
+        if self._partitions is not None:
+            worker.address = await self._partitions.add_worker(link.port, self._nursery)
         self._platform.register(name, addr=worker.address)
 
     def _write_settings(self, name: str) -> None:
@@ -241,9 +183,13 @@
             "ACACIAPIER_FLEET_KEY": "the-key-of-the-soak",
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
+        module = "acaciapier.gateway.main"
+        if self._partitions is not None:
+            environment[ADDRESS_VARIABLE] = self._partitions.address_of_workers(name)
+            module = "acaciapier_bench.soak.gateway"
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "acaciapier.gateway.main"],
+                [sys.executable, "-m", module],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -260,7 +206,7 @@
 
     async def _play(self) -> None:
         start_s = trio.current_time()
-        faults_end_s = start_s + self._plan.seconds
+        self._faults_end_s = faults_end_s = start_s + self._plan.seconds
         calm_from_s = faults_end_s + RECOVERY_S
         until_s = calm_from_s + 2.0
         fronts = {name: ports[0] for name, ports in self._ports.items()}
@@ -275,6 +221,8 @@
                     self._plan.has_versions,
                 )
                 nursery.start_soon(caller.run, until_s)
+            if self._partitions is not None:
+                await trio.sleep(BEFORE_S)
             while trio.current_time() < faults_end_s:
                 await trio.sleep(self._random.expovariate(2.0))
                 fault = self._random.choice(self._plan.faults)
@@ -286,6 +234,13 @@
             calm_from_s,
             self._announcements,
         )
+        if self._partitions is not None:
+            found, self.report.partitions = check_partitions(
+                self.report.records,
+                self._partitions.played,
+                self._announcements.remembers,
+            )
+            self.report.broken += found
         if self._plan.has_versions:
             found, self.report.streams = check_streams(
                 self.report.records,
@@ -316,6 +271,9 @@
             self._platform.configure(configuration(self._version, ROUTES, SERVICES))
         elif kind == "compact":
             self._platform.store.compact()
+        elif kind in PARTITION_FAULTS:
+            way = Way(kind.removeprefix("partition_"))
+            await self._partitions.play(way, self._random, self._faults_end_s)
         elif kind == "upgrade":
             await self._releases.upgrade(self._random, self._announcements.leaving_s)
         elif kind == "release":
--- a/src/acaciapier_bench/soak/streams.py
+++ b/src/acaciapier_bench/soak/streams.py
@@ -35,6 +35,11 @@
         self.done += done
         self.count += 1
 
+    @property
+    def rate(self) -> float:
+        """Done ones of all; 0 if there are none."""
+        return self.done / self.count if self.count else 0.0
+
     def __str__(self):
         return f"{self.done} of {self.count}"
 
@@ -125,8 +130,6 @@
 
 def _check_shares(counts: StreamCounts) -> list[str]:
     went_on, began = counts.went_on_of_served, counts.began
-    if went_on.count < FEWEST_RESUMED or not began.count:
-        return []
-    if went_on.done / went_on.count >= WENT_ON_FACTOR * began.done / began.count:
+    if went_on.count < FEWEST_RESUMED or went_on.rate >= WENT_ON_FACTOR * began.rate:
         return []
     return [f"{went_on} resumed streams went on, and {began} new ones began"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
     check,
     check_planned_work,
 )
-from acaciapier_bench.soak.run import (
+from acaciapier_bench.soak.plan import (
     ANNOUNCEMENT_FAULTS,
     ENDLESS_FAULTS,
     FAULTS,
@@ -16,8 +16,8 @@
     LIMIT_FAULTS,
     VERSION_FAULTS,
     SoakPlan,
-    run_soak,
 )
+from acaciapier_bench.soak.run import run_soak
 from acaciapier_bench.soak.streams import Lifetime, check_streams
 from acaciapier_standins.platform.workers import Arrival, Run, RunLog, TurnedAway
 
