Merge the soak's software versions, resumed streams and partitions

The soak's upgraded workers now also report the start of their new incarnation, as the users' workers do (stand-in only).

--- a/src/acaciapier_bench/soak/command.py
+++ b/src/acaciapier_bench/soak/command.py
@@ -9,7 +9,8 @@
 
 import cappa
 
-from .run import ALL_FAULTS, FAULTS, SoakPlan, run_soak
+from .plan import ALL_FAULTS, FAULTS, SoakPlan
+from .run import run_soak
 
 
 @cappa.command(name="soak")
@@ -29,6 +30,9 @@
     earlier_faults: Annotated[
         bool, cappa.Arg(long=True, help="Without announcements and restored stores.")
     ] = False
+    fault: Annotated[
+        list[str], cappa.Arg(long=True, help="Faults to play instead of all.")
+    ] = field(default_factory=list)
     keep: Annotated[
         Path | None, cappa.Arg(long=True, help="Folder for settings and logs.")
     ] = None
@@ -38,10 +42,11 @@
         broken = False
         for seed in self._seeds():
             faults = FAULTS if self.earlier_faults else ALL_FAULTS
+            faults = tuple(self.fault) or faults
             plan = SoakPlan(seed, self.seconds, self.gateways, self.callers, faults)
             folder = self.keep / str(seed) if self.keep else None
             report = run_soak(plan, folder)
-            print(report.summary(), flush=True)
+            print(report.summary(), *report.partitions, sep="\n  ", flush=True)
             for line in report.broken:
                 print(f"  {line}", flush=True)
             broken = broken or bool(report.broken)
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -21,7 +21,18 @@
 
 from .callers import HOST, Received, SoakCaller
 from .checker import Announcements, check, check_planned_work
+from .gateway import ADDRESS_VARIABLE
+from .partitions import BEFORE_S, Partitions, Way, check_partitions
+from .plan import (
+    FRAMING_FAULTS,
+    PARTITION_FAULTS,
+    PLANNED_FAULTS,
+    REFUSAL_FAULTS,
+    SoakPlan,
+)
 from .proxy import Link
+from .releases import Releases
+from .streams import StreamCounts, check_streams
 
 RECOVERY_S = 4.0
 """Time after the last fault in which the deployment recovers."""
@@ -33,73 +44,15 @@
 RESTART_AFTER_S = 0.3
 """Pause after which the platform starts a process again."""
 
-PLANNED_FAULTS = ("term", "hup", "config")
-FAULTS = (
-    "kill",
-    "pause",
-    "term",
-    "hup",
-    "store_down",
-    "store_silent",
-    "store_slow",
-    "store_cut",
-    "store_reset",
-    "peer_cut",
-    "peer_deaf",
-    "peer_slow",
-    "peer_reset",
-    "worker_cut",
-    "worker_reset",
-    "worker_mute",
-    "worker_crash",
-    "drain",
-    "extra",
-    "break",
-    "config",
-    "compact",
-)
-ANNOUNCEMENT_FAULTS = ("store_restored", "leaving", "turn_away")
-"""Faults that `FAULTS` does not contain, so that earlier seeds play as before."""
-
-FRAMING_FAULTS = ("unframed", "unframed_break")
-"""Answers that end with their connection, and streams that do so within an event."""
-
-REFUSAL_FAULTS = ("busy", "full", "full_twice")
-"""Answers with 503 after a run and without one, and second copies of the latter."""
-
-LIMIT_FAULTS = ("limit",)
-"""Workers that name a limit from then on."""
-
-ENDLESS_FAULTS = ("endless",)
-"""Answers without end, of one kind each."""
-
-ALL_FAULTS = (
-    FAULTS
-    + ANNOUNCEMENT_FAULTS
-    + FRAMING_FAULTS
-    + REFUSAL_FAULTS
-    + LIMIT_FAULTS
-    + ENDLESS_FAULTS
-)
 LIMIT_PER_S = 1.0
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
 
 TURN_AWAY_S = 2.0
+SILENCE_S = 1.0
 SERVICES = services(call_ms=20.0, item_ms=1.0)
 
 
-@dataclass(frozen=True)
-class SoakPlan:
-    """Size and seed of one soak."""
-
-    seed: int
-    seconds: float = 8.0
-    gateways: int = 3
-    callers: int = 8
-    faults: tuple[str, ...] = FAULTS
-
-
 @dataclass
 class SoakReport:
     """What one soak saw."""
@@ -108,14 +61,26 @@
     faults: list[str] = field(default_factory=list)
     records: list[Received] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
+    streams: StreamCounts = field(default_factory=StreamCounts)
+    partitions: list[str] = field(default_factory=list)
+    """What callers noticed of each partition."""
 
     def summary(self) -> str:
         """Return one line."""
         done = sum(one.whole and one.status == 200 for one in self.records)
-        return (
+        line = (
             f"seed {self.plan.seed}: {done} of {len(self.records)} requests done, "
             f"{len(self.faults)} faults, {len(self.broken)} promises broken"
         )
+        streams = self.streams
+        if streams.went_on.count:
+            line += (
+                f"; {streams.went_on} resumed streams went on, {streams.refused} were "
+                f"refused, {streams.began} new ones began; with two workers of their "
+                f"version {streams.went_on_of_served} went on; {streams.mixed} streams "
+                f"mixed, {streams.mixed_within} of them within an answer"
+            )
+        return line
 
 
 class Soak:
@@ -141,6 +106,8 @@
         self._links: dict[str, Link] = {}
         self._peer_links: dict[str, Link] = {}
         self._version = 1
+        names = [f"edge-{number + 1}" for number in range(plan.gateways)]
+        self._partitions = Partitions(names) if plan.has_partitions else None
 
     async def run(self) -> SoakReport:
         """Run the soak and check it."""
@@ -156,14 +123,18 @@
     async def _start(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self._platform = StandInPlatform(nursery)
+        self._releases = Releases(
+            self._platform, self._links, self._drained_s, self._add_worker, nursery
+        )
         await self._platform.start()
         self._store_link = Link(self._platform.store_port)
         await nursery.start(self._store_link.run)
         self._platform.store.translate = self._translate
         self._platform.configure(configuration(1, ROUTES, SERVICES))
         for service, kind in KINDS.items():
-            for number in (1, 2, 3):
-                await self._add_worker(f"{service}-{number}", service, kind)
+            for number in (1, 2, 3, 4) if self._plan.has_versions else (1, 2, 3):
+                version = f"v{1 + number % 2}" if self._plan.has_versions else None
+                await self._add_worker(f"{service}-{number}", service, kind, version)
         for number in range(self._plan.gateways):
             name = f"edge-{number + 1}"
             self._ports[name] = tuple(free_ports(HOST, 3))
@@ -182,11 +153,18 @@
             return spec
         return spec | {"port": self._peer_links[name].port}
 
-    async def _add_worker(self, name: str, service: str, kind: str) -> None:
-        worker = await self._platform.add_worker(name, service, kind=kind)
+    async def _add_worker(
+        self, name: str, service: str, kind: str, version: str | None = None
+    ) -> None:
+        fields = {"kind": kind}
+        if version is not None:
+            fields |= self._releases.begin(name, kind, version)
+        worker = await self._platform.add_worker(name, service, **fields)
         link = self._links[name] = Link(int(worker.address.rpartition(":")[2]))
         await self._nursery.start(link.run)
         worker.address = f"{HOST}:{link.port}"
+        if self._partitions is not None:
+            worker.address = await self._partitions.add_worker(link.port, self._nursery)
         self._platform.register(name, addr=worker.address)
 
     def _write_settings(self, name: str) -> None:
@@ -205,9 +183,13 @@
             "ACACIAPIER_FLEET_KEY": "the-key-of-the-soak",
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
+        module = "acaciapier.gateway.main"
+        if self._partitions is not None:
+            environment[ADDRESS_VARIABLE] = self._partitions.address_of_workers(name)
+            module = "acaciapier_bench.soak.gateway"
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "acaciapier.gateway.main"],
+                [sys.executable, "-m", module],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -224,7 +206,7 @@
 
     async def _play(self) -> None:
         start_s = trio.current_time()
-        faults_end_s = start_s + self._plan.seconds
+        self._faults_end_s = faults_end_s = start_s + self._plan.seconds
         calm_from_s = faults_end_s + RECOVERY_S
         until_s = calm_from_s + 2.0
         fronts = {name: ports[0] for name, ports in self._ports.items()}
@@ -236,8 +218,11 @@
                     fronts,
                     random_module.Random(self._plan.seed * 1_000 + number),
                     self.report.records,
+                    self._plan.has_versions,
                 )
                 nursery.start_soon(caller.run, until_s)
+            if self._partitions is not None:
+                await trio.sleep(BEFORE_S)
             while trio.current_time() < faults_end_s:
                 await trio.sleep(self._random.expovariate(2.0))
                 fault = self._random.choice(self._plan.faults)
@@ -249,6 +234,20 @@
             calm_from_s,
             self._announcements,
         )
+        if self._partitions is not None:
+            found, self.report.partitions = check_partitions(
+                self.report.records,
+                self._partitions.played,
+                self._announcements.remembers,
+            )
+            self.report.broken += found
+        if self._plan.has_versions:
+            found, self.report.streams = check_streams(
+                self.report.records,
+                self._releases.lifetimes,
+                self._announcements.remembers,
+            )
+            self.report.broken += found
         if set(self._plan.faults) <= set(PLANNED_FAULTS):
             self.report.broken += check_planned_work(
                 self.report.records, self._platform.run_log
@@ -272,6 +271,13 @@
             self._platform.configure(configuration(self._version, ROUTES, SERVICES))
         elif kind == "compact":
             self._platform.store.compact()
+        elif kind in PARTITION_FAULTS:
+            way = Way(kind.removeprefix("partition_"))
+            await self._partitions.play(way, self._random, self._faults_end_s)
+        elif kind == "upgrade":
+            await self._releases.upgrade(self._random, self._announcements.leaving_s)
+        elif kind == "release":
+            await self._releases.release(self._random)
         else:
             await self._harm_worker(kind, worker, length_s)
 
@@ -343,6 +349,8 @@
 
     async def _harm_worker(self, kind: str, name: str, length_s: float) -> None:
         worker, link = self._platform.workers[name], self._links[name]
+        if kind in ("drain", "leaving", "limit", "turn_away"):
+            self._releases.end(name)
         if kind == "worker_reset":
             link.reset_all()
         elif kind == "worker_cut":
@@ -358,14 +366,14 @@
             service, _, number = name.partition("-")
             fresh = f"{service}-{number}x"
             if fresh not in self._links:
-                await self._add_worker(fresh, service, KINDS[service])
+                await self._add_worker(fresh, service, KINDS[service], worker.version)
         elif kind == "leaving":
             self._announcements.leaving_s.setdefault(name, trio.current_time())
             worker.faults.leaving = True
             service, _, number = name.partition("-")
             fresh = f"{service}-{number}y"
             if fresh not in self._links:
-                await self._add_worker(fresh, service, KINDS[service])
+                await self._add_worker(fresh, service, KINDS[service], worker.version)
         elif kind == "limit":
             now_s = trio.current_time()
             self._announcements.limits.setdefault(name, (LIMIT_PER_S, now_s))
@@ -375,6 +383,9 @@
                 worker.faults.endless = self._random.choice(sorted(ENDLESS))
         elif kind == "turn_away":
             worker.faults.turn_away = str(TURN_AWAY_S)
+        elif kind == "silence":
+            await self._silence(name)
+            return
         elif kind == "extra":
             worker.faults.extra_answer = True
         elif kind == "busy":
@@ -398,6 +409,14 @@
         worker.faults.turn_away = worker.faults.endless = None
         link.faults.cut_to_server = link.faults.refuse = False
 
+    async def _silence(self, name: str) -> None:
+        faults, over = self._platform.workers[name].faults, trio.Event()
+        faults.silence = over
+        await trio.sleep(SILENCE_S)
+        over.set()
+        if faults.silence is over:
+            faults.silence = None
+
     def _end_processes(self) -> None:
         for process in self._processes.values():
             if process.poll() is None:
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -11,6 +11,8 @@
 
 from acaciapier.http.caller import CallerDisconnected, Exchange, IncomingRequest
 
+from .unframed import UnframedExchange
+
 RUN_PATH = b"/api/stage-run"
 FREE_PATH = b"/api/stage-free"
 REPORT_PATH = b"/api/report"
@@ -85,44 +87,8 @@
     """Name this limit, in requests a second, in all answers."""
     endless: str | None = None
     """A key of `ENDLESS`: send these bytes until the caller closes."""
-
-
-class UnframedExchange:
-    """An answer that ends with its connection; has the methods of `Exchange`."""
-
-    def __init__(self, exchange: Exchange):
-        self.ended = False
-        self._exchange = exchange
-
-    async def respond(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes = b""
-    ) -> None:
-        """Send a complete answer."""
-        await self.start(status, headers)
-        await self.send(body)
-        await self.end()
-
-    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head."""
-        lines = [f"HTTP/1.1 {status} Status".encode()]
-        lines += [name + b": " + value for name, value in headers]
-        await self._exchange.send_raw(b"\r\n".join(lines) + b"\r\n\r\n")
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._exchange.send_raw(data)
-
-    async def send_raw(self, data: bytes) -> None:
-        """Send bytes outside the protocol."""
-        await self._exchange.send_raw(data)
-
-    async def end(self) -> None:
-        """Count the answer as complete; the server then closes the connection."""
-        self.ended = True
-
-    def abort(self) -> None:
-        """Close the connection."""
-        self._exchange.abort()
+    silence: trio.Event | None = None
+    """Leave requests unanswered, and streams where they are, until this is set."""
 
 
 @dataclass
@@ -199,6 +165,8 @@
     on_begin : callable, optional
         Called with the worker's name and the parts of a prompt when a stream on it
         begins to be written; it may crash the worker.
+    version : str, optional
+        Software version, which all events tell.
     """
 
     def __init__(
@@ -211,10 +179,12 @@
         gap_s: float = 0.01,
         results: dict[str, str] | None = None,
         on_begin: Callable[[str, tuple[str, ...]], None] | None = None,
+        version: str | None = None,
     ):
         self.name = name
         self.address = address
         self.faults = WorkerFaults()
+        self.version = version
         self._run_log = run_log
         self.kind = kind
         self._events = events
@@ -250,6 +220,7 @@
         self.arrivals_s.append(now_s)
         attempt = headers.get("attempt-id", "")
         self._run_log.arrivals.append(Arrival(self.name, attempt, now_s))
+        await self._keep_silence()
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
         elif self.faults.turn_away is not None:
@@ -308,6 +279,7 @@
             await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
             return
         await trio.sleep(self._gap_s + self.faults.delay_s)
+        await self._keep_silence()
         if self.faults.mute:
             await trio.sleep_forever()
         if self.faults.endless is not None:
@@ -418,6 +390,7 @@
 
     async def _plain(self, run: Run, exchange: Exchange) -> None:
         await trio.sleep(self._gap_s)
+        await self._keep_silence()
         if self.faults.cut_after is not None:
             length = [] if self.faults.unframed else [(b"Content-Length", b"1000")]
             await exchange.start(200, [*self._identity_headers(run), *length])
@@ -443,6 +416,7 @@
             await exchange.respond(self.faults.status, self._identity_headers(run))
             return
         first = int(headers.get("last-event-id", "0")) + 1
+        mark = "" if self.version is None else f" {self.version}"
         content_type = (b"Content-Type", b"text/event-stream")
         await exchange.start(200, [*self._identity_headers(run), content_type])
         if self._on_begin is not None:
@@ -457,7 +431,8 @@
                 await self._drip(exchange)
             if sent == 1:
                 await trio.sleep(self.faults.pause_s)
-            event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
+            await self._keep_silence()
+            event = f"id: {number}\ndata: {run.attempt} {number}{mark}\n\n".encode()
             if sent == self.faults.cut_after:
                 await exchange.send(event[: len(event) // 2])
                 if self.faults.ends_early:
@@ -469,6 +444,10 @@
             await trio.sleep(self._gap_s)
         await exchange.end()
 
+    async def _keep_silence(self) -> None:
+        if self.faults.silence is not None:
+            await self.faults.silence.wait()
+
     async def _drip(self, exchange: Exchange) -> None:
         while True:
             await exchange.send(b"x")
