Serve the callers of a partitioned instance over connections through another one

An instance that had lost its links to all workers still got its callers' requests, and every one of them failed: each connection to a worker was refused or timed out, so requests were refused with 503 or ended late, and a partitioned dispatcher of a stage service stopped that service for all.

A connection to a worker now leads through another instance while this one is partitioned; the instance goes on to handle its requests, with its grants, retries, software versions, stages and logs. WorkerPaths concludes the partition from failed direct connections to two distinct workers without a success since, for a service or for all. WorkerConnector then opens a tunnel: a stream call to an instance whose heartbeat says that it reaches workers, which connects to the worker directly, so there is one hop at most. A chunk is written only after the one before was taken, and the stream's credit limits the other direction. The end of the worker's connection is reported as clean or not, so that a reset or a broken hop never looks like the end of an answer. If no hop opens, nothing was sent: ConnectFailed, as before. One probe about every 500 ms detects the return. The crash probe asks another instance before it reports a crash. Calls of stages are given up before a connection times out; the attempt is finished in the background, or the partition would never be concluded from them.

The heartbeat gets a field at its end; processes of earlier releases lack it and are not asked.

--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -7,10 +7,7 @@
 from ..core.clock import Clock
 from ..http.client import HttpConnection
 from .models import Worker
-
-CONNECT_TIMEOUT_MS = 400.0
-"""Opening a connection takes one round trip and about a millisecond; an unreachable
-worker never accepts one."""
+from .worker_connector import Connector, DirectConnector
 
 KEEP_ALIVE_MARGIN_MS = 500.0
 """A connection is not reused in the last part of its worker's keep-alive time."""
@@ -38,20 +35,29 @@
     ----------
     clock : Clock
         Source of time.
+    connector : Connector, optional
+        Opens connections; direct ones by default.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, connector: Connector | None = None):
         self.opened = 0
+        self._connector = connector or DirectConnector()
         self._clock = clock
         self._idle: dict[str, list[HttpConnection]] = {}
         self._max_idle_ms: dict[str, float] = {}
 
     @asynccontextmanager
-    async def acquire(self, worker: Worker, repeatable: bool, force_new: bool = False):
+    async def acquire(
+        self,
+        worker: Worker,
+        repeatable: bool,
+        force_new: bool = False,
+        request: str = "",
+    ):
         """Provide a connection to a worker for one exchange.
 
         The connection returns to the pool if the exchange was complete, and is closed
-        otherwise.
+        otherwise. `request` is the id of the request that it is for, for logs.
 
         Raises
         ------
@@ -60,10 +66,10 @@
         """
         connection = None if force_new else self._pop_idle(worker, repeatable)
         if connection is None:
-            connection = await HttpConnection.open(
-                worker.host, worker.port, CONNECT_TIMEOUT_MS
-            )
+            connection = await self._connector.open(worker, request)
             self.opened += 1
+        else:
+            self._connector.record_reuse(worker, connection, request)
         try:
             yield connection
         finally:
@@ -102,7 +108,8 @@
             if not repeatable:
                 limit_ms = min(limit_ms, UNREPEATABLE_MAX_IDLE_MS)
             too_old = self._idle_ms(connection) > limit_ms
-            if connection.has_unread_input() or too_old:
+            outdated = too_old or not self._connector.is_current(worker, connection)
+            if connection.has_unread_input() or outdated:
                 connection.close()
             else:
                 return connection
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -35,13 +35,14 @@
 )
 from ..wire.messages.operations import FetchCrashRecords
 from ..wire.messages.quarantine import Strikes
+from ..wire.messages.tunnels import OpenTunnel, WriteTunnel
 from ..wire.network import PeerNetwork
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool, sweep_idle
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.dispatcher import Dispatcher
 from .followers import StoreFollowers
-from .models import InputLimits, PeerRecord
+from .models import InputLimits, PeerRecord, Worker
 from .observing import RequestObserver, StructuredLog
 from .peer_sync import PeerSync
 from .peers import Peers
@@ -52,9 +53,12 @@
 from .status_server import StatusServer
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
+from .tunnels import TunnelClient, TunnelServer
+from .worker_connector import WorkerConnector
 from .worker_exchange import WorkerExchange
 from .worker_limits import WorkerLimits
 from .worker_notices import WorkerNotices
+from .worker_paths import WorkerPaths
 
 LISTEN_BACKLOG = 1_024
 """Connections that may wait for accept; enough for all callers connecting at once."""
@@ -162,7 +166,8 @@
             self.log.write,
         )
         self.followers = StoreFollowers(self.peers)
-        worker_connections = WorkerConnectionPool(self.clock)
+        connector = self._make_connector(tasks)
+        worker_connections = WorkerConnectionPool(self.clock, connector)
         self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
         self.metrics.watch_worker_limits(self._worker_limits)
         self.notices = WorkerNotices(
@@ -186,7 +191,12 @@
             self.limits,
         )
         self.quarantine = RequestQuarantine(
-            self.clock, self._random, self.peers, self.log.write, tasks
+            self.clock,
+            self._random,
+            self.peers,
+            self.log.write,
+            tasks,
+            connector.is_reachable,
         )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
@@ -245,7 +255,12 @@
         )
         tasks.start_soon(peer_sync.join, settings.seeds)
         nursery.start_soon(self._watch_reload_signal)
-        for loop in (self.sync.run, self._detect_freezes, self._watch_settings):
+        for loop in (
+            self.sync.run,
+            self._detect_freezes,
+            self._watch_settings,
+            connector.probe_periodically,
+        ):
             nursery.start_soon(run_forever, loop, report)
         nursery.start_soon(run_forever, self.peers.run, report, tasks)
         nursery.start_soon(run_forever, sweep_idle, report, worker_connections)
@@ -265,6 +280,34 @@
             front=f"{settings.front.host}:{settings.front.port}",
         )
 
+    def _make_connector(self, tasks: TaskSupervisor) -> WorkerConnector:
+        """Return what opens connections to workers, here and for other instances."""
+        self.paths = WorkerPaths(self.clock, self._listed_workers, self.log.write)
+        tunnels = TunnelClient(
+            self.network,
+            self.peers,
+            self.settings.data_centre,
+            self._random,
+            tasks,
+            self.log.write,
+            self.metrics,
+        )
+        connector = WorkerConnector(
+            self.paths,
+            tunnels,
+            self._listed_workers,
+            self._random,
+            self.log.write,
+            tasks,
+        )
+        self.tunnel_server = TunnelServer(
+            self.catalogue, connector.open_direct, self.log.write, self.metrics
+        )
+        return connector
+
+    def _listed_workers(self) -> list[Worker]:
+        return list(self.catalogue.workers.values())
+
     def _register_handlers(self, peer_sync: PeerSync) -> None:
         register = self.network.register
         register(Heartbeat, self._answer_heartbeat)
@@ -280,6 +323,8 @@
         register(CancelWork, self.dispatcher.cancel_work)
         register(HeldPermits, self.dispatcher.held_permits)
         register(HeldResults, self.dispatcher.held_results)
+        register(WriteTunnel, self.tunnel_server.write)
+        self.network.register_stream(OpenTunnel, self.tunnel_server.serve)
 
     def _required_peers(self) -> set[InstanceId]:
         """Return the dispatchers of all services and the followers of the store."""
@@ -311,6 +356,7 @@
             self.notices.shared_leaving(),
             self.dispatcher.engine_times(),
             self.quarantine.part_crashes_digest,
+            self.catalogue.complete and not self.paths.partitioned_from_all,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -5,7 +5,8 @@
 """
 
 from bisect import bisect
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -61,6 +62,10 @@
 the period grows in proportion, so that a dispatcher receives no more than about 480 a
 second, until the period reaches that of slow heartbeats."""
 
+HEARTBEAT_EXPIRY_MS = 2_500.0
+"""Age up to which a heartbeat tells whether its sender serves tunnels: two periods of
+slow heartbeats and a time-out."""
+
 NEIGHBOUR_COUNT = 2
 """Neighbours that an instance of a large fleet observes, so that each instance is
 observed by two others."""
@@ -75,6 +80,7 @@
     up: bool = True
     stopping: bool = False
     last_heartbeat: Heartbeat | None = None
+    last_heartbeat_s: float = 0.0
     next_heartbeat_s: float = 0.0
     stable_at_s: float = 0.0
     """Monotonic time at which its uptime reaches `STABLE_AFTER_MS`."""
@@ -200,6 +206,33 @@
             and peer.last_heartbeat.follows_store
         )
 
+    def tunnel_helpers(self) -> list[PeerRecord]:
+        """Return the peers that lately reported that they serve tunnels."""
+        after_s = self._clock.monotonic_s() - to_s(HEARTBEAT_EXPIRY_MS)
+        return [
+            peer.record
+            for instance, peer in self._peers.items()
+            if self.is_up(instance)
+            and peer.last_heartbeat is not None
+            and peer.last_heartbeat.serves_tunnels
+            and peer.last_heartbeat_s > after_s
+        ]
+
+    @contextmanager
+    def fails_when_down(self, instance: InstanceId) -> Iterator[trio.CancelScope]:
+        """Provide a scope that is cancelled when a peer goes down."""
+        peer = self._peers.get(instance)
+        with trio.CancelScope() as scope:
+            if peer is None:
+                scope.cancel()
+                yield scope
+                return
+            peer.pending_calls.add(scope)
+            try:
+                yield scope
+            finally:
+                peer.pending_calls.discard(scope)
+
     def reported_waits(self, instance: InstanceId) -> tuple[ServiceWait, ...]:
         """Return the service waits in the last heartbeat of a peer."""
         peer = self._peers.get(instance)
@@ -275,6 +308,7 @@
             return
         peer.missed_heartbeats = 0
         peer.last_heartbeat = heartbeat
+        peer.last_heartbeat_s = self._clock.monotonic_s()
         left_ms = STABLE_AFTER_MS - heartbeat.uptime_ms
         peer.stable_at_s = self._clock.monotonic_s() + to_s(left_ms)
         if peer.stable != (left_ms <= 0):
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -4,7 +4,7 @@
 """
 
 import random as random_module
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import trio
 
@@ -13,7 +13,6 @@
 from ..core.ids import Incarnation, InstanceId, PoolName, TargetId
 from ..core.stages import StageKind
 from ..exceptions import PeerUnavailable
-from ..http.client import ConnectFailed, HttpConnection
 from ..policy.models import CallOutcome, CallReport
 from ..policy.quarantine import Quarantine
 from ..policy.settings import PolicySettings
@@ -64,6 +63,9 @@
         Logs an event with its fields.
     tasks : TaskSupervisor
         Runs the probes of workers that may have crashed.
+    is_reachable : callable
+        Coroutine that returns whether a worker accepts connections, given the worker
+        and a timeout in milliseconds.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         peers: Peers,
         log: Callable[..., None],
         tasks: TaskSupervisor,
+        is_reachable: Callable[[Worker, float], Awaitable[bool]],
     ):
         settings = PolicySettings(crash_record_expiry_ms=CRASH_RECORD_EXPIRY_MS)
         self._quarantine = Quarantine(clock, random, settings)
@@ -85,6 +88,7 @@
         self._peers = peers
         self._log = log
         self._tasks = tasks
+        self._is_reachable = is_reachable
 
     @property
     def part_crashes_digest(self) -> int:
@@ -175,14 +179,8 @@
         last_event = state.events.last_id
         broken_s = self._clock.monotonic_s()
         await trio.sleep(to_s(PROBE_DELAY_MS))
-        outcome = CallOutcome.FAILED
-        try:
-            connection = await HttpConnection.open(
-                worker.host, worker.port, PROBE_TIMEOUT_MS
-            )
-            connection.close()
-        except ConnectFailed:
-            outcome = CallOutcome.CRASHED
+        reachable = await self._is_reachable(worker, PROBE_TIMEOUT_MS)
+        outcome = CallOutcome.FAILED if reachable else CallOutcome.CRASHED
         self._quarantine.ended(_report(worker, outcome), state.fingerprint)
         if outcome is CallOutcome.CRASHED:
             if begun_s is None or broken_s - begun_s < to_s(WRITE_SETTLE_MS):
--- /dev/null
+++ b/src/acaciapier/gateway/tunnels.py
@@ -0,0 +1,467 @@
+"""Connections to workers through another instance, over the network of instances.
+
+A tunnel has one hop: the instance that serves it connects to the worker directly.
+"""
+
+import random as random_module
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
+
+import trio
+
+from ..core.clock import to_s
+from ..core.ids import InstanceId
+from ..exceptions import PeerUnavailable
+from ..http.client import ConnectFailed, HttpConnection
+from ..observability.metrics import Metrics
+from ..wire.messages.base import Message
+from ..wire.messages.tunnels import (
+    OpenTunnel,
+    TunnelData,
+    TunnelEnded,
+    TunnelOpened,
+    TunnelRefused,
+    TunnelWritten,
+    WriteTunnel,
+)
+from ..wire.network import PeerNetwork
+from .catalogue import Catalogue
+from .models import Worker, WorkerKey
+from .peers import Peers
+from .supervision import TaskSupervisor
+
+CHUNK_BYTES = 32_768
+"""Maximum number of bytes in a message; other messages of the same connection to an
+instance wait for no more than this."""
+
+OPEN_TIMEOUT_MS = 600.0
+"""Timeout of opening a tunnel: the helper's connect timeout and two round trips."""
+
+WRITE_TIMEOUT_MS = 10_000.0
+"""Timeout of one write, which waits until the worker has read earlier ones."""
+
+MAX_HELPERS_ASKED = 3
+UNREACHABLE_ANSWERS = 2
+"""Helpers that must fail to reach a worker before it is taken to be unreachable: a
+single one may just have been partitioned itself."""
+
+MAX_TUNNELS = 256
+MAX_TUNNELS_PER_PEER = 96
+"""Bounds of the tunnels that an instance serves. Each takes a descriptor, and one of
+the calls that a peer may have in progress."""
+
+UNREACHABLE, UNKNOWN_WORKER, OVERLOADED = "unreachable", "unknown_worker", "overloaded"
+"""Causes of refused tunnels."""
+
+
+class TunnelRefusedError(ConnectFailed):
+    """A helper opened no tunnel.
+
+    Parameters
+    ----------
+    cause : str
+        Cause as in `TunnelRefused`, or empty if the helper did not answer.
+    reason : str
+        Description for logs.
+    """
+
+    def __init__(self, cause: str, reason: str):
+        super().__init__(f"{cause or 'no answer'}: {reason}")
+        self.cause = cause
+
+
+class WorkerUnreachable(ConnectFailed):
+    """Helpers have tried to connect to the worker and failed."""
+
+
+class TunnelStream:
+    """Bytes to and from a worker through a helper; has the methods of a stream.
+
+    Parameters
+    ----------
+    helper : InstanceId
+        The instance that connects to the worker.
+    number : int
+        Number of the tunnel among those of this instance.
+    network : PeerNetwork
+        Connections to other instances.
+    peers : Peers
+        Tells when the helper goes down.
+    """
+
+    def __init__(
+        self, helper: InstanceId, number: int, network: PeerNetwork, peers: Peers
+    ):
+        self.helper = helper
+        self.number = number
+        self._network = network
+        self._peers = peers
+        self._scope = trio.CancelScope()
+        self._write_scopes: set[trio.CancelScope] = set()
+        self._answered = trio.Event()
+        self._refusal = TunnelRefusedError("", "closed here")
+        self._opened = False
+        self._closed = False
+        self._clean_end = False
+        self._end_reason = f"the tunnel through {helper} broke"
+        self._put, self._received = trio.open_memory_channel[bytes](1)
+        self._rest = b""
+
+    async def run(self, message: OpenTunnel) -> None:
+        """Receive what the helper sends until the tunnel ends."""
+        try:
+            with self._scope, self._peers.fails_when_down(self.helper):
+                answer = self._network.call_stream(
+                    self.helper, message, timeout_ms=OPEN_TIMEOUT_MS
+                )
+                async with aclosing(answer) as items:
+                    async for item in items:
+                        await self._handle(item)
+        except PeerUnavailable as error:
+            self._end_reason = str(error)
+            self._refusal = TunnelRefusedError("", str(error))
+        finally:
+            self._put.close()
+            self._answered.set()
+
+    async def _handle(self, item: Message) -> None:
+        if isinstance(item, TunnelData):
+            await self._put.send(item.data)
+        elif isinstance(item, TunnelOpened):
+            self._opened = True
+            self._answered.set()
+        elif isinstance(item, TunnelRefused):
+            self._refusal = TunnelRefusedError(item.cause, item.reason)
+        elif isinstance(item, TunnelEnded):
+            self._clean_end = item.clean
+            self._end_reason = f"{self.helper}: {item.reason}"
+
+    async def wait_opened(self) -> None:
+        """Wait until the helper has connected.
+
+        Raises
+        ------
+        TunnelRefusedError
+            If it has not.
+        """
+        with trio.move_on_after(to_s(OPEN_TIMEOUT_MS)):
+            await self._answered.wait()
+        if not self._answered.is_set():
+            raise TunnelRefusedError("", "no answer in time")
+        if not self._opened:
+            raise self._refusal
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the worker sent data, or the tunnel ended."""
+        statistics = self._received.statistics()
+        return bool(
+            self._rest
+            or statistics.current_buffer_used
+            or not statistics.open_send_channels
+        )
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return bytes from the worker; none after it has closed cleanly.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the worker reset the connection, or the tunnel broke.
+        """
+        if not self._rest:
+            try:
+                self._rest = await self._received.receive()
+            except trio.EndOfChannel:
+                if self._clean_end:
+                    return b""
+                raise trio.BrokenResourceError(self._end_reason) from None
+        data, self._rest = self._rest[:max_bytes], self._rest[max_bytes:]
+        return data
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes to the worker, each part after the one before was written.
+
+        Raises
+        ------
+        trio.BrokenResourceError
+            If the connection did not take them.
+        """
+        for start in range(0, len(data), CHUNK_BYTES):
+            message = WriteTunnel(self.number, data[start : start + CHUNK_BYTES])
+            if not await self._write(message):
+                raise trio.BrokenResourceError(self._end_reason)
+
+    async def _write(self, message: WriteTunnel) -> bool:
+        if self._closed:
+            raise trio.ClosedResourceError("the tunnel was closed")
+        with trio.CancelScope() as scope:
+            self._write_scopes.add(scope)
+            try:
+                answer = await self._peers.call(self.helper, message, WRITE_TIMEOUT_MS)
+                return isinstance(answer, TunnelWritten) and answer.accepted
+            except PeerUnavailable as error:
+                raise trio.BrokenResourceError(str(error)) from error
+            finally:
+                self._write_scopes.discard(scope)
+        raise trio.ClosedResourceError("the tunnel was closed")
+
+    def close(self) -> None:
+        """Close immediately; the helper closes the connection to the worker."""
+        self._closed = True
+        self._scope.cancel()
+        self._received.close()
+        for scope in list(self._write_scopes):
+            scope.cancel()
+
+
+class TunneledConnection(HttpConnection):
+    """A connection to a worker through a tunnel.
+
+    Parameters
+    ----------
+    stream : TunnelStream
+        The open tunnel.
+    address : str
+        Address of the worker and name of the helper, for error messages.
+    """
+
+    def __init__(self, stream: TunnelStream, address: str):
+        super().__init__(stream, address)
+
+    @property
+    def helper(self) -> InstanceId:
+        """The instance that connects to the worker."""
+        return self.stream.helper
+
+    @property
+    def number(self) -> int:
+        """Number of the tunnel among those of this instance."""
+        return self.stream.number
+
+    def has_unread_input(self) -> bool:
+        """Return whether the worker sent data, or the tunnel ended, while idle."""
+        return self.stream.has_unread_input
+
+    def close(self) -> None:
+        """Close immediately."""
+        self.stream.close()
+
+
+class TunnelClient:
+    """Opens tunnels through other instances.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+        Connections to other instances.
+    peers : Peers
+        The other instances, and whether they serve tunnels.
+    data_centre : str
+        Data centre of this instance; helpers in it are asked first.
+    random : random.Random
+        Source of the choice among helpers.
+    tasks : TaskSupervisor
+        Runs a task for each open tunnel.
+    log : callable
+        Logs an event with its fields.
+    metrics : Metrics
+        Counts tunnels.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        peers: Peers,
+        data_centre: str,
+        random: random_module.Random,
+        tasks: TaskSupervisor,
+        log: Callable[..., None],
+        metrics: Metrics,
+    ):
+        self._network = network
+        self._peers = peers
+        self._data_centre = data_centre
+        self._random = random
+        self._tasks = tasks
+        self._log = log
+        self._metrics = metrics
+        self._last_number = 0
+
+    def helpers(self) -> list[InstanceId]:
+        """Return the instances to ask for a tunnel, in order."""
+        records = self._peers.tunnel_helpers()
+        self._random.shuffle(records)
+        records.sort(key=lambda record: record.data_centre != self._data_centre)
+        return [record.instance for record in records]
+
+    async def open(self, worker: Worker, request: str = "") -> TunneledConnection:
+        """Open a connection to a worker through another instance.
+
+        Raises
+        ------
+        WorkerUnreachable
+            If the helpers that were asked could not connect to the worker.
+        ConnectFailed
+            If no helper opened a tunnel for another reason.
+        """
+        helpers = self.helpers()[:MAX_HELPERS_ASKED]
+        unreachable = 0
+        last_refusal = "no instance serves tunnels"
+        for helper in helpers:
+            try:
+                return await self._open_through(helper, worker, request)
+            except TunnelRefusedError as error:
+                last_refusal = str(error)
+                self._metrics.worker_tunnel("refused_by_helper")
+                self._log(
+                    "tunnel_refused",
+                    request=request,
+                    worker=worker.id,
+                    helper=helper,
+                    reason=last_refusal,
+                )
+                unreachable += error.cause == UNREACHABLE
+            if unreachable >= UNREACHABLE_ANSWERS:
+                break
+        if 0 < unreachable >= min(UNREACHABLE_ANSWERS, len(helpers)):
+            raise WorkerUnreachable(f"{worker.address}: {last_refusal}")
+        raise ConnectFailed(f"{worker.address}: {last_refusal}")
+
+    async def _open_through(
+        self, helper: InstanceId, worker: Worker, request: str
+    ) -> TunneledConnection:
+        self._last_number += 1
+        stream = TunnelStream(helper, self._last_number, self._network, self._peers)
+        message = OpenTunnel(stream.number, worker.key, request)
+        self._tasks.start_soon(stream.run, message)
+        try:
+            await stream.wait_opened()
+        except BaseException:
+            stream.close()
+            raise
+        self._metrics.worker_tunnel("opened")
+        self._log(
+            "tunnel_opened",
+            request=request,
+            worker=worker.id,
+            helper=helper,
+            tunnel=stream.number,
+        )
+        return TunneledConnection(stream, f"{worker.address} through {helper}")
+
+
+class TunnelServer:
+    """Connects to workers for other instances, and forwards bytes.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        The workers that may be connected to.
+    open_direct : callable
+        Coroutine that opens a direct connection to a worker.
+    log : callable
+        Logs an event with its fields.
+    metrics : Metrics
+        Counts tunnels.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        open_direct: Callable[[Worker], Awaitable[HttpConnection]],
+        log: Callable[..., None],
+        metrics: Metrics,
+    ):
+        self._catalogue = catalogue
+        self._open_direct = open_direct
+        self._log = log
+        self._metrics = metrics
+        self._opening = 0
+        self._connections: dict[tuple[InstanceId, int], HttpConnection] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of tunnels that are open or being opened."""
+        return self._opening + len(self._connections)
+
+    async def serve(
+        self, peer: InstanceId, message: OpenTunnel
+    ) -> AsyncIterator[Message]:
+        """Connect to a worker and yield what it sends."""
+        worker = self._catalogue.find(WorkerKey(message.worker))
+        refusal = self._refusal(peer, worker)
+        if refusal is None:
+            self._opening += 1
+            try:
+                connection = await self._open_direct(worker)
+            except ConnectFailed as error:
+                refusal = TunnelRefused(UNREACHABLE, str(error))
+            finally:
+                self._opening -= 1
+        fields = {
+            "request": message.request,
+            "worker": message.worker,
+            "peer": peer,
+            "tunnel": message.tunnel,
+        }
+        if refusal is not None:
+            self._metrics.worker_tunnel("refused")
+            self._log(
+                "tunnel_not_served",
+                cause=refusal.cause,
+                reason=refusal.reason,
+                **fields,
+            )
+            yield refusal
+            return
+        self._metrics.worker_tunnel("served")
+        self._log("tunnel_served", **fields)
+        key = peer, message.tunnel
+        self._connections[key] = connection
+        try:
+            yield TunnelOpened()
+            async for item in _received(connection.stream):
+                yield item
+        finally:
+            del self._connections[key]
+            connection.close()
+
+    def _refusal(self, peer: InstanceId, worker: Worker | None) -> TunnelRefused | None:
+        if worker is None:
+            return TunnelRefused(UNKNOWN_WORKER)
+        of_peer = sum(owner == peer for owner, _ in self._connections)
+        if self.count >= MAX_TUNNELS or of_peer >= MAX_TUNNELS_PER_PEER:
+            return TunnelRefused(OVERLOADED, f"{self.count} tunnels")
+        return None
+
+    async def write(self, peer: InstanceId, message: WriteTunnel) -> TunnelWritten:
+        """Write bytes to the worker of a tunnel."""
+        connection = self._connections.get((peer, message.tunnel))
+        if connection is None:
+            return TunnelWritten(False)
+        try:
+            await connection.stream.send_all(message.data)
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            # The end of the connection is reported to the reading side.
+            return TunnelWritten(False)
+        return TunnelWritten(True)
+
+
+async def _received(stream: trio.SocketStream) -> AsyncIterator[Message]:
+    """Yield the bytes from a worker and the end of its connection."""
+    while True:
+        try:
+            data = await stream.receive_some(CHUNK_BYTES)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            yield TunnelEnded(False, repr(error))
+            return
+        if not data:
+            yield TunnelEnded(True)
+            return
+        yield TunnelData(data)
--- /dev/null
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -0,0 +1,219 @@
+"""Opens connections to workers: directly, or through another instance."""
+
+import random as random_module
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from ..core.clock import to_s
+from ..http.client import ConnectFailed, HttpConnection
+from .models import Worker, WorkerKey
+from .supervision import TaskSupervisor
+from .tunnels import TunnelClient, TunneledConnection, WorkerUnreachable
+from .worker_paths import WorkerPath, WorkerPaths
+
+CONNECT_TIMEOUT_MS = 400.0
+"""Opening a connection takes one round trip and about a millisecond; an unreachable
+worker never accepts one."""
+
+MIN_PROBE_PERIOD_MS, MAX_PROBE_PERIOD_MS = 400.0, 600.0
+"""Bounds of the period of probes while this instance is partitioned from workers."""
+
+
+class Connector(Protocol):
+    """Opens connections to workers."""
+
+    async def open(self, worker: Worker, request: str = "") -> HttpConnection:
+        """Open a connection for a request, which may be unnamed."""
+        ...
+
+    def is_current(self, worker: Worker, connection: HttpConnection) -> bool:
+        """Return whether an idle connection may be used for another request."""
+        ...
+
+    def record_reuse(
+        self, worker: Worker, connection: HttpConnection, request: str
+    ) -> None:
+        """Record that an idle connection is used for another request."""
+        ...
+
+
+class DirectConnector:
+    """Opens direct connections only."""
+
+    async def open(self, worker: Worker, request: str = "") -> HttpConnection:
+        """Open a connection, or raise `ConnectFailed`."""
+        return await HttpConnection.open(worker.host, worker.port, CONNECT_TIMEOUT_MS)
+
+    def is_current(self, worker: Worker, connection: HttpConnection) -> bool:
+        """Return True: the path to a worker is always the same."""
+        return True
+
+    def record_reuse(
+        self, worker: Worker, connection: HttpConnection, request: str
+    ) -> None:
+        """Do nothing: the path to a worker is always the same."""
+
+
+class WorkerConnector:
+    """Opens connections on the path that `WorkerPaths` chooses.
+
+    Parameters
+    ----------
+    paths : WorkerPaths
+        Chooses the path, and is told of the outcomes of direct connections.
+    tunnels : TunnelClient
+        Opens connections through other instances.
+    workers : callable
+        Returns the listed workers.
+    random : random.Random
+        Source of jitter and of the choice of probed workers.
+    log : callable
+        Logs an event with its fields.
+    tasks : TaskSupervisor
+        Runs checks of single workers.
+    """
+
+    def __init__(
+        self,
+        paths: WorkerPaths,
+        tunnels: TunnelClient,
+        workers: Callable[[], list[Worker]],
+        random: random_module.Random,
+        log: Callable[..., None],
+        tasks: TaskSupervisor,
+    ):
+        self._paths = paths
+        self._tunnels = tunnels
+        self._workers = workers
+        self._random = random
+        self._log = log
+        self._tasks = tasks
+        self._checked: set[WorkerKey] = set()
+
+    async def open(self, worker: Worker, request: str = "") -> HttpConnection:
+        """Open a connection to a worker.
+
+        Raises
+        ------
+        ConnectFailed
+            If neither this instance nor one that it asked could connect.
+        """
+        if self._paths.choose(worker) is WorkerPath.DIRECT:
+            try:
+                return await self.open_direct(worker)
+            except ConnectFailed:
+                if self._paths.choose(worker) is WorkerPath.DIRECT:
+                    raise
+        elif not self._tunnels.helpers():
+            return await self.open_direct(worker)
+        if self._paths.choose(worker) is WorkerPath.UNREACHABLE:
+            raise ConnectFailed(f"{worker.address}: unreachable for others, too")
+        try:
+            return await self._tunnels.open(worker, request)
+        except WorkerUnreachable:
+            self._paths.record_unreachable(worker)
+            raise
+
+    async def open_direct(
+        self, worker: Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
+    ) -> HttpConnection:
+        """Open a direct connection, or raise `ConnectFailed`."""
+        try:
+            connection = await HttpConnection.open(worker.host, worker.port, timeout_ms)
+        except ConnectFailed as error:
+            self._paths.record_failure(worker, str(error))
+            raise
+        except trio.Cancelled:
+            self._check_later(worker)
+            raise
+        self._paths.record_success(worker)
+        return connection
+
+    def _check_later(self, worker: Worker) -> None:
+        """Check whether a worker accepts connections, after an attempt was cancelled.
+
+        Calls may have shorter timeouts than connecting.
+        """
+        if worker.key not in self._checked:
+            self._checked.add(worker.key)
+            self._tasks.start_soon(self._check, worker)
+
+    async def _check(self, worker: Worker) -> None:
+        try:
+            connection = await self.open_direct(worker)
+            connection.close()
+        except ConnectFailed:
+            return  # recorded as a failure of the path
+        finally:
+            self._checked.discard(worker.key)
+
+    async def is_reachable(self, worker: Worker, timeout_ms: float) -> bool:
+        """Return whether this instance or another one can connect to a worker.
+
+        It is also True if those that were asked cannot tell and this one is
+        partitioned.
+        """
+        try:
+            connection = await self.open_direct(worker, timeout_ms)
+        except ConnectFailed:
+            if not self._tunnels.helpers():
+                return False
+        else:
+            connection.close()
+            return True
+        try:
+            connection = await self._tunnels.open(worker)
+        except WorkerUnreachable:
+            self._paths.record_unreachable(worker)
+            return False
+        except ConnectFailed:
+            return self._paths.choose(worker) is not WorkerPath.DIRECT
+        connection.close()
+        return True
+
+    def is_current(self, worker: Worker, connection: HttpConnection) -> bool:
+        """Return whether an idle connection leads over the path chosen at present.
+
+        While this instance is partitioned, a direct connection that has completed an
+        exchange since then may be used on.
+        """
+        since_s = self._paths.since_s(worker.service)
+        if isinstance(connection, TunneledConnection):
+            return since_s is not None
+        return since_s is None or connection.idle_since_s > since_s
+
+    def record_reuse(
+        self, worker: Worker, connection: HttpConnection, request: str
+    ) -> None:
+        """Log which tunnel a request uses if it was opened for another one."""
+        if isinstance(connection, TunneledConnection):
+            self._log(
+                "tunnel_reused",
+                request=request,
+                worker=worker.id,
+                helper=connection.helper,
+                tunnel=connection.number,
+            )
+
+    async def probe_periodically(self) -> None:
+        """Detect that workers can be reached again, until cancelled."""
+        while True:
+            period_ms = self._random.uniform(MIN_PROBE_PERIOD_MS, MAX_PROBE_PERIOD_MS)
+            await trio.sleep(to_s(period_ms))
+            await self._probe()
+
+    async def _probe(self) -> None:
+        """Connect to one worker of each unreachable service, until one fails."""
+        services = self._paths.partitioned_services()
+        self._random.shuffle(services)
+        for service in services:
+            if self._paths.since_s(service) is None:
+                continue
+            workers = [item for item in self._workers() if item.service == service]
+            try:
+                connection = await self.open_direct(self._random.choice(workers))
+            except ConnectFailed:
+                return
+            connection.close()
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -141,7 +141,10 @@
             raise WorkerDidNotRun(refusal)
         try:
             async with self._connections.acquire(
-                worker, state.route.repeatable, force_new=sent_before
+                worker,
+                state.route.repeatable,
+                force_new=sent_before,
+                request=state.metadata.attempt,
             ) as connection:
                 self._check_usable(state, permit)
                 return await self._exchange(
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -157,6 +157,11 @@
         set_keepalive_options(stream)
         return cls(stream, address)
 
+    @property
+    def stream(self) -> trio.SocketStream:
+        """The transport, for forwarding bytes without parsing them."""
+        return self._stream
+
     @property
     def reusable(self) -> bool:
         """Whether another request may follow: the last exchange is complete."""
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -60,6 +60,7 @@
         self._gateway_store_calls = meter.create_counter(
             "acaciapier_gateway_store_calls"
         )
+        self._worker_tunnels = meter.create_counter("acaciapier_worker_tunnels")
         self._gateway_decisions = meter.create_counter("acaciapier_gateway_decisions")
 
     def request_opened(self) -> None:
@@ -126,6 +127,10 @@
         """Count a decision of the gateway about a request, by its kind."""
         self._gateway_decisions.add(1, {"kind": kind})
 
+    def worker_tunnel(self, kind: str) -> None:
+        """Count a tunnel that was opened, served or refused, by its kind."""
+        self._worker_tunnels.add(1, {"kind": kind})
+
     def gateway_store(self, verb: str) -> None:
         """Count a call from the gateway to the platform's store, by its verb."""
         self._gateway_store_calls.add(1, {"verb": verb})
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -63,6 +63,8 @@
     engine_times: tuple[ServiceEngineTimes, ...] = ()
     part_crashes_digest: int = 0
     """Hash of the crash records of prompt parts; 0 if there are none."""
+    serves_tunnels: bool = False
+    """Whether the sender reaches workers and opens connections to them for peers."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
--- a/tests/gateway/test_partitioned_instances.py
+++ b/tests/gateway/test_partitioned_instances.py
@@ -98,6 +98,7 @@
         served, sent = map(sum, zip(*there))
         served_others, sent_others = map(sum, zip(*others))
         shares = f"{served} of {sent} there, {served_others} of {sent_others} elsewhere"
+        print(shares)
         assert sent - served <= 10 + sent // 50, shares
         assert served / sent >= 2 / 3 * served_others / sent_others, shares
         assert served_others >= 0.9 * sent_others, shares
