Conclude a partition within one connect time-out, also from silent connections

An instance concluded that it was partitioned only when two requests had failed to connect, one at each of two workers: until then requests were given back and their workers excluded by the dispatcher. With links that are silent, requests waited on connections from before the cut, and nothing was concluded until one needed a new connection. In a new test a request that may run once waited on such a connection, and the partition was not concluded within 2.6 s.

A failed direct connection now has another worker checked at once, preferably of another service, and the connection attempt waits for the outcome: either the worker alone is at fault, or the request goes through a tunnel in the same try. An exchange on a direct connection that takes more than 500 ms has its worker checked by a bare connection, one worker a second for the whole instance. Silence alone still concludes nothing: a test has workers silent for 1.4 s.

--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..core.clock import Clock
+from ..core.clock import Clock, to_s
 from ..http.client import HttpConnection
 from .models import Worker
 from .worker_connector import Connector, DirectConnector
@@ -23,6 +23,10 @@
 """After a reset of a reused connection, the idle limit of its service becomes this
 share of the connection's idle time."""
 
+CHECK_AFTER_MS = 500.0
+"""Duration of an exchange from which its worker is checked by another connection. The
+connection itself does not show whether its worker takes long or its link is cut."""
+
 MAX_IDLE_PER_WORKER = 4
 """Maximum number of idle connections to one worker. Workers limit the connections of
 all instances together."""
@@ -44,6 +48,8 @@
         self._connector = connector or DirectConnector()
         self._clock = clock
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._in_use: dict[HttpConnection, tuple[Worker, float]] = {}
+        """Worker and start of each exchange."""
         self._max_idle_ms: dict[str, float] = {}
 
     @asynccontextmanager
@@ -70,9 +76,11 @@
             self.opened += 1
         else:
             self._connector.record_reuse(worker, connection, request)
+        self._in_use[connection] = worker, self._clock.monotonic_s()
         try:
             yield connection
         finally:
+            del self._in_use[connection]
             self._release(worker, connection)
 
     def record_reset_on_reuse(self, worker: Worker, idle_ms: float) -> None:
@@ -80,6 +88,13 @@
         current_ms = self._max_idle_ms.get(worker.service, DEFAULT_KEEP_ALIVE_MS)
         self._max_idle_ms[worker.service] = min(current_ms, RESET_IDLE_FACTOR * idle_ms)
 
+    def check_long_exchanges(self) -> None:
+        """Have one of the workers checked whose exchanges take long."""
+        before_s = self._clock.monotonic_s() - to_s(CHECK_AFTER_MS)
+        self._connector.check_one_of(
+            [worker for worker, since_s in self._in_use.values() if since_s < before_s]
+        )
+
     def close_expired(self) -> None:
         """Close idle connections that are too old, or that the worker has closed."""
         for key in list(self._idle):
@@ -140,7 +155,8 @@
 
 
 async def sweep_idle(connections: WorkerConnectionPool, period_s: float = 1.0) -> None:
-    """Close unusable idle connections periodically, until cancelled."""
+    """Close unusable idle connections and check workers, until cancelled."""
     while True:
         await trio.sleep(period_s)
         connections.close_expired()
+        connections.check_long_exchanges()
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -1,7 +1,7 @@
 """Opens connections to workers: directly, or through another instance."""
 
 import random as random_module
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import trio
@@ -38,6 +38,10 @@
         """Record that an idle connection is used for another request."""
         ...
 
+    def check_one_of(self, workers: Sequence[Worker]) -> None:
+        """Check one of the workers whose connections have been silent for a while."""
+        ...
+
 
 class DirectConnector:
     """Opens direct connections only."""
@@ -55,6 +59,9 @@
     ) -> None:
         """Do nothing: the path to a worker is always the same."""
 
+    def check_one_of(self, workers: Sequence[Worker]) -> None:
+        """Do nothing: the path to a worker is always the same."""
+
 
 class WorkerConnector:
     """Opens connections on the path that `WorkerPaths` chooses.
@@ -91,6 +98,8 @@
         self._log = log
         self._tasks = tasks
         self._checked: set[WorkerKey] = set()
+        self._comparison: trio.Event | None = None
+        """Set at the end of the comparison that runs at present."""
 
     async def open(self, worker: Worker, request: str = "") -> HttpConnection:
         """Open a connection to a worker.
@@ -104,6 +113,8 @@
             try:
                 return await self.open_direct(worker)
             except ConnectFailed:
+                if self._comparison is not None:
+                    await self._comparison.wait()
                 if self._paths.choose(worker) is WorkerPath.DIRECT:
                     raise
         elif not self._tunnels.helpers():
@@ -124,22 +135,52 @@
             connection = await HttpConnection.open(worker.host, worker.port, timeout_ms)
         except ConnectFailed as error:
             self._paths.record_failure(worker, str(error))
+            self._compare(worker)
             raise
         except trio.Cancelled:
-            self._check_later(worker)
+            # Calls may have shorter timeouts than connecting.
+            self.check(worker)
             raise
         self._paths.record_success(worker)
         return connection
 
-    def _check_later(self, worker: Worker) -> None:
-        """Check whether a worker accepts connections, after an attempt was cancelled.
-
-        Calls may have shorter timeouts than connecting.
-        """
+    def check(self, worker: Worker) -> None:
+        """Check in the background whether a worker accepts direct connections."""
         if worker.key not in self._checked:
             self._checked.add(worker.key)
             self._tasks.start_soon(self._check, worker)
 
+    def check_one_of(self, workers: Sequence[Worker]) -> None:
+        """Check one of the workers whose connections have been silent for a while."""
+        direct = [
+            worker
+            for worker in workers
+            if self._paths.choose(worker) is WorkerPath.DIRECT
+        ]
+        if direct:
+            self.check(self._random.choice(direct))
+
+    def _compare(self, failed: Worker) -> None:
+        """Check another worker, preferably of another service, in the background.
+
+        It tells the fault of one worker from a partition of this instance.
+        """
+        if self._comparison is not None or self._paths.partitioned_from_all:
+            return
+        others = [worker for worker in self._workers() if worker.key != failed.key]
+        if others:
+            elsewhere = [item for item in others if item.service != failed.service]
+            other = self._random.choice(elsewhere or others)
+            self._comparison = trio.Event()
+            self._tasks.start_soon(self._run_comparison, other, self._comparison)
+
+    async def _run_comparison(self, worker: Worker, ended: trio.Event) -> None:
+        try:
+            await self._check(worker)
+        finally:
+            self._comparison = None
+            ended.set()
+
     async def _check(self, worker: Worker) -> None:
         try:
             connection = await self.open_direct(worker)
--- a/tests/gateway/test_tunneled_requests.py
+++ b/tests/gateway/test_tunneled_requests.py
@@ -285,3 +285,128 @@
         await world.until(
             lambda: events(world.gateways[0], "worker_crashed_under_request"), 2.0
         )
+
+
+@pytest.mark.parametrize("path", ["/lookup/1", "/confirm/1", "/mail/1", "/chat/1"])
+async def test_the_first_request_after_the_cut_is_served(monkeypatch, path):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 2)
+        await trio.sleep(0.3)
+        links.cut(world.gateways[0], REFUSED)
+        answer = await world.caller().request("POST", path, b"{}", Attempt_Id="a1")
+        assert (answer.status, answer.complete) == (200, True)
+        assert len(world.platform.run_log.runs_of("a1")) == 1
+        assert not events(world.gateways[0], "worker_unreachable")
+
+
+async def test_a_silent_link_is_detected_by_a_request_that_waits_on_it(monkeypatch):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 2)
+        warm = await world.caller().request("GET", "/lookup/1", Attempt_Id="a1")
+        assert warm.status == 200
+        links.cut(world.gateways[0], SILENT)
+        caller = world.caller()
+        await caller.send("POST", "/confirm/1", b"{}", Attempt_Id="a2")
+        paths = world.gateways[0].paths
+        await world.until(lambda: paths.partitioned_from_all, timeout_s=2.6)
+        answer = await world.caller().request("POST", "/confirm/1", Attempt_Id="a3")
+        assert answer.status == 200
+        await caller.aclose()
+
+
+async def test_a_worker_that_is_silent_for_a_second_is_no_partition(monkeypatch):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 2)
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.delay_s = 1.4
+            world.platform.workers[f"model-{number}"].faults.pause_s = 1.4
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                path = "/confirm/1" if number % 2 else "/chat/1"
+                nursery.start_soon(request_served, world, path, f"a{number}")
+        for gateway in world.gateways:
+            assert not events(gateway, "workers_unreachable")
+            assert not events(gateway, "tunnel_opened")
+
+
+async def request_served(world, path: str, attempt: str) -> None:
+    """Send a request and check that it is served."""
+    answer = await world.caller().request("POST", path, b"{}", Attempt_Id=attempt)
+    assert (answer.status, answer.complete) == (200, True)
+
+
+async def test_a_crashed_worker_is_no_partition(monkeypatch):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 2)
+        world.platform.crash("book-1")
+        for number in range(6):
+            await request_served(world, "/confirm/1", f"a{number}")
+        for gateway in world.gateways:
+            assert not events(gateway, "workers_unreachable")
+
+
+async def test_a_gateway_without_links_to_one_service_reaches_the_others(monkeypatch):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 2)
+        first = world.gateways[0]
+        links.cut(first, REFUSED, "book")
+        for number in range(8):
+            await world.caller().request("GET", "/lookup/1", Attempt_Id=f"w{number}")
+        await trio.sleep(0.8)
+        for number in range(4):
+            await request_served(world, "/confirm/1", f"a{number}")
+            await request_served(world, "/mail/1", f"b{number}")
+        assert first.paths.partitioned_services() == ["book"]
+        through = {fields["worker"] for fields in events(first, "tunnel_opened")}
+        assert {name.partition("-")[0] for name in through} == {"book"}
+        assert first._make_heartbeat().serves_tunnels
+
+
+async def test_links_that_come_and_go_each_second_serve_most_requests(monkeypatch):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 2)
+        first = world.gateways[0]
+        served = sent = 0
+        for number in range(6):
+            if number % 2:
+                links.restore(first)
+            else:
+                links.cut(first, REFUSED)
+            for turn in range(10):
+                caller = world.caller()
+                attempt = f"a{number}-{turn}"
+                answer = await caller.request("GET", "/lookup/1", Attempt_Id=attempt)
+                await caller.aclose()
+                sent += 1
+                served += answer.status == 200
+                await trio.sleep(0.09)
+        assert served >= sent - 3, f"{served} of {sent}"
+
+
+async def test_workers_are_reached_again_after_all_gateways_were_partitioned(
+    monkeypatch,
+):
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 3)
+        for gateway in world.gateways:
+            links.cut(gateway, REFUSED)
+        for turn in range(2):
+            for number in range(3):
+                answer = await world.caller(number).request(
+                    "GET", "/lookup/1", Attempt_Id=f"w{turn}-{number}"
+                )
+                assert answer.status == 503
+        for gateway in world.gateways:
+            assert gateway.paths.partitioned_from_all
+            links.restore(gateway)
+        await world.until(
+            lambda: not any(gateway.paths.partitioned for gateway in world.gateways),
+            timeout_s=1.0,
+        )
