--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -48,6 +48,8 @@
         self._connector = connector or DirectConnector()
         self._clock = clock
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._workers: dict[str, Worker] = {}
+        """Workers of idle connections by key."""
         self._in_use: dict[HttpConnection, tuple[Worker, float]] = {}
         """Worker and start of each exchange."""
         self._max_idle_ms: dict[str, float] = {}
@@ -99,17 +101,20 @@
         """Close idle connections that are too old, or that the worker has closed."""
         for key in list(self._idle):
             usable = []
+            worker = self._workers[key]
             for connection in self._idle[key]:
-                if connection.has_unread_input() or self._idle_ms(connection) > max(
+                too_old = self._idle_ms(connection) > max(
                     DEFAULT_KEEP_ALIVE_MS, connection.keep_alive_ms or 0.0
-                ):
+                )
+                outdated = too_old or not self._connector.is_current(worker, connection)
+                if connection.has_unread_input() or outdated:
                     connection.close()
                 else:
                     usable.append(connection)
             if usable:
                 self._idle[key] = usable
             else:
-                del self._idle[key]
+                del self._idle[key], self._workers[key]
 
     def idle_ms(self, connection: HttpConnection) -> float:
         """Return how long a reused connection was idle; 0 for a new connection."""
@@ -147,6 +152,7 @@
 
     def _release(self, worker: Worker, connection: HttpConnection) -> None:
         idle = self._idle.setdefault(worker.key, [])
+        self._workers[worker.key] = worker
         if connection.reusable and len(idle) < MAX_IDLE_PER_WORKER:
             connection.idle_since_s = self._clock.monotonic_s()
             idle.append(connection)
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -301,7 +301,11 @@
             tasks,
         )
         self.tunnel_server = TunnelServer(
-            self.catalogue, connector.open_direct, self.log.write, self.metrics
+            self.catalogue,
+            connector.open_direct,
+            lambda worker: self.paths.since_s(worker.service) is not None,
+            self.log.write,
+            self.metrics,
         )
         return connector
 
@@ -437,7 +441,7 @@
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
             self.relay.closing = True
             self._listening_scope.cancel()
-            while self._connections:
+            while self._connections or self.tunnel_server.count:
                 for connection in list(self._connections):
                     if connection.idle:
                         connection.close()
--- a/src/acaciapier/gateway/tunnels.py
+++ b/src/acaciapier/gateway/tunnels.py
@@ -30,9 +30,9 @@
 from .peers import Peers
 from .supervision import TaskSupervisor
 
-CHUNK_BYTES = 32_768
-"""Maximum number of bytes in a message; other messages of the same connection to an
-instance wait for no more than this."""
+READ_BYTES, WRITE_BYTES = 4_096, 16_384
+"""Maximum number of bytes in a message from and to a worker. A stream's window of
+messages, and one write, may be ahead of a heartbeat on the same connection."""
 
 OPEN_TIMEOUT_MS = 600.0
 """Timeout of opening a tunnel: the helper's connect timeout and two round trips."""
@@ -40,17 +40,21 @@
 WRITE_TIMEOUT_MS = 10_000.0
 """Timeout of one write, which waits until the worker has read earlier ones."""
 
+OPEN_TOTAL_TIMEOUT_MS = 1_000.0
+"""Timeout of all attempts to open a tunnel."""
+
 MAX_HELPERS_ASKED = 3
 UNREACHABLE_ANSWERS = 2
 """Helpers that must fail to reach a worker before it is taken to be unreachable: a
 single one may just have been partitioned itself."""
 
 MAX_TUNNELS = 256
-MAX_TUNNELS_PER_PEER = 96
+MAX_TUNNELS_PER_PEER = 64
 """Bounds of the tunnels that an instance serves. Each takes a descriptor, and one of
 the calls that a peer may have in progress."""
 
-UNREACHABLE, UNKNOWN_WORKER, OVERLOADED = "unreachable", "unknown_worker", "overloaded"
+UNREACHABLE, PARTITIONED = "unreachable", "partitioned"
+UNKNOWN_WORKER, OVERLOADED = "unknown_worker", "overloaded"
 """Causes of refused tunnels."""
 
 
@@ -187,8 +191,8 @@
         trio.BrokenResourceError
             If the connection did not take them.
         """
-        for start in range(0, len(data), CHUNK_BYTES):
-            message = WriteTunnel(self.number, data[start : start + CHUNK_BYTES])
+        for start in range(0, len(data), WRITE_BYTES):
+            message = WriteTunnel(self.number, data[start : start + WRITE_BYTES])
             if not await self._write(message):
                 raise trio.BrokenResourceError(self._end_reason)
 
@@ -295,6 +299,10 @@
         records.sort(key=lambda record: record.data_centre != self._data_centre)
         return [record.instance for record in records]
 
+    def is_usable(self, connection: TunneledConnection) -> bool:
+        """Return whether another request may be sent through a tunnel's helper."""
+        return self._peers.is_up(connection.helper)
+
     async def open(self, worker: Worker, request: str = "") -> TunneledConnection:
         """Open a connection to a worker through another instance.
 
@@ -306,12 +314,17 @@
             If no helper opened a tunnel for another reason.
         """
         helpers = self.helpers()[:MAX_HELPERS_ASKED]
-        unreachable = 0
+        causes = []
         last_refusal = "no instance serves tunnels"
+        give_up_at_s = trio.current_time() + to_s(OPEN_TOTAL_TIMEOUT_MS)
         for helper in helpers:
             try:
-                return await self._open_through(helper, worker, request)
+                with trio.fail_at(give_up_at_s):
+                    return await self._open_through(helper, worker, request)
+            except trio.TooSlowError as error:
+                raise ConnectFailed(f"{worker.address}: {last_refusal}") from error
             except TunnelRefusedError as error:
+                causes.append(error.cause)
                 last_refusal = str(error)
                 self._metrics.worker_tunnel("refused_by_helper")
                 self._log(
@@ -321,10 +334,10 @@
                     helper=helper,
                     reason=last_refusal,
                 )
-                unreachable += error.cause == UNREACHABLE
-            if unreachable >= UNREACHABLE_ANSWERS:
+            if causes.count(UNREACHABLE) >= UNREACHABLE_ANSWERS:
                 break
-        if 0 < unreachable >= min(UNREACHABLE_ANSWERS, len(helpers)):
+        confirmed = causes.count(UNREACHABLE) >= UNREACHABLE_ANSWERS
+        if causes and (confirmed or {UNREACHABLE, PARTITIONED}.issuperset(causes)):
             raise WorkerUnreachable(f"{worker.address}: {last_refusal}")
         raise ConnectFailed(f"{worker.address}: {last_refusal}")
 
@@ -360,6 +373,8 @@
         The workers that may be connected to.
     open_direct : callable
         Coroutine that opens a direct connection to a worker.
+    is_partitioned : callable
+        Returns whether this instance is partitioned from a worker's service.
     log : callable
         Logs an event with its fields.
     metrics : Metrics
@@ -370,11 +385,13 @@
         self,
         catalogue: Catalogue,
         open_direct: Callable[[Worker], Awaitable[HttpConnection]],
+        is_partitioned: Callable[[Worker], bool],
         log: Callable[..., None],
         metrics: Metrics,
     ):
         self._catalogue = catalogue
         self._open_direct = open_direct
+        self._is_partitioned = is_partitioned
         self._log = log
         self._metrics = metrics
         self._opening = 0
@@ -396,7 +413,9 @@
             try:
                 connection = await self._open_direct(worker)
             except ConnectFailed as error:
-                refusal = TunnelRefused(UNREACHABLE, str(error))
+                partitioned = self._is_partitioned(worker)
+                cause = PARTITIONED if partitioned else UNREACHABLE
+                refusal = TunnelRefused(cause, str(error))
             finally:
                 self._opening -= 1
         fields = {
@@ -457,7 +476,7 @@
     """Yield the bytes from a worker and the end of its connection."""
     while True:
         try:
-            data = await stream.receive_some(CHUNK_BYTES)
+            data = await stream.receive_some(READ_BYTES)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             yield TunnelEnded(False, repr(error))
             return
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -222,7 +222,7 @@
         """
         since_s = self._paths.since_s(worker.service)
         if isinstance(connection, TunneledConnection):
-            return since_s is not None
+            return since_s is not None and self._tunnels.is_usable(connection)
         return since_s is None or connection.idle_since_s > since_s
 
     def record_reuse(
--- a/tests/gateway/test_tunneled_requests.py
+++ b/tests/gateway/test_tunneled_requests.py
@@ -9,8 +9,10 @@
 from acaciapier.gateway.instance import GatewayInstance
 from acaciapier.wire.codec import MessageRegistry, encode_message
 from acaciapier.wire.messages.gateway import Heartbeat
+from acaciapier_standins.platform.example import ROUTES
+from acaciapier_standins.platform.platform import configuration, route
 
-from .support import deployment
+from .support import SERVICES, deployment
 from .worker_links import OLD_ONLY, REFUSED, SILENT, WorkerLinks
 
 EVENTS = b"".join(f"id: {n}\ndata: a1 {n}\n\n".encode() for n in range(1, 5))
@@ -410,3 +412,36 @@
             lambda: not any(gateway.paths.partitioned for gateway in world.gateways),
             timeout_s=1.0,
         )
+
+
+async def test_a_stopping_gateway_finishes_the_streams_that_it_forwards(monkeypatch):
+    async with partitioned(monkeypatch, gateways=3) as world:
+        slow = route("slow", "streaming", "model", max_attempts=1)
+        slow["timeout_ms"] = 9_000
+        world.platform.configure(configuration(2, [*ROUTES, slow], SERVICES))
+        for gateway in world.gateways:
+            await world.until(
+                lambda gateway=gateway: gateway.catalogue.configuration.version == 2
+            )
+        for number in (1, 2):
+            world.platform.workers[f"model-{number}"].faults.pause_s = 4.0
+        caller = world.caller()
+        await caller.send("POST", "/slow/1", b"{}", Attempt_Id="a1")
+        await world.until(lambda: world.platform.run_log.runs_of("a1"))
+        used = [
+            fields["helper"]
+            for kind in ("tunnel_opened", "tunnel_reused")
+            for fields in events(world.gateways[0], kind)
+            if fields["request"] == "a1"
+        ]
+        async with trio.open_nursery() as nursery:
+            (helper,) = [
+                gateway
+                for gateway in world.gateways
+                if gateway.settings.instance in used
+            ]
+            nursery.start_soon(helper._stop)
+            answer = await caller.receive()
+            assert not events(helper, "stopped")
+            assert (answer.status, answer.body, answer.complete) == (200, EVENTS, True)
+            await request_served(world, "/confirm/1", "a2")
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -53,11 +53,13 @@
         self.network = make_network(name)
         self.workers: dict[str, Worker] = {}
         self.failures = 0
+        self.partitioned = False
         self.log = []
         self.counts = Counts()
         self.server = TunnelServer(
             self,
             self._open,
+            lambda worker: self.partitioned,
             lambda *event, **fields: self.log.append(fields),
             self.counts,
         )
@@ -225,7 +227,7 @@
         await trio.sleep(0.3)
         assert written == before
         # A window of messages, and the socket buffers of one connection.
-        assert written < 32 * tunnels.CHUNK_BYTES + 12_000_000
+        assert written < 32 * tunnels.READ_BYTES + 12_000_000
         connection.close()
         await world.until(lambda: not world.served)
 
@@ -392,6 +394,23 @@
         assert not world.served
 
 
+async def test_helpers_without_links_are_believed_only_if_all_say_the_same():
+    async def serve(stream):
+        await trio.sleep_forever()
+
+    async with running(serve) as world:
+        first, second = world.helpers
+        first.partitioned = second.partitioned = True
+        first.failures = 9
+        for _ in range(4):
+            connection = await world.client.open(world.worker)
+            assert connection.helper == second.name
+            connection.close()
+        first.failures = second.failures = 1
+        with pytest.raises(WorkerUnreachable):
+            await world.client.open(world.worker)
+
+
 async def test_an_instance_of_an_earlier_release_fails_only_the_call():
     async def serve(stream):
         await trio.sleep_forever()
