--- a/src/acaciapier/gateway/tunnels.py
+++ b/src/acaciapier/gateway/tunnels.py
@@ -232,24 +232,15 @@
 
     def __init__(self, stream: TunnelStream, address: str):
         super().__init__(stream, address)
-
-    @property
-    def helper(self) -> InstanceId:
-        """The instance that connects to the worker."""
-        return self.stream.helper
-
-    @property
-    def number(self) -> int:
-        """Number of the tunnel among those of this instance."""
-        return self.stream.number
+        self.tunnel = stream
 
     def has_unread_input(self) -> bool:
         """Return whether the worker sent data, or the tunnel ended, while idle."""
-        return self.stream.has_unread_input
+        return self.tunnel.has_unread_input
 
     def close(self) -> None:
         """Close immediately."""
-        self.stream.close()
+        self.tunnel.close()
 
 
 class TunnelClient:
@@ -301,7 +292,7 @@
 
     def is_usable(self, connection: TunneledConnection) -> bool:
         """Return whether another request may be sent through a tunnel's helper."""
-        return self._peers.is_up(connection.helper)
+        return self._peers.is_up(connection.tunnel.helper)
 
     async def open(self, worker: Worker, request: str = "") -> TunneledConnection:
         """Open a connection to a worker through another instance.
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -234,8 +234,8 @@
                 "tunnel_reused",
                 request=request,
                 worker=worker.id,
-                helper=connection.helper,
-                tunnel=connection.number,
+                helper=connection.tunnel.helper,
+                tunnel=connection.tunnel.number,
             )
 
     async def probe_periodically(self) -> None:
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -372,7 +372,7 @@
             first.server._opening = tunnels.MAX_TUNNELS if cause == "overloaded" else 0
             world.client._random = random.Random(3)
             connection = await world.client.open(world.worker)
-            assert connection.helper != first.name
+            assert connection.tunnel.helper != first.name
             connection.close()
         assert world.counts.kinds == ["refused_by_helper", "opened"] * 3
 
@@ -404,7 +404,7 @@
         first.failures = 9
         for _ in range(4):
             connection = await world.client.open(world.worker)
-            assert connection.helper == second.name
+            assert connection.tunnel.helper == second.name
             connection.close()
         first.failures = second.failures = 1
         with pytest.raises(WorkerUnreachable):
