--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import fields
 from datetime import UTC, datetime
-from functools import partial
 
 import trio
 
@@ -246,7 +245,9 @@
         self._peer_sync = peer_sync
         self.peers.on_heartbeat = self._handle_heartbeat
         self.peers.required_peers = self._required_peers
-        self.peers.standby_peers = partial(self._dispatchers, 1)
+        self.peers.standby_peers = lambda: self._dispatchers(1).union(
+            connector.observed_peers()
+        )
         self.peers.on_down = self.dispatcher.remove_owner
         self.peers.on_up = self.dispatcher.restore_owner
         self._register_handlers(peer_sync)
--- a/src/acaciapier/gateway/tunnels.py
+++ b/src/acaciapier/gateway/tunnels.py
@@ -43,6 +43,10 @@
 OPEN_TOTAL_TIMEOUT_MS = 1_000.0
 """Timeout of all attempts to open a tunnel."""
 
+SAMPLED_PEERS = 8
+"""Instances of a large fleet that a partitioned one begins to exchange heartbeats with.
+Its neighbours by name are likely to be in the same zone, and partitioned, too."""
+
 MAX_HELPERS_ASKED = 3
 UNREACHABLE_ANSWERS = 2
 """Helpers that must fail to reach a worker before it is taken to be unreachable: a
@@ -290,6 +294,11 @@
         records.sort(key=lambda record: record.data_centre != self._data_centre)
         return [record.instance for record in records]
 
+    def sample_peers(self) -> list[InstanceId]:
+        """Return some listed instances at random, which may be down."""
+        names = [record.instance for record in self._peers.records]
+        return self._random.sample(names, min(len(names), SAMPLED_PEERS))
+
     def is_usable(self, connection: TunneledConnection) -> bool:
         """Return whether another request may be sent through a tunnel's helper."""
         return self._peers.is_up(connection.tunnel.helper)
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..core.clock import to_s
+from ..core.ids import InstanceId
 from ..http.client import ConnectFailed, HttpConnection
 from .models import Worker, WorkerKey
 from .supervision import TaskSupervisor
@@ -97,6 +98,7 @@
         self._random = random
         self._log = log
         self._tasks = tasks
+        self._observed: list[InstanceId] = []
         self._checked: set[WorkerKey] = set()
         self._comparison: trio.Event | None = None
         """Set at the end of the comparison that runs at present."""
@@ -238,6 +240,14 @@
                 tunnel=connection.tunnel.number,
             )
 
+    def observed_peers(self) -> list[InstanceId]:
+        """Return peers whose heartbeats are needed to know who serves tunnels."""
+        if not self._paths.partitioned:
+            self._observed = []
+        elif not self._observed:
+            self._observed = self._tunnels.sample_peers()
+        return self._observed
+
     async def probe_periodically(self) -> None:
         """Detect that workers can be reached again, until cancelled."""
         while True:
--- a/tests/gateway/test_tunneled_requests.py
+++ b/tests/gateway/test_tunneled_requests.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from acaciapier.gateway import peers as peers_module
 from acaciapier.gateway.instance import GatewayInstance
 from acaciapier.wire.codec import MessageRegistry, encode_message
 from acaciapier.wire.messages.gateway import Heartbeat
@@ -445,3 +446,26 @@
             assert not events(helper, "stopped")
             assert (answer.status, answer.body, answer.complete) == (200, EVENTS, True)
             await request_served(world, "/confirm/1", "a2")
+
+
+async def test_a_partitioned_gateway_of_a_large_fleet_finds_helpers(monkeypatch):
+    monkeypatch.setattr(peers_module, "MAX_HEARTBEAT_PEERS", 2)
+    links = WorkerLinks(monkeypatch)
+    async with deployment(gateways=0) as world:
+        await links.add_gateways(world, 5)
+        first = world.gateways[0]
+        assert first.peers.large_fleet
+        # Only heartbeats that are exchanged because of the partition tell of others.
+        for gateway in world.gateways:
+            gateway._dispatchers = lambda place: set()
+            gateway.peers.required_peers = gateway.peers.neighbours = list
+        await trio.sleep(0.3)
+        for peer in first.peers._peers.values():
+            peer.last_heartbeat = None
+        for gateway in world.gateways[:2]:
+            links.cut(gateway, REFUSED)
+        await world.caller().request("GET", "/lookup/1", Attempt_Id="w1")
+        assert first.paths.partitioned_from_all
+        await trio.sleep(0.5)
+        for number in range(4):
+            await request_served(world, "/confirm/1", f"a{number}")
--- a/tests/gateway/test_worker_connector.py
+++ b/tests/gateway/test_worker_connector.py
@@ -210,3 +210,21 @@
         world = World(monkeypatch, nursery)
         world.tunnels.names = []
         assert not await world.connector.is_reachable(world.book, 300.0)
+
+
+async def test_a_partitioned_instance_of_a_large_fleet_gets_to_know_helpers(
+    monkeypatch,
+):
+    async with trio.open_nursery() as nursery:
+        world = World(monkeypatch, nursery)
+        samples = iter([["edge-7", "edge-9"], ["edge-3"]])
+        world.tunnels.sample_peers = lambda: next(samples)
+        assert world.connector.observed_peers() == []
+        world.partition()
+        assert world.connector.observed_peers() == ["edge-7", "edge-9"]
+        assert world.connector.observed_peers() == ["edge-7", "edge-9"]
+        for worker in world.workers:
+            world.paths.record_success(worker)
+        assert world.connector.observed_peers() == []
+        world.partition()
+        assert world.connector.observed_peers() == ["edge-3"]
--- a/tests/gateway/test_worker_paths.py
+++ b/tests/gateway/test_worker_paths.py
@@ -1,13 +1,17 @@
 """Conclusions from failed direct connections to workers, without a network."""
 
+from msgspec.structs import replace
+
 from acaciapier.core.clock import ManualClock
-from acaciapier.gateway.models import Worker, WorkerState
+from acaciapier.gateway.models import PeerRecord, Worker, WorkerState
+from acaciapier.gateway.peers import HEARTBEAT_EXPIRY_MS, Peers
 from acaciapier.gateway.worker_paths import (
     FAILURE_EXPIRY_MS,
     UNREACHABLE_TTL_MS,
     WorkerPath,
     WorkerPaths,
 )
+from acaciapier.wire.messages.gateway import Heartbeat
 
 DIRECT, TUNNEL = WorkerPath.DIRECT, WorkerPath.TUNNEL
 
@@ -156,3 +160,27 @@
     paths.record_unreachable(BOOK_1)
     paths.succeed(BOOK_2)
     assert paths.choose(BOOK_1) is DIRECT
+
+
+def test_helpers_are_those_whose_recent_heartbeats_say_so():
+    clock = ManualClock()
+    own = PeerRecord("own", "h", 1, "zone-a", 1)
+    peers = Peers(own, FakeNetwork(), clock, None, lambda kind, **fields: None)
+    names = ["serves", "refuses", "unheard", "stopping", "down"]
+    peers.set_records(PeerRecord(name, "h", 1, "zone-a", 1) for name in names)
+    beat = Heartbeat(1, 1, 1, False, uptime_ms=60_000.0, serves_tunnels=True)
+    peers.record_heartbeat("serves", beat)
+    peers.record_heartbeat("refuses", replace(beat, serves_tunnels=False))
+    peers.record_heartbeat("stopping", replace(beat, stopping=True))
+    peers.record_heartbeat("down", beat)
+    peers._peers["down"].up = False
+    assert [record.instance for record in peers.tunnel_helpers()] == ["serves"]
+    clock.advance(HEARTBEAT_EXPIRY_MS / 1_000.0 + 0.1)
+    assert not peers.tunnel_helpers()
+
+
+class FakeNetwork:
+    """Network that only learns addresses."""
+
+    def add_addresses(self, addresses):
+        pass
