Check only workers that send nothing, not all that take long

An exchange of more than 500 ms had its worker checked by a bare connection, up to one a second for each instance, also for streams in full flow. A new connection may hold a slot of the worker briefly, and is priced.

--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..core.clock import Clock, to_s
+from ..core.clock import Clock
 from ..http.client import HttpConnection
 from .models import Worker
 from .worker_connector import Connector, DirectConnector
@@ -23,9 +23,10 @@
 """After a reset of a reused connection, the idle limit of its service becomes this
 share of the connection's idle time."""
 
-CHECK_AFTER_MS = 500.0
-"""Duration of an exchange from which its worker is checked by another connection. The
-connection itself does not show whether its worker takes long or its link is cut."""
+SWEEP_PERIOD_S = 0.7
+"""Period of closing unusable idle connections, and of checking the workers of exchanges
+in which nothing was received for a whole period. The connection itself does not show
+whether its worker takes long or its link is cut."""
 
 MAX_IDLE_PER_WORKER = 4
 """Maximum number of idle connections to one worker. Workers limit the connections of
@@ -50,8 +51,9 @@
         self._idle: dict[str, list[HttpConnection]] = {}
         self._workers: dict[str, Worker] = {}
         """Workers of idle connections by key."""
-        self._in_use: dict[HttpConnection, tuple[Worker, float]] = {}
-        """Worker and start of each exchange."""
+        self._in_use: dict[HttpConnection, Worker] = {}
+        self._progress: dict[HttpConnection, tuple[int, int]] = {}
+        """What the connections in use had received at the last sweep."""
         self._max_idle_ms: dict[str, float] = {}
 
     @asynccontextmanager
@@ -78,7 +80,7 @@
             self.opened += 1
         else:
             self._connector.record_reuse(worker, connection, request)
-        self._in_use[connection] = worker, self._clock.monotonic_s()
+        self._in_use[connection] = worker
         try:
             yield connection
         finally:
@@ -90,11 +92,18 @@
         current_ms = self._max_idle_ms.get(worker.service, DEFAULT_KEEP_ALIVE_MS)
         self._max_idle_ms[worker.service] = min(current_ms, RESET_IDLE_FACTOR * idle_ms)
 
-    def check_long_exchanges(self) -> None:
-        """Have one of the workers checked whose exchanges take long."""
-        before_s = self._clock.monotonic_s() - to_s(CHECK_AFTER_MS)
+    def check_silent(self) -> None:
+        """Have one of the workers checked that sent nothing since the last call."""
+        before = self._progress
+        self._progress = {
+            connection: connection.progress for connection in self._in_use
+        }
         self._connector.check_one_of(
-            [worker for worker, since_s in self._in_use.values() if since_s < before_s]
+            [
+                self._in_use[connection]
+                for connection, progress in self._progress.items()
+                if before.get(connection) == progress
+            ]
         )
 
     def close_expired(self) -> None:
@@ -160,9 +169,11 @@
             connection.close()
 
 
-async def sweep_idle(connections: WorkerConnectionPool, period_s: float = 1.0) -> None:
+async def sweep_idle(
+    connections: WorkerConnectionPool, period_s: float = SWEEP_PERIOD_S
+) -> None:
     """Close unusable idle connections and check workers, until cancelled."""
     while True:
         await trio.sleep(period_s)
         connections.close_expired()
-        connections.check_long_exchanges()
+        connections.check_silent()
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -162,6 +162,11 @@
         """The transport, for forwarding bytes without parsing them."""
         return self._stream
 
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Number of exchanges, and of bytes received in the current one."""
+        return self.exchanges, self._received_bytes
+
     @property
     def reusable(self) -> bool:
         """Whether another request may follow: the last exchange is complete."""
--- a/tests/gateway/test_worker_connector.py
+++ b/tests/gateway/test_worker_connector.py
@@ -6,6 +6,7 @@
 import trio
 
 from acaciapier.core.clock import ManualClock
+from acaciapier.gateway.connection_pool import WorkerConnectionPool
 from acaciapier.gateway.models import Worker, WorkerState
 from acaciapier.gateway.supervision import TaskSupervisor
 from acaciapier.gateway.tunnels import TunneledConnection, WorkerUnreachable
@@ -228,3 +229,30 @@
         assert world.connector.observed_peers() == []
         world.partition()
         assert world.connector.observed_peers() == ["edge-3"]
+
+
+async def test_only_workers_that_send_nothing_for_a_while_are_checked():
+    checked = []
+
+    class Connector:
+        async def open(self, worker, request=""):
+            await trio.lowlevel.checkpoint()
+            return HttpConnection(FakeStream(), worker.address)
+
+        def is_current(self, worker, connection):
+            return True
+
+        def check_one_of(self, workers):
+            checked.append(list(workers))
+
+    pool = WorkerConnectionPool(ManualClock(), Connector())
+    worker = Worker("book-1", "book", "h", 1, "zone-a", 4, WorkerState.READY, 1)
+    async with pool.acquire(worker, repeatable=True) as connection:
+        pool.check_silent()
+        connection._received_bytes += 9
+        pool.check_silent()
+        connection._received_bytes += 9
+        pool.check_silent()
+        pool.check_silent()
+    pool.check_silent()
+    assert checked == [[], [], [], [worker], []]
