--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -80,7 +80,7 @@
         if self._needs_check(state, worker):
             for new in (force_new, True):
                 async with self._connections.acquire(
-                    worker, repeatable, force_new=new
+                    worker, repeatable, force_new=new, request=state.metadata.attempt
                 ) as connection:
                     reused = connection.exchanges > 0
                     verdict = await self._check(state, worker, connection)
@@ -93,7 +93,10 @@
                 self._refuse(state, worker, "incarnation_unknown")
             force_new = True
         async with self._connections.acquire(
-            worker, repeatable, force_new=force_new
+            worker,
+            repeatable,
+            force_new=force_new,
+            request=state.metadata.attempt,
         ) as connection:
             try:
                 yield connection
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import fields
 from datetime import UTC, datetime
-from functools import partial
 
 import trio
 
@@ -36,6 +35,7 @@
 from ..wire.messages.operations import FetchCrashRecords
 from ..wire.messages.quarantine import Strikes
 from ..wire.messages.streams import FindStream, StreamsBegun
+from ..wire.messages.tunnels import OpenTunnel, WriteTunnel
 from ..wire.network import PeerNetwork
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool, sweep_idle
@@ -44,7 +44,7 @@
 from .followers import StoreFollowers
 from .incarnation_check import CheckedConnections
 from .incarnations import Incarnations
-from .models import InputLimits, PeerRecord
+from .models import InputLimits, PeerRecord, Worker
 from .observing import RequestObserver, StructuredLog
 from .peer_sync import PeerSync
 from .peers import Peers
@@ -56,9 +56,12 @@
 from .stream_records import StreamRecords
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
+from .tunnels import TunnelClient, TunnelServer
+from .worker_connector import WorkerConnector
 from .worker_exchange import WorkerExchange
 from .worker_limits import WorkerLimits
 from .worker_notices import WorkerNotices
+from .worker_paths import WorkerPaths
 
 LISTEN_BACKLOG = 1_024
 """Connections that may wait for accept; enough for all callers connecting at once."""
@@ -166,7 +169,8 @@
             self.log.write,
         )
         self.followers = StoreFollowers(self.peers)
-        worker_connections = WorkerConnectionPool(self.clock)
+        connector = self._make_connector(tasks)
+        worker_connections = WorkerConnectionPool(self.clock, connector)
         self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
         self.metrics.watch_worker_limits(self._worker_limits)
         self.notices = WorkerNotices(
@@ -190,7 +194,12 @@
             self.limits,
         )
         self.quarantine = RequestQuarantine(
-            self.clock, self._random, self.peers, self.log.write, tasks
+            self.clock,
+            self._random,
+            self.peers,
+            self.log.write,
+            tasks,
+            connector.is_reachable,
         )
         self.streams = StreamRecords(
             self.peers,
@@ -259,7 +268,9 @@
         self._peer_sync = peer_sync
         self.peers.on_heartbeat = self._handle_heartbeat
         self.peers.required_peers = self._required_peers
-        self.peers.standby_peers = partial(self._dispatchers, 1)
+        self.peers.standby_peers = lambda: self._dispatchers(1).union(
+            connector.observed_peers()
+        )
         self.peers.on_down = self.dispatcher.remove_owner
         self.peers.on_up = self.dispatcher.restore_owner
         self._register_handlers(peer_sync)
@@ -268,7 +279,12 @@
         )
         tasks.start_soon(peer_sync.join, settings.seeds)
         nursery.start_soon(self._watch_reload_signal)
-        for loop in (self.sync.run, self._detect_freezes, self._watch_settings):
+        for loop in (
+            self.sync.run,
+            self._detect_freezes,
+            self._watch_settings,
+            connector.probe_periodically,
+        ):
             nursery.start_soon(run_forever, loop, report)
         nursery.start_soon(run_forever, self.peers.run, report, tasks)
         nursery.start_soon(run_forever, sweep_idle, report, worker_connections)
@@ -288,6 +304,38 @@
             front=f"{settings.front.host}:{settings.front.port}",
         )
 
+    def _make_connector(self, tasks: TaskSupervisor) -> WorkerConnector:
+        """Return what opens connections to workers, here and for other instances."""
+        self.paths = WorkerPaths(self.clock, self._listed_workers, self.log.write)
+        tunnels = TunnelClient(
+            self.network,
+            self.peers,
+            self.settings.data_centre,
+            self._random,
+            tasks,
+            self.log.write,
+            self.metrics,
+        )
+        connector = WorkerConnector(
+            self.paths,
+            tunnels,
+            self._listed_workers,
+            self._random,
+            self.log.write,
+            tasks,
+        )
+        self.tunnel_server = TunnelServer(
+            self.catalogue,
+            connector.open_direct,
+            lambda worker: self.paths.since_s(worker.service) is not None,
+            self.log.write,
+            self.metrics,
+        )
+        return connector
+
+    def _listed_workers(self) -> list[Worker]:
+        return list(self.catalogue.workers.values())
+
     def _register_handlers(self, peer_sync: PeerSync) -> None:
         register = self.network.register
         register(Heartbeat, self._answer_heartbeat)
@@ -305,6 +353,8 @@
         register(HeldResults, self.dispatcher.held_results)
         register(StreamsBegun, self.streams.handle_begun)
         register(FindStream, self.streams.answer_find)
+        register(WriteTunnel, self.tunnel_server.write)
+        self.network.register_stream(OpenTunnel, self.tunnel_server.serve)
 
     def _required_peers(self) -> set[InstanceId]:
         """Return the dispatchers of all services and the followers of the store."""
@@ -336,6 +386,7 @@
             self.notices.shared_leaving(),
             self.dispatcher.engine_times(),
             self.quarantine.part_crashes_digest,
+            self.catalogue.complete and not self.paths.partitioned_from_all,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
@@ -417,7 +468,7 @@
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
             self.relay.closing = True
             self._listening_scope.cancel()
-            while self._connections:
+            while self._connections or self.tunnel_server.count:
                 for connection in list(self._connections):
                     if connection.idle:
                         connection.close()
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -158,6 +158,16 @@
         set_keepalive_options(stream)
         return cls(stream, address)
 
+    @property
+    def stream(self) -> trio.SocketStream:
+        """The transport, for forwarding bytes without parsing them."""
+        return self._stream
+
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Number of exchanges, and of bytes received in the current one."""
+        return self.exchanges, self._received_bytes
+
     @property
     def reusable(self) -> bool:
         """Whether another request may follow: the last exchange is complete."""
