--- a/tests/gateway/test_cut_off_gateways.py
+++ b/tests/gateway/test_cut_off_gateways.py
@@ -9,7 +9,8 @@
 from acaciapier.gateway import instance as gateway_instance
 from acaciapier.gateway.connection_pool import WorkerConnectionPool
 from acaciapier.http.client import ConnectFailed
-from gateway.support import deployment
+
+from .support import deployment
 
 GATEWAYS, CUT_OFF = 5, 3
 PERIOD_S, CUT_S = 0.15, 3.0
@@ -22,8 +23,8 @@
     cut = False
     connect_s = 0.0
 
-    def __init__(self, clock):
-        super().__init__(clock)
+    def __init__(self, *args):
+        super().__init__(*args)
         self.made.append(self)
 
     @asynccontextmanager
