--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -1,10 +1,8 @@
 """Composition, start-up and shutdown of one gateway process."""
 
 import random as random_module
-import signal
 import time
 from collections.abc import Callable
-from dataclasses import fields
 from datetime import UTC, datetime
 
 import trio
@@ -12,7 +10,6 @@
 from ..app.application import Application
 from ..core.clock import epoch_ms, to_s
 from ..core.ids import Incarnation, InstanceId
-from ..exceptions import FindingsError
 from ..http.caller import CallerConnection, ConnectionLimits
 from ..observability.metrics import Metrics
 from ..platform.configuration import decode_configuration
@@ -51,6 +48,7 @@
 from .relay import Relay
 from .request_quarantine import RequestQuarantine
 from .settings import GatewaySettings
+from .settings_reload import SettingsReloader
 from .stage_client import StageClient
 from .status_server import StatusServer
 from .stream_records import StreamRecords
@@ -79,10 +77,6 @@
 FINAL_ANSWER_FLUSH_S = 0.2
 """Time for final answers to reach callers: a round trip plus event loop delay."""
 
-SETTINGS_RELOAD_PERIOD_S = 2.0
-"""Period of reading the settings file again; equals the time within which operators
-require a new configuration version to be in force."""
-
 MIN_FREEZE_MS = 600.0
 """Pause of the event loop from which the process counts as frozen and its state as
 outdated."""
@@ -278,11 +272,14 @@
             self.network.serve, settings.control.host, settings.control.port
         )
         tasks.start_soon(peer_sync.join, settings.seeds)
-        nursery.start_soon(self._watch_reload_signal)
+        reloader = SettingsReloader(
+            settings, self._reread, self._apply_settings, self.log.write
+        )
+        nursery.start_soon(reloader.watch_signal)
         for loop in (
             self.sync.run,
             self._detect_freezes,
-            self._watch_settings,
+            reloader.reload_periodically,
             connector.probe_periodically,
         ):
             nursery.start_soon(run_forever, loop, report)
@@ -481,31 +478,8 @@
         self.log.write("stopped", in_flight=self.relay.in_flight)
         self.log.flush()
 
-    async def _watch_reload_signal(self) -> None:
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                self._reload("signal")
-
-    async def _watch_settings(self) -> None:
-        """Reload settings periodically, for changes that no signal announces."""
-        while True:
-            await trio.sleep(SETTINGS_RELOAD_PERIOD_S)
-            self._reload("period")
-
-    def _reload(self, reason: str) -> None:
+    def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed addresses take effect at the next start."""
-        try:
-            settings = self._reread()
-        except FindingsError as error:
-            self.log.write("settings_rejected", reason=reason, error=str(error))
-            return
-        changed = [
-            field.name
-            for field in fields(settings)
-            if getattr(settings, field.name) != getattr(self.settings, field.name)
-        ]
-        if reason == "signal" or changed:
-            self.log.write("settings_reloaded", reason=reason, changed=changed)
         self.settings = settings
         self.dispatcher.set_bounds(settings.bounds)
 
