Refuse a waiting stream at once when its software version serves no more

Only the arrival at the dispatcher looked at the versions that serve; now each pass over the queue does. test_a_waiting_stream_is_refused_when_its_version_serves_no_more fails before (2 of 2) and passes now.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -1,6 +1,6 @@
 """Dispatcher: schedules work for the services that are assigned to this instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import trio
@@ -243,6 +243,8 @@
             budget.refund()
         if self.stopping and cause == "expired":
             return WorkRefused(HANDED_OVER, retry_ms)
+        if request.begun and not request.usable(self._workers(message.service)):
+            return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         ended_s = self._clock.monotonic_s()
         partition_ms = partition_wait_ms(allocator, request, workers, ended_s)
         if partition_ms is not None:
@@ -461,6 +463,9 @@
             return None
         return configuration.services.get(ServiceName(service))
 
+    def _workers(self, service: str) -> Sequence[Worker]:
+        return self._catalogue.workers_of(ServiceName(service))
+
     def _assign(self, service: str) -> None:
         allocator = self._allocators[service]
         now_s = self._clock.monotonic_s()
@@ -468,6 +473,7 @@
         popped = allocator.pop_expired(now_s)
         popped += pop_partitioned(allocator, workers, now_s)
         popped += allocator.pop_hopeless(workers, now_s)
+        popped += allocator.pop(lambda one: one.begun and not one.usable(workers))
         for request in popped:
             self._grants[request.permit].set_result(None)
         for request, worker in allocator.assign(workers, now_s):
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -224,7 +224,7 @@
         """Sort the waiting requests in the order in which they get slots.
 
         Within a priority, streams of which the caller has events go first: what was
-        done for them is lost if they wait too long. The retry budget bounds them.
+        done for them is lost if they wait too long. Few are broken at a time.
         """
         self._waiting.sort(
             key=lambda waiting: (
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -3,16 +3,22 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
+from acaciapier.core.clock import ManualClock
+from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch import dispatch_client
 from acaciapier.gateway.dispatch.dispatcher import Dispatcher
 from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
 from acaciapier.gateway.models import ServiceName, ServiceRule, WorkerState
+from acaciapier.platform.configuration import decode_configuration
 from acaciapier.platform.workers import decode_worker
 from acaciapier.wire.messages.gateway import AcquireWorker, WorkerEntry
+from acaciapier_standins.platform.platform import configuration
 
 from .support import deployment
 from .test_broken_streams import EVENTS
+from .test_dispatcher import CALLER, acquire_message, make_dispatcher
 from .test_instance_state import at, make_catalogue, worker
 
 ENTRY = {"service": "model", "addr": "10.0.0.1:80", "zone": "a", "state": "ready"}
@@ -140,3 +146,38 @@
     (first, second) = catalogue.workers_of(ServiceName("book"))
     assert (first.software_version, second.software_version) == ("v1", "v2")
     assert not changes
+
+
+@pytest.mark.parametrize("path", ["leaves", "restarts_as_another"])
+async def test_a_waiting_stream_is_refused_when_its_version_serves_no_more(path):
+    clock = ManualClock()
+    catalogue = Catalogue(clock, decode_configuration)
+    source = configuration(1, [], [{"name": "book", "max_conns": 100}])
+    catalogue.update_configuration(at(1), msgspec.json.encode(source), "store")
+    only = msgspec.structs.replace(versioned("w1", "v1"), slots=1)
+    catalogue.update_workers(at(1), [only, versioned("w2", "v2")], "store")
+    answers = []
+
+    async def acquire(permit: str) -> None:
+        message = msgspec.structs.replace(
+            acquire_message(permit), software_version="v1", expires_ms=60_000.0
+        )
+        answers.append(await dispatcher.acquire(CALLER, message))
+
+    async with trio.open_nursery() as nursery:
+        dispatcher = make_dispatcher(nursery, catalogue, clock, CALLER)
+        nursery.start_soon(acquire, "first")
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(acquire, "waits")
+        await trio.testing.wait_all_tasks_blocked()
+        assert len(answers) == 1
+        left = [versioned("w2", "v2")]
+        if path == "restarts_as_another":
+            left.append(
+                msgspec.structs.replace(only, started_ms=9, software_version="v2")
+            )
+        catalogue.update_workers(at(2), left, "store")
+        dispatcher.workers_changed()
+        await trio.testing.wait_all_tasks_blocked()
+        assert answers[1].cause == "no_worker"
+        nursery.cancel_scope.cancel()
