Wait for the configuration in the tests' deployments

test_a_stream_that_may_not_run_again_has_no_idle_timeout failed once (AttributeError: None has no version): the deployment waited for the workers, not for the configuration. The wait asks for both now.

--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -142,7 +142,9 @@
             await deployed.add_gateway()
         for gateway in deployed.gateways:
             await deployed.until(
-                lambda gateway=gateway: len(gateway.catalogue.workers) == 8
+                lambda gateway=gateway: (
+                    gateway.catalogue.complete and len(gateway.catalogue.workers) == 8
+                )
             )
             await deployed.until(
                 lambda gateway=gateway: gateway.peers.live_count == gateways
