Conclude no version of a stream of which two records differ

Two holders that name different versions of an attempt left it to the list of workers, which may show one of them only (review, read in the code). Such a stream is refused.

--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -172,13 +172,14 @@
         """
         stream = self._streams.find(workspace, attempt) if attempt else None
         answers: list[StreamFound] = []
+        entries: set[StreamEntry] = set()
         if stream is None:
             answers = await self._ask(workspace, attempt, services)
             entries = {answer.stream for answer in answers if answer.stream is not None}
             if len(entries) == 1:
-                stream = _from_entry(entries.pop())
+                stream = _from_entry(*entries)
         recorded = stream is not None
-        if stream is None and len(services) == 1:
+        if not recorded and not entries and len(services) == 1:
             stream = self._conclude(workspace, attempt, services[0], answers, life_ms)
         if stream is None or stream.software_version == UNKNOWN_VERSION:
             self._log(
