--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -34,6 +34,7 @@
         self.crashes: list[tuple[float, str]] = []
         """Times of such crashes, with the workers."""
         self.replace_after_s = 0.3
+        self._replaced = 0
         self._results: dict[str, str] = {}
         self._nursery = nursery
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -52,6 +53,7 @@
             self.run_log,
             results=self._results,
             on_begin=self._begin_writing,
+            on_fall=self._fall,
             **fields,
         )
         port = await self._listen(name, worker.answer)
@@ -88,12 +90,22 @@
         self.crash(name)
         self._nursery.start_soon(self._replace, name)
 
+    def _fall(self, name: str) -> None:
+        """Crash and replace a brittle worker."""
+        if name in self._entries:
+            self.crash(name)
+            self._nursery.start_soon(self._replace, name)
+
     async def _replace(self, name: str) -> None:
         """Deregister a crashed worker and start another one in its place."""
-        service, kind = self._entries[name]["service"], self.workers[name].kind
+        service, crashed = self._entries[name]["service"], self.workers[name]
         self.deregister(name)
         await trio.sleep(self.replace_after_s)
-        await self.add_worker(f"{service}-r{len(self.workers)}", service, kind=kind)
+        self._replaced += 1
+        fresh = f"{service}-r{self._replaced}"
+        started = await self.add_worker(fresh, service, kind=crashed.kind)
+        started.faults.brittle = crashed.faults.brittle
+        started.faults.delay_s = crashed.faults.delay_s
 
     def configure(self, configuration: dict[str, Any]) -> None:
         """Write the gateway configuration to the store."""
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -38,6 +38,28 @@
 
 DRIP_PERIOD_S = 0.2
 
+REJECTION_WINDOW_S = 1.0
+"""Time in which a brittle worker may reject as many requests as it advertises."""
+
+
+@dataclass(frozen=True)
+class Brittleness:
+    """A worker that falls over when it rejects too many requests in a second.
+
+    Parameters
+    ----------
+    rejections : int
+        Rejections in a second that it survives; it advertises them in all answers.
+    room : int
+        Requests that it takes at once, running and waiting.
+    from_s : float
+        Time from which it takes no more than `room`, and may fall over.
+    """
+
+    rejections: int
+    room: int
+    from_s: float
+
 
 @dataclass
 class WorkerFaults:
@@ -79,6 +101,7 @@
     """Answer with status 503 and this `Retry-After`."""
     limit: str | None = None
     """Name this limit, in requests a second, in all answers."""
+    brittle: Brittleness | None = None
     endless: str | None = None
     """A key of `ENDLESS`: send these bytes until the caller closes."""
 
@@ -154,6 +177,14 @@
     at_s: float
 
 
+@dataclass(frozen=True)
+class Fall:
+    """One time that a brittle worker fell over."""
+
+    worker: str
+    at_s: float
+
+
 @dataclass
 class RunLog:
     """Log of what all workers ran; tests compare it with the answers of callers."""
@@ -165,6 +196,9 @@
     mixed_inputs: int = 0
     """Pieces and requests that were given a result of another request."""
     arrivals: list[Arrival] = field(default_factory=list)
+    rejected: list[Arrival] = field(default_factory=list)
+    """Requests that brittle workers rejected for want of room."""
+    falls: list[Fall] = field(default_factory=list)
 
     def runs_of(self, attempt: str) -> list[Run]:
         """Return the runs of an attempt."""
@@ -193,6 +227,8 @@
     on_begin : callable, optional
         Called with the worker's name and the parts of a prompt when a stream on it
         begins to be written; it may crash the worker.
+    on_fall : callable, optional
+        Called with the worker's name when it falls over.
     """
 
     def __init__(
@@ -205,6 +241,7 @@
         gap_s: float = 0.01,
         results: dict[str, str] | None = None,
         on_begin: Callable[[str, tuple[str, ...]], None] | None = None,
+        on_fall: Callable[[str], None] = lambda name: None,
     ):
         self.name = name
         self.address = address
@@ -221,6 +258,11 @@
         """By connection."""
         self._results = {} if results is None else results
         self._on_begin = on_begin
+        self._on_fall = on_fall
+        self._inside = 0
+        """Number of requests that run or wait."""
+        self._rejections_s: list[float] = []
+        self._fallen = False
 
     async def answer(self, request: IncomingRequest, exchange: Exchange) -> None:
         """Answer an HTTP request to the worker."""
@@ -242,16 +284,49 @@
                 (b"Retry-After", self.faults.turn_away.encode()),
             ]
             await exchange.respond(503, [*refusal, *self._state_headers()])
-        elif request.target == RUN_PATH:
-            await self._run_pieces(request, exchange)
-        elif request.target == FREE_PATH:
+        elif request.target != FREE_PATH:
+            await self._run_if_room(request, headers, exchange)
+        else:
             handles = json.loads(request.body)["handles"]
             self._run_log.freed += len(handles)
             for handle in handles:
                 self._results.pop(handle, None)
             await exchange.respond(200, self._state_headers())
-        else:
-            await self._run_request(request, headers, exchange)
+
+    async def _run_if_room(
+        self, request: IncomingRequest, headers: dict[str, str], exchange: Exchange
+    ) -> None:
+        brittle = self.faults.brittle
+        small = brittle is not None and trio.current_time() >= brittle.from_s
+        if small and self._inside >= brittle.room:
+            await self._reject(headers.get("attempt-id", ""), exchange)
+            return
+        self._inside += 1
+        try:
+            if request.target == RUN_PATH:
+                # A call that is being worked on goes on when its connection closes.
+                with trio.CancelScope(shield=brittle is not None):
+                    await self._run_pieces(request, exchange)
+            else:
+                await self._run_request(request, headers, exchange)
+        finally:
+            self._inside -= 1
+
+    async def _reject(self, attempt: str, exchange: Exchange) -> None:
+        """Reject a request for want of room; fall over if there were too many."""
+        now_s = trio.current_time()
+        self._run_log.rejected.append(Arrival(self.name, attempt, now_s))
+        self._rejections_s = [
+            time_s
+            for time_s in [*self._rejections_s, now_s]
+            if time_s > now_s - REJECTION_WINDOW_S
+        ]
+        too_many = len(self._rejections_s) > self.faults.brittle.rejections
+        if too_many and not self._fallen:
+            self._fallen = True
+            self._run_log.falls.append(Fall(self.name, now_s))
+            self._on_fall(self.name)
+        await self._refuse(attempt, exchange)
 
     def _log_turned_away(self, headers: dict[str, str]) -> None:
         now_s = trio.current_time()
@@ -438,6 +513,9 @@
         headers = [(b"Server-Leaving", b"1")] if self.faults.leaving else []
         if self.faults.limit is not None:
             headers.append((b"Server-Limit", self.faults.limit.encode()))
+        if self.faults.brittle is not None:
+            rejections = str(self.faults.brittle.rejections).encode()
+            headers.append((b"Server-Brittle", rejections))
         return headers
 
     def _identity_headers(self, run: Run) -> list[tuple[bytes, bytes]]:
--- /dev/null
+++ b/tests/gateway/test_brittle_workers.py
@@ -0,0 +1,66 @@
+"""Workers that fall over when they have to reject too many requests in a second."""
+
+import pytest
+import trio
+
+from acaciapier_standins.platform.workers import Brittleness
+
+from .support import deployment
+from .test_worker_limits import load
+
+STABLE_S = 1.0
+LEARN_S = 2.0
+LOAD_S = 7.0
+SERVICE_TIME_S = 0.1
+RUN_S = 0.15
+"""Longest time that a request takes at a worker: a stream has four events."""
+USED_SHARE = 2 / 3
+"""Share of the room that the service's workers must be given."""
+
+
+def brittle_workers(world, service: str, rejections: int, room: int) -> float:
+    """Make the workers of a service brittle; return when their room shrinks."""
+    from_s = trio.current_time() + STABLE_S
+    for name, running in world.platform.workers.items():
+        if name.startswith(service):
+            running.faults.brittle = Brittleness(rejections, room, from_s)
+            running.faults.delay_s = SERVICE_TIME_S
+    return from_s
+
+
+def allowed_falls(workers: int) -> float:
+    """Return the falls of a service's workers that the users' rule allows."""
+    return 2 + workers / 10
+
+
+def completed_per_s(world, service: str, from_s: float, to_s: float) -> float:
+    """Return the requests a second that the workers of a service completed."""
+    completed = [
+        run
+        for run in world.platform.run_log.runs
+        if run.worker.startswith(service)
+        and run.complete
+        and from_s <= run.ended_s < to_s
+    ]
+    return len(completed) / (to_s - from_s)
+
+
+@pytest.mark.parametrize("rejections, room", [(0, 3), (1, 3), (3, 3), (0, 8)])
+@pytest.mark.parametrize(
+    "service, method, path",
+    [
+        ("book", "GET", "/lookup/{}"),
+        ("book", "POST", "/confirm/{}"),
+        ("model", "POST", "/mail/{}"),
+    ],
+)
+async def test_brittle_workers_do_not_fall_over_under_the_load_of_all_instances(
+    service, method, path, rejections, room
+):
+    async with deployment(gateways=3) as world:
+        from_s = brittle_workers(world, service, rejections, room)
+        await load(world, method, path, LOAD_S, 24)
+        end_s = trio.current_time()
+        assert len(world.platform.run_log.falls) <= allowed_falls(2)
+        used = completed_per_s(world, service, from_s + LEARN_S, end_s)
+        assert used >= USED_SHARE * 2 * room / RUN_S
--- a/tests/gateway/test_worker_limits.py
+++ b/tests/gateway/test_worker_limits.py
@@ -105,7 +105,10 @@
 
 
 async def load(world, method: str, path: str, seconds: float, callers: int) -> list:
-    """Send requests to all gateways at once and return the answers."""
+    """Send requests to all gateways at once and return the answers.
+
+    A ``{}`` in `path` stands for a name that differs between requests.
+    """
     answers = []
 
     async def call(number: int) -> None:
@@ -114,7 +117,7 @@
             serial = len(answers)
             reply = await caller.request(
                 method,
-                path,
+                path.format(f"{number}-{serial}"),
                 b"{}",
                 Attempt_Id=f"c{number}-{serial}-{trio.current_time()}",
                 Chunk_Count="1,1",
