Release slots that an instance no longer lists at a returning dispatcher

A dispatcher that lost a service and took it over again still counted the slots that it had granted before, up to 30 s: the permits had ended at the dispatcher in between.

Instances now report their permits to each new dispatcher also if they hold none, and it releases what they do not list and was granted more than a second ago: a grant is used or given back by then. An old instance reports as before; an old dispatcher gets an empty list at most. Guarded by test_slots_that_an_instance_no_longer_lists_are_released.

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -370,7 +370,7 @@
             (permit.name, permit.worker.key, permit.prompt_tokens, permit.output_tokens)
             for permit in permits
         )
-        if entries:
+        if entries or not first:
             self._notify(instance, HeldPermits(service, entries))
         if not first:
             self._log("dispatcher_changed", service=service, dispatcher=instance)
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -35,7 +35,7 @@
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
 from .slot_requests import ReleasedSlots, SlotRequest, SlotReservation
-from .slots import PERMIT_TTL_MS, SlotAllocator
+from .slots import PERMIT_TTL_MS, UNLISTED_PERMIT_MS, SlotAllocator
 from .stage_scheduler import StageScheduler
 
 CHECK_PERIOD_MS = 25.0
@@ -338,7 +338,10 @@
         allocator = self._allocator(message.service)
         if allocator is None:
             return
-        until_s = self._clock.monotonic_s() + to_s(PERMIT_TTL_MS)
+        now_s = self._clock.monotonic_s()
+        until_s = now_s + to_s(PERMIT_TTL_MS)
+        listed = {permit for permit, *_ in message.permits}
+        allocator.release_owner(peer, listed, now_s - to_s(UNLISTED_PERMIT_MS))
         for permit, worker, prompt_tokens, output_tokens in message.permits:
             reservation = SlotReservation(
                 worker, peer, prompt_tokens, output_tokens, 0.0, until_s, True
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -6,7 +6,8 @@
 happens to be slow.
 """
 
-from collections.abc import Sequence
+import math
+from collections.abc import Collection, Sequence
 
 from ..engine_times import EngineTimes
 from ..models import ServiceRule, Worker
@@ -53,6 +54,9 @@
 CERTAIN_WAIT_SHARE = 0.8
 """Share of the wait for those ahead that is certain: some of them are cancelled."""
 
+UNLISTED_PERMIT_MS = 1_000.0
+"""Age from which a slot that its holder does not list is free."""
+
 PERMIT_TTL_MS = 30_000.0
 """Time after which an unreleased slot becomes free: twice the longest deadline."""
 
@@ -317,12 +321,16 @@
             self._reservations[permit] = reservation
             self._permits_by_worker.setdefault(reservation.worker, set()).add(permit)
 
-    def release_owner(self, owner: str) -> dict[str, SlotReservation]:
-        """Release and return the slots of an instance, by permit."""
+    def release_owner(
+        self, owner: str, kept: Collection[str] = (), before_s: float = math.inf
+    ) -> dict[str, SlotReservation]:
+        """Release and return the slots of an instance but those in `kept`, by permit."""
         owned = {
             permit: reservation
             for permit, reservation in self._reservations.items()
             if reservation.owner == owner
+            and permit not in kept
+            and reservation.granted_s < before_s
         }
         for permit in owned:
             self.release(permit)
@@ -478,10 +486,6 @@
         return tokens, self.engine_times.estimate.expected_ms(tokens)
 
     def _release_overdue(self, now_s: float) -> None:
-        overdue = [
-            p
-            for p, reservation in self._reservations.items()
-            if reservation.until_s < now_s
-        ]
-        for permit in overdue:
-            self.release(permit)
+        for permit, reservation in list(self._reservations.items()):
+            if reservation.until_s < now_s:
+                self.release(permit)
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -100,6 +100,15 @@
     assert len(allocator.assign(workers, 0.0)) == 1
 
 
+def test_slots_that_an_instance_no_longer_lists_are_released():
+    allocator, workers = SlotAllocator(PLAIN), [make_worker(1)]
+    for permit, now_s in (("over", 0.0), ("held", 0.0), ("fresh", 5.0)):
+        allocator.add(make_request(permit, expires_s=9.0))
+        allocator.assign(workers, now_s)
+    assert set(allocator.release_owner("edge-1", {"held"}, 4.0)) == {"over"}
+    assert allocator.reserved == 2
+
+
 def test_expired_requests_are_removed():
     allocator = SlotAllocator(PLAIN)
     allocator.add(make_request("p1", expires_s=0.5))
