Keep the requests of all instances within the room of brittle workers

Brittle workers (Server-Brittle: N) fell over again and again under the load of all instances: nothing decoded the header, grants went up to the listed slots, and a worker that takes fewer rejected several requests within milliseconds, before the first report; its successor got the same load at once.

Now platform/ decodes the header, and instances and dispatchers tell one another of it as of limits (new message fields with defaults): by incarnation of the worker, lowered at once, raised or ended only by the worker's own answer to a later request. The dispatcher, which grants every send, records how many requests each worker has proved to take at once (gateway/brittle_workers, no network) and keeps a brittle one within that: one request at a time beyond it, none after a rejection, none for N = 0, and never one that was rejected before. A rejection or a broken connection halves the room, also that of the service's other workers, and a successor starts with one request. Forecasts count the room in place of the slots. Grants made before the notice was known are given back; on grants of an earlier release each instance sends one request at a time. A stage worker with N below 2 gets no call for 1.2 s after one that failed, as that may still run there. Log events worker_brittle, worker_brittle_ended, worker_brittle_ignored and worker_room, gauge acaciapier_worker_brittle.

--- /dev/null
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -0,0 +1,439 @@
+"""Brittle workers: how many requests at once they have proved to take.
+
+This answers the load on workers that fall over when they have to reject more than some
+requests in a second. The rejections of all instances count together, so the dispatcher
+of a service keeps all grants within the room that a worker has proved to have, and
+risks rejections only as far as the worker survives them.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from ..wire.messages.gateway import BrittleWorkerEntry
+from .models import ResponseMetadata, Worker, WorkerKey
+
+REJECTION_WINDOW_S = 1.2
+"""Time over which rejections are counted: a second, and the delay of the reports."""
+
+FIRST_PROBE_DELAY_S = 1.5
+"""Time after a rejection in which no request is sent beyond the proven room."""
+
+MAX_PROBE_DELAY_S = 12.0
+"""The same after probes that failed one after another."""
+
+ABANDONED_S = 0.5
+"""Time for which a request that was given up may still occupy its worker."""
+
+STURDY_REJECTIONS = 2
+"""Rejections that a worker must survive not to be handled with special care: another
+request may be rejected at the same moment."""
+
+PROVING_SUCCESSES = 2
+CAREFUL_SUCCESSES = 4
+"""Requests that a brittle worker must take beyond its proven room before it counts as
+larger."""
+
+MAX_WORKERS = 2_000
+"""Number of workers that are remembered; the oldest are forgotten first."""
+
+BEFORE_ALL_S = float("-inf")
+"""Time of a request of which it is not known when it was sent."""
+
+
+@dataclass(eq=False)
+class BrittleNotice:
+    """What a worker's answers say of how many rejections a second it survives."""
+
+    rejections: int
+    named_s: float
+    """When an answer last said so."""
+    since_s: float
+    """When one first said so."""
+
+
+@dataclass(eq=False)
+class WorkerRoom:
+    """Requests at one incarnation of a worker, as its dispatcher knows them."""
+
+    proven: int = 0
+    """Most requests that it has taken at once since it last rejected one."""
+    held: int = 0
+    """Requests that were granted and have not ended."""
+    probes: int = 0
+    """Those beyond the proven room that it has not answered."""
+    probe_after_s: float = BEFORE_ALL_S
+    probe_delay_s: float = FIRST_PROBE_DELAY_S
+    rejections_s: deque[float] = field(default_factory=deque)
+    abandoned_until_s: deque[float] = field(default_factory=deque)
+    successes: int = 0
+    """Requests beyond the proven room that it took since it last rejected one."""
+    rejected: bool = False
+    """Whether it has rejected a request within its proven room."""
+    lowered_s: float = BEFORE_ALL_S
+    """When the proven room was last lowered; rejections of requests that were granted
+    before tell nothing more."""
+    broken: bool = False
+    """Whether it has broken off requests, as a worker does that falls over."""
+
+    def occupied(self, now_s: float) -> int:
+        """Return how many requests the worker may have."""
+        while self.abandoned_until_s and self.abandoned_until_s[0] <= now_s:
+            self.abandoned_until_s.popleft()
+        return self.held + len(self.abandoned_until_s)
+
+    def recent_rejections(self, now_s: float) -> int:
+        """Return the rejections that still count."""
+        while self.rejections_s and self.rejections_s[0] <= now_s - REJECTION_WINDOW_S:
+            self.rejections_s.popleft()
+        return len(self.rejections_s)
+
+
+@dataclass(frozen=True)
+class SentWithin:
+    """State of a worker's room when a request was granted."""
+
+    level: int
+    """Requests that the worker had then, with this one."""
+    probe: bool
+    """Whether they are more than it had proved to take."""
+
+
+class BrittleWorkers:
+    """Records which workers are brittle, and decides which of them get a request.
+
+    Answers overtake one another. A lower number therefore applies at once, but only the
+    answer to a request that was sent after a worker had last advertised that it is
+    brittle may raise the number or end the notice. The workers of a service are brittle
+    at the same time, so a worker that has not answered since counts as brittle, too.
+
+    Parameters
+    ----------
+    log : callable
+        Writes a log event, given as a kind and fields.
+    """
+
+    def __init__(self, log: Callable[..., None] = lambda kind, **fields: None):
+        self._log = log
+        self._notices: dict[WorkerKey, BrittleNotice] = {}
+        self._services: dict[str, BrittleNotice] = {}
+        """Latest notice of any worker of a service."""
+        self._ended_s: dict[WorkerKey, float] = {}
+        """When the latest request was sent whose answer had no notice."""
+        self._rooms: dict[WorkerKey, WorkerRoom] = {}
+        self._lowered_s: dict[str, float] = {}
+        """When a worker of a service last proved to have less room."""
+        self._taken_shares: dict[str, float] = {}
+        """Share of its slots that some worker of a service has proved to fill."""
+
+    def observe(
+        self,
+        worker: Worker,
+        response: ResponseMetadata,
+        now_s: float,
+        sent_s: float | None = None,
+    ) -> None:
+        """Record what an answer says; see `WorkerLimits.observe`."""
+        for value in response.malformed_brittle:
+            self._log("worker_brittle_ignored", worker=worker.id, value=value)
+        if response.brittle_rejections is not None:
+            asked_s = BEFORE_ALL_S if sent_s is None else sent_s
+            rejections = response.brittle_rejections
+            self.record(
+                worker.service, worker.key, rejections, now_s, asked_s, "answer"
+            )
+        elif sent_s is not None and not response.malformed_brittle:
+            self.record_none(worker.service, worker.key, sent_s, "answer")
+
+    def record(
+        self,
+        service: str,
+        key: str,
+        rejections: int,
+        named_s: float,
+        sent_s: float,
+        origin: str,
+    ) -> None:
+        """Record that an answer to a request sent at `sent_s` named a number."""
+        key = WorkerKey(key)
+        known = self._notices.get(key)
+        if known is None:
+            if named_s <= self._ended_s.get(key, BEFORE_ALL_S):
+                return
+            known = BrittleNotice(rejections, named_s, named_s)
+            _put(self._notices, key, known)
+            self._log_named(key, rejections, origin)
+        lowers = rejections < known.rejections and named_s >= known.named_s
+        raises = rejections > known.rejections and sent_s > known.named_s
+        if lowers or raises:
+            known.rejections = rejections
+            self._log_named(key, rejections, origin)
+        known.named_s = max(known.named_s, named_s)
+        shared = self._services.get(service)
+        if shared is None:
+            shared = BrittleNotice(known.rejections, named_s, named_s)
+            self._services[service] = shared
+        shared.rejections = min(shared.rejections, known.rejections)
+        shared.named_s = max(shared.named_s, named_s)
+
+    def record_none(self, service: str, key: str, sent_s: float, origin: str) -> None:
+        """Record that an answer to a request sent at `sent_s` named no number."""
+        key = WorkerKey(key)
+        shared = self._services.get(service)
+        known = self._notices.get(key)
+        if known is not None and sent_s > known.named_s:
+            del self._notices[key]
+            self._log("worker_brittle_ended", worker=key, origin=origin)
+        if shared is None or key in self._notices:
+            return
+        _put(self._ended_s, key, max(sent_s, self._ended_s.get(key, BEFORE_ALL_S)))
+        if sent_s > shared.named_s:
+            del self._services[service]
+            self._taken_shares.pop(service, None)
+
+    def forget(self, key: str, origin: str) -> None:
+        """Forget a notice that a dispatcher has seen end."""
+        if self._notices.pop(WorkerKey(key), None) is not None:
+            self._log("worker_brittle_ended", worker=key, origin=origin)
+
+    def find(self, key: str) -> BrittleNotice | None:
+        """Return the notice of a worker; None if it has given none."""
+        return self._notices.get(WorkerKey(key))
+
+    def merge(
+        self,
+        peer: str,
+        service: str,
+        entries: Iterable[BrittleWorkerEntry],
+        now_s: float,
+    ) -> None:
+        """Record the notices that a peer knows."""
+        for entry in entries:
+            named_s = now_s - max(0.0, entry.age_ms) / 1_000.0
+            self.record(
+                service,
+                entry.worker,
+                entry.rejections,
+                named_s,
+                BEFORE_ALL_S,
+                f"peer {peer}",
+            )
+
+    def entries(
+        self, workers: Iterable[Worker], now_s: float
+    ) -> tuple[BrittleWorkerEntry, ...]:
+        """Return the notices of workers, for a message to a peer."""
+        if not self._notices:
+            return ()
+        return tuple(
+            BrittleWorkerEntry(
+                worker.key, notice.rejections, (now_s - notice.named_s) * 1_000.0
+            )
+            for worker in workers
+            if (notice := self.find(worker.key)) is not None
+        )
+
+    def rejections(self, worker: Worker) -> int | None:
+        """Return the rejections a second that a worker survives; None if sound."""
+        known = self._notices.get(worker.key)
+        if known is not None:
+            return known.rejections
+        shared = self._services.get(worker.service)
+        if shared is None:
+            return None
+        sound = self._ended_s.get(worker.key, BEFORE_ALL_S) > shared.since_s
+        return None if sound else shared.rejections
+
+    def pause_ms(self, worker: Worker) -> float:
+        """Return for how long a stage worker gets no call after one that failed.
+
+        A call that timed out, or that another dispatcher made, may still occupy it.
+        """
+        rejections = self.rejections(worker)
+        fragile = rejections is not None and rejections < STURDY_REJECTIONS
+        return REJECTION_WINDOW_S * 1_000.0 if fragile else 0.0
+
+    def room(self, worker: Worker, slots: int) -> int:
+        """Return how many requests a worker takes for certain, at most its slots."""
+        rejections = self.rejections(worker)
+        if rejections is None:
+            return slots
+        return self._proven(worker, slots, rejections)
+
+    def _proven(self, worker: Worker, slots: int, rejections: int) -> int:
+        known = self._rooms.get(worker.key)
+        proven = known.proven if known is not None else 0
+        return max(1, min(slots, proven, self._most(worker, slots, rejections)))
+
+    def _most(self, worker: Worker, slots: int, rejections: int) -> int:
+        """Return the room that some worker of the service has proved to have.
+
+        Where hardly a rejection is survived, one request less, since slots become free
+        a moment later at the worker than here.
+        """
+        taken = int(self._taken_shares.get(worker.service, 0.0) * slots + 1e-6)
+        return taken - (rejections < STURDY_REJECTIONS)
+
+    def allows(
+        self, worker: Worker, slots: int, now_s: float, may_probe: bool = True
+    ) -> bool:
+        """Return whether a worker may get a request now.
+
+        Parameters
+        ----------
+        worker : Worker
+            The worker.
+        slots : int
+            Requests that it is declared to run at once.
+        now_s : float
+            Current time.
+        may_probe : bool
+            Whether the request may be sent beyond the proven room.
+        """
+        rejections = self.rejections(worker)
+        known = self._rooms.get(worker.key)
+        if rejections is None or known is None:
+            return True
+        proven = self._proven(worker, slots, rejections)
+        recent = known.recent_rejections(now_s)
+        occupied = known.occupied(now_s)
+        if recent and recent >= rejections:
+            proven = max(1, proven - 1)
+        if occupied < proven:
+            return True
+        if not may_probe or occupied > proven or known.probes or recent:
+            return False
+        if rejections == 0:
+            return occupied < self._most(worker, slots, rejections)
+        return now_s >= known.probe_after_s
+
+    def record_send(self, worker: Worker, slots: int, now_s: float) -> SentWithin:
+        """Count a request that is granted."""
+        known = self._room(worker.key)
+        level = known.occupied(now_s) + 1
+        rejections = self.rejections(worker)
+        probe = rejections is not None and level > self._proven(
+            worker, slots, rejections
+        )
+        known.held += 1
+        known.probes += probe
+        return SentWithin(level, probe)
+
+    def record_held(self, key: str) -> None:
+        """Count a request that an earlier dispatcher granted."""
+        known = self._room(WorkerKey(key))
+        known.held += 1
+        known.proven = max(known.proven, known.held)
+
+    def record_release(self, key: str, sent: SentWithin | None) -> None:
+        """Count a granted request as ended."""
+        known = self._rooms.get(WorkerKey(key))
+        if known is not None:
+            known.held = max(0, known.held - 1)
+            if sent is not None and sent.probe:
+                known.probes = max(0, known.probes - 1)
+
+    def record_taken(
+        self, service: str, key: str, slots: int, sent: SentWithin, granted_s: float
+    ) -> None:
+        """Record that a worker took a request."""
+        known = self._room(WorkerKey(key))
+        if granted_s <= self._lowered_s.get(service, BEFORE_ALL_S):
+            return
+        if sent.level > known.proven:
+            # Another request may have just ended, so one success proves little.
+            known.successes += 1
+            taken = self._taken_shares.get(service, 0.0) * slots
+            cautious = self._is_brittle(service, key) and sent.level > taken
+            if not cautious or known.successes >= self._successes(service):
+                known.proven, known.successes = sent.level, 0
+                known.probe_delay_s = FIRST_PROBE_DELAY_S
+        share = min(sent.level, known.proven) / slots
+        if share > self._taken_shares.get(service, 0.0):
+            self._taken_shares[service] = share
+
+    def record_rejected(
+        self,
+        service: str,
+        key: str,
+        slots: int,
+        sent: SentWithin | None,
+        granted_s: float,
+        now_s: float,
+    ) -> None:
+        """Record that a worker rejected a request for want of room."""
+        known = self._room(WorkerKey(key))
+        known.rejections_s.append(now_s)
+        recent = known.recent_rejections(now_s)
+        known.probe_after_s = now_s + known.probe_delay_s
+        known.successes = 0
+        probe = sent is not None and sent.probe
+        if probe or (known.rejected and recent == 1):
+            known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
+        if probe or granted_s <= known.lowered_s:
+            return
+        taken = min(known.proven, known.held)
+        if known.rejected and recent == 1:
+            known.proven = max(1, min(taken, known.proven - 1))
+        else:
+            # Its room has become smaller, and nothing is known of how much.
+            known.proven = max(1, taken // 2)
+        known.rejected, known.lowered_s = True, now_s
+        self._lower(service, key, slots, known, now_s)
+
+    def record_broken(
+        self, service: str, key: str, slots: int, granted_s: float, now_s: float
+    ) -> None:
+        """Record that a worker broke off a request that it had not begun to answer.
+
+        One that falls over does so, mostly without the rejection that brought it down.
+        """
+        known = self._room(WorkerKey(key))
+        if granted_s <= known.lowered_s or known.broken:
+            return
+        if self._is_brittle(service, key):
+            known.broken = True
+            known.proven = max(1, min(known.proven, known.held) // 2)
+            self._lower(service, key, slots, known, now_s)
+
+    def _successes(self, service: str) -> int:
+        """Return how many requests must be taken to prove more room."""
+        shared = self._services.get(service)
+        sturdy = shared is None or shared.rejections >= STURDY_REJECTIONS
+        return PROVING_SUCCESSES if sturdy else CAREFUL_SUCCESSES
+
+    def _lower(
+        self, service: str, key: str, slots: int, known: WorkerRoom, now_s: float
+    ) -> None:
+        """Lower the room that the workers of a service are expected to have."""
+        self._lowered_s[service] = now_s
+        share = known.proven / slots
+        self._taken_shares[service] = min(share, self._taken_shares.get(service, 1.0))
+        if self._is_brittle(service, key):
+            self._log("worker_room", worker=key, room=known.proven, held=known.held)
+
+    def _is_brittle(self, service: str, key: str) -> bool:
+        return service in self._services or WorkerKey(key) in self._notices
+
+    def record_abandoned(self, key: str, now_s: float) -> None:
+        """Record that a request was given up before its answer was complete."""
+        known = self._room(WorkerKey(key))
+        known.abandoned_until_s.append(now_s + ABANDONED_S)
+
+    def _room(self, key: WorkerKey) -> WorkerRoom:
+        known = self._rooms.get(key)
+        if known is None:
+            known = WorkerRoom()
+            _put(self._rooms, key, known)
+        return known
+
+    def _log_named(self, key: WorkerKey, rejections: int, origin: str) -> None:
+        self._log(
+            "worker_brittle", worker=key, rejections_per_s=rejections, origin=origin
+        )
+
+
+def _put(table: dict, key: WorkerKey, value) -> None:
+    table[key] = value
+    if len(table) > MAX_WORKERS:
+        del table[next(iter(table))]
--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -14,6 +14,7 @@
 from ...wire.messages.base import Message
 from ...wire.messages.gateway import (
     AcquireWorker,
+    BrittleWorkerEntry,
     CancelWork,
     EnterStages,
     FreeResults,
@@ -33,7 +34,8 @@
 from ..engine_times import DEFAULT_ESTIMATE, EngineEstimate
 from ..models import ServiceName, Worker, WorkerId
 from ..peers import Peers
-from .dispatcher import HANDED_OVER, OUTCOME_CANCELLED, Dispatcher
+from .dispatcher import HANDED_OVER, Dispatcher
+from .outcomes import OUTCOME_CANCELLED
 from .refusal import (
     CANCELLED,
     DISPATCHER_CHANGE_RETRY_MS,
@@ -79,6 +81,10 @@
     """Limit that the worker named in its answer, until it is reported."""
     without_limit: bool = False
     """Whether the worker's own answer named none."""
+    brittle_rejections: int | None = None
+    """Rejections a second that the worker said to survive, until reported."""
+    not_brittle: bool = False
+    """Whether the worker's own answer said nothing of this."""
 
 
 class DispatchClient:
@@ -183,6 +189,7 @@
                 message,
                 permit=self._new_permit_name(),
                 limits=self._known_limits(message.service),
+                brittle=self._known_brittle(message.service),
             )
             answer, asked_s = await self._call_dispatcher(
                 message.service, message, message.expires_ms
@@ -201,6 +208,11 @@
         workers = self._catalogue.workers_of(ServiceName(service))
         return self._limits.entries(workers, self._clock.monotonic_s())
 
+    def _known_brittle(self, service: str) -> tuple[BrittleWorkerEntry, ...]:
+        """Return the brittle workers of a service that this instance knows."""
+        workers = self._catalogue.workers_of(ServiceName(service))
+        return self._limits.brittle.entries(workers, self._clock.monotonic_s())
+
     def report_started(self, permit: Permit) -> None:
         """Report to the dispatcher that the first part of an answer has arrived."""
         self._notify(
@@ -211,9 +223,11 @@
                 self._held_ms(permit),
                 permit.limit_per_s,
                 permit.without_limit,
+                permit.brittle_rejections,
+                permit.not_brittle,
             ),
         )
-        permit.limit_per_s = None
+        permit.limit_per_s = permit.brittle_rejections = None
 
     def release_permit(self, permit: Permit, outcome: str | None = None) -> None:
         """Release a permit."""
@@ -226,6 +240,7 @@
             self._held_ms(permit),
             permit.retry_after_ms,
             permit.limit_per_s,
+            permit.brittle_rejections,
         )
         self._notify(permit.dispatcher, message)
 
@@ -304,7 +319,8 @@
     ) -> Permit | None:
         """Return the permit for a granted slot; None if it must not be used.
 
-        The worker may have left, or have named a limit that the grant ignores.
+        The worker may have left, or have named a limit or that it is brittle, which the
+        grant ignores.
         """
         worker = self._catalogue.workers.get(WorkerId(answer.worker))
         dispatcher = self._dispatchers[message.service]
@@ -313,6 +329,7 @@
             or worker.started_ms != answer.started_ms
             or not self._catalogue.usable(worker)
             or not self._keeps_to_limit(worker, answer, asked_s)
+            or not self._keeps_to_room(worker, answer, asked_s)
         ):
             ended = PermitEnded(message.service, message.permit, OUTCOME_CANCELLED, 0.0)
             self._notify(dispatcher, ended)
@@ -352,6 +369,22 @@
         self._limits.record_send(worker.key, now_s, share)
         return True
 
+    def _keeps_to_room(
+        self, worker: Worker, answer: WorkerGranted, asked_s: float
+    ) -> bool:
+        """Return whether a grant keeps to the room of its worker, if it is brittle."""
+        notice = self._limits.brittle.find(worker.key)
+        if notice is None or answer.brittle_rejections is not None:
+            return True
+        if answer.brittle_considered:
+            if notice.named_s > asked_s:
+                return False
+            dispatcher = self._dispatchers[worker.service]
+            self._limits.brittle.forget(worker.key, f"dispatcher {dispatcher}")
+            return True
+        # A dispatcher of an earlier release grants all slots.
+        return all(held.worker.key != worker.key for held in self._permits.values())
+
     def _update_dispatcher(self, service: str, instance: InstanceId) -> None:
         """Record a service's dispatcher; report permits and results to a new one."""
         if self._dispatchers.get(service) == instance:
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -31,6 +31,7 @@
 from .admission import StageAdmission
 from .future import Future
 from .limit_reports import make_grant, make_refusal, record_report
+from .outcomes import OUTCOME_DONE, OUTCOME_FAILED, OUTCOME_FULL, OUTCOME_UNREACHABLE
 from .piece_groups import PieceGroup
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
@@ -50,12 +51,6 @@
 """Cause of a refusal by a stopping dispatcher; the sender calls the next dispatcher
 without a retry delay."""
 
-OUTCOME_DONE = "done"
-OUTCOME_FAILED = "failed"
-OUTCOME_UNREACHABLE = "unreachable"
-OUTCOME_FULL = "full"
-OUTCOME_CANCELLED = "cancelled"
-
 
 class Dispatcher:
     """Queues and slots of all services that this instance dispatches.
@@ -214,6 +209,7 @@
             return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
         self.limits.merge(peer, message.limits, now_s)
+        self.limits.brittle.merge(peer, message.service, message.brittle, now_s)
         budget = self._budget(message.service)
         if not message.repeat:
             budget.record_first_send(now_s)
--- a/src/acaciapier/gateway/dispatch/limit_reports.py
+++ b/src/acaciapier/gateway/dispatch/limit_reports.py
@@ -10,6 +10,7 @@
 )
 from ..models import Worker, WorkerKey
 from ..worker_limits import WorkerLimits
+from .outcomes import OUTCOME_CANCELLED, OUTCOME_DONE, OUTCOME_FULL
 from .slot_requests import SlotReservation
 from .slots import SlotAllocator
 
@@ -22,6 +23,7 @@
 ) -> WorkerGranted:
     """Return the grant of a slot at a worker, with its limit."""
     limited = limits.describe([worker], granted_s)
+    brittle_rejections = limits.brittle.rejections(worker)
     waited_ms = (granted_s - asked_s) * 1_000.0
     return WorkerGranted(
         worker.id,
@@ -29,6 +31,8 @@
         True,
         limited[0] if limited else None,
         waited_ms,
+        True,
+        brittle_rejections,
     )
 
 
@@ -54,11 +58,44 @@
     message: PermitStarted | PermitEnded,
     now_s: float,
 ) -> None:
-    """Record what the answer to a granted request said of its worker's limit."""
+    """Record what the answer to a granted request said of its worker."""
     if reservation is None:
         return
     key, granted_s = WorkerKey(reservation.worker), reservation.granted_s
+    if message.brittle_rejections is not None:
+        limits.brittle.record(
+            message.service, key, message.brittle_rejections, now_s, granted_s, origin
+        )
+    elif isinstance(message, PermitStarted) and message.not_brittle:
+        limits.brittle.record_none(message.service, key, granted_s, origin)
+    _record_room(limits, reservation, message, now_s)
     if message.limit_per_s is not None:
         limits.record(key, message.limit_per_s, now_s, granted_s, origin)
     elif isinstance(message, PermitStarted) and message.without_limit:
         limits.record_none(key, granted_s, origin)
+
+
+def _record_room(
+    limits: WorkerLimits,
+    reservation: SlotReservation,
+    message: PermitStarted | PermitEnded,
+    now_s: float,
+) -> None:
+    """Record whether a worker took a granted request."""
+    service, key, sent = message.service, reservation.worker, reservation.sent
+    if isinstance(message, PermitStarted) or message.outcome == OUTCOME_DONE:
+        if sent is not None:
+            granted_s = reservation.granted_s
+            limits.brittle.record_taken(
+                service, key, reservation.slots, sent, granted_s
+            )
+    elif message.outcome == OUTCOME_FULL:
+        limits.brittle.record_rejected(
+            service, key, reservation.slots, sent, reservation.granted_s, now_s
+        )
+    elif message.outcome != OUTCOME_CANCELLED and not reservation.started:
+        limits.brittle.record_broken(
+            service, key, reservation.slots, reservation.granted_s, now_s
+        )
+    elif message.elapsed_ms > 0:
+        limits.brittle.record_abandoned(key, now_s)
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
+from ..brittle_workers import SentWithin
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
@@ -56,6 +57,10 @@
     """Expected time to the first part of the answer."""
     prefilled_tokens: float = 0.0
     """Prompt tokens that the engine prefills before the first part."""
+    slots: int = 1
+    """Requests that its worker is declared to run at once."""
+    sent: SentWithin | None = None
+    """The worker's room when this dispatcher granted it."""
 
 
 @dataclass(eq=False)
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -136,7 +136,7 @@
         """Return how many requests workers complete in a millisecond."""
         return sum(
             min(
-                self.slots(worker) / self.average_ms,
+                self._limits.brittle.room(worker, self.slots(worker)) / self.average_ms,
                 self._limits.rate_per_ms(worker.key),
             )
             for worker in workers
@@ -300,6 +300,7 @@
         reservation = self._reservations.pop(permit, None)
         if reservation is not None:
             self._permits_by_worker[reservation.worker].discard(permit)
+            self._limits.brittle.record_release(reservation.worker, reservation.sent)
         return reservation
 
     def record_duration(self, key: str, elapsed_ms: float, now_s: float) -> None:
@@ -320,11 +321,12 @@
         if permit not in self._reservations:
             self._reservations[permit] = reservation
             self._permits_by_worker.setdefault(reservation.worker, set()).add(permit)
+            self._limits.brittle.record_held(reservation.worker)
 
     def release_owner(
         self, owner: str, kept: Collection[str] = (), before_s: float = math.inf
     ) -> dict[str, SlotReservation]:
-        """Release and return the slots of an instance but those in `kept`, by permit."""
+        """Release and return the slots of an instance except `kept`, by permit."""
         owned = {
             permit: reservation
             for permit, reservation in self._reservations.items()
@@ -363,6 +365,9 @@
             and self._has_capacity(worker, request)
             and not self._blocked_ms(request.owner, worker, now_s)
             and not self._limits.wait_ms(worker.key, now_s)
+            and self._limits.brittle.allows(
+                worker, self.slots(worker), now_s, may_probe=not request.avoid
+            )
         ]
         untried = [worker for worker in usable if worker.id not in request.avoid]
         if untried or request.only_untried:
@@ -461,6 +466,8 @@
             granted_s=now_s,
             expected_ms=expected_ms,
             prefilled_tokens=prefilled_tokens,
+            slots=self.slots(worker),
+            sent=self._limits.brittle.record_send(worker, self.slots(worker), now_s),
         )
         self._permits_by_worker.setdefault(worker.key, set()).add(request.permit)
         self._limits.record_send(worker.key, now_s)
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -240,7 +240,8 @@
         elapsed_ms = (now_s - start_s) * 1_000.0
         if results is None:
             self.queue.fail(call)
-            excluded_ms = self.queue.health.exclude(key, now_s, min_ms=retry_after_ms)
+            min_ms = max(retry_after_ms, self._limits.brittle.pause_ms(worker))
+            excluded_ms = self.queue.health.exclude(key, now_s, min_ms=min_ms)
             self._log(
                 "stage_call_failed",
                 service=self.service,
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -165,6 +165,7 @@
         worker_connections = WorkerConnectionPool(self.clock)
         self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
         self.metrics.watch_worker_limits(self._worker_limits)
+        self.metrics.watch_brittle_workers(self._brittle_workers)
         self.notices = WorkerNotices(
             self.catalogue,
             self.clock,
@@ -329,6 +330,14 @@
             for key, limit in self.limits.in_force(workers).items()
         ]
 
+    def _brittle_workers(self) -> list[tuple[str, str, int]]:
+        """Return service, id and rejections of the brittle workers that are listed."""
+        return [
+            (worker.service, worker.id, notice.rejections)
+            for worker in self.catalogue.workers.values()
+            if (notice := self.limits.brittle.find(worker.key)) is not None
+        ]
+
     def _follows_store(self) -> bool:
         """Return whether peers may rely on this instance for updates from the store."""
         known = self.catalogue.complete and self.sync.reachable
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -401,6 +401,10 @@
         Requests a second that the worker takes from all instances together.
     malformed_limits : tuple of str
         Such limits in a form that is not understood.
+    brittle_rejections : int or None
+        Rejections in a second that the worker survives, if it is brittle.
+    malformed_brittle : tuple of str
+        Such numbers in a form that is not understood.
     """
 
     attempt: str | None
@@ -416,3 +420,5 @@
     malformed_retry_after: str | None = None
     limit_per_s: float | None = None
     malformed_limits: tuple[str, ...] = ()
+    brittle_rejections: int | None = None
+    malformed_brittle: tuple[str, ...] = ()
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -21,7 +21,7 @@
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool
 from .dispatch.dispatch_client import DispatchClient, Permit
-from .dispatch.dispatcher import (
+from .dispatch.outcomes import (
     OUTCOME_CANCELLED,
     OUTCOME_DONE,
     OUTCOME_FAILED,
@@ -206,6 +206,10 @@
                 permit.limit_per_s = response.limit_per_s
                 named = response.limit_per_s is not None or response.malformed_limits
                 permit.without_limit = own and not named
+                permit.brittle_rejections = response.brittle_rejections
+                named = response.brittle_rejections is not None
+                named = named or bool(response.malformed_brittle)
+                permit.not_brittle = own and not named
             return response.attempt in (None, state.metadata.attempt)
 
         state.runs += 1
--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -11,6 +11,7 @@
 
 from ..core.clock import to_s
 from ..wire.messages.gateway import LimitedWorker, WorkerLimitEntry
+from .brittle_workers import BrittleWorkers
 from .models import AttemptId, ResponseMetadata, Worker, WorkerKey
 
 RECENT_SENDS_MS = 4_000.0
@@ -76,6 +77,7 @@
         log: Callable[..., None] = lambda kind, **fields: None,
         reachable_share: Callable[[], float] = lambda: 1.0,
     ):
+        self.brittle = BrittleWorkers(log)
         self._log = log
         self._reachable_share = reachable_share
         self._limits: dict[WorkerKey, NamedLimit] = {}
--- a/src/acaciapier/gateway/worker_notices.py
+++ b/src/acaciapier/gateway/worker_notices.py
@@ -65,7 +65,9 @@
         """
         if response.wrong_worker:
             return
-        self._limits.observe(worker, response, self._clock.monotonic_s(), sent_s)
+        now_s = self._clock.monotonic_s()
+        self._limits.observe(worker, response, now_s, sent_s)
+        self._limits.brittle.observe(worker, response, now_s, sent_s)
         if response.leaving:
             self._record_leaving(worker.key, worker.address, "answer")
         if response.malformed_retry_after is not None:
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -164,6 +164,23 @@
 
         self._meter.create_observable_gauge("acaciapier_worker_limit", [observe])
 
+    def watch_brittle_workers(
+        self, workers: Callable[[], Iterable[tuple[str, str, int]]]
+    ) -> None:
+        """Export the rejections a second that brittle workers survive.
+
+        Parameters
+        ----------
+        workers : callable
+            Returns service, worker and rejections of each brittle worker.
+        """
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for service, worker, rejections in workers():
+                yield Observation(rejections, {"service": service, "worker": worker})
+
+        self._meter.create_observable_gauge("acaciapier_worker_brittle", [observe])
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -23,6 +23,7 @@
 LEAVING_HEADER = b"server-leaving"
 RETRY_AFTER_HEADER = b"retry-after"
 LIMIT_HEADER = b"server-limit"
+BRITTLE_HEADER = b"server-brittle"
 UNAVAILABLE_STATUS = 503
 WRONG_WORKER_STATUS = 421
 NOT_RUN_STATUSES = frozenset({408, WRONG_WORKER_STATUS, 429, UNAVAILABLE_STATUS})
@@ -33,6 +34,8 @@
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 """Excludes what `float` also accepts, such as "inf", "nan" and "1_0"."""
 
+COUNT_PATTERN = re.compile(r"[0-9]{1,15}")
+
 MS_PER_S = 1_000.0
 
 # Headers that the gateway sets itself; those from callers are never forwarded.
@@ -131,6 +134,7 @@
     load = head.get(b"server-load")
     retry_after_ms, malformed = _parse_retry_after(head)
     limit_per_s, malformed_limits = _parse_limits(head)
+    brittle_rejections, malformed_brittle = _parse_brittle(head)
     return ResponseMetadata(
         attempt=None if attempt is None else attempt.decode("latin-1"),
         # The seal proves that the body comes from the worker.
@@ -146,6 +150,8 @@
         malformed_retry_after=malformed,
         limit_per_s=limit_per_s,
         malformed_limits=malformed_limits,
+        brittle_rejections=brittle_rejections,
+        malformed_brittle=malformed_brittle,
     )
 
 
@@ -173,6 +179,14 @@
     return min(limits, default=None), tuple(malformed)
 
 
+def _parse_brittle(head: ResponseHead) -> tuple[int | None, tuple[str, ...]]:
+    """Return the fewest rejections that a response names, and malformed numbers."""
+    texts = [value.decode("latin-1").strip() for value in head.get_all(BRITTLE_HEADER)]
+    counts = [int(text) for text in texts if COUNT_PATTERN.fullmatch(text)]
+    malformed = [text for text in texts if not COUNT_PATTERN.fullmatch(text)]
+    return min(counts, default=None), tuple(malformed)
+
+
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for part in value.split(b","):
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -45,6 +45,17 @@
     sends: int
 
 
+class BrittleWorkerEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Rejections in a second that one incarnation of a brittle worker survives.
+
+    `age_ms` is the time since an answer last named them.
+    """
+
+    worker: str
+    rejections: int
+    age_ms: float
+
+
 class Heartbeat(Message, frozen=True, tag="Beat"):
     """Heartbeat, and the answer to one: what the sender knows and whether it stops."""
 
@@ -213,6 +224,8 @@
     """Limits of the service's workers that the requesting instance knows."""
     only_untried: bool = False
     """Whether the workers in `avoid` must not be granted."""
+    brittle: tuple[BrittleWorkerEntry, ...] = ()
+    """Brittle workers of the service that the requesting instance knows."""
 
 
 class WorkerGranted(Message, frozen=True):
@@ -226,6 +239,10 @@
     """The worker's limit, to which the grant keeps; None if it has none."""
     waited_ms: float = 0.0
     """How long the request waited at the dispatcher."""
+    brittle_considered: bool = False
+    """Whether the sender knows of brittle workers; earlier releases do not."""
+    brittle_rejections: int | None = None
+    """Rejections a second that the worker survives; None if not brittle."""
 
 
 class PermitEnded(Message, frozen=True):
@@ -239,6 +256,8 @@
     """For how long the worker wants no further requests from this instance."""
     limit_per_s: float | None = None
     """Limit that the worker named in its refusal."""
+    brittle_rejections: int | None = None
+    """Rejections a second that the worker said in its refusal to survive."""
 
 
 class PermitStarted(Message, frozen=True):
@@ -251,6 +270,10 @@
     """Limit that the worker named."""
     without_limit: bool = False
     """Whether the worker named none."""
+    brittle_rejections: int | None = None
+    """Rejections a second that the worker said to survive."""
+    not_brittle: bool = False
+    """Whether the worker's own answer said nothing of this."""
 
 
 class HeldResults(Message, frozen=True):
--- /dev/null
+++ b/tests/gateway/test_brittle_rooms.py
@@ -0,0 +1,178 @@
+"""What is decoded and learned of brittle workers, without a network."""
+
+import msgspec
+import pytest
+import trio
+
+from acaciapier.core.clock import ManualClock
+from acaciapier.gateway.brittle_workers import BrittleWorkers
+from acaciapier.gateway.dispatch.refusal import Refused
+from acaciapier.gateway.worker_limits import WorkerLimits
+from acaciapier.http.client import ResponseHead
+from acaciapier.platform.requests import decode_response_metadata
+from acaciapier.wire.messages.gateway import (
+    BrittleWorkerEntry,
+    PermitEnded,
+    PermitStarted,
+    WorkerGranted,
+)
+
+from .test_instance_state import worker
+from .test_limit_pacing import OTHER, ask, make_client, make_dispatcher
+from .test_worker_notices import answer
+
+KEY = "w1/1"
+SLOTS = 8
+
+
+@pytest.mark.parametrize("value", ["0", "1", "12"])
+def test_brittleness_is_a_count(value):
+    decoded = answer(server_brittle=value)
+    assert (decoded.brittle_rejections, decoded.malformed_brittle) == (int(value), ())
+
+
+@pytest.mark.parametrize("value", ["", "-1", "1.5", "inf", "1_0", "two", "9" * 400])
+def test_malformed_brittleness_changes_nothing_and_is_logged(value):
+    events = []
+    brittle = BrittleWorkers(lambda kind, **fields: events.append((kind, fields)))
+    brittle.observe(worker("w1"), answer(server_brittle="2"), 1.0)
+    brittle.observe(worker("w1"), answer(server_brittle=value), 3.0, 2.0)
+    assert brittle.find(KEY).rejections == 2
+    assert events[1:] == [("worker_brittle_ignored", {"worker": "w1", "value": value})]
+
+
+def test_the_lowest_of_repeated_counts_applies():
+    headers = [(b"Server-Brittle", b"3"), (b"server-brittle", b"1")]
+    values = {name.lower(): value for name, value in headers}
+    decoded = decode_response_metadata(ResponseHead(200, headers, values))
+    assert decoded.brittle_rejections == 1
+
+
+def test_only_an_answer_to_a_later_request_raises_or_ends_brittleness():
+    brittle = BrittleWorkers()
+    brittle.observe(worker("w1"), answer(server_brittle="2"), 1.0, 0.5)
+    brittle.observe(worker("w1"), answer(server_brittle="4"), 2.0, 0.9)
+    brittle.observe(worker("w1"), answer(), 3.0, 1.9)
+    assert brittle.rejections(worker("w1")) == 2
+    brittle.observe(worker("w1"), answer(), 4.0, 3.5)
+    assert brittle.rejections(worker("w1")) is None
+
+
+def test_a_worker_that_starts_into_a_brittle_service_counts_as_brittle():
+    brittle = BrittleWorkers()
+    brittle.observe(worker("w1"), answer(server_brittle="2"), 1.0, 0.5)
+    assert brittle.rejections(worker("w2")) == 2
+    assert brittle.room(worker("w2"), SLOTS) == 1
+    brittle.observe(worker("w2"), answer(), 2.0, 1.5)
+    assert brittle.rejections(worker("w2")) is None
+
+
+def fill(brittle: BrittleWorkers, now_s: float) -> list:
+    """Grant requests at a worker as long as it may get some."""
+    sent = []
+    while len(sent) < SLOTS and brittle.allows(worker("w1"), SLOTS, now_s):
+        sent.append(brittle.record_send(worker("w1"), SLOTS, now_s))
+    return sent
+
+
+def prove(brittle: BrittleWorkers, count: int) -> None:
+    """Let a sound worker take some requests at once, and then become brittle."""
+    sent = [brittle.record_send(worker("w1"), SLOTS, 0.0) for _ in range(count)]
+    for one in sent:
+        brittle.record_release(KEY, one)
+        brittle.record_taken("book", KEY, SLOTS, one, 0.0)
+
+
+@pytest.mark.parametrize("rejections, granted", [(0, 5), (1, 6), (2, 7)])
+def test_a_brittle_worker_gets_what_it_has_taken_and_at_most_one_more(
+    rejections, granted
+):
+    brittle = BrittleWorkers()
+    prove(brittle, 6)
+    brittle.record("book", KEY, rejections, 1.0, 0.5, "test")
+    assert len(fill(brittle, 2.0)) == granted
+
+
+def test_nothing_is_sent_in_excess_after_a_rejection():
+    brittle = BrittleWorkers()
+    prove(brittle, 6)
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    sent = fill(brittle, 2.0)
+    brittle.record_release(KEY, sent[0])
+    brittle.record_rejected("book", KEY, SLOTS, sent[0], 2.0, 2.1)
+    assert fill(brittle, 2.2) == []
+    assert brittle.room(worker("w1"), SLOTS) == 3
+
+
+def test_a_rejected_request_is_not_used_to_find_more_room():
+    brittle = BrittleWorkers()
+    prove(brittle, 2)
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    brittle.record_send(worker("w1"), SLOTS, 2.0)
+    brittle.record_send(worker("w1"), SLOTS, 2.0)
+    assert brittle.allows(worker("w1"), SLOTS, 2.0)
+    assert not brittle.allows(worker("w1"), SLOTS, 2.0, may_probe=False)
+
+
+async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
+    async with trio.open_nursery() as nursery:
+        clock = ManualClock()
+        dispatcher = make_dispatcher(nursery, clock, WorkerLimits())
+        granted = await dispatcher.acquire(OTHER, ask("p1"))
+        assert (granted.brittle_considered, granted.brittle_rejections) == (True, None)
+        clock.advance(0.1)
+        started = PermitStarted("book", "p1", 50.0, brittle_rejections=1)
+        await dispatcher.permit_started(OTHER, started)
+        clock.advance(0.1)
+        granted = await dispatcher.acquire(OTHER, ask("p2"))
+        assert granted.brittle_rejections == 1
+        clock.advance(0.1)
+        free = PermitStarted("book", "p2", 50.0, not_brittle=True)
+        await dispatcher.permit_started(OTHER, free)
+        assert dispatcher.limits.brittle.find(KEY) is None
+
+
+async def test_a_new_dispatcher_knows_the_brittle_workers_of_those_that_ask_it():
+    async with trio.open_nursery() as nursery:
+        clock = ManualClock()
+        dispatcher = make_dispatcher(nursery, clock, WorkerLimits())
+        known = (BrittleWorkerEntry(KEY, 0, 300.0),)
+        message = msgspec.structs.replace(ask("p1"), brittle=known)
+        granted = await dispatcher.acquire(OTHER, message)
+        assert granted.brittle_rejections == 0
+        with trio.move_on_after(0.1) as waited:
+            await dispatcher.acquire(OTHER, ask("p2"))
+        assert waited.cancelled_caught
+
+
+async def test_a_grant_made_before_brittleness_was_known_is_given_back():
+    async with trio.open_nursery() as nursery:
+        clock, limits = ManualClock(), WorkerLimits()
+
+        def grant(message):
+            if message.brittle:
+                return WorkerGranted("w1", 1, True, None, 0.0, True, 2)
+            clock.advance(0.1)
+            limits.brittle.record("book", KEY, 2, clock.monotonic_s(), 0.0, "test")
+            return WorkerGranted("w1", 1, True, None, 0.0, True)
+
+        client, peers = make_client(nursery, clock, limits, grant)
+        await client.acquire(ask())
+        assert [message.brittle for message in peers.questions] == [
+            (),
+            (BrittleWorkerEntry(KEY, 2, 0.0),),
+        ]
+        assert [type(message) for message in peers.sent] == [PermitEnded]
+
+
+async def test_one_request_at_a_time_is_sent_on_grants_of_an_earlier_release():
+    async with trio.open_nursery() as nursery:
+        clock, limits = ManualClock(), WorkerLimits()
+        limits.brittle.record("book", KEY, 2, 0.0, 0.0, "test")
+        grant = WorkerGranted("w1", 1, True)
+        client, _ = make_client(nursery, clock, limits, lambda message: grant)
+        permit = await client.acquire(ask())
+        with pytest.raises(Refused):
+            await client.acquire(ask())
+        client.release_permit(permit)
+        assert (await client.acquire(ask())).worker.id == "w1"
--- a/tests/gateway/test_limit_machine.py
+++ b/tests/gateway/test_limit_machine.py
@@ -13,11 +13,11 @@
 from acaciapier.exceptions import PeerUnavailable
 from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch.dispatch_client import DispatchClient
-from acaciapier.gateway.dispatch.dispatcher import (
+from acaciapier.gateway.dispatch.dispatcher import Dispatcher
+from acaciapier.gateway.dispatch.outcomes import (
     OUTCOME_CANCELLED,
     OUTCOME_DONE,
     OUTCOME_FAILED,
-    Dispatcher,
 )
 from acaciapier.gateway.dispatch.refusal import Refused
 from acaciapier.gateway.settings import GatewayBounds
