--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -200,6 +200,14 @@
         """Return the notice of a worker; None if it has given none."""
         return self._notices.get(WorkerKey(key))
 
+    def named_by(self, workers: Iterable[Worker]) -> list[tuple[str, str, int]]:
+        """Return service, id and rejections of the brittle workers."""
+        return [
+            (worker.service, worker.id, notice.rejections)
+            for worker in workers
+            if (notice := self.find(worker.key)) is not None
+        ]
+
     def merge(
         self,
         peer: str,
--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -26,6 +26,7 @@
     WorkerState,
 )
 from .settings import DEFAULT_WORKER_HEARTBEAT_MS
+from .software_versions import ServingVersions
 
 EXPIRED_WORKER_GRACE_MS = 1_700.0
 """Workers whose entries expired during a store outage register again within 2,000 ms
@@ -77,6 +78,7 @@
         """First term of the store that was seen here."""
         self.workers_digest = 0
         self.workers: dict[WorkerId, Worker] = {}
+        self.serving = ServingVersions(clock)
         self._clock = clock
         self._decode = decode_configuration
         self._on_change = on_change
@@ -183,9 +185,9 @@
         a grace period, since their entries may have expired during the outage.
         """
         self._begin_term(position)
-        if position < self.workers_position:
-            return False
-        if position == self.workers_position and not self._unsettled:
+        is_known = position == self.workers_position and not self._unsettled
+        if position < self.workers_position or is_known:
+            self._add_versions(workers)
             return False
         restored = self._restored
         self._unsettled = restored
@@ -293,6 +295,8 @@
         known = self.workers.get(worker_id)
         self._kept_until_s.pop(worker_id, None)
         self._gone.pop(worker.key, None)
+        if known is not None and known.key == worker.key:
+            worker = _with_version_of(worker, known)
         if worker.state is WorkerState.READY and self.is_leaving(worker):
             worker = msgspec.structs.replace(worker, state=WorkerState.DRAINING)
         self.workers[worker_id] = worker
@@ -301,12 +305,21 @@
                 "worker_" + worker.state.value,
                 worker=worker.id,
                 service=worker.service,
+                software_version=worker.software_version,
                 started_ms=worker.started_ms,
                 term=position.term,
                 revision=position.revision,
                 origin=origin,
             )
 
+    def _add_versions(self, workers: Iterable[Worker]) -> None:
+        """Add the software versions that are missing for known incarnations."""
+        for worker in workers:
+            known = self.find(worker.key)
+            if known is not None:
+                self.workers[WorkerId(worker.id)] = _with_version_of(known, worker)
+        self._update_indexes(self.workers_position)
+
     def _remove(
         self, worker: Worker, may_return: bool, origin: str, position: StorePosition
     ) -> None:
@@ -361,9 +374,20 @@
         self._data_centres = {
             worker.address: worker.data_centre for worker in self.workers.values()
         }
+        self.serving.update(self.workers.values())
         self.workers_digest = _digest(self.workers)
 
 
+def _with_version_of(worker: Worker, other: Worker) -> Worker:
+    """Return a worker with the software version of `other` if it has none.
+
+    Processes of earlier releases hand on workers without versions.
+    """
+    if worker.software_version or not other.software_version:
+        return worker
+    return msgspec.structs.replace(worker, software_version=other.software_version)
+
+
 def _remember(memory: dict[WorkerKey, str], key: WorkerKey, value: str) -> None:
     """Add an entry to a bounded memory and drop the oldest one if it is full."""
     memory[key] = value
--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -7,10 +7,7 @@
 from ..core.clock import Clock
 from ..http.client import HttpConnection
 from .models import Worker
-
-CONNECT_TIMEOUT_MS = 400.0
-"""Opening a connection takes one round trip and about a millisecond; an unreachable
-worker never accepts one."""
+from .worker_connector import Connector, DirectConnector
 
 KEEP_ALIVE_MARGIN_MS = 500.0
 """A connection is not reused in the last part of its worker's keep-alive time."""
@@ -26,6 +23,11 @@
 """After a reset of a reused connection, the idle limit of its service becomes this
 share of the connection's idle time."""
 
+SWEEP_PERIOD_S = 0.7
+"""Period of closing unusable idle connections, and of checking the workers of exchanges
+in which nothing was received for a whole period. The connection itself does not show
+whether its worker takes long or its link is cut."""
+
 MAX_IDLE_PER_WORKER = 4
 """Maximum number of idle connections to one worker. Workers limit the connections of
 all instances together."""
@@ -38,20 +40,34 @@
     ----------
     clock : Clock
         Source of time.
+    connector : Connector, optional
+        Opens connections; direct ones by default.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, connector: Connector | None = None):
         self.opened = 0
+        self._connector = connector or DirectConnector()
         self._clock = clock
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._workers: dict[str, Worker] = {}
+        """Workers of idle connections by key."""
+        self._in_use: dict[HttpConnection, Worker] = {}
+        self._progress: dict[HttpConnection, tuple[int, int]] = {}
+        """What the connections in use had received at the last sweep."""
         self._max_idle_ms: dict[str, float] = {}
 
     @asynccontextmanager
-    async def acquire(self, worker: Worker, repeatable: bool, force_new: bool = False):
+    async def acquire(
+        self,
+        worker: Worker,
+        repeatable: bool,
+        force_new: bool = False,
+        request: str = "",
+    ):
         """Provide a connection to a worker for one exchange.
 
         The connection returns to the pool if the exchange was complete, and is closed
-        otherwise.
+        otherwise. `request` is the id of the request that it is for, for logs.
 
         Raises
         ------
@@ -60,13 +76,15 @@
         """
         connection = None if force_new else self._pop_idle(worker, repeatable)
         if connection is None:
-            connection = await HttpConnection.open(
-                worker.host, worker.port, CONNECT_TIMEOUT_MS
-            )
+            connection = await self._connector.open(worker, request)
             self.opened += 1
+        else:
+            self._connector.record_reuse(worker, connection, request)
+        self._in_use[connection] = worker
         try:
             yield connection
         finally:
+            del self._in_use[connection]
             self._release(worker, connection)
 
     def record_reset_on_reuse(self, worker: Worker, idle_ms: float) -> None:
@@ -74,21 +92,38 @@
         current_ms = self._max_idle_ms.get(worker.service, DEFAULT_KEEP_ALIVE_MS)
         self._max_idle_ms[worker.service] = min(current_ms, RESET_IDLE_FACTOR * idle_ms)
 
+    def check_silent(self) -> None:
+        """Have one of the workers checked that sent nothing since the last call."""
+        before = self._progress
+        self._progress = {
+            connection: connection.progress for connection in self._in_use
+        }
+        self._connector.check_one_of(
+            [
+                self._in_use[connection]
+                for connection, progress in self._progress.items()
+                if before.get(connection) == progress
+            ]
+        )
+
     def close_expired(self) -> None:
         """Close idle connections that are too old, or that the worker has closed."""
         for key in list(self._idle):
             usable = []
+            worker = self._workers[key]
             for connection in self._idle[key]:
-                if connection.has_unread_input() or self._idle_ms(connection) > max(
+                too_old = self._idle_ms(connection) > max(
                     DEFAULT_KEEP_ALIVE_MS, connection.keep_alive_ms or 0.0
-                ):
+                )
+                outdated = too_old or not self._connector.is_current(worker, connection)
+                if connection.has_unread_input() or outdated:
                     connection.close()
                 else:
                     usable.append(connection)
             if usable:
                 self._idle[key] = usable
             else:
-                del self._idle[key]
+                del self._idle[key], self._workers[key]
 
     def idle_ms(self, connection: HttpConnection) -> float:
         """Return how long a reused connection was idle; 0 for a new connection."""
@@ -102,7 +137,8 @@
             if not repeatable:
                 limit_ms = min(limit_ms, UNREPEATABLE_MAX_IDLE_MS)
             too_old = self._idle_ms(connection) > limit_ms
-            if connection.has_unread_input() or too_old:
+            outdated = too_old or not self._connector.is_current(worker, connection)
+            if connection.has_unread_input() or outdated:
                 connection.close()
             else:
                 return connection
@@ -125,6 +161,7 @@
 
     def _release(self, worker: Worker, connection: HttpConnection) -> None:
         idle = self._idle.setdefault(worker.key, [])
+        self._workers[worker.key] = worker
         if connection.reusable and len(idle) < MAX_IDLE_PER_WORKER:
             connection.idle_since_s = self._clock.monotonic_s()
             idle.append(connection)
@@ -132,8 +169,11 @@
             connection.close()
 
 
-async def sweep_idle(connections: WorkerConnectionPool, period_s: float = 1.0) -> None:
-    """Close unusable idle connections periodically, until cancelled."""
+async def sweep_idle(
+    connections: WorkerConnectionPool, period_s: float = SWEEP_PERIOD_S
+) -> None:
+    """Close unusable idle connections and check workers, until cancelled."""
     while True:
         await trio.sleep(period_s)
         connections.close_expired()
+        connections.check_silent()
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatcher: schedules work for the services that are assigned to this instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from functools import partial
 
 import trio
 
@@ -31,8 +32,10 @@
 from .admission import StageAdmission
 from .future import Future
 from .limit_reports import make_grant, make_refusal, record_report
-from .outcomes import OUTCOME_DONE, OUTCOME_FAILED, OUTCOME_FULL, OUTCOME_UNREACHABLE
+from .outcomes import record_outcome
+from .partition import partition_wait_ms, pop_partitioned
 from .piece_groups import PieceGroup
+from .reachability import Reachability
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
 from .slot_requests import ReleasedSlots, SlotRequest, SlotReservation
@@ -241,6 +244,12 @@
             budget.refund()
         if self.stopping and cause == "expired":
             return WorkRefused(HANDED_OVER, retry_ms)
+        if request.begun and not request.usable(self._workers(message.service)):
+            return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
+        ended_s = self._clock.monotonic_s()
+        partition_ms = partition_wait_ms(allocator, request, workers, ended_s)
+        if partition_ms is not None:
+            return WorkRefused("unreachable", max(MIN_RETRY_MS, partition_ms))
         return make_refusal(cause, retry_ms, allocator, self.limits, workers, now_s)
 
     async def _wait_for_slot(
@@ -266,7 +275,7 @@
         if allocator is not None:
             now_s = self._clock.monotonic_s()
             held = allocator.reservation(message.permit)
-            record_report(self.limits, f"peer {peer}", held, message, now_s)
+            record_report(self.limits, allocator, peer, held, message, now_s)
             if allocator.record_start(message.permit, message.elapsed_ms, now_s):
                 estimate = allocator.engine_times.estimate
                 self._log(
@@ -283,28 +292,13 @@
             return
         now_s = self._clock.monotonic_s()
         reservation = allocator.release(message.permit)
-        record_report(self.limits, f"peer {peer}", reservation, message, now_s)
+        record_report(self.limits, allocator, peer, reservation, message, now_s)
         if reservation is None:
             self._cancel_request(allocator, message.permit)
             if peer in self._released:
                 self._released[peer].end(message.service, message.permit)
             return
-        if message.retry_after_ms > 0:
-            until_s = now_s + to_s(message.retry_after_ms)
-            allocator.turn_away(peer, reservation.worker, until_s)
-        if message.outcome == OUTCOME_DONE:
-            allocator.record_duration(reservation.worker, message.elapsed_ms, now_s)
-        elif message.outcome == OUTCOME_FAILED:
-            allocator.health.record_failure(reservation.worker)
-        elif message.outcome in (OUTCOME_UNREACHABLE, OUTCOME_FULL):
-            excluded_ms = allocator.health.exclude(reservation.worker, now_s)
-            self._log(
-                "worker_excluded",
-                service=message.service,
-                worker=reservation.worker,
-                reason=message.outcome,
-                excluded_ms=excluded_ms,
-            )
+        record_outcome(allocator, reservation, message, now_s, self._log)
         self._assign(message.service)
 
     def _cancel_request(self, allocator: SlotAllocator, permit: str) -> None:
@@ -394,6 +388,7 @@
         self._released[instance] = released
         for service, allocator in self._allocators.items():
             released.by_service[service] = allocator.release_owner(instance)
+            allocator.reachability.remove_instance(instance)
             self._assign(service)
 
     def restore_owner(self, instance: InstanceId, uptime_ms: float) -> None:
@@ -448,7 +443,9 @@
         allocator = self._allocators.get(service)
         if allocator is None:
             allocator = self._allocators[service] = SlotAllocator(
-                rule, limits=self.limits
+                rule,
+                limits=self.limits,
+                reachability=Reachability(partial(self._log, service=service)),
             )
         allocator.rule = rule
         allocator.prefix_reuse_ms = self._bounds.prefix_reuse_ms
@@ -470,12 +467,18 @@
             return None
         return configuration.services.get(ServiceName(service))
 
+    def _workers(self, service: str) -> Sequence[Worker]:
+        return self._catalogue.workers_of(ServiceName(service))
+
     def _assign(self, service: str) -> None:
         allocator = self._allocators[service]
         now_s = self._clock.monotonic_s()
         workers = self._catalogue.workers_of(ServiceName(service))
-        expired = allocator.pop_expired(now_s)
-        for request in expired + allocator.pop_hopeless(workers, now_s):
+        popped = allocator.pop_expired(now_s)
+        popped += pop_partitioned(allocator, workers, now_s)
+        popped += allocator.pop_hopeless(workers, now_s)
+        popped += allocator.pop(lambda one: one.begun and not one.usable(workers))
+        for request in popped:
             self._grants[request.permit].set_result(None)
         for request, worker in allocator.assign(workers, now_s):
             grant = self._grants.get(request.permit)
--- a/src/acaciapier/gateway/dispatch/limit_reports.py
+++ b/src/acaciapier/gateway/dispatch/limit_reports.py
@@ -11,6 +11,7 @@
 from ..models import Worker, WorkerKey
 from ..worker_limits import WorkerLimits
 from .outcomes import OUTCOME_CANCELLED, OUTCOME_DONE, OUTCOME_FULL
+from .reachability import Reachability
 from .slot_requests import SlotReservation
 from .slots import SlotAllocator
 
@@ -53,7 +54,8 @@
 
 def record_report(
     limits: WorkerLimits,
-    origin: str,
+    allocator: SlotAllocator,
+    peer: str,
     reservation: SlotReservation | None,
     message: PermitStarted | PermitEnded,
     now_s: float,
@@ -61,6 +63,7 @@
     """Record what the answer to a granted request said of its worker."""
     if reservation is None:
         return
+    origin = f"peer {peer}"
     key, granted_s = WorkerKey(reservation.worker), reservation.granted_s
     if message.brittle_rejections is not None:
         limits.brittle.record(
@@ -68,7 +71,7 @@
         )
     elif isinstance(message, PermitStarted) and message.not_brittle:
         limits.brittle.record_none(message.service, key, granted_s, origin)
-    _record_room(limits, reservation, message, now_s)
+    _record_room(limits, allocator.reachability, reservation, message, now_s)
     if message.limit_per_s is not None:
         limits.record(key, message.limit_per_s, now_s, granted_s, origin)
     elif isinstance(message, PermitStarted) and message.without_limit:
@@ -77,6 +80,7 @@
 
 def _record_room(
     limits: WorkerLimits,
+    reachability: Reachability,
     reservation: SlotReservation,
     message: PermitStarted | PermitEnded,
     now_s: float,
@@ -94,8 +98,9 @@
             service, key, reservation.slots, sent, reservation.granted_s, now_s
         )
     elif message.outcome != OUTCOME_CANCELLED and not reservation.started:
-        limits.brittle.record_broken(
-            service, key, reservation.slots, reservation.granted_s, now_s
-        )
+        if not reachability.may_be_partitioned(reservation.owner):
+            limits.brittle.record_broken(
+                service, key, reservation.slots, reservation.granted_s, now_s
+            )
     elif message.elapsed_ms > 0:
         limits.brittle.record_abandoned(key, now_s)
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -1,10 +1,11 @@
 """Requests for slots at workers, and the slots reserved for them."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
 from ..brittle_workers import SentWithin
+from ..models import Worker
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
@@ -39,6 +40,26 @@
         """Whether it is a broken stream, of which the caller has events."""
         return self.software_version is not None
 
+    def urgency(self, now_s: float) -> tuple:
+        """Return the key by which waiting requests are sorted, the most urgent first.
+
+        Within a priority, streams of which the caller has events go first: what was
+        done for them is lost if they wait too long. Few are broken at a time.
+        """
+        return self.due_s < now_s, self.priority, not self.begun, self.due_s
+
+    def usable(self, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return the workers at which the request may be granted a slot."""
+        if self.software_version is not None:
+            workers = [
+                worker
+                for worker in workers
+                if worker.software_version == self.software_version
+            ]
+        if self.only_untried:
+            workers = [worker for worker in workers if worker.id not in self.avoid]
+        return workers
+
 
 @dataclass(eq=False)
 class SlotReservation:
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -1,19 +1,15 @@
 """Composition, start-up and shutdown of one gateway process."""
 
 import random as random_module
-import signal
 import time
 from collections.abc import Callable
-from dataclasses import fields
 from datetime import UTC, datetime
-from functools import partial
 
 import trio
 
 from ..app.application import Application
 from ..core.clock import epoch_ms, to_s
 from ..core.ids import Incarnation, InstanceId
-from ..exceptions import FindingsError
 from ..http.caller import CallerConnection, ConnectionLimits
 from ..observability.metrics import Metrics
 from ..platform.configuration import decode_configuration
@@ -35,26 +31,35 @@
 )
 from ..wire.messages.operations import FetchCrashRecords
 from ..wire.messages.quarantine import Strikes
+from ..wire.messages.streams import FindStream, StreamsBegun
+from ..wire.messages.tunnels import OpenTunnel, WriteTunnel
 from ..wire.network import PeerNetwork
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool, sweep_idle
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.dispatcher import Dispatcher
 from .followers import StoreFollowers
-from .models import InputLimits, PeerRecord
+from .incarnation_check import CheckedConnections
+from .incarnations import Incarnations
+from .models import InputLimits, PeerRecord, Worker
 from .observing import RequestObserver, StructuredLog
 from .peer_sync import PeerSync
 from .peers import Peers
 from .relay import Relay
 from .request_quarantine import RequestQuarantine
 from .settings import GatewaySettings
+from .settings_reload import SettingsReloader
 from .stage_client import StageClient
 from .status_server import StatusServer
+from .stream_records import StreamRecords
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
+from .tunnels import TunnelClient, TunnelServer
+from .worker_connector import WorkerConnector
 from .worker_exchange import WorkerExchange
 from .worker_limits import WorkerLimits
 from .worker_notices import WorkerNotices
+from .worker_paths import WorkerPaths
 
 LISTEN_BACKLOG = 1_024
 """Connections that may wait for accept; enough for all callers connecting at once."""
@@ -72,10 +77,6 @@
 FINAL_ANSWER_FLUSH_S = 0.2
 """Time for final answers to reach callers: a round trip plus event loop delay."""
 
-SETTINGS_RELOAD_PERIOD_S = 2.0
-"""Period of reading the settings file again; equals the time within which operators
-require a new configuration version to be in force."""
-
 MIN_FREEZE_MS = 600.0
 """Pause of the event loop from which the process counts as frozen and its state as
 outdated."""
@@ -162,10 +163,15 @@
             self.log.write,
         )
         self.followers = StoreFollowers(self.peers)
-        worker_connections = WorkerConnectionPool(self.clock)
+        connector = self._make_connector(tasks)
+        worker_connections = WorkerConnectionPool(self.clock, connector)
         self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
-        self.metrics.watch_worker_limits(self._worker_limits)
-        self.metrics.watch_brittle_workers(self._brittle_workers)
+        self.metrics.watch_worker_limits(
+            lambda: self.limits.named_by(self._listed_workers())
+        )
+        self.metrics.watch_brittle_workers(
+            lambda: self.limits.brittle.named_by(self._listed_workers())
+        )
         self.notices = WorkerNotices(
             self.catalogue,
             self.clock,
@@ -187,7 +193,21 @@
             self.limits,
         )
         self.quarantine = RequestQuarantine(
-            self.clock, self._random, self.peers, self.log.write, tasks
+            self.clock,
+            self._random,
+            self.peers,
+            self.log.write,
+            tasks,
+            connector.is_reachable,
+        )
+        self.streams = StreamRecords(
+            self.peers,
+            self.catalogue.serving,
+            self.clock,
+            self.log.write,
+            tasks,
+            lambda: self.sync.reachable,
+            self.followers.chosen,
         )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
@@ -201,12 +221,22 @@
             self.observer,
             tasks,
             self.notices,
+            self.streams,
+            CheckedConnections(
+                worker_connections,
+                Incarnations(),
+                self.catalogue,
+                self.notices,
+                self.clock,
+                self.observer,
+            ),
         )
         self.relay = Relay(
             self.catalogue,
             self.dispatch_client,
             workers,
             self.quarantine,
+            self.streams,
             self.clock,
             self._random,
             self.observer,
@@ -222,7 +252,7 @@
             self.clock,
             lambda: self._random.uniform(0.7, 1.3),
             self.log.write,
-            self.dispatcher.workers_changed,
+            self._workers_changed,
             self.followers,
         )
         peer_sync = PeerSync(
@@ -230,14 +260,16 @@
             self.peers,
             tasks,
             self.log.write,
-            self.dispatcher.workers_changed,
+            self._workers_changed,
             own,
             self.clock,
         )
         self._peer_sync = peer_sync
         self.peers.on_heartbeat = self._handle_heartbeat
         self.peers.required_peers = self._required_peers
-        self.peers.standby_peers = partial(self._dispatchers, 1)
+        self.peers.standby_peers = lambda: self._dispatchers(1).union(
+            connector.observed_peers()
+        )
         self.peers.on_down = self.dispatcher.remove_owner
         self.peers.on_up = self.dispatcher.restore_owner
         self._register_handlers(peer_sync)
@@ -245,8 +277,16 @@
             self.network.serve, settings.control.host, settings.control.port
         )
         tasks.start_soon(peer_sync.join, settings.seeds)
-        nursery.start_soon(self._watch_reload_signal)
-        for loop in (self.sync.run, self._detect_freezes, self._watch_settings):
+        reloader = SettingsReloader(
+            settings, self._reread, self._apply_settings, self.log.write
+        )
+        nursery.start_soon(reloader.watch_signal)
+        for loop in (
+            self.sync.run,
+            self._detect_freezes,
+            reloader.reload_periodically,
+            connector.probe_periodically,
+        ):
             nursery.start_soon(run_forever, loop, report)
         nursery.start_soon(run_forever, self.peers.run, report, tasks)
         nursery.start_soon(run_forever, sweep_idle, report, worker_connections)
@@ -266,6 +306,38 @@
             front=f"{settings.front.host}:{settings.front.port}",
         )
 
+    def _make_connector(self, tasks: TaskSupervisor) -> WorkerConnector:
+        """Return what opens connections to workers, here and for other instances."""
+        self.paths = WorkerPaths(self.clock, self._listed_workers, self.log.write)
+        tunnels = TunnelClient(
+            self.network,
+            self.peers,
+            self.settings.data_centre,
+            self._random,
+            tasks,
+            self.log.write,
+            self.metrics,
+        )
+        connector = WorkerConnector(
+            self.paths,
+            tunnels,
+            self._listed_workers,
+            self._random,
+            self.log.write,
+            tasks,
+        )
+        self.tunnel_server = TunnelServer(
+            self.catalogue,
+            connector.open_direct,
+            lambda worker: self.paths.since_s(worker.service) is not None,
+            self.log.write,
+            self.metrics,
+        )
+        return connector
+
+    def _listed_workers(self) -> list[Worker]:
+        return list(self.catalogue.workers.values())
+
     def _register_handlers(self, peer_sync: PeerSync) -> None:
         register = self.network.register
         register(Heartbeat, self._answer_heartbeat)
@@ -281,6 +353,10 @@
         register(CancelWork, self.dispatcher.cancel_work)
         register(HeldPermits, self.dispatcher.held_permits)
         register(HeldResults, self.dispatcher.held_results)
+        register(StreamsBegun, self.streams.handle_begun)
+        register(FindStream, self.streams.answer_find)
+        register(WriteTunnel, self.tunnel_server.write)
+        self.network.register_stream(OpenTunnel, self.tunnel_server.serve)
 
     def _required_peers(self) -> set[InstanceId]:
         """Return the dispatchers of all services and the followers of the store."""
@@ -312,6 +388,7 @@
             self.notices.shared_leaving(),
             self.dispatcher.engine_times(),
             self.quarantine.part_crashes_digest,
+            self.catalogue.complete and not self.paths.partitioned_from_all,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
@@ -321,22 +398,7 @@
 
     def _workers_changed(self) -> None:
         self.dispatcher.workers_changed()
-
-    def _worker_limits(self) -> list[tuple[str, str, float]]:
-        """Return service, id and limit of the listed workers that have named one."""
-        workers = {worker.key: worker for worker in self.catalogue.workers.values()}
-        return [
-            (workers[key].service, workers[key].id, limit.per_s)
-            for key, limit in self.limits.in_force(workers).items()
-        ]
-
-    def _brittle_workers(self) -> list[tuple[str, str, int]]:
-        """Return service, id and rejections of the brittle workers that are listed."""
-        return [
-            (worker.service, worker.id, notice.rejections)
-            for worker in self.catalogue.workers.values()
-            if (notice := self.limits.brittle.find(worker.key)) is not None
-        ]
+        self.streams.workers_changed()
 
     def _follows_store(self) -> bool:
         """Return whether peers may rely on this instance for updates from the store."""
@@ -400,7 +462,7 @@
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
             self.relay.closing = True
             self._listening_scope.cancel()
-            while self._connections:
+            while self._connections or self.tunnel_server.count:
                 for connection in list(self._connections):
                     if connection.idle:
                         connection.close()
@@ -413,31 +475,8 @@
         self.log.write("stopped", in_flight=self.relay.in_flight)
         self.log.flush()
 
-    async def _watch_reload_signal(self) -> None:
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                self._reload("signal")
-
-    async def _watch_settings(self) -> None:
-        """Reload settings periodically, for changes that no signal announces."""
-        while True:
-            await trio.sleep(SETTINGS_RELOAD_PERIOD_S)
-            self._reload("period")
-
-    def _reload(self, reason: str) -> None:
+    def _apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed addresses take effect at the next start."""
-        try:
-            settings = self._reread()
-        except FindingsError as error:
-            self.log.write("settings_rejected", reason=reason, error=str(error))
-            return
-        changed = [
-            field.name
-            for field in fields(settings)
-            if getattr(settings, field.name) != getattr(self.settings, field.name)
-        ]
-        if reason == "signal" or changed:
-            self.log.write("settings_reloaded", reason=reason, changed=changed)
         self.settings = settings
         self.dispatcher.set_bounds(settings.bounds)
 
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -9,8 +9,16 @@
 from ..http.client import Framing, ResponseHead
 from .dispatch.dispatch_client import Permit
 from .event_stream import EventSplitter
-from .models import RequestKind, RequestMetadata, RouteRule, SoftwareVersion
+from .models import (
+    RequestKind,
+    RequestMetadata,
+    Resumption,
+    RouteRule,
+    ServiceName,
+    SoftwareVersion,
+)
 from .pipeline import StageRun
+from .software_versions import BegunStream
 
 BASE_VALUE, REFERENCE_SIZE_TOKENS, MAX_VALUE = 0.3, 5_000.0, 4.0
 """A generation's value grows with its size, by the users' scoring rules. These refer to
@@ -64,12 +72,26 @@
     framing: Framing | None = None
     """Framing of the last response of a worker."""
     software_version: SoftwareVersion | None = None
-    """Version of the workers that wrote the events that were forwarded."""
+    """Version of the workers that wrote the events that the caller has."""
+    version_recorded: bool = False
+    """Whether this version has been recorded under the attempt."""
+    resumption: Resumption | None = None
+    """The stream that the caller resumes."""
     begun_s: float | None = None
     """Time at which the last worker began to write its response."""
     events: EventSplitter = field(default_factory=EventSplitter)
     """Splits a stream into events and tracks the last one forwarded."""
 
+    @property
+    def begun_stream(self) -> BegunStream:
+        """The record of the stream's version, under the caller's attempt."""
+        return BegunStream(
+            self.metadata.attempt,
+            self.workspace or "",
+            ServiceName(self.service),
+            self.software_version or SoftwareVersion(""),
+        )
+
     @property
     def value(self) -> float:
         """Value of a response within its objective, relative to others of its route."""
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -29,9 +29,18 @@
     OUTCOME_UNREACHABLE,
 )
 from .event_stream import event_ids
-from .models import RequestKind, ResponseMetadata, RouteRule, Worker
+from .incarnation_check import CheckedConnections
+from .models import (
+    RequestKind,
+    ResponseMetadata,
+    RouteRule,
+    SoftwareVersion,
+    Worker,
+)
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
+from .software_versions import UNKNOWN_VERSION
+from .stream_records import StreamRecords
 from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
 
@@ -85,6 +94,10 @@
         Runs the tasks that write long request bodies.
     notices : WorkerNotices
         What the workers announced.
+    streams : StreamRecords
+        Records the software versions of streams.
+    checked_connections : CheckedConnections
+        Connections of the pool that lead to the listed incarnations.
     """
 
     def __init__(
@@ -97,8 +110,12 @@
         observer,
         tasks: TaskSupervisor,
         notices: WorkerNotices,
+        streams: StreamRecords,
+        checked_connections: CheckedConnections,
     ):
+        self._streams = streams
         self._notices = notices
+        self._checked_connections = checked_connections
         self._catalogue = catalogue
         self._dispatch_client = dispatch_client
         self._connections = connections
@@ -140,8 +157,8 @@
             self._log_decision(state, worker, "not_asked", refusal)
             raise WorkerDidNotRun(refusal)
         try:
-            async with self._connections.acquire(
-                worker, state.route.repeatable, force_new=sent_before
+            async with self._checked_connections.acquire(
+                state, worker, force_new=sent_before
             ) as connection:
                 self._check_usable(state, permit)
                 return await self._exchange(
@@ -149,10 +166,12 @@
                 )
         except ConnectFailed as error:
             permit.outcome = OUTCOME_UNREACHABLE
+            self._checked_connections.record_failure(worker)
             self._log_decision(state, worker, "unreachable", str(error))
             raise WorkerDidNotRun("unreachable") from error
         except ConnectionBroken as error:
             permit.outcome = OUTCOME_FAILED
+            self._checked_connections.record_failure(worker)
             self._log_decision(state, worker, "broken", str(error))
             self._quarantine.check_for_crash(state, worker)
             raise RequestFailed(f"broken: {error}") from error
@@ -161,6 +180,9 @@
             self._log_decision(state, worker, "silent", "no part of the answer in time")
             self._quarantine.record_end(state, worker, False)
             raise RequestFailed("silent") from error
+        finally:
+            if state.version_recorded and state.software_version == UNKNOWN_VERSION:
+                self._streams.invalidate(state.begun_stream)
 
     def _check_usable(self, state: RequestState, permit: Permit) -> None:
         """Raise `WorkerDidNotRun` if a permit was granted too long ago."""
@@ -200,6 +222,10 @@
             """
             nonlocal response
             response = request_format.decode_response_metadata(head)
+            if self._checked_connections.is_late_report(
+                connection, head.status, response
+            ):
+                return False
             own = response.attempt == state.metadata.attempt and response.has_seal
             self._notices.observe(worker, response, sent_s if own else None)
             if response.attempt == state.metadata.attempt:
@@ -377,7 +403,7 @@
             if complete:
                 if not received:
                     state.begun_s = self._clock.monotonic_s()
-                    state.software_version = worker.software_version
+                    await self._record_version(state, worker)
                 received = True
                 yield complete
                 idle_at_s = trio.current_time() + idle_timeout_s
@@ -386,6 +412,14 @@
         if framing is Framing.CONNECTION_END and not received:
             raise ConnectionBroken("the connection ended before the first event")
 
+    async def _record_version(self, state: RequestState, worker: Worker) -> None:
+        """Record the version of a stream before its first event is forwarded."""
+        state.software_version = SoftwareVersion(worker.software_version)
+        if state.version_recorded or not state.route.resumable:
+            return
+        state.version_recorded = True
+        await self._streams.record(state.begun_stream)
+
     def _head_timeout_s(self, state: RequestState) -> float:
         """Return the timeout for the response head; infinite if no retry is allowed."""
         last_run = state.runs >= state.route.max_attempts
--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -210,6 +210,14 @@
             if (limit := self.find(key)) is not None
         }
 
+    def named_by(self, workers: Iterable[Worker]) -> list[tuple[str, str, float]]:
+        """Return service, id and limit of the workers that have named one."""
+        return [
+            (worker.service, worker.id, limit.per_s)
+            for worker in workers
+            if (limit := self.find(worker.key)) is not None
+        ]
+
     def rate_per_ms(self, key: str) -> float:
         """Return how many requests a worker may get a millisecond; may be infinite."""
         limit = self.find(key)
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -132,6 +132,26 @@
         assert dispatcher.limits.brittle.find(KEY) is None
 
 
+@pytest.mark.parametrize("earlier, room", [("cancelled", 1), ("unreachable", 4)])
+async def test_failures_of_an_instance_that_may_be_partitioned_do_not_lower_the_room(
+    earlier, room
+):
+    async with trio.open_nursery() as nursery:
+        clock, limits = ManualClock(), WorkerLimits()
+        dispatcher = make_dispatcher(nursery, clock, limits)
+        prove(limits.brittle, 4)
+        clock.advance(1.0)
+        for permit in ("p1", "p2", "p3"):
+            await dispatcher.acquire(OTHER, ask(permit))
+        for permit in ("p1", "p2"):
+            ended = PermitEnded("book", permit, earlier, 0.0)
+            await dispatcher.permit_ended(OTHER, ended)
+        limits.brittle.record("book", KEY, 2, clock.monotonic_s(), 0.0, "test")
+        ended = PermitEnded("book", "p3", "unreachable", 0.0)
+        await dispatcher.permit_ended(OTHER, ended)
+        assert limits.brittle.room(worker("w1"), SLOTS) == room
+
+
 async def test_a_new_dispatcher_knows_the_brittle_workers_of_those_that_ask_it():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -3,17 +3,23 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
+from acaciapier.core.clock import ManualClock
+from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch import dispatch_client
 from acaciapier.gateway.dispatch.dispatcher import Dispatcher
 from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
 from acaciapier.gateway.models import ServiceName, ServiceRule, WorkerState
+from acaciapier.platform.configuration import decode_configuration
 from acaciapier.platform.workers import decode_worker
 from acaciapier.wire.messages.gateway import AcquireWorker, WorkerEntry
+from acaciapier_standins.platform.platform import configuration
 
 from .support import deployment
 from .test_broken_streams import EVENTS
-from .test_instance_state import worker
+from .test_dispatcher import CALLER, acquire_message, make_dispatcher
+from .test_instance_state import at, make_catalogue, worker
 
 ENTRY = {"service": "model", "addr": "10.0.0.1:80", "zone": "a", "state": "ready"}
 
@@ -112,3 +118,66 @@
         assert versions_asked[1:]
         assert len(workers) == 1
         assert not answer.complete
+
+
+def test_a_peer_of_an_earlier_release_does_not_erase_versions():
+    catalogue, _, _ = make_catalogue()
+    listed = [versioned("w1", "v1"), versioned("w2", "v2")]
+    catalogue.update_workers(at(1), listed, "store")
+    unversioned = [versioned("w1", ""), versioned("w2", "")]
+    catalogue.update_workers(at(2), [*unversioned, versioned("w3", "")], "peer e2")
+    versions = {w.id: w.software_version for w in catalogue.workers.values()}
+    assert versions == {"w1": "v1", "w2": "v2", "w3": ""}
+    later = msgspec.structs.replace(versioned("w1", ""), started_ms=9)
+    catalogue.apply_worker_changes(at(3), [("w1", later)], "peer e2")
+    assert catalogue.workers["w1"].software_version == ""
+
+
+def test_a_list_of_the_store_adds_the_versions_that_a_peer_did_not_know():
+    catalogue, _, _ = make_catalogue()
+    unversioned = [versioned("w1", ""), versioned("w2", "")]
+    catalogue.update_workers(at(2), unversioned, "peer e2")
+    changes = []
+    catalogue._on_change = lambda kind, **fields: changes.append(kind)
+    listed = [versioned("w1", "v1"), versioned("w2", "v2")]
+    catalogue.update_workers(at(2), listed, "store")
+    versions = {w.id: w.software_version for w in catalogue.workers.values()}
+    assert versions == {"w1": "v1", "w2": "v2"}
+    (first, second) = catalogue.workers_of(ServiceName("book"))
+    assert (first.software_version, second.software_version) == ("v1", "v2")
+    assert not changes
+
+
+@pytest.mark.parametrize("path", ["leaves", "restarts_as_another"])
+async def test_a_waiting_stream_is_refused_when_its_version_serves_no_more(path):
+    clock = ManualClock()
+    catalogue = Catalogue(clock, decode_configuration)
+    source = configuration(1, [], [{"name": "book", "max_conns": 100}])
+    catalogue.update_configuration(at(1), msgspec.json.encode(source), "store")
+    only = msgspec.structs.replace(versioned("w1", "v1"), slots=1)
+    catalogue.update_workers(at(1), [only, versioned("w2", "v2")], "store")
+    answers = []
+
+    async def acquire(permit: str) -> None:
+        message = msgspec.structs.replace(
+            acquire_message(permit), software_version="v1", expires_ms=60_000.0
+        )
+        answers.append(await dispatcher.acquire(CALLER, message))
+
+    async with trio.open_nursery() as nursery:
+        dispatcher = make_dispatcher(nursery, catalogue, clock, CALLER)
+        nursery.start_soon(acquire, "first")
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.start_soon(acquire, "waits")
+        await trio.testing.wait_all_tasks_blocked()
+        assert len(answers) == 1
+        left = [versioned("w2", "v2")]
+        if path == "restarts_as_another":
+            left.append(
+                msgspec.structs.replace(only, started_ms=9, software_version="v2")
+            )
+        catalogue.update_workers(at(2), left, "store")
+        dispatcher.workers_changed()
+        await trio.testing.wait_all_tasks_blocked()
+        assert answers[1].cause == "no_worker"
+        nursery.cancel_scope.cancel()
