--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -39,7 +39,7 @@
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
 from .retry_budget import RetryBudget
 from .slot_requests import ReleasedSlots, SlotRequest, SlotReservation
-from .slots import PERMIT_TTL_MS, SlotAllocator
+from .slots import PERMIT_TTL_MS, UNLISTED_PERMIT_MS, SlotAllocator
 from .stage_scheduler import StageScheduler
 
 CHECK_PERIOD_MS = 25.0
@@ -212,6 +212,7 @@
             return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
         self.limits.merge(peer, message.limits, now_s)
+        self.limits.brittle.merge(peer, message.service, message.brittle, now_s)
         budget = self._budget(message.service)
         if not message.repeat:
             budget.record_first_send(now_s)
@@ -274,7 +275,7 @@
         if allocator is not None:
             now_s = self._clock.monotonic_s()
             held = allocator.reservation(message.permit)
-            record_report(self.limits, f"peer {peer}", held, message, now_s)
+            record_report(self.limits, allocator, peer, held, message, now_s)
             if allocator.record_start(message.permit, message.elapsed_ms, now_s):
                 estimate = allocator.engine_times.estimate
                 self._log(
@@ -291,7 +292,7 @@
             return
         now_s = self._clock.monotonic_s()
         reservation = allocator.release(message.permit)
-        record_report(self.limits, f"peer {peer}", reservation, message, now_s)
+        record_report(self.limits, allocator, peer, reservation, message, now_s)
         if reservation is None:
             self._cancel_request(allocator, message.permit)
             if peer in self._released:
@@ -327,7 +328,10 @@
         allocator = self._allocator(message.service)
         if allocator is None:
             return
-        until_s = self._clock.monotonic_s() + to_s(PERMIT_TTL_MS)
+        now_s = self._clock.monotonic_s()
+        until_s = now_s + to_s(PERMIT_TTL_MS)
+        listed = {permit for permit, *_ in message.permits}
+        allocator.release_owner(peer, listed, now_s - to_s(UNLISTED_PERMIT_MS))
         for permit, worker, prompt_tokens, output_tokens in message.permits:
             reservation = SlotReservation(
                 worker, peer, prompt_tokens, output_tokens, 0.0, until_s, True
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
+from ..brittle_workers import SentWithin
 from ..models import Worker
 
 RESTORED_SLOT_TTL_MS = 5_000.0
@@ -39,6 +40,14 @@
         """Whether it is a broken stream, of which the caller has events."""
         return self.software_version is not None
 
+    def urgency(self, now_s: float) -> tuple:
+        """Return the key by which waiting requests are sorted, the most urgent first.
+
+        Within a priority, streams of which the caller has events go first: what was
+        done for them is lost if they wait too long. Few are broken at a time.
+        """
+        return self.due_s < now_s, self.priority, not self.begun, self.due_s
+
     def usable(self, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return the workers at which the request may be granted a slot."""
         if self.software_version is not None:
@@ -69,6 +78,10 @@
     """Expected time to the first part of the answer."""
     prefilled_tokens: float = 0.0
     """Prompt tokens that the engine prefills before the first part."""
+    slots: int = 1
+    """Requests that its worker is declared to run at once."""
+    sent: SentWithin | None = None
+    """The worker's room when this dispatcher granted it."""
 
 
 @dataclass(eq=False)
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -6,7 +6,8 @@
 happens to be slow.
 """
 
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Callable, Collection, Sequence
 
 from ..engine_times import EngineTimes
 from ..models import ServiceRule, Worker
@@ -54,6 +55,9 @@
 CERTAIN_WAIT_SHARE = 0.8
 """Share of the wait for those ahead that is certain: some of them are cancelled."""
 
+UNLISTED_PERMIT_MS = 1_000.0
+"""Age from which a slot that its holder does not list is free."""
+
 PERMIT_TTL_MS = 30_000.0
 """Time after which an unreleased slot becomes free: twice the longest deadline."""
 
@@ -137,7 +141,7 @@
         """Return how many requests workers complete in a millisecond."""
         return sum(
             min(
-                self.slots(worker) / self.average_ms,
+                self._limits.brittle.room(worker, self.slots(worker)) / self.average_ms,
                 self._limits.rate_per_ms(worker.key),
             )
             for worker in workers
@@ -221,19 +225,8 @@
         return hopeless
 
     def _sort_waiting(self, now_s: float) -> None:
-        """Sort the waiting requests in the order in which they get slots.
-
-        Within a priority, streams of which the caller has events go first: what was
-        done for them is lost if they wait too long. Few are broken at a time.
-        """
-        self._waiting.sort(
-            key=lambda waiting: (
-                waiting.due_s < now_s,
-                waiting.priority,
-                not waiting.begun,
-                waiting.due_s,
-            )
-        )
+        """Sort the waiting requests in the order in which they get slots."""
+        self._waiting.sort(key=lambda waiting: waiting.urgency(now_s))
 
     def assign(
         self, workers: Sequence[Worker], now_s: float
@@ -307,6 +300,7 @@
         reservation = self._reservations.pop(permit, None)
         if reservation is not None:
             self._permits_by_worker[reservation.worker].discard(permit)
+            self._limits.brittle.record_release(reservation.worker, reservation.sent)
         return reservation
 
     def record_duration(self, key: str, elapsed_ms: float, now_s: float) -> None:
@@ -327,13 +321,18 @@
         if permit not in self._reservations:
             self._reservations[permit] = reservation
             self._permits_by_worker.setdefault(reservation.worker, set()).add(permit)
+            self._limits.brittle.record_held(reservation.worker)
 
-    def release_owner(self, owner: str) -> dict[str, SlotReservation]:
-        """Release and return the slots of an instance, by permit."""
+    def release_owner(
+        self, owner: str, kept: Collection[str] = (), before_s: float = math.inf
+    ) -> dict[str, SlotReservation]:
+        """Release and return the slots of an instance except `kept`, by permit."""
         owned = {
             permit: reservation
             for permit, reservation in self._reservations.items()
             if reservation.owner == owner
+            and permit not in kept
+            and reservation.granted_s < before_s
         }
         for permit in owned:
             self.release(permit)
@@ -361,6 +360,9 @@
             and self._has_capacity(worker, request)
             and not self.blocked_ms(request.owner, worker, now_s)
             and not self._limits.wait_ms(worker.key, now_s)
+            and self._limits.brittle.allows(
+                worker, self.slots(worker), now_s, may_probe=not request.avoid
+            )
         ]
         untried = [worker for worker in usable if worker.id not in request.avoid]
         usable = untried or usable
@@ -458,6 +460,8 @@
             granted_s=now_s,
             expected_ms=expected_ms,
             prefilled_tokens=prefilled_tokens,
+            slots=self.slots(worker),
+            sent=self._limits.brittle.record_send(worker, self.slots(worker), now_s),
         )
         self._permits_by_worker.setdefault(worker.key, set()).add(request.permit)
         self._limits.record_send(worker.key, now_s)
@@ -484,10 +488,6 @@
         return tokens, self.engine_times.estimate.expected_ms(tokens)
 
     def _release_overdue(self, now_s: float) -> None:
-        overdue = [
-            p
-            for p, reservation in self._reservations.items()
-            if reservation.until_s < now_s
-        ]
-        for permit in overdue:
-            self.release(permit)
+        for permit, reservation in list(self._reservations.items()):
+            if reservation.until_s < now_s:
+                self.release(permit)
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -166,7 +166,12 @@
         connector = self._make_connector(tasks)
         worker_connections = WorkerConnectionPool(self.clock, connector)
         self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
-        self.metrics.watch_worker_limits(self._worker_limits)
+        self.metrics.watch_worker_limits(
+            lambda: self.limits.named_by(self._listed_workers())
+        )
+        self.metrics.watch_brittle_workers(
+            lambda: self.limits.brittle.named_by(self._listed_workers())
+        )
         self.notices = WorkerNotices(
             self.catalogue,
             self.clock,
@@ -395,14 +400,6 @@
         self.dispatcher.workers_changed()
         self.streams.workers_changed()
 
-    def _worker_limits(self) -> list[tuple[str, str, float]]:
-        """Return service, id and limit of the listed workers that have named one."""
-        workers = {worker.key: worker for worker in self.catalogue.workers.values()}
-        return [
-            (workers[key].service, workers[key].id, limit.per_s)
-            for key, limit in self.limits.in_force(workers).items()
-        ]
-
     def _follows_store(self) -> bool:
         """Return whether peers may rely on this instance for updates from the store."""
         known = self.catalogue.complete and self.sync.reachable
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -232,6 +232,10 @@
                 permit.limit_per_s = response.limit_per_s
                 named = response.limit_per_s is not None or response.malformed_limits
                 permit.without_limit = own and not named
+                permit.brittle_rejections = response.brittle_rejections
+                named = response.brittle_rejections is not None
+                named = named or bool(response.malformed_brittle)
+                permit.not_brittle = own and not named
             return response.attempt in (None, state.metadata.attempt)
 
         state.runs += 1
--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -11,6 +11,7 @@
 
 from ..core.clock import to_s
 from ..wire.messages.gateway import LimitedWorker, WorkerLimitEntry
+from .brittle_workers import BrittleWorkers
 from .models import AttemptId, ResponseMetadata, Worker, WorkerKey
 
 RECENT_SENDS_MS = 4_000.0
@@ -76,6 +77,7 @@
         log: Callable[..., None] = lambda kind, **fields: None,
         reachable_share: Callable[[], float] = lambda: 1.0,
     ):
+        self.brittle = BrittleWorkers(log)
         self._log = log
         self._reachable_share = reachable_share
         self._limits: dict[WorkerKey, NamedLimit] = {}
@@ -208,6 +210,14 @@
             if (limit := self.find(key)) is not None
         }
 
+    def named_by(self, workers: Iterable[Worker]) -> list[tuple[str, str, float]]:
+        """Return service, id and limit of the workers that have named one."""
+        return [
+            (worker.service, worker.id, limit.per_s)
+            for worker in workers
+            if (limit := self.find(worker.key)) is not None
+        ]
+
     def rate_per_ms(self, key: str) -> float:
         """Return how many requests a worker may get a millisecond; may be infinite."""
         limit = self.find(key)
--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from acaciapier_standins.platform.workers import Run, RunLog
+from acaciapier_standins.platform.run_log import Run, RunLog
 
 from .callers import EVENTS, Received
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,7 +19,7 @@
 )
 from acaciapier_bench.soak.run import run_soak
 from acaciapier_bench.soak.streams import Lifetime, check_streams
-from acaciapier_standins.platform.workers import Arrival, Run, RunLog, TurnedAway
+from acaciapier_standins.platform.run_log import Arrival, Run, RunLog, TurnedAway
 
 STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
 
