--- a/src/acaciapier_bench/soak/callers.py
+++ b/src/acaciapier_bench/soak/callers.py
@@ -3,6 +3,7 @@
 import math
 import random as random_module
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -42,6 +43,8 @@
     """Attempt that brought the first event, if this one takes its stream up."""
     last_id: int = 0
     """Id of the last event that earlier attempts brought."""
+    build: str = ""
+    """Build that the gateway ran when it was asked."""
 
     def events(self) -> list[tuple[int, str]]:
         """Return the ids and software versions of the whole events of a stream."""
@@ -64,6 +67,8 @@
         Where results are noted.
     resumes : bool
         Whether it takes up broken streams, and asks for more that can be taken up.
+    build_of : callable
+        Returns the name of the build that a gateway runs.
     """
 
     def __init__(
@@ -73,12 +78,14 @@
         random: random_module.Random,
         records: list[Received],
         resumes: bool = False,
+        build_of: Callable[[str], str] = lambda gateway: "",
     ):
         self._name = name
         self._ports = ports
         self._random = random
         self._records = records
         self._resumes = resumes
+        self._build_of = build_of
         self._stream: trio.SocketStream | None = None
         self._parser = h11.Connection(h11.CLIENT)
         self._gateway = ""
@@ -122,6 +129,7 @@
             try:
                 if self._stream is None:
                     await self._connect()
+                record.build = self._build_of(self._gateway)
                 await self._send(record, until_s)
                 await self._receive(record)
             except (
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -1,12 +1,7 @@
 """One seeded soak: gateways as processes, faults in series that overlap."""
 
-import os
 import random as random_module
-import signal
-import subprocess
-import sys
 import tempfile
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,11 +12,11 @@
 from acaciapier_standins.platform.example import KINDS, ROUTES, services
 from acaciapier_standins.platform.platform import StandInPlatform, configuration
 from acaciapier_standins.platform.workers import ENDLESS
-from acaciapier_standins.ports import free_ports
 
+from .builds import Build, current_build
 from .callers import HOST, Received, SoakCaller
 from .checker import Announcements, check, check_planned_work
-from .gateway import ADDRESS_VARIABLE
+from .gateways import RESTART_AFTER_S, Gateways
 from .partitions import BEFORE_S, Partitions, Way, check_partitions
 from .plan import (
     FRAMING_FAULTS,
@@ -32,18 +27,12 @@
 )
 from .proxy import Link
 from .releases import Releases
-from .streams import StreamCounts, check_streams
+from .rollout import Replacement, Rollout
+from .streams import Share, StreamCounts, check_streams
 
 RECOVERY_S = 4.0
 """Time after the last fault in which the deployment recovers."""
 
-START_S, START_S_EACH = 20.0, 1.5
-"""Time in which all gateways are ready, and what each adds: it takes about a second of
-a processor, which it shares with the others."""
-
-RESTART_AFTER_S = 0.3
-"""Pause after which the platform starts a process again."""
-
 LIMIT_PER_S = 1.0
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
@@ -64,6 +53,9 @@
     streams: StreamCounts = field(default_factory=StreamCounts)
     partitions: list[str] = field(default_factory=list)
     """What callers noticed of each partition."""
+    replaced: list[str] = field(default_factory=list)
+    """Replacements of gateways by those of another build."""
+    served_by_build: dict[str, Share] = field(default_factory=dict)
 
     def summary(self) -> str:
         """Return one line."""
@@ -72,6 +64,8 @@
             f"seed {self.plan.seed}: {done} of {len(self.records)} requests done, "
             f"{len(self.faults)} faults, {len(self.broken)} promises broken"
         )
+        for build, served in sorted(self.served_by_build.items()):
+            line += f"; {served} done at build {build}"
         streams = self.streams
         if streams.went_on.count:
             line += (
@@ -92,22 +86,24 @@
         Size and seed.
     folder : Path
         Where settings and logs of the gateways go.
+    earlier : Build, optional
+        What the gateways run at first; the current build replaces it during the faults.
     """
 
-    def __init__(self, plan: SoakPlan, folder: Path):
+    def __init__(self, plan: SoakPlan, folder: Path, earlier: Build | None = None):
         self.report = SoakReport(plan)
         self._plan = plan
         self._folder = folder
         self._random = random_module.Random(plan.seed)
-        self._processes: dict[str, subprocess.Popen] = {}
-        self._ports: dict[str, tuple[int, int, int]] = {}
         self._drained_s: dict[str, float] = {}
         self._announcements = Announcements()
         self._links: dict[str, Link] = {}
-        self._peer_links: dict[str, Link] = {}
         self._version = 1
-        names = [f"edge-{number + 1}" for number in range(plan.gateways)]
-        self._partitions = Partitions(names) if plan.has_partitions else None
+        self._earlier = earlier
+        self._current = current_build()
+        self._names = [f"edge-{number + 1}" for number in range(plan.gateways)]
+        self._partitions = Partitions(self._names) if plan.has_partitions else None
+        self._gateways: Gateways | None = None
 
     async def run(self) -> SoakReport:
         """Run the soak and check it."""
@@ -116,7 +112,8 @@
                 await self._start(nursery)
                 await self._play()
             finally:
-                self._end_processes()
+                if self._gateways is not None:
+                    self._gateways.end()
             nursery.cancel_scope.cancel()
         return self.report
 
@@ -135,23 +132,23 @@
             for number in (1, 2, 3, 4) if self._plan.has_versions else (1, 2, 3):
                 version = f"v{1 + number % 2}" if self._plan.has_versions else None
                 await self._add_worker(f"{service}-{number}", service, kind, version)
-        for number in range(self._plan.gateways):
-            name = f"edge-{number + 1}"
-            self._ports[name] = tuple(free_ports(HOST, 3))
-            self._peer_links[name] = Link(self._ports[name][2])
-            await nursery.start(self._peer_links[name].run)
-            self._write_settings(name)
-            self._start_gateway(name)
-        with trio.fail_after(START_S + START_S_EACH * self._plan.gateways):
-            for name in self._ports:
-                while not await self._is_ready(name):
-                    await trio.sleep(0.1)
+        self._gateways = Gateways(
+            self._platform,
+            self._store_link,
+            self._folder,
+            self._partitions,
+            self._announcements,
+            nursery,
+        )
+        for name in self._names:
+            await self._gateways.add(name, self._earlier or self._current)
+        await self._gateways.wait_until_ready()
 
     def _translate(self, kind: str, name: str, spec: Any) -> Any:
         """Let gateways reach one another by their links."""
-        if kind != PEER_KIND or name not in self._peer_links:
+        if kind != PEER_KIND or name not in self._gateways.links:
             return spec
-        return spec | {"port": self._peer_links[name].port}
+        return spec | {"port": self._gateways.links[name].port}
 
     async def _add_worker(
         self, name: str, service: str, kind: str, version: str | None = None
@@ -167,58 +164,23 @@
             worker.address = await self._partitions.add_worker(link.port, self._nursery)
         self._platform.register(name, addr=worker.address)
 
-    def _write_settings(self, name: str) -> None:
-        first = next(iter(self._ports.values()))
-        seeds = f"{HOST}:{first[2]}"
-        text = self._platform.settings_text(name, self._ports[name], seeds)
-        store = f"platform.addr={HOST}:"
-        text = text.replace(
-            f"{store}{self._platform.store_port}", f"{store}{self._store_link.port}"
-        )
-        (self._folder / f"{name}.conf").write_text(text)
-
-    def _start_gateway(self, name: str) -> None:
-        environment = os.environ | {
-            "ACACIAPIER_BOOT": str(self._folder / f"{name}.conf"),
-            "ACACIAPIER_FLEET_KEY": "the-key-of-the-soak",
-            "PYTHONPATH": os.pathsep.join(sys.path),
-        }
-        module = "acaciapier.gateway.main"
-        if self._partitions is not None:
-            environment[ADDRESS_VARIABLE] = self._partitions.address_of_workers(name)
-            module = "acaciapier_bench.soak.gateway"
-        with (self._folder / f"{name}.log").open("ab") as log:
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, "-m", module],
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    async def _is_ready(self, name: str) -> bool:
-        try:
-            stream = await trio.open_tcp_stream(HOST, self._ports[name][1])
-        except OSError:
-            return False
-        async with stream:
-            await stream.send_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-            return b" 200 " in await stream.receive_some(1_000)
-
     async def _play(self) -> None:
         start_s = trio.current_time()
         self._faults_end_s = faults_end_s = start_s + self._plan.seconds
         calm_from_s = faults_end_s + RECOVERY_S
         until_s = calm_from_s + 2.0
-        fronts = {name: ports[0] for name, ports in self._ports.items()}
-        self._nursery.start_soon(self._restart_ended)
+        self._nursery.start_soon(self._gateways.restart_ended)
+        if self._earlier is not None:
+            self._nursery.start_soon(self._roll_out)
         async with trio.open_nursery() as nursery:
             for number in range(self._plan.callers):
                 caller = SoakCaller(
                     f"c{number}",
-                    fronts,
+                    self._gateways.fronts,
                     random_module.Random(self._plan.seed * 1_000 + number),
                     self.report.records,
                     self._plan.has_versions,
+                    self._gateways.build_of,
                 )
                 nursery.start_soon(caller.run, until_s)
             if self._partitions is not None:
@@ -227,6 +189,7 @@
                 await trio.sleep(self._random.expovariate(2.0))
                 fault = self._random.choice(self._plan.faults)
                 nursery.start_soon(self._inject, fault)
+        self._count_builds()
         self.report.broken = check(
             self.report.records,
             self._platform.run_log,
@@ -253,13 +216,37 @@
                 self.report.records, self._platform.run_log
             )
 
+    async def _roll_out(self) -> None:
+        ways = list(Replacement)
+        if self._partitions is not None:
+            # Only the first gateways have links of their own to the workers.
+            ways.remove(Replacement.JOIN)
+        rollout = Rollout(
+            self._earlier,
+            self._current,
+            self._names,
+            random_module.Random(self._plan.seed),
+            self._gateways.replace,
+            ways,
+        )
+        self.report.replaced = rollout.done
+        await rollout.run(self._plan.seconds)
+
+    def _count_builds(self) -> None:
+        if self._earlier is None:
+            return
+        for record in self.report.records:
+            if record.build and not record.left:
+                served = self.report.served_by_build.setdefault(record.build, Share())
+                served.add(record.whole and record.status == 200)
+
     async def _inject(self, kind: str) -> None:
         length_s = self._random.uniform(0.3, 2.5)
         self.report.faults.append(kind)
-        name = self._random.choice(sorted(self._ports))
+        name = self._gateways.pick(self._random)
         worker = self._random.choice(sorted(self._links))
         if kind in ("kill", "pause", "term", "hup"):
-            await self._harm_process(kind, name, length_s)
+            await self._gateways.harm(kind, name, length_s)
         elif kind == "store_restored":
             await self._restore_store(length_s)
         elif kind.startswith("store"):
@@ -281,35 +268,6 @@
         else:
             await self._harm_worker(kind, worker, length_s)
 
-    async def _harm_process(self, kind: str, name: str, length_s: float) -> None:
-        process = self._processes[name]
-        self._note_disturbed(name)
-        with suppress(ProcessLookupError):
-            if kind == "hup":
-                process.send_signal(signal.SIGHUP)
-            elif kind == "pause":
-                process.send_signal(signal.SIGSTOP)
-                await trio.sleep(length_s)
-                process.send_signal(signal.SIGCONT)
-                self._note_disturbed(name)
-            elif kind == "kill":
-                process.kill()
-            else:
-                process.terminate()
-
-    async def _restart_ended(self) -> None:
-        """Start processes again that have ended, as the platform does."""
-        while True:
-            await trio.sleep(RESTART_AFTER_S)
-            for name, process in list(self._processes.items()):
-                if process.poll() is not None:
-                    self._note_disturbed(name)
-                    self._start_gateway(name)
-
-    def _note_disturbed(self, name: str) -> None:
-        times = self._announcements.disturbed_s.setdefault(name, [])
-        times.append(trio.current_time())
-
     async def _restore_store(self, age_s: float) -> None:
         """Take the store away for a moment and let it return from a copy."""
         faults, store = self._platform.store.faults, self._platform.store
@@ -337,7 +295,7 @@
         faults.delay_s = 0.0
 
     async def _harm_peer(self, kind: str, name: str, length_s: float) -> None:
-        link = self._peer_links[name]
+        link = self._gateways.links[name]
         if kind == "peer_reset":
             link.reset_all()
         link.faults.cut_to_server = kind == "peer_cut"
@@ -417,18 +375,16 @@
         if faults.silence is over:
             faults.silence = None
 
-    def _end_processes(self) -> None:
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-            process.wait()
 
+def run_soak(
+    plan: SoakPlan, folder: Path | None = None, earlier: Build | None = None
+) -> SoakReport:
+    """Run one soak; settings and logs stay in `folder` if one is given.
 
-def run_soak(plan: SoakPlan, folder: Path | None = None) -> SoakReport:
-    """Run one soak; settings and logs stay in `folder` if one is given."""
+    With an earlier build, gateways run that at first.
+    """
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-        return trio.run(Soak(plan, folder).run)
+        return trio.run(Soak(plan, folder, earlier).run)
     with tempfile.TemporaryDirectory() as made:
-        return trio.run(Soak(plan, Path(made)).run)
+        return trio.run(Soak(plan, Path(made), earlier).run)
