--- a/src/acaciapier_bench/main.py
+++ b/src/acaciapier_bench/main.py
@@ -6,6 +6,7 @@
 
 from .claims import ClaimsCommand
 from .configuration.command import ConfigurationCommand
+from .contract.command import ContractCommand
 from .demo import Demo
 from .fleet import FleetCommand
 from .freeze import FreezeCommand
@@ -29,6 +30,7 @@
     command: cappa.Subcommands[
         ClaimsCommand
         | ConfigurationCommand
+        | ContractCommand
         | Demo
         | FleetCommand
         | FreezeCommand
--- /dev/null
+++ b/tests/contract/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what builds exchange."""
