Name the build of each instance in logs, heartbeats and metrics

During an upgrade operators could not see which build an instance ran, nor that several ran side by side.

--- a/src/acaciapier/core/clock.py
+++ b/src/acaciapier/core/clock.py
@@ -31,6 +31,18 @@
         return time.monotonic()
 
 
+class BootClock:
+    """The system's clocks; the monotonic one includes time in suspension."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time as an aware datetime in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic_s(self) -> float:
+        """Return the seconds since boot."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class TrioClock:
     """Clock of the running trio loop, so that `trio.testing.MockClock` drives it.
 
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -1,14 +1,13 @@
 """Composition, start-up and shutdown of one gateway process."""
 
 import random as random_module
-import time
 from collections.abc import Callable
-from datetime import UTC, datetime
 
 import trio
 
 from ..app.application import Application
-from ..core.clock import epoch_ms, to_s
+from ..core.build import build_name
+from ..core.clock import BootClock, epoch_ms, to_s
 from ..core.ids import Incarnation, InstanceId
 from ..http.caller import CallerConnection, ConnectionLimits
 from ..observability.metrics import Metrics
@@ -34,6 +33,7 @@
 from ..wire.messages.streams import FindStream, StreamsBegun
 from ..wire.messages.tunnels import OpenTunnel, WriteTunnel
 from ..wire.network import PeerNetwork
+from .builds import Builds
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool, sweep_idle
 from .dispatch.dispatch_client import DispatchClient
@@ -85,18 +85,6 @@
 """Period of checking for a process freeze."""
 
 
-class BootClock:
-    """The system's clocks; the monotonic one includes time in suspension."""
-
-    def now(self) -> datetime:
-        """Return the wall-clock time as an aware datetime in UTC."""
-        return datetime.now(UTC)
-
-    def monotonic_s(self) -> float:
-        """Return the seconds since boot."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class GatewayInstance:
     """Creates, connects and runs the components of one gateway process.
 
@@ -162,6 +150,10 @@
             self._make_heartbeat,
             self.log.write,
         )
+        self.builds = Builds(
+            build_name(), self.peers.builds, self.clock, self.log.write
+        )
+        self.metrics.watch_builds(self.builds.counts)
         self.followers = StoreFollowers(self.peers)
         connector = self._make_connector(tasks)
         worker_connections = WorkerConnectionPool(self.clock, connector)
@@ -304,6 +296,7 @@
             instance=settings.instance,
             data_centre=settings.data_centre,
             front=f"{settings.front.host}:{settings.front.port}",
+            build=self.builds.own,
         )
 
     def _make_connector(self, tasks: TaskSupervisor) -> WorkerConnector:
@@ -389,9 +382,11 @@
             self.dispatcher.engine_times(),
             self.quarantine.part_crashes_digest,
             self.catalogue.complete and not self.paths.partitioned_from_all,
+            build=self.builds.own,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
+        self.builds.update()
         self._peer_sync.handle_heartbeat(peer, heartbeat)
         self.notices.merge(peer, heartbeat.leaving)
         self.quarantine.handle_heartbeat(peer, heartbeat)
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -1,6 +1,6 @@
 """OpenTelemetry metrics, exported in the Prometheus text format."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -169,6 +169,21 @@
 
         self._meter.create_observable_gauge("acaciapier_worker_limit", [observe])
 
+    def watch_builds(self, counts: Callable[[], Mapping[str, int]]) -> None:
+        """Export how many instances that are up run each build.
+
+        Parameters
+        ----------
+        counts : callable
+            Returns the number of instances by build.
+        """
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for build, count in counts().items():
+                yield Observation(count, {"build": build})
+
+        self._meter.create_observable_gauge("acaciapier_instances", [observe])
+
     def watch_brittle_workers(
         self, workers: Callable[[], Iterable[tuple[str, str, int]]]
     ) -> None:
