--- a/src/acaciapier_bench/soak/builds.py
+++ b/src/acaciapier_bench/soak/builds.py
@@ -71,6 +71,9 @@
     folder.mkdir(parents=True, exist_ok=True)
     with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as files:
         files.extractall(folder, filter="data")
+    name_file = folder / "target" / "build"
+    name_file.parent.mkdir()
+    name_file.write_text(name)
     python = sys.executable
     if _dependencies(folder) != _dependencies(repository):
         python = _install_dependencies(folder)
