Count mixed streams by the build that mixed them

While gateways of an earlier build still take callers, a mixed stream may be the work of either build; the soak's line told only their number.

--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -74,6 +74,8 @@
                 f"version {streams.went_on_of_served} went on; {streams.mixed} streams "
                 f"mixed, {streams.mixed_within} of them within an answer"
             )
+            if self.served_by_build:
+                line += f", at builds {dict(streams.mixed_at)}"
         return line
 
 
--- a/src/acaciapier_bench/soak/streams.py
+++ b/src/acaciapier_bench/soak/streams.py
@@ -1,5 +1,6 @@
 """Checks streams over all attempts of their callers."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -56,6 +57,8 @@
     mixed: int = 0
     mixed_within: int = 0
     """Mixed streams in which one attempt alone brought several versions."""
+    mixed_at: Counter[str] = field(default_factory=Counter)
+    """Builds of the gateways that brought the first event of another version."""
 
 
 def check_streams(
@@ -92,6 +95,8 @@
             counts.mixed_within += any(
                 len({version for _, version in one.events()}) > 1 for one in attempts
             )
+            other = next(one for version, one in seen if version != versions[first])
+            counts.mixed_at[other.build] += 1
             story = ", ".join(
                 f"{one.attempt} at {one.gateway} ({one.sent_s:.2f} s): "
                 + " ".join(f"{number} {version}" for number, version in one.events())
