Conclude a version only from a list known for as long as streams live

What callers could see: a stream without a record, resumed at an instance whose fleet had just been replaced, went on at the only version listed then, though another one had begun it.

Hypothesis: an instance that knows no peer, or that started together with all others, counts as most of them, and concludes from its own list however young it is; a list read from the store beside one that is not read any more concludes from what the latter knew before.

Evidence: the new tests on the former code: fleets of one, three and nine that were all replaced within one life of a stream concluded v2 for a stream of v1 (3 of 3 cases); a restarted instance of three concluded from a list that its store did not update any more while two others read it; a deployment that had started within a second concluded v1 (2 of 2 cases).

Change: one list must have been known for two timeouts of the route. It is one that an instance reads from the store, or, while no instance does, one of those of most. The log tells what a version was concluded from and for how long that has been known.

Tests: the test of an unknown version that goes on where one version serves could not fail on a refusal, as an empty 503 is complete, too. It now asks for the status, with a life that is over, and for a refusal while it is not.

Weighed: a lone deployment refuses streams without a record for two timeouts after its start (10 s at timeouts of 5 s). Start times of the listed workers were considered as evidence and left out: a version may end, and its last worker go, long after the others started.

Class of fault: absence of knowledge taken for knowledge.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -325,6 +325,8 @@
             after_event=resumption.after,
             software_version=stream.software_version,
             recorded=found.recorded,
+            concluded_from=found.concluded_from,
+            known_ms=found.known_ms,
         )
         if not any(
             worker.software_version == stream.software_version
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -68,6 +68,10 @@
     stream: BegunStream
     recorded: bool
     """False if its version was concluded, since only one can have begun it."""
+    concluded_from: str | None = None
+    """``current_list`` or ``most_lists``; None if its version was recorded."""
+    known_ms: float | None = None
+    """For how long the list of workers from which it was concluded has been known."""
 
 
 class StreamRecords:
@@ -179,8 +183,12 @@
             if len(entries) == 1:
                 stream = _from_entry(*entries)
         recorded = stream is not None
+        concluded = None
         if not recorded and not entries and len(services) == 1:
-            stream = self._conclude(workspace, attempt, services[0], answers, life_ms)
+            concluded = self._conclude(
+                workspace, attempt, services[0], answers, life_ms
+            )
+            stream = concluded and concluded.stream
         if stream is None or stream.software_version == UNKNOWN_VERSION:
             self._log(
                 "stream_not_found",
@@ -192,7 +200,7 @@
             raise Refused("software_version_unknown", UNKNOWN_RETRY_MS)
         if stream.service not in services:
             raise Refused("service_changed", UNKNOWN_RETRY_MS)
-        return FoundStream(stream, recorded)
+        return concluded or FoundStream(stream, recorded)
 
     def workers_changed(self) -> None:
         """Log the services that have workers of several versions, when they do."""
@@ -302,18 +310,22 @@
         service: ServiceName,
         answers: list[StreamFound],
         life_ms: float,
-    ) -> BegunStream | None:
+    ) -> FoundStream | None:
         """Return the stream of an attempt if only one version can have begun it.
 
-        Streams begin only at workers that some instance lists. So either most instances
-        must have answered, or one of them that reads the list from the store, and has
-        known it for as long as callers resume a stream.
+        Streams begin only at workers that some instance lists. So one of the lists must
+        have been known for as long as callers resume a stream, and either be read from
+        the store or, if no list is, be among those of most instances.
         """
-        known_ms = [answer.known_ms for answer in answers if answer.current]
-        if self._list_is_current():
-            known_ms.append(self._serving.known_ms)
-        most = 2 * (1 + len(answers)) > 1 + len(self._peers.records)
-        if not most and (not answers or max(known_ms, default=0.0) < life_ms):
+        own_ms = self._serving.known_ms
+        lists = [(answer.known_ms, answer.current) for answer in answers]
+        lists.append((own_ms, own_ms > 0 and self._list_is_current()))
+        current_ms = [known_ms for known_ms, current in lists if current]
+        most = 2 * len(lists) > 1 + len(self._peers.records)
+        if not most and not (answers and current_ms):
+            return None
+        known_ms = max(current_ms or [known_ms for known_ms, _ in lists])
+        if known_ms < life_ms:
             return None
         versions = set(self._serving.of(service))
         for answer in answers:
@@ -322,7 +334,12 @@
                     versions.update(map(SoftwareVersion, listed.software_versions))
         if len(versions) != 1:
             return None
-        return BegunStream(attempt or AttemptId(""), workspace, service, versions.pop())
+        return FoundStream(
+            BegunStream(attempt or AttemptId(""), workspace, service, versions.pop()),
+            recorded=False,
+            concluded_from="current_list" if current_ms else "most_lists",
+            known_ms=known_ms,
+        )
 
 
 def _from_entry(entry: StreamEntry) -> BegunStream:
