Copy the records of streams when their holders stop or are lost

What callers saw: while all instances were replaced one after the other, resumed streams were refused (cause software_version_unknown) at workers of their version that served.

Hypothesis: records end with their holders. Nothing is handed over at a stop, and no copy replaces that of an instance that ended, so the two holders and the forwarding instance may end one after the other within the life of a stream.

With real instances, of which the three that knew a stream stopped together: 503 from the fourth.

Change: a stopping instance hands its records to the instances that remain. When another one goes down, stops or has started anew (new callback Peers.on_lost), all that hold records which it should hold copy them to those that should now. A version that is withdrawn is withdrawn at all candidates, as any of them may have a copy now.

The test of a withdrawn version counted the two holders; it now asks that all instances of its fleet know of the withdrawal.

Open: holders that all end within the 0.5 s in which it is noticed; the simulation of peers is simplified (a fleet of nine, no lost messages).

Class of fault: state that must outlive a process was kept with it.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -271,6 +271,7 @@
             connector.observed_peers()
         )
         self.peers.on_down = self.dispatcher.remove_owner
+        self.peers.on_lost = self.streams.holder_lost
         self.peers.on_up = self.dispatcher.restore_owner
         self._register_handlers(peer_sync)
         await nursery.start(
@@ -457,6 +458,7 @@
         self.dispatcher.stopping = True
         self.dispatcher.hand_over()
         self.peers.send_to_all(self._make_heartbeat())
+        self.streams.hand_over()
         grace_ms = self.settings.bounds.stop_grace_ms - STOP_MARGIN_MS
         with trio.move_on_after(to_s(grace_ms)):
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -123,6 +123,8 @@
         self.on_down: Callable[[InstanceId], None] = lambda peer: None
         self.on_up: Callable[[InstanceId, float], None] = lambda peer, uptime_ms: None
         """Called with the uptime of a peer that had seemed to be down."""
+        self.on_lost: Callable[[InstanceId], None] = lambda peer: None
+        """Called when a peer goes down, stops or has started anew."""
         self.required_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
         """Returns the peers that get heartbeats often in a large fleet."""
         self.standby_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
@@ -165,15 +167,19 @@
         for instance in self._peers.keys() - listed.keys():
             self._on_change("peer_removed", peer=instance)
             self._cancel_calls(self._peers.pop(instance))
+        restarted = []
         for instance, record in listed.items():
             known = self._peers.get(instance)
             if known is None or known.record != record:
                 if known is not None:
                     self._cancel_calls(known)
+                    restarted.append(instance)
                 self._peers[instance] = self._new_peer(record)
                 address = PeerAddress(record.host, record.port)
                 self._network.add_addresses({instance: address})
                 self._on_change("peer_listed", peer=instance, host=record.host)
+        for instance in restarted:
+            self.on_lost(instance)
 
     def _new_peer(self, record: PeerRecord) -> Peer:
         """Return the initial state of a peer.
@@ -304,6 +310,7 @@
             peer.stopping = True
             self._ranks.clear()
             self._on_change("peer_stopping", peer=instance)
+            self.on_lost(instance)
 
     def record_heartbeat(self, instance: InstanceId, heartbeat: Heartbeat) -> None:
         """Update a peer from its heartbeat."""
@@ -472,6 +479,7 @@
             self._on_change("peer_down", peer=instance, reason=reason)
             self._cancel_calls(peer)
             self.on_down(instance)
+            self.on_lost(instance)
 
     def _cancel_calls(self, peer: Peer) -> None:
         """Fail the pending calls to a peer."""
--- a/src/acaciapier/gateway/software_versions.py
+++ b/src/acaciapier/gateway/software_versions.py
@@ -6,6 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from itertools import islice
 from typing import NamedTuple
 
 from ..core.clock import Clock, to_s
@@ -129,5 +130,14 @@
         oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
         return stream if added_s >= oldest_s else None
 
+    def latest(self, limit: int) -> list[BegunStream]:
+        """Return up to `limit` streams, those that were added last first."""
+        oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
+        return [
+            stream
+            for added_s, stream in islice(reversed(self._streams.values()), limit)
+            if added_s >= oldest_s
+        ]
+
     def _oldest_s(self) -> float:
         return next(iter(self._streams.values()))[0]
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -53,6 +53,13 @@
 CALL_TIMEOUT_MS = 1_000.0
 """Timeout of a copy that is made while the stream already goes on."""
 
+MAX_COPIED_STREAMS = 10_000
+"""Maximum number of records that are copied when a holder is lost, the latest first;
+about 2 MB."""
+
+COPY_BATCH = 200
+"""Records in one message."""
+
 UNKNOWN_RETRY_MS = 1_000.0
 """Retry delay if a version is unknown: by then an instance that was unresponsive
 answers again, or is known to be down."""
@@ -114,6 +121,7 @@
         self._streams = BegunStreams(clock)
         """Those that this instance forwards, and those that it holds for others."""
         self._mixed: set[ServiceName] = set()
+        self._stopping = False
 
     async def record(self, stream: BegunStream) -> None:
         """Record a stream before its first event is forwarded.
@@ -143,12 +151,24 @@
         self._log("stream_version_not_shared", request=stream.attempt)
 
     def invalidate(self, stream: BegunStream) -> None:
-        """Withdraw a version that was recorded for an attempt and may be wrong."""
+        """Withdraw a version that was recorded for an attempt and may be wrong.
+
+        Any of the instances may hold it, as copies are made when one is lost.
+        """
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
         self._streams.add(unknown)
-        for holder in self._holders(stream.attempt)[:COPIES]:
+        for holder in self._candidates():
             self._peers.send(holder, StreamsBegun((StreamEntry(*unknown),)))
 
+    def hand_over(self) -> None:
+        """Copy all records to instances that remain, since this one stops."""
+        self._stopping = True
+        self._tasks.start_soon(self._copy_records, None)
+
+    def holder_lost(self, instance: InstanceId) -> None:
+        """Replace the copies at an instance that is down, stops or has started anew."""
+        self._tasks.start_soon(self._copy_records, instance)
+
     async def find(
         self,
         workspace: str,
@@ -238,16 +258,47 @@
 
     def _candidates(self) -> list[InstanceId]:
         """Return the other instances that may hold records."""
-        ranked = self._peers.rank(RANK_KEY, True)[:MAX_HOLDERS]
+        ranked = self._peers.rank(RANK_KEY, not self._stopping)[:MAX_HOLDERS]
         return [instance for instance in ranked if instance != self._peers.own]
 
     def _holders(self, attempt: AttemptId) -> list[InstanceId]:
         """Return the instances that should hold an attempt's record, best first."""
-        return sorted(
-            self._candidates(),
-            key=lambda instance: rendezvous_rank(attempt, instance),
-            reverse=True,
-        )
+        return _ranked(attempt, self._candidates())
+
+    async def _copy_records(self, lost: InstanceId | None) -> None:
+        """Copy the latest records to the instances that now should hold them.
+
+        Parameters
+        ----------
+        lost : InstanceId or None
+            The instance whose copies are replaced; None if those here are handed over.
+        """
+        candidates = self._candidates()
+        copied = 0
+        latest = self._streams.latest(MAX_COPIED_STREAMS)
+        for start in range(0, len(latest), COPY_BATCH):
+            entries: dict[InstanceId, list[StreamEntry]] = {}
+            for stream in latest[start : start + COPY_BATCH]:
+                for holder in _new_holders(stream.attempt, candidates, lost):
+                    entries.setdefault(holder, []).append(StreamEntry(*stream))
+            for holder, copies in entries.items():
+                copied += len(copies)
+                message = StreamsBegun(tuple(copies))
+                self._tasks.start_soon(self._send_copies, holder, message)
+            await trio.lowlevel.checkpoint()
+        if copied:
+            self._log("stream_versions_copied", lost=lost, copies=copied)
+
+    async def _send_copies(self, holder: InstanceId, message: StreamsBegun) -> None:
+        try:
+            await self._peers.call(holder, message, CALL_TIMEOUT_MS)
+        except PeerUnavailable as error:
+            self._log(
+                "stream_version_not_held",
+                peer=holder,
+                reason=str(error),
+                copies=len(message.streams),
+            )
 
     async def _share(
         self, stream: BegunStream, candidates: Iterator[InstanceId], held: trio.Event
@@ -342,6 +393,39 @@
         )
 
 
+def _ranked(attempt: AttemptId, instances: Iterable[InstanceId]) -> list[InstanceId]:
+    """Return the instances in the order in which they should hold a record."""
+    return sorted(
+        instances,
+        key=lambda instance: rendezvous_rank(attempt, instance),
+        reverse=True,
+    )
+
+
+def _new_holders(
+    attempt: AttemptId, candidates: list[InstanceId], lost: InstanceId | None
+) -> list[InstanceId]:
+    """Return the instances that get a copy of an attempt's record.
+
+    Parameters
+    ----------
+    attempt : AttemptId
+        The attempt.
+    candidates : list of InstanceId
+        Instances that may hold records now.
+    lost : InstanceId or None
+        The instance that lost its copies; None if all holders get one.
+    """
+    holders = _ranked(attempt, candidates)[:COPIES]
+    if lost is None:
+        return holders
+    if lost in candidates:  # It has started anew.
+        return [holder for holder in holders if holder == lost]
+    # One more, as an instance that has become a candidate lately ranks among them.
+    former = _ranked(attempt, [*candidates, lost])[: COPIES + 1]
+    return holders if lost in former else []
+
+
 def _from_entry(entry: StreamEntry) -> BegunStream:
     return BegunStream(
         AttemptId(entry.attempt),
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -105,6 +105,28 @@
     assert [versions for versions in chains if len(versions) > 1] == []
 
 
+async def test_a_stream_goes_on_when_all_instances_that_knew_it_have_stopped():
+    async with deployment(gateways=3) as world:
+        await mix_versions(world)
+        await take_one_event(world, "first", 0)
+        later = await world.add_gateway()
+        for gateway in world.gateways:
+            await world.until(lambda gateway=gateway: gateway.peers.live_count == 4)
+        for gateway in world.gateways[:3]:
+            gateway.app.stop()
+        await world.until(lambda: later.peers.live_count == 1, 15.0)
+        answer = await world.caller(3).request(
+            "POST",
+            "/mail/1",
+            b"{}",
+            Attempt_Id="later",
+            Resumes="first",
+            Last_Event_Id="1",
+        )
+        assert (answer.status, answer.complete) == (200, True)
+        assert version_of(world, "later") == version_of(world, "first")
+
+
 @pytest.mark.parametrize(
     "headers", [{}, {"Resumes": "never-seen"}], ids=["unnamed", "never_seen"]
 )
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -34,6 +34,8 @@
 """Share of the streams whose instance ends after their first event."""
 MODEL = ServiceName("model")
 DOWN_HEARTBEAT_S = 0.5
+LISTED_S = 0.1
+STOP_S = 2.5
 LIFE_MS = 2_000.0
 """Longest time for which these callers resume a stream."""
 
@@ -117,6 +119,7 @@
     records_class: type[StreamRecords] = StreamRecords
     nodes: dict[str, Node] = field(default_factory=dict)
     killed_s: dict[str, float] = field(default_factory=dict)
+    stopping: set[str] = field(default_factory=set)
     versions: tuple[str, ...] = ("v1",)
     names: list[InstanceId] = field(default_factory=lambda: NAMES)
     """Instances that the store lists."""
@@ -151,12 +154,31 @@
         )
         self.nodes[name] = node
         self.publish([node])
+        if name in self.killed_s:
+            self.nursery.start_soon(self.notice_lost, name, LISTED_S)
 
     def kill(self, name: str) -> None:
         """End an instance; peers notice it after two heartbeats."""
         del self.nodes[name]
         self.kills += 1
+        self.stopping.discard(name)
         self.killed_s[name] = trio.current_time()
+        self.nursery.start_soon(self.notice_lost, name, DOWN_HEARTBEAT_S)
+
+    async def stop(self, name: str) -> None:
+        """End an instance after it has announced that."""
+        self.stopping.add(name)
+        self.nodes[name].records.hand_over()
+        self.nursery.start_soon(self.notice_lost, name, 0.0)
+        await trio.sleep(STOP_S)
+        self.kill(name)
+
+    async def notice_lost(self, name: str, after_s: float) -> None:
+        """Let the others notice that an instance stops, ended or started anew."""
+        await trio.sleep(after_s)
+        for node in self.nodes.values():
+            if node.name != name:
+                node.records.holder_lost(InstanceId(name))
 
     async def publish_later(self, delays_s: dict[str, float]) -> None:
         """Let each instance read the store a while after a change of it."""
@@ -200,7 +222,9 @@
 
     def rank(self, key: str, own_usable: bool) -> list[InstanceId]:
         """Return the instances that are up, ranked by hash."""
-        names = [*self.up_instances(), self.own]
+        names = [n for n in self.up_instances() if n not in self.fleet.stopping]
+        if own_usable:
+            names.append(self.own)
         return sorted(names, key=lambda name: rendezvous_rank(key, name), reverse=True)
 
     def send(self, instance: InstanceId, message) -> None:
@@ -492,7 +516,7 @@
                     known += 1
                 with pytest.raises(Refused, match="software_version_unknown"):
                     await node.records.find("", AttemptId("a"), [MODEL])
-            assert known == 1 + stream_records.COPIES
+            assert known == len(fleet.nodes)
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
