Keep the records of streams for as long as callers resume them

What callers could see: on routes with timeouts over 30 s, a stream that broke or was resumed later than 60 s after its first event was refused; so was a later try that named an attempt older than that, and a version whose last worker had left over 60 s before did not keep another one from being concluded.

Hypothesis: records and former versions are kept for 60 s whatever the route's timeout, and an attempt that a later try names again is not renewed.

Change: two timeouts of the route, at least 60 s and at most 10 minutes, for records and for former versions. A caller's try renews the record of the attempt that it names. A response ends at the route's timeout, so this covers streams that still run; no renewal while forwarding is needed.

Class of fault: a bound taken from one deployment's usual times.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -39,9 +39,6 @@
 DEFAULT_DEADLINE_MS = 30_000.0
 """Deadline of a request without one: twice the longest in the users' specifications."""
 
-RESUMED_WITHIN_TIMEOUTS = 2.0
-"""Time for which callers resume a stream, in timeouts of its route."""
-
 MIN_RETRY_AFTER_S = 0.2
 """Minimum Retry-After of a refused request."""
 
@@ -313,7 +310,7 @@
             state.workspace or "",
             resumption.attempt,
             [service for service, _ in state.route.services],
-            RESUMED_WITHIN_TIMEOUTS * state.route.timeout_ms,
+            state.resumed_within_ms,
         )
         stream = found.stream
         state.service = stream.service
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -32,6 +32,9 @@
 """The same as multiples of the route's objective and of its longest event gap. The
 longest of the three times applies."""
 
+RESUMED_WITHIN_TIMEOUTS = 2.0
+"""Time for which callers resume a stream, in timeouts of its route."""
+
 
 def abandon_after_ms(route: RouteRule, deadline_ms: float) -> float:
     """Return the time after which a caller abandons a request without a response."""
@@ -92,6 +95,11 @@
             self.software_version or SoftwareVersion(""),
         )
 
+    @property
+    def resumed_within_ms(self) -> float:
+        """Longest time for which callers resume a stream of the route."""
+        return RESUMED_WITHIN_TIMEOUTS * self.route.timeout_ms
+
     @property
     def value(self) -> float:
         """Value of a response within its objective, relative to others of its route."""
--- a/src/acaciapier/gateway/software_versions.py
+++ b/src/acaciapier/gateway/software_versions.py
@@ -14,7 +14,11 @@
 
 RETENTION_MS = 60_000.0
 """Time for which a version counts as serving after its last worker was removed, and
-for which the version of a stream is kept: twice the default deadline of a request."""
+least time for which the version of a stream is kept: twice the default deadline of a
+request."""
+
+MAX_RETENTION_MS = 600_000.0
+"""Longest such times, for routes with long timeouts."""
 
 UNKNOWN_VERSION = SoftwareVersion("\x00unknown")
 """Version of a stream that no worker may resume; no worker has it."""
@@ -69,14 +73,16 @@
         for removed in self._listed - listed:
             self._removed_s[removed] = now_s
         self._listed = listed
-        oldest_s = now_s - to_s(RETENTION_MS)
+        oldest_s = now_s - to_s(MAX_RETENTION_MS)
         for version, removed_s in list(self._removed_s.items()):
             if version in listed or removed_s < oldest_s:
                 del self._removed_s[version]
 
-    def of(self, service: str) -> frozenset[SoftwareVersion]:
-        """Return the versions whose workers serve a service, or did lately."""
-        oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
+    def of(
+        self, service: str, within_ms: float = RETENTION_MS
+    ) -> frozenset[SoftwareVersion]:
+        """Return the versions whose workers serve a service, or did within a time."""
+        oldest_s = self._clock.monotonic_s() - to_s(within_ms)
         lately = {
             version
             for version, removed_s in self._removed_s.items()
@@ -103,41 +109,44 @@
         self._streams: OrderedDict[tuple[str, AttemptId], tuple[float, BegunStream]] = (
             OrderedDict()
         )
-        """Time and stream by workspace and attempt, oldest first."""
+        """Expiry and stream by workspace and attempt, those added last at the end."""
 
     def __len__(self) -> int:
         return len(self._streams)
 
-    def add(self, stream: BegunStream) -> None:
-        """Add a stream, and remove those that are too old or too many.
+    def add(self, stream: BegunStream, keep_ms: float = RETENTION_MS) -> None:
+        """Add a stream, and remove those that have expired or are too many.
 
         The version of an attempt that is added with two versions is unknown.
         """
         key = stream.workspace, stream.attempt
         now_s = self._clock.monotonic_s()
-        _, known = self._streams.pop(key, (now_s, stream))
-        if known != stream:
+        known_until_s, known = self._streams.pop(key, (now_s, stream))
+        if known_until_s >= now_s and known != stream:
             stream = stream._replace(software_version=UNKNOWN_VERSION)
-        self._streams[key] = now_s, stream
-        while len(self._streams) > MAX_STREAMS or self._oldest_s() < now_s - to_s(
-            RETENTION_MS
-        ):
+        until_s = now_s + to_s(min(keep_ms, MAX_RETENTION_MS))
+        self._streams[key] = max(until_s, known_until_s), stream
+        while len(self._streams) > MAX_STREAMS or self._first_until_s() < now_s:
             self._streams.popitem(last=False)
 
     def find(self, workspace: str, attempt: AttemptId) -> BegunStream | None:
-        """Return the stream of an attempt, if it was added lately."""
-        added_s, stream = self._streams.get((workspace, attempt), (0.0, None))
-        oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
-        return stream if added_s >= oldest_s else None
+        """Return the stream of an attempt, if it has not expired."""
+        until_s, stream = self._streams.get((workspace, attempt), (0.0, None))
+        return stream if until_s >= self._clock.monotonic_s() else None
+
+    def left_ms(self, stream: BegunStream) -> float:
+        """Return the time until the record of a stream expires."""
+        until_s, _ = self._streams.get((stream.workspace, stream.attempt), (0.0, None))
+        return max(0.0, (until_s - self._clock.monotonic_s()) * 1_000.0)
 
     def latest(self, limit: int) -> list[BegunStream]:
         """Return up to `limit` streams, those that were added last first."""
-        oldest_s = self._clock.monotonic_s() - to_s(RETENTION_MS)
+        now_s = self._clock.monotonic_s()
         return [
             stream
-            for added_s, stream in islice(reversed(self._streams.values()), limit)
-            if added_s >= oldest_s
+            for until_s, stream in islice(reversed(self._streams.values()), limit)
+            if until_s >= now_s
         ]
 
-    def _oldest_s(self) -> float:
+    def _first_until_s(self) -> float:
         return next(iter(self._streams.values()))[0]
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -25,6 +25,7 @@
 from .models import AttemptId, ServiceName, SoftwareVersion
 from .peers import Peers
 from .software_versions import (
+    MAX_RETENTION_MS,
     RETENTION_MS,
     UNKNOWN_VERSION,
     BegunStream,
@@ -123,19 +124,26 @@
         self._mixed: set[ServiceName] = set()
         self._stopping = False
 
-    async def record(self, stream: BegunStream) -> None:
+    async def record(self, stream: BegunStream, life_ms: float = RETENTION_MS) -> None:
         """Record a stream before its first event is forwarded.
 
         Waits for another instance to hold the record only while several versions
         serve, and for a bounded time. A version that is not found is not guessed.
+
+        Parameters
+        ----------
+        stream : BegunStream
+            The stream.
+        life_ms : float, optional
+            Longest time for which its caller resumes it.
         """
         if not 0 < len(stream.attempt) <= MAX_ATTEMPT_CHARS:
             return  # A caller cannot name it later.
-        self._streams.add(stream)
+        self._streams.add(stream, max(RETENTION_MS, life_ms))
         holders = self._holders(stream.attempt)
         several = len(self._serving.of(stream.service)) > 1
         if not several and self._list_is_current():
-            message = StreamsBegun((StreamEntry(*stream),))
+            message = StreamsBegun((self._entry(stream),))
             for holder in holders[:COPIES]:
                 self._peers.send(holder, message)
             return
@@ -151,14 +159,11 @@
         self._log("stream_version_not_shared", request=stream.attempt)
 
     def invalidate(self, stream: BegunStream) -> None:
-        """Withdraw a version that was recorded for an attempt and may be wrong.
-
-        Any of the instances may hold it, as copies are made when one is lost.
-        """
+        """Withdraw a version that was recorded for an attempt and may be wrong."""
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
         self._streams.add(unknown)
-        for holder in self._candidates():
-            self._peers.send(holder, StreamsBegun((StreamEntry(*unknown),)))
+        for instance in self._possible_holders():
+            self._peers.send(instance, StreamsBegun((self._entry(unknown),)))
 
     def hand_over(self) -> None:
         """Copy all records to instances that remain, since this one stops."""
@@ -196,15 +201,15 @@
         """
         stream = self._streams.find(workspace, attempt) if attempt else None
         answers: list[StreamFound] = []
-        entries: set[StreamEntry] = set()
+        known: set[BegunStream] = set()
         if stream is None:
-            answers = await self._ask(workspace, attempt, services)
-            entries = {answer.stream for answer in answers if answer.stream is not None}
-            if len(entries) == 1:
-                stream = _from_entry(*entries)
+            answers = await self._ask(workspace, attempt, services, life_ms)
+            known = {_from_entry(answer.stream) for answer in answers if answer.stream}
+            if len(known) == 1:
+                (stream,) = known
         recorded = stream is not None
         concluded = None
-        if not recorded and not entries and len(services) == 1:
+        if not recorded and not known and len(services) == 1:
             concluded = self._conclude(
                 workspace, attempt, services[0], answers, life_ms
             )
@@ -220,6 +225,9 @@
             raise Refused("software_version_unknown", UNKNOWN_RETRY_MS)
         if stream.service not in services:
             raise Refused("service_changed", UNKNOWN_RETRY_MS)
+        if recorded:
+            # A later try may name the same attempt.
+            self._streams.add(stream, max(RETENTION_MS, life_ms))
         return concluded or FoundStream(stream, recorded)
 
     def workers_changed(self) -> None:
@@ -239,7 +247,7 @@
     async def handle_begun(self, peer: InstanceId, message: StreamsBegun) -> None:
         """Keep the records of a peer."""
         for entry in message.streams:
-            self._streams.add(_from_entry(entry))
+            self._streams.add(_from_entry(entry), entry.keep_ms or RETENTION_MS)
 
     async def answer_find(self, peer: InstanceId, message: FindStream) -> StreamFound:
         """Return the record of an attempt, if there is one here."""
@@ -247,14 +255,29 @@
         if message.attempt:
             attempt = AttemptId(message.attempt)
             stream = self._streams.find(message.workspace, attempt)
+        within_ms = min(max(RETENTION_MS, message.within_ms), MAX_RETENTION_MS)
         versions = tuple(
-            ServiceVersions(service, tuple(sorted(self._serving.of(service))))
+            ServiceVersions(
+                service, tuple(sorted(self._serving.of(service, within_ms)))
+            )
             for service in message.services
         )
-        entry = None if stream is None else StreamEntry(*stream)
+        entry = None if stream is None else self._entry(stream)
         known_ms = self._serving.known_ms
         current = known_ms > 0 and self._list_is_current()
-        return StreamFound(entry, versions, current, known_ms)
+        return StreamFound(entry, versions, current, known_ms, within_ms)
+
+    def _entry(self, stream: BegunStream) -> StreamEntry:
+        """Return the record of a stream as it is sent to peers."""
+        return StreamEntry(*stream, self._streams.left_ms(stream))
+
+    def _possible_holders(self) -> set[InstanceId]:
+        """Return the other instances that may have the record of any stream."""
+        instances = set(self._candidates()) | set(self._followers())
+        if not self._peers.large_fleet:
+            instances.update(self._peers.up_instances())
+        instances.discard(self._peers.own)
+        return instances
 
     def _candidates(self) -> list[InstanceId]:
         """Return the other instances that may hold records."""
@@ -280,7 +303,7 @@
             entries: dict[InstanceId, list[StreamEntry]] = {}
             for stream in latest[start : start + COPY_BATCH]:
                 for holder in _new_holders(stream.attempt, candidates, lost):
-                    entries.setdefault(holder, []).append(StreamEntry(*stream))
+                    entries.setdefault(holder, []).append(self._entry(stream))
             for holder, copies in entries.items():
                 copied += len(copies)
                 message = StreamsBegun(tuple(copies))
@@ -304,7 +327,7 @@
         self, stream: BegunStream, candidates: Iterator[InstanceId], held: trio.Event
     ) -> None:
         """Make one copy of a record, at the first candidate that takes it."""
-        message = StreamsBegun((StreamEntry(*stream),))
+        message = StreamsBegun((self._entry(stream),))
         for instance in candidates:
             try:
                 await self._peers.call(instance, message, CALL_TIMEOUT_MS)
@@ -320,17 +343,17 @@
             return
 
     async def _ask(
-        self, workspace: str, attempt: AttemptId | None, services: list[ServiceName]
+        self,
+        workspace: str,
+        attempt: AttemptId | None,
+        services: list[ServiceName],
+        life_ms: float,
     ) -> list[StreamFound]:
         """Ask the other instances for the record of an attempt.
 
         Return all answers, or those that came before an answer with the record.
         """
-        asked = set(self._candidates()) | set(self._followers())
-        if not self._peers.large_fleet:
-            asked.update(self._peers.up_instances())
-        asked.discard(self._peers.own)
-        message = FindStream(attempt or "", workspace, tuple(services))
+        message = FindStream(attempt or "", workspace, tuple(services), life_ms)
         answers: list[StreamFound] = []
 
         async def ask(instance: InstanceId) -> None:
@@ -350,7 +373,7 @@
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for instance in asked:
+            for instance in self._possible_holders():
                 nursery.start_soon(ask, instance)
         return answers
 
@@ -369,8 +392,13 @@
         the store or, if no list is, be among those of most instances.
         """
         own_ms = self._serving.known_ms
-        lists = [(answer.known_ms, answer.current) for answer in answers]
-        lists.append((own_ms, own_ms > 0 and self._list_is_current()))
+        lists = [
+            (min(answer.known_ms, answer.within_ms), answer.current)
+            for answer in answers
+        ]
+        lists.append(
+            (min(own_ms, MAX_RETENTION_MS), own_ms > 0 and self._list_is_current())
+        )
         current_ms = [known_ms for known_ms, current in lists if current]
         most = 2 * len(lists) > 1 + len(self._peers.records)
         if not most and not (answers and current_ms):
@@ -378,7 +406,7 @@
         known_ms = max(current_ms or [known_ms for known_ms, _ in lists])
         if known_ms < life_ms:
             return None
-        versions = set(self._serving.of(service))
+        versions = set(self._serving.of(service, max(RETENTION_MS, life_ms)))
         for answer in answers:
             for listed in answer.versions:
                 if listed.service == service:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -418,7 +418,7 @@
         if state.version_recorded or not state.route.resumable:
             return
         state.version_recorded = True
-        await self._streams.record(state.begun_stream)
+        await self._streams.record(state.begun_stream, state.resumed_within_ms)
 
     def _head_timeout_s(self, state: RequestState) -> float:
         """Return the timeout for the response head; infinite if no retry is allowed."""
--- a/src/acaciapier/wire/messages/streams.py
+++ b/src/acaciapier/wire/messages/streams.py
@@ -12,6 +12,8 @@
     workspace: str
     service: str
     software_version: str
+    keep_ms: float = 0.0
+    """For how long the record is kept; 0 if the sender leaves that to the receiver."""
 
 
 class StreamsBegun(Message, frozen=True):
@@ -27,6 +29,9 @@
     """Empty if the caller named none."""
     workspace: str
     services: tuple[str, ...]
+    within_ms: float = 0.0
+    """For how long a version counts after its last worker was removed; 0 leaves that to
+    the receiver."""
 
 
 class ServiceVersions(msgspec.Struct, frozen=True, array_like=True):
@@ -45,3 +50,5 @@
     """Whether the instance reads the list of workers from the store at present."""
     known_ms: float
     """For how long it has known a list of workers."""
+    within_ms: float = 60_000.0
+    """For how long versions count after their last worker was removed."""
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from acaciapier.gateway import relay
+from acaciapier.gateway import request_state
 from acaciapier.gateway.models import AttemptId, ServiceName
 from acaciapier.gateway.software_versions import BegunStream
 from acaciapier_standins.platform.example import ROUTES
@@ -149,7 +149,7 @@
     headers, lately_started, monkeypatch
 ):
     if not lately_started:
-        monkeypatch.setattr(relay, "RESUMED_WITHIN_TIMEOUTS", 0.0)
+        monkeypatch.setattr(request_state, "RESUMED_WITHIN_TIMEOUTS", 0.0)
     async with deployment(gateways=2) as world:
         answer = await world.caller().request(
             "POST", "/mail/1", b"{}", Attempt_Id="a", Last_Event_Id="1", **headers
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -391,7 +391,7 @@
 class ConcludesAlone(StreamRecords):
     """Concludes from its own list of workers what it has no record of."""
 
-    async def _ask(self, workspace, attempt, services):
+    async def _ask(self, workspace, attempt, services, life_ms):
         return []
 
     def _conclude(self, workspace, attempt, service, answers, life_ms):
@@ -411,7 +411,7 @@
 class SharesLate(StreamRecords):
     """Shares the record of a stream after its first event."""
 
-    async def record(self, stream):
+    async def record(self, stream, life_ms=software_versions.RETENTION_MS):
         """Share the record a second later."""
         self._tasks.start_soon(self._record_late, stream)
 
@@ -423,7 +423,7 @@
 class ForgetsTheLaterTry(StreamRecords):
     """Records only the first attempt of a chain."""
 
-    async def record(self, stream):
+    async def record(self, stream, life_ms=software_versions.RETENTION_MS):
         """Ignore later tries."""
         if "." not in stream.attempt:
             await super().record(stream)
