Use no worker whose entry has no software version

What callers could see: an entry without `version` was read as one of the version "", so such a worker got requests, and streams of two of them counted as one version.

Hypothesis: PROTOCOL.md, "Service discovery", lists `version` among the fields of an entry, and says that an entry with missing fields, or fields of another type, names no worker to use; the decoder had a default. An entry with a version of another type was rejected already.

Evidence: on the former code an entry without a version was accepted (test_a_malformed_worker_entry_is_rejected, and test_an_entry_without_a_version_names_no_worker), and a worker with such an entry got requests of a real instance.

Change: the field is required.

Tests: the former test expected "" for an entry without a version, which the page rules out; it now expects the rejection.

Left as they are: `slots` and `cold_left_ms` have defaults, too, although the page lists them (no stream is mixed by that); a change that makes the entry of a known worker malformed leaves that worker in use until the next full list.

Class of fault: a default in place of a missing field.

--- a/src/acaciapier/platform/workers.py
+++ b/src/acaciapier/platform/workers.py
@@ -17,9 +17,9 @@
     addr: str
     zone: str
     state: WorkerState
+    version: str
     slots: int = 1
     cold_left_ms: float = 0.0
-    version: str = ""
     # Unix time of the worker's start in ms, which identifies its incarnation.
     born: int = 0
 
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -26,9 +26,34 @@
 
 def test_the_version_of_a_worker_is_decoded():
     assert decode_worker("w", ENTRY | {"version": "v7"}).software_version == "v7"
-    assert decode_worker("w", ENTRY).software_version == ""
+
+
+@pytest.mark.parametrize("fields", [{}, {"version": 7}, {"version": None}])
+def test_an_entry_without_a_version_names_no_worker(fields):
     with pytest.raises(ValueError, match="malformed"):
-        decode_worker("w", ENTRY | {"version": 7})
+        decode_worker("w", ENTRY | fields)
+
+
+async def test_a_worker_whose_entry_has_no_version_gets_no_request():
+    async with deployment() as world:
+        catalogue = world.gateways[0].catalogue
+        address = world.platform.workers["model-2"].address
+        world.platform.deregister("model-2")
+        await world.until(lambda: names_of(catalogue) == {"model-1"})
+        world.platform.store.put("servers", "model-3", ENTRY | {"addr": address})
+        await world.platform.add_worker("model-4", "model", kind="stream")
+        await world.until(lambda: "model-4" in names_of(catalogue))
+        world.platform.deregister("model-4")
+        await world.until(lambda: names_of(catalogue) == {"model-1"})
+        for number in range(8):
+            attempt = f"a{number}"
+            await world.caller().request("POST", "/mail/1", b"{}", Attempt_Id=attempt)
+            (run,) = world.platform.run_log.runs_of(attempt)
+            assert run.worker == "model-1"
+
+
+def names_of(catalogue) -> set[str]:
+    return {worker.id for worker in catalogue.workers_of(ServiceName("model"))}
 
 
 def test_a_peer_of_an_earlier_release_names_no_version():
