Treat the version of a worker that nobody named as unknown

What callers could see: an instance that had its list of workers from an instance of an early release, which hands on no versions, took all of them for one version "": it resumed streams at any of them, recorded "" for streams, and concluded it.

Hypothesis: "" stands for a missing version in WorkerEntry, but is compared like a version everywhere.

Change: a stream that such a worker begins has an unknown version, which is recorded as such, and nothing is concluded where such workers are listed. They go on serving new streams (tested).

Class of fault: a default value taken for knowledge.

--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -411,7 +411,7 @@
             for listed in answer.versions:
                 if listed.service == service:
                     versions.update(map(SoftwareVersion, listed.software_versions))
-        if len(versions) != 1:
+        if len(versions) != 1 or "" in versions:
             return None
         return FoundStream(
             BegunStream(attempt or AttemptId(""), workspace, service, versions.pop()),
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -414,7 +414,8 @@
 
     async def _record_version(self, state: RequestState, worker: Worker) -> None:
         """Record the version of a stream before its first event is forwarded."""
-        state.software_version = SoftwareVersion(worker.software_version)
+        known = SoftwareVersion(worker.software_version)
+        state.software_version = known or UNKNOWN_VERSION
         if state.version_recorded or not state.route.resumable:
             return
         state.version_recorded = True
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from acaciapier.core.clock import ManualClock
+from acaciapier.gateway import request_state
 from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch import dispatch_client
 from acaciapier.gateway.dispatch.dispatcher import Dispatcher
@@ -206,3 +207,58 @@
         await trio.testing.wait_all_tasks_blocked()
         assert answers[1].cause == "no_worker"
         nursery.cancel_scope.cancel()
+
+
+async def list_without_versions(world) -> None:
+    """Let an instance know its workers only from a peer of an earlier release."""
+    catalogue = world.gateways[0].catalogue
+    position = catalogue.workers_position
+    position = position._replace(revision=position.revision + 1_000)
+    unversioned = [
+        msgspec.structs.replace(known, software_version="")
+        for known in catalogue.workers.values()
+    ]
+    catalogue.workers.clear()
+    catalogue.update_workers(position, unversioned, "peer e2")
+    assert {known.software_version for known in catalogue.workers.values()} == {""}
+
+
+async def test_a_stream_of_a_worker_without_a_known_version_goes_on_nowhere():
+    async with deployment() as world:
+        await list_without_versions(world)
+        for name in ("model-1", "model-2"):
+            world.platform.workers[name].faults.pause_s = 0.3
+        caller = world.caller()
+        await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        await world.until(lambda: world.platform.run_log.runs_of("a1"))
+        await trio.sleep(0.1)
+        world.platform.crash(world.platform.run_log.runs_of("a1")[0].worker)
+        answer = await caller.receive()
+        assert EVENTS.startswith(answer.body)
+        assert answer.body
+        assert not answer.complete
+        assert len(world.platform.run_log.runs_of("a1")) == 1
+        answer = await world.caller().request(
+            "POST", "/mail/1", b"{}", Attempt_Id="a2", Resumes="a1", Last_Event_Id="1"
+        )
+        assert answer.status == 503
+        assert not world.platform.run_log.runs_of("a2")
+
+
+async def test_a_stream_of_a_worker_without_a_known_version_is_served():
+    async with deployment() as world:
+        await list_without_versions(world)
+        answer = await world.caller().request("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        assert (answer.status, answer.body, answer.complete) == (200, EVENTS, True)
+
+
+async def test_no_version_is_concluded_from_workers_without_a_known_one(monkeypatch):
+    monkeypatch.setattr(request_state, "RESUMED_WITHIN_TIMEOUTS", 0.0)
+    async with deployment() as world:
+        await list_without_versions(world)
+        world.gateways[0].catalogue.serving._removed_s.clear()
+        answer = await world.caller().request(
+            "POST", "/mail/1", b"{}", Attempt_Id="a1", Last_Event_Id="1"
+        )
+        assert answer.status == 503
+        assert not world.platform.run_log.runs_of("a1")
