--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -25,6 +25,7 @@
 from .models import AttemptId, ServiceName, SoftwareVersion
 from .peers import Peers
 from .software_versions import (
+    MAX_RETENTION_MS,
     RETENTION_MS,
     UNKNOWN_VERSION,
     BegunStream,
@@ -53,6 +54,13 @@
 CALL_TIMEOUT_MS = 1_000.0
 """Timeout of a copy that is made while the stream already goes on."""
 
+MAX_COPIED_STREAMS = 10_000
+"""Maximum number of records that are copied when a holder is lost, the latest first;
+about 2 MB."""
+
+COPY_BATCH = 200
+"""Records in one message."""
+
 UNKNOWN_RETRY_MS = 1_000.0
 """Retry delay if a version is unknown: by then an instance that was unresponsive
 answers again, or is known to be down."""
@@ -68,6 +76,10 @@
     stream: BegunStream
     recorded: bool
     """False if its version was concluded, since only one can have begun it."""
+    concluded_from: str | None = None
+    """``current_list`` or ``most_lists``; None if its version was recorded."""
+    known_ms: float | None = None
+    """For how long the list of workers from which it was concluded has been known."""
 
 
 class StreamRecords:
@@ -110,20 +122,28 @@
         self._streams = BegunStreams(clock)
         """Those that this instance forwards, and those that it holds for others."""
         self._mixed: set[ServiceName] = set()
+        self._stopping = False
 
-    async def record(self, stream: BegunStream) -> None:
+    async def record(self, stream: BegunStream, life_ms: float = RETENTION_MS) -> None:
         """Record a stream before its first event is forwarded.
 
         Waits for another instance to hold the record only while several versions
         serve, and for a bounded time. A version that is not found is not guessed.
+
+        Parameters
+        ----------
+        stream : BegunStream
+            The stream.
+        life_ms : float, optional
+            Longest time for which its caller resumes it.
         """
         if not 0 < len(stream.attempt) <= MAX_ATTEMPT_CHARS:
             return  # A caller cannot name it later.
-        self._streams.add(stream)
+        self._streams.add(stream, max(RETENTION_MS, life_ms))
         holders = self._holders(stream.attempt)
         several = len(self._serving.of(stream.service)) > 1
         if not several and self._list_is_current():
-            message = StreamsBegun((StreamEntry(*stream),))
+            message = StreamsBegun((self._entry(stream),))
             for holder in holders[:COPIES]:
                 self._peers.send(holder, message)
             return
@@ -142,8 +162,17 @@
         """Withdraw a version that was recorded for an attempt and may be wrong."""
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
         self._streams.add(unknown)
-        for holder in self._holders(stream.attempt)[:COPIES]:
-            self._peers.send(holder, StreamsBegun((StreamEntry(*unknown),)))
+        for instance in self._possible_holders():
+            self._peers.send(instance, StreamsBegun((self._entry(unknown),)))
+
+    def hand_over(self) -> None:
+        """Copy all records to instances that remain, since this one stops."""
+        self._stopping = True
+        self._tasks.start_soon(self._copy_records, None)
+
+    def holder_lost(self, instance: InstanceId) -> None:
+        """Replace the copies at an instance that is down, stops or has started anew."""
+        self._tasks.start_soon(self._copy_records, instance)
 
     async def find(
         self,
@@ -172,15 +201,19 @@
         """
         stream = self._streams.find(workspace, attempt) if attempt else None
         answers: list[StreamFound] = []
-        entries: set[StreamEntry] = set()
+        known: set[BegunStream] = set()
         if stream is None:
-            answers = await self._ask(workspace, attempt, services)
-            entries = {answer.stream for answer in answers if answer.stream is not None}
-            if len(entries) == 1:
-                stream = _from_entry(*entries)
+            answers = await self._ask(workspace, attempt, services, life_ms)
+            known = {_from_entry(answer.stream) for answer in answers if answer.stream}
+            if len(known) == 1:
+                (stream,) = known
         recorded = stream is not None
-        if not recorded and not entries and len(services) == 1:
-            stream = self._conclude(workspace, attempt, services[0], answers, life_ms)
+        concluded = None
+        if not recorded and not known and len(services) == 1:
+            concluded = self._conclude(
+                workspace, attempt, services[0], answers, life_ms
+            )
+            stream = concluded and concluded.stream
         if stream is None or stream.software_version == UNKNOWN_VERSION:
             self._log(
                 "stream_not_found",
@@ -192,7 +225,10 @@
             raise Refused("software_version_unknown", UNKNOWN_RETRY_MS)
         if stream.service not in services:
             raise Refused("service_changed", UNKNOWN_RETRY_MS)
-        return FoundStream(stream, recorded)
+        if recorded:
+            # A later try may name the same attempt.
+            self._streams.add(stream, max(RETENTION_MS, life_ms))
+        return concluded or FoundStream(stream, recorded)
 
     def workers_changed(self) -> None:
         """Log the services that have workers of several versions, when they do."""
@@ -211,7 +247,7 @@
     async def handle_begun(self, peer: InstanceId, message: StreamsBegun) -> None:
         """Keep the records of a peer."""
         for entry in message.streams:
-            self._streams.add(_from_entry(entry))
+            self._streams.add(_from_entry(entry), entry.keep_ms or RETENTION_MS)
 
     async def answer_find(self, peer: InstanceId, message: FindStream) -> StreamFound:
         """Return the record of an attempt, if there is one here."""
@@ -219,33 +255,79 @@
         if message.attempt:
             attempt = AttemptId(message.attempt)
             stream = self._streams.find(message.workspace, attempt)
+        within_ms = min(max(RETENTION_MS, message.within_ms), MAX_RETENTION_MS)
         versions = tuple(
-            ServiceVersions(service, tuple(sorted(self._serving.of(service))))
+            ServiceVersions(
+                service, tuple(sorted(self._serving.of(service, within_ms)))
+            )
             for service in message.services
         )
-        entry = None if stream is None else StreamEntry(*stream)
+        entry = None if stream is None else self._entry(stream)
         known_ms = self._serving.known_ms
         current = known_ms > 0 and self._list_is_current()
-        return StreamFound(entry, versions, current, known_ms)
+        return StreamFound(entry, versions, current, known_ms, within_ms)
+
+    def _entry(self, stream: BegunStream) -> StreamEntry:
+        """Return the record of a stream as it is sent to peers."""
+        return StreamEntry(*stream, self._streams.left_ms(stream))
+
+    def _possible_holders(self) -> set[InstanceId]:
+        """Return the other instances that may have the record of any stream."""
+        instances = set(self._candidates()) | set(self._followers())
+        if not self._peers.large_fleet:
+            instances.update(self._peers.up_instances())
+        instances.discard(self._peers.own)
+        return instances
 
     def _candidates(self) -> list[InstanceId]:
         """Return the other instances that may hold records."""
-        ranked = self._peers.rank(RANK_KEY, True)[:MAX_HOLDERS]
+        ranked = self._peers.rank(RANK_KEY, not self._stopping)[:MAX_HOLDERS]
         return [instance for instance in ranked if instance != self._peers.own]
 
     def _holders(self, attempt: AttemptId) -> list[InstanceId]:
         """Return the instances that should hold an attempt's record, best first."""
-        return sorted(
-            self._candidates(),
-            key=lambda instance: rendezvous_rank(attempt, instance),
-            reverse=True,
-        )
+        return _ranked(attempt, self._candidates())
+
+    async def _copy_records(self, lost: InstanceId | None) -> None:
+        """Copy the latest records to the instances that now should hold them.
+
+        Parameters
+        ----------
+        lost : InstanceId or None
+            The instance whose copies are replaced; None if those here are handed over.
+        """
+        candidates = self._candidates()
+        copied = 0
+        latest = self._streams.latest(MAX_COPIED_STREAMS)
+        for start in range(0, len(latest), COPY_BATCH):
+            entries: dict[InstanceId, list[StreamEntry]] = {}
+            for stream in latest[start : start + COPY_BATCH]:
+                for holder in _new_holders(stream.attempt, candidates, lost):
+                    entries.setdefault(holder, []).append(self._entry(stream))
+            for holder, copies in entries.items():
+                copied += len(copies)
+                message = StreamsBegun(tuple(copies))
+                self._tasks.start_soon(self._send_copies, holder, message)
+            await trio.lowlevel.checkpoint()
+        if copied:
+            self._log("stream_versions_copied", lost=lost, copies=copied)
+
+    async def _send_copies(self, holder: InstanceId, message: StreamsBegun) -> None:
+        try:
+            await self._peers.call(holder, message, CALL_TIMEOUT_MS)
+        except PeerUnavailable as error:
+            self._log(
+                "stream_version_not_held",
+                peer=holder,
+                reason=str(error),
+                copies=len(message.streams),
+            )
 
     async def _share(
         self, stream: BegunStream, candidates: Iterator[InstanceId], held: trio.Event
     ) -> None:
         """Make one copy of a record, at the first candidate that takes it."""
-        message = StreamsBegun((StreamEntry(*stream),))
+        message = StreamsBegun((self._entry(stream),))
         for instance in candidates:
             try:
                 await self._peers.call(instance, message, CALL_TIMEOUT_MS)
@@ -261,17 +343,17 @@
             return
 
     async def _ask(
-        self, workspace: str, attempt: AttemptId | None, services: list[ServiceName]
+        self,
+        workspace: str,
+        attempt: AttemptId | None,
+        services: list[ServiceName],
+        life_ms: float,
     ) -> list[StreamFound]:
         """Ask the other instances for the record of an attempt.
 
         Return all answers, or those that came before an answer with the record.
         """
-        asked = set(self._candidates()) | set(self._followers())
-        if not self._peers.large_fleet:
-            asked.update(self._peers.up_instances())
-        asked.discard(self._peers.own)
-        message = FindStream(attempt or "", workspace, tuple(services))
+        message = FindStream(attempt or "", workspace, tuple(services), life_ms)
         answers: list[StreamFound] = []
 
         async def ask(instance: InstanceId) -> None:
@@ -291,7 +373,7 @@
                     nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for instance in asked:
+            for instance in self._possible_holders():
                 nursery.start_soon(ask, instance)
         return answers
 
@@ -302,27 +384,74 @@
         service: ServiceName,
         answers: list[StreamFound],
         life_ms: float,
-    ) -> BegunStream | None:
+    ) -> FoundStream | None:
         """Return the stream of an attempt if only one version can have begun it.
 
-        Streams begin only at workers that some instance lists. So either most instances
-        must have answered, or one of them that reads the list from the store, and has
-        known it for as long as callers resume a stream.
+        Streams begin only at workers that some instance lists. So one of the lists must
+        have been known for as long as callers resume a stream, and either be read from
+        the store or, if no list is, be among those of most instances.
         """
-        known_ms = [answer.known_ms for answer in answers if answer.current]
-        if self._list_is_current():
-            known_ms.append(self._serving.known_ms)
-        most = 2 * (1 + len(answers)) > 1 + len(self._peers.records)
-        if not most and (not answers or max(known_ms, default=0.0) < life_ms):
+        own_ms = self._serving.known_ms
+        lists = [
+            (min(answer.known_ms, answer.within_ms), answer.current)
+            for answer in answers
+        ]
+        lists.append(
+            (min(own_ms, MAX_RETENTION_MS), own_ms > 0 and self._list_is_current())
+        )
+        current_ms = [known_ms for known_ms, current in lists if current]
+        most = 2 * len(lists) > 1 + len(self._peers.records)
+        if not most and not (answers and current_ms):
             return None
-        versions = set(self._serving.of(service))
+        known_ms = max(current_ms or [known_ms for known_ms, _ in lists])
+        if known_ms < life_ms:
+            return None
+        versions = set(self._serving.of(service, max(RETENTION_MS, life_ms)))
         for answer in answers:
             for listed in answer.versions:
                 if listed.service == service:
                     versions.update(map(SoftwareVersion, listed.software_versions))
-        if len(versions) != 1:
+        if len(versions) != 1 or "" in versions:
             return None
-        return BegunStream(attempt or AttemptId(""), workspace, service, versions.pop())
+        return FoundStream(
+            BegunStream(attempt or AttemptId(""), workspace, service, versions.pop()),
+            recorded=False,
+            concluded_from="current_list" if current_ms else "most_lists",
+            known_ms=known_ms,
+        )
+
+
+def _ranked(attempt: AttemptId, instances: Iterable[InstanceId]) -> list[InstanceId]:
+    """Return the instances in the order in which they should hold a record."""
+    return sorted(
+        instances,
+        key=lambda instance: rendezvous_rank(attempt, instance),
+        reverse=True,
+    )
+
+
+def _new_holders(
+    attempt: AttemptId, candidates: list[InstanceId], lost: InstanceId | None
+) -> list[InstanceId]:
+    """Return the instances that get a copy of an attempt's record.
+
+    Parameters
+    ----------
+    attempt : AttemptId
+        The attempt.
+    candidates : list of InstanceId
+        Instances that may hold records now.
+    lost : InstanceId or None
+        The instance that lost its copies; None if all holders get one.
+    """
+    holders = _ranked(attempt, candidates)[:COPIES]
+    if lost is None:
+        return holders
+    if lost in candidates:  # It has started anew.
+        return [holder for holder in holders if holder == lost]
+    # One more, as an instance that has become a candidate lately ranks among them.
+    former = _ranked(attempt, [*candidates, lost])[: COPIES + 1]
+    return holders if lost in former else []
 
 
 def _from_entry(entry: StreamEntry) -> BegunStream:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -414,11 +414,12 @@
 
     async def _record_version(self, state: RequestState, worker: Worker) -> None:
         """Record the version of a stream before its first event is forwarded."""
-        state.software_version = SoftwareVersion(worker.software_version)
+        known = SoftwareVersion(worker.software_version)
+        state.software_version = known or UNKNOWN_VERSION
         if state.version_recorded or not state.route.resumable:
             return
         state.version_recorded = True
-        await self._streams.record(state.begun_stream)
+        await self._streams.record(state.begun_stream, state.resumed_within_ms)
 
     def _head_timeout_s(self, state: RequestState) -> float:
         """Return the timeout for the response head; infinite if no retry is allowed."""
