Register workers of the soak once, with the address of their link

Cause: the stand-in. A worker was first registered with its own address and then with that of its link. In the log of edge-1: model-v4-1 listed at 22.998, c0-10 sent there at 23.082, one connection confirmed at 23.107; restart at 24.483, the link refuses for 0.1 s at least; c1-13 from 24.52 to 24.94 there without a new connection. No worker that ends keeps its connections, so the gateway's conclusion from its check was sound.

Change: the proxy of a worker is started before its entry is written.

Class: a stand-in that allows what the platform cannot do.

--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -156,13 +156,16 @@
         fields = {"kind": kind}
         if version is not None:
             fields |= self._releases.begin(name, kind, version)
-        worker = await self._platform.add_worker(name, service, **fields)
-        link = self._links[name] = Link(int(worker.address.rpartition(":")[2]))
-        await self._nursery.start(link.run)
-        worker.address = f"{HOST}:{link.port}"
-        if self._partitions is not None:
-            worker.address = await self._partitions.add_worker(link.port, self._nursery)
-        self._platform.register(name, addr=worker.address)
+
+        async def start_link(port: int) -> str:
+            link = Link(port)
+            await self._nursery.start(link.run)
+            self._links[name] = link
+            if self._partitions is not None:
+                return await self._partitions.add_worker(link.port, self._nursery)
+            return f"{HOST}:{link.port}"
+
+        await self._platform.add_worker(name, service, start_link, **fields)
 
     async def _play(self) -> None:
         start_s = trio.current_time()
--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -1,7 +1,7 @@
 """A platform in one process: object store, workers and gateway settings."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import trio
@@ -46,8 +46,18 @@
         """Start serving the store."""
         self.store_port = await self._listen("store", self.store.answer)
 
-    async def add_worker(self, name: str, service: str, **fields: Any) -> StandInWorker:
-        """Start and register a worker."""
+    async def add_worker(
+        self,
+        name: str,
+        service: str,
+        start_proxy: Callable[[int], Awaitable[str]] | None = None,
+        **fields: Any,
+    ) -> StandInWorker:
+        """Start and register a worker.
+
+        `start_proxy` starts a proxy before the port of the worker and returns the
+        address that is registered instead.
+        """
         worker = StandInWorker(
             name,
             "",
@@ -59,6 +69,8 @@
         )
         port = await self._listen(name, worker.answer)
         worker.address = f"{HOST}:{port}"
+        if start_proxy is not None:
+            worker.address = await start_proxy(port)
         self.workers[name] = worker
         self._entries[name] = {
             "service": service,
