Reset connections that a link of the soak is still opening

`Link.reset_all` passed over connections whose way to the server was being opened, so one could outlive the restart of a worker. Found by reading; not seen in a soak. The test failed before: the connection carried data after the reset.

--- a/src/acaciapier_bench/soak/proxy.py
+++ b/src/acaciapier_bench/soak/proxy.py
@@ -55,13 +55,13 @@
     async def _serve(self, client: trio.SocketStream) -> None:
         if self.faults.refuse:
             return
-        try:
-            server = await trio.open_tcp_stream(HOST, self._server_port)
-        except OSError:
-            return
         with trio.CancelScope() as scope:
             self._open.add(scope)
             try:
+                try:
+                    server = await trio.open_tcp_stream(HOST, self._server_port)
+                except OSError:
+                    return
                 async with client, server:
                     await self._forward(client, server)
             finally:
--- a/tests/soak/test_links.py
+++ b/tests/soak/test_links.py
@@ -3,7 +3,7 @@
 import trio
 
 from acaciapier_bench.soak.plan import SoakPlan
-from acaciapier_bench.soak.proxy import HOST
+from acaciapier_bench.soak.proxy import HOST, Link
 from acaciapier_bench.soak.run import Soak
 from acaciapier_standins.platform.platform import StandInPlatform
 
@@ -19,3 +19,35 @@
         assert [entry["spec"]["addr"] for entry in entries] == [address]
         assert soak._platform.workers["model-1"].address == address
         nursery.cancel_scope.cancel()
+
+
+async def test_a_reset_breaks_a_connection_that_is_being_opened(monkeypatch):
+    opened = trio.Event()
+    connect = trio.open_tcp_stream
+
+    async def connect_slowly(*args):
+        stream = await connect(*args)
+        opened.set()
+        await trio.sleep(0.05)
+        return stream
+
+    async def echo(stream: trio.SocketStream) -> None:
+        async for data in stream:
+            await stream.send_all(data)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, echo, 0)
+        link = Link(listeners[0].socket.getsockname()[1])
+        await nursery.start(link.run)
+        monkeypatch.setattr(trio, "open_tcp_stream", connect_slowly)
+        with trio.fail_after(2.0):
+            client = await connect(HOST, link.port)
+            await client.send_all(b"a")
+            await opened.wait()
+            link.reset_all()
+            try:
+                answer = await client.receive_some()
+            except trio.BrokenResourceError:
+                answer = b""
+        assert answer == b""
+        nursery.cancel_scope.cancel()
