Keep a service to one software version beside builds without records

Hypothesis 1 of the incident: an earlier build reads no Resumes and asks the dispatcher for any version. Only the dispatcher can prevent a mix, and only if it is of this build.

Change: a heartbeat tells that its sender keeps records. While a listed instance keeps none, the dispatcher grants one version to all requests that name none, of services that resumable streams use (dispatch/version_preference). A request of an earlier build that may resume a call of another version, by its prompt, gets that version or is refused as not run. Instances announce three times their capacity, so that all builds rank them first as dispatchers. Requests that no later one depends on say so and use all workers. Without such instances, or with one version listed, nothing is restricted.

Class of fault: what an earlier build does not send is taken for consent.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -37,10 +37,11 @@
 from .piece_groups import PieceGroup
 from .reachability import Reachability
 from .refusal import MIN_RETRY_MS, NO_WORKER_RETRY_MS
-from .retry_budget import RetryBudget
+from .retry_budget import RetryBudgets
 from .slot_requests import ReleasedSlots, SlotRequest, SlotReservation
 from .slots import PERMIT_TTL_MS, UNLISTED_PERMIT_MS, SlotAllocator
 from .stage_scheduler import StageScheduler
+from .version_preference import KeptVersions
 
 CHECK_PERIOD_MS = 25.0
 """Interval at which waiting slot requests are checked: a sixth of the tightest latency
@@ -77,6 +78,8 @@
         accepts its own, which it sends here only if no other instance is left.
     limits : WorkerLimits, optional
         Paces the requests to workers that have named a limit.
+    versions : KeptVersions, optional
+        Keeps services to one software version while earlier builds are running.
     """
 
     def __init__(
@@ -89,13 +92,15 @@
         bounds: GatewayBounds,
         own: InstanceId,
         limits: WorkerLimits | None = None,
+        versions: KeptVersions | None = None,
     ):
         self.limits = limits or WorkerLimits(log)
+        self._versions = versions or KeptVersions(catalogue)
         self._own = own
         self._waits: tuple[ServiceWait, ...] = ()
         self._waits_updated_s = -1.0
         self._bounds = bounds
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = RetryBudgets(bounds)
         self.stopping = False
         self._catalogue = catalogue
         self._client = client
@@ -114,7 +119,7 @@
         """Apply changed bounds of the operators."""
         if bounds != self._bounds:
             self._bounds = bounds
-            self._budgets.clear()
+            self._budgets = RetryBudgets(bounds)
 
     async def enter_stages(self, peer: InstanceId, message: EnterStages) -> Message:
         """Wait until a request may start a chain of stages that ends with a service."""
@@ -199,25 +204,10 @@
         if self.stopping and peer != self._own:
             return WorkRefused(HANDED_OVER, 0.0)
         allocator = self._allocator(message.service)
-        workers = self._catalogue.workers_of(ServiceName(message.service))
-        if message.software_version is not None:
-            workers = [
-                worker
-                for worker in workers
-                if worker.software_version == message.software_version
-            ]
-        if message.only_untried:
-            workers = [worker for worker in workers if worker.id not in message.avoid]
-        if allocator is None or not workers:
-            return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         now_s = self._clock.monotonic_s()
-        self.limits.merge(peer, message.limits, now_s)
-        self.limits.brittle.merge(peer, message.service, message.brittle, now_s)
-        budget = self._budget(message.service)
-        if not message.repeat:
-            budget.record_first_send(now_s)
-        elif not budget.spend(now_s):
-            return WorkRefused("repeat_budget", NO_WORKER_RETRY_MS)
+        kept = None
+        if allocator is not None:
+            kept = self._versions.choose(peer, message, allocator, now_s)
         request = SlotRequest(
             permit=message.permit,
             owner=peer,
@@ -230,9 +220,21 @@
             parts=message.parts,
             input_bytes=dict(message.input_bytes),
             avoid=frozenset(message.avoid),
-            software_version=message.software_version,
+            software_version=message.software_version if kept is None else kept,
             only_untried=message.only_untried,
+            kept=kept is not None,
+            any_version=message.any_version,
         )
+        workers = request.usable(self._workers(message.service))
+        if allocator is None or not workers:
+            return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
+        self.limits.merge(peer, message.limits, now_s)
+        self.limits.brittle.merge(peer, message.service, message.brittle, now_s)
+        budget = self._budgets.of(message.service)
+        if not message.repeat:
+            budget.record_first_send(now_s)
+        elif not budget.spend(now_s):
+            return WorkRefused("repeat_budget", NO_WORKER_RETRY_MS)
         forecast_ms = allocator.forecast_ms(request, workers, now_s)
         cause, retry_ms, worker = "overload", MIN_RETRY_MS + forecast_ms / 2, None
         if forecast_ms <= message.expires_ms:
@@ -244,7 +246,8 @@
             budget.refund()
         if self.stopping and cause == "expired":
             return WorkRefused(HANDED_OVER, retry_ms)
-        if request.begun and not request.usable(self._workers(message.service)):
+        bound = request.software_version is not None
+        if bound and not request.usable(self._workers(message.service)):
             return WorkRefused("no_worker", NO_WORKER_RETRY_MS)
         ended_s = self._clock.monotonic_s()
         partition_ms = partition_wait_ms(allocator, request, workers, ended_s)
@@ -298,6 +301,8 @@
             if peer in self._released:
                 self._released[peer].end(message.service, message.permit)
             return
+        if reservation.started:
+            self._versions.record_end(message.service, [reservation], now_s)
         record_outcome(allocator, reservation, message, now_s, self._log)
         self._assign(message.service)
 
@@ -387,7 +392,8 @@
         released = ReleasedSlots(self._clock.monotonic_s())
         self._released[instance] = released
         for service, allocator in self._allocators.items():
-            released.by_service[service] = allocator.release_owner(instance)
+            held = released.by_service[service] = allocator.release_owner(instance)
+            self._versions.record_end(service, held.values(), released.at_s)
             allocator.reachability.remove_instance(instance)
             self._assign(service)
 
@@ -451,16 +457,6 @@
         allocator.prefix_reuse_ms = self._bounds.prefix_reuse_ms
         return allocator
 
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(
-                self._bounds.retry_ratio,
-                self._bounds.retry_slack,
-                to_s(self._bounds.retry_window_ms),
-            )
-        return budget
-
     def _rule(self, service: str) -> ServiceRule | None:
         configuration = self._catalogue.configuration
         if configuration is None:
@@ -477,7 +473,9 @@
         popped = allocator.pop_expired(now_s)
         popped += pop_partitioned(allocator, workers, now_s)
         popped += allocator.pop_hopeless(workers, now_s)
-        popped += allocator.pop(lambda one: one.begun and not one.usable(workers))
+        popped += allocator.pop(
+            lambda one: one.software_version is not None and not one.usable(workers)
+        )
         for request in popped:
             self._grants[request.permit].set_result(None)
         for request, worker in allocator.assign(workers, now_s):
--- a/src/acaciapier/gateway/dispatch/retry_budget.py
+++ b/src/acaciapier/gateway/dispatch/retry_budget.py
@@ -6,6 +6,9 @@
 
 from collections import deque
 
+from ...core.clock import to_s
+from ..settings import GatewayBounds
+
 BUDGET_SHARE = 0.6
 """Share of the allowed retries that is granted. The rest is a reserve, since sends
 during a change of dispatcher are counted twice or not at all."""
@@ -54,3 +57,28 @@
         for times in (self._first_sends, self._retries):
             while times and times[0] < oldest_s:
                 times.popleft()
+
+
+class RetryBudgets:
+    """Retry budgets of all services.
+
+    Parameters
+    ----------
+    bounds : GatewayBounds
+        Bounds set by the operators.
+    """
+
+    def __init__(self, bounds: GatewayBounds):
+        self._bounds = bounds
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(
+                self._bounds.retry_ratio,
+                self._bounds.retry_slack,
+                to_s(self._bounds.retry_window_ms),
+            )
+        return budget
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -5,7 +5,7 @@
 
 from ...core.clock import Clock, to_s
 from ..brittle_workers import SentWithin
-from ..models import Worker
+from ..models import SoftwareVersion, Worker
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
@@ -34,11 +34,15 @@
     """Version of the workers that may run the request; None for any."""
     only_untried: bool = False
     """Whether the workers in `avoid` must not be granted."""
+    kept: bool = False
+    """Whether the version is the one to which the service is kept."""
+    any_version: bool = False
+    """Whether no later request depends on the software version of the worker."""
 
     @property
     def begun(self) -> bool:
         """Whether it is a broken stream, of which the caller has events."""
-        return self.software_version is not None
+        return self.software_version is not None and not self.kept
 
     def urgency(self, now_s: float) -> tuple:
         """Return the key by which waiting requests are sorted, the most urgent first.
@@ -82,6 +86,10 @@
     """Requests that its worker is declared to run at once."""
     sent: SentWithin | None = None
     """The worker's room when this dispatcher granted it."""
+    software_version: SoftwareVersion | None = None
+    """Version of the worker; None if an earlier dispatcher granted it."""
+    request: SlotRequest | None = None
+    """What it was granted to; None if an earlier dispatcher granted it."""
 
 
 @dataclass(eq=False)
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from ..engine_times import EngineTimes
 from ..models import ServiceRule, Worker
@@ -110,6 +110,11 @@
         """Number of reserved slots."""
         return len(self._reservations)
 
+    @property
+    def reservations(self) -> Iterable[SlotReservation]:
+        """The reserved slots."""
+        return self._reservations.values()
+
     def slots(self, worker: Worker) -> int:
         """Return how many requests a worker runs concurrently."""
         return self.rule.engine.slots if self.rule.engine else max(1, worker.slots)
@@ -462,6 +467,8 @@
             prefilled_tokens=prefilled_tokens,
             slots=self.slots(worker),
             sent=self._limits.brittle.record_send(worker, self.slots(worker), now_s),
+            software_version=worker.software_version,
+            request=request,
         )
         self._permits_by_worker.setdefault(worker.key, set()).add(request.permit)
         self._limits.record_send(worker.key, now_s)
@@ -482,9 +489,8 @@
         if self.rule.engine is None:
             return 0.0, 0.0
         permits = self._permits_by_worker.get(worker.key, ())
-        tokens = uncached + sum(
-            self._reservations[permit].pending_prefill_tokens for permit in permits
-        )
+        held = (self._reservations[permit] for permit in permits)
+        tokens = uncached + sum(one.pending_prefill_tokens for one in held)
         return tokens, self.engine_times.estimate.expected_ms(tokens)
 
     def _release_overdue(self, now_s: float) -> None:
--- /dev/null
+++ b/src/acaciapier/gateway/earlier_builds.py
@@ -0,0 +1,60 @@
+"""Which instances run an earlier build that keeps no records of streams."""
+
+from collections.abc import Collection
+
+from ..core.ids import InstanceId
+from ..wire.messages.gateway import Heartbeat
+from .models import PeerRecord
+from .peers import Peers
+
+DISPATCH_PREFERENCE = 3.0
+"""Factor of the announced capacity. Instances of builds that announce it without this
+factor dispatch only if they have far more capacity."""
+
+
+class EarlierBuilds:
+    """The listed instances that keep no records of streams.
+
+    Parameters
+    ----------
+    peers : Peers
+        The other instances.
+    """
+
+    def __init__(self, peers: Peers):
+        self._peers = peers
+        self._keepers: dict[InstanceId, PeerRecord] = {}
+        """Those that have shown it, though they do not send that they keep records."""
+        self._others: dict[InstanceId, PeerRecord] = {}
+
+    def record_heartbeat(self, instance: InstanceId, heartbeat: Heartbeat) -> None:
+        """Record what a heartbeat shows of its sender's build."""
+        if heartbeat.keeps_stream_records:
+            self._keepers.pop(instance, None)
+            self._others.pop(instance, None)
+            return
+        record = next(
+            (one for one in self._peers.records if one.instance == instance), None
+        )
+        if record is None:
+            return
+        # Builds that serve tunnels keep records; the first did not send that.
+        if heartbeat.serves_tunnels:
+            self._keepers[instance] = record
+        if self._keepers.get(instance) == record:
+            self._others.pop(instance, None)
+        else:
+            self._others[instance] = record
+
+    def without_records(self) -> Collection[InstanceId]:
+        """Return the listed instances that keep no records of streams.
+
+        One that has sent no heartbeat yet is not among them.
+        """
+        if self._others:
+            listed = {record.instance: record for record in self._peers.records}
+            for known in (self._keepers, self._others):
+                for instance, record in list(known.items()):
+                    if listed.get(instance) != record:
+                        del known[instance]
+        return self._others.keys()
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -38,6 +38,8 @@
 from .connection_pool import WorkerConnectionPool, sweep_idle
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.dispatcher import Dispatcher
+from .dispatch.version_preference import KeptVersions
+from .earlier_builds import DISPATCH_PREFERENCE, EarlierBuilds
 from .followers import StoreFollowers
 from .incarnation_check import CheckedConnections
 from .incarnations import Incarnations
@@ -144,7 +146,7 @@
             settings.control.port,
             settings.data_centre,
             epoch_ms(self.clock.now()),
-            settings.link_mbps * settings.cores,
+            settings.link_mbps * settings.cores * DISPATCH_PREFERENCE,
         )
         identity = PeerIdentity(
             settings.instance,
@@ -162,6 +164,8 @@
             self._make_heartbeat,
             self.log.write,
         )
+        self.earlier_builds = EarlierBuilds(self.peers)
+        without_records = self.earlier_builds.without_records
         self.followers = StoreFollowers(self.peers)
         connector = self._make_connector(tasks)
         worker_connections = WorkerConnectionPool(self.clock, connector)
@@ -191,6 +195,7 @@
             settings.bounds,
             settings.instance,
             self.limits,
+            KeptVersions(self.catalogue, without_records, self.log.write),
         )
         self.quarantine = RequestQuarantine(
             self.clock,
@@ -389,9 +394,11 @@
             self.dispatcher.engine_times(),
             self.quarantine.part_crashes_digest,
             self.catalogue.complete and not self.paths.partitioned_from_all,
+            keeps_stream_records=True,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
+        self.earlier_builds.record_heartbeat(peer, heartbeat)
         self._peer_sync.handle_heartbeat(peer, heartbeat)
         self.notices.merge(peer, heartbeat.leaving)
         self.quarantine.handle_heartbeat(peer, heartbeat)
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -96,6 +96,11 @@
             return self.resumable
         return self.kind is RequestKind.IDEMPOTENT
 
+    @property
+    def resumes_streams(self) -> bool:
+        """Whether its callers resume streams that broke off."""
+        return self.resumable and self.kind is RequestKind.STREAMING
+
     @property
     def final_stages(self) -> tuple[int, ...]:
         """Indices of the stages whose results no other stage reads."""
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -21,10 +21,14 @@
     RequestFailed,
     RequestState,
     WorkerDidNotRun,
-    abandon_after_ms,
     request_fingerprint,
 )
-from .routing import RouteTable, choose_service, request_priority
+from .routing import (
+    RouteTable,
+    abandon_after_ms,
+    choose_service,
+    request_priority,
+)
 from .stage_times import StageTimes
 from .stream_records import StreamRecords
 from .worker_exchange import WorkerExchange, response_headers
@@ -440,6 +444,7 @@
             avoid=tuple(state.tried_workers),
             repeat=state.sends > 0,
             software_version=state.software_version,
+            any_version=not state.route.resumes_streams,
         )
 
     def _latest_start_s(self, state: RequestState) -> float:
@@ -475,6 +480,6 @@
     ValueError
         If the request names the stream in a malformed way.
     """
-    if not route.resumable or route.kind is not RequestKind.STREAMING:
+    if not route.resumes_streams:
         return None
     return request_format.decode_resumption(request.headers)
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -24,26 +24,6 @@
 """A generation's value grows with its size, by the users' scoring rules. These refer to
 the mean size, which is unknown here; a typical size replaces it."""
 
-MIN_ABANDON_AFTER_MS = 2_000.0
-"""Minimum time for which callers wait for a stream's first event, by the users'
-protocol."""
-
-ABANDON_AFTER_OBJECTIVES, ABANDON_AFTER_EVENT_GAPS = 4.0, 8.0
-"""The same as multiples of the route's objective and of its longest event gap. The
-longest of the three times applies."""
-
-
-def abandon_after_ms(route: RouteRule, deadline_ms: float) -> float:
-    """Return the time after which a caller abandons a request without a response."""
-    if route.kind is not RequestKind.STREAMING:
-        return deadline_ms
-    timeout_ms = max(
-        MIN_ABANDON_AFTER_MS,
-        ABANDON_AFTER_OBJECTIVES * route.objective_ms,
-        ABANDON_AFTER_EVENT_GAPS * route.max_event_gap_ms,
-    )
-    return min(deadline_ms, timeout_ms)
-
 
 @dataclass(eq=False)
 class RequestState:
--- a/src/acaciapier/gateway/routing.py
+++ b/src/acaciapier/gateway/routing.py
@@ -3,7 +3,21 @@
 import random as random_module
 from dataclasses import dataclass
 
-from .models import GatewayConfiguration, RouteRule, ServiceName, WorkspaceRule
+from .models import (
+    GatewayConfiguration,
+    RequestKind,
+    RouteRule,
+    ServiceName,
+    WorkspaceRule,
+)
+
+MIN_ABANDON_AFTER_MS = 2_000.0
+"""Minimum time for which callers wait for a stream's first event, by the users'
+protocol."""
+
+ABANDON_AFTER_OBJECTIVES, ABANDON_AFTER_EVENT_GAPS = 4.0, 8.0
+"""The same as multiples of the route's objective and of its longest event gap. The
+longest of the three times applies."""
 
 
 @dataclass(frozen=True)
@@ -73,3 +87,15 @@
     if workspace is not None and workspace.priority is not None:
         return workspace.priority
     return route.priority
+
+
+def abandon_after_ms(route: RouteRule, deadline_ms: float) -> float:
+    """Return the time after which a caller abandons a request without a response."""
+    if route.kind is not RequestKind.STREAMING:
+        return deadline_ms
+    timeout_ms = max(
+        MIN_ABANDON_AFTER_MS,
+        ABANDON_AFTER_OBJECTIVES * route.objective_ms,
+        ABANDON_AFTER_EVENT_GAPS * route.max_event_gap_ms,
+    )
+    return min(deadline_ms, timeout_ms)
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -76,6 +76,8 @@
     """Hash of the crash records of prompt parts; 0 if there are none."""
     serves_tunnels: bool = False
     """Whether the sender reaches workers and opens connections to them for peers."""
+    keeps_stream_records: bool = False
+    """Whether the sender records the software versions of streams."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
@@ -228,6 +230,8 @@
     """Whether the workers in `avoid` must not be granted."""
     brittle: tuple[BrittleWorkerEntry, ...] = ()
     """Brittle workers of the service that the requesting instance knows."""
+    any_version: bool = False
+    """Whether no later request depends on the software version of the worker."""
 
 
 class WorkerGranted(Message, frozen=True):
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -29,7 +29,7 @@
     Worker,
     WorkerState,
 )
-from acaciapier.gateway.request_state import abandon_after_ms
+from acaciapier.gateway.routing import abandon_after_ms
 from acaciapier.gateway.stage_times import StageTimes
 
 NETWORK_DELAY_S = 0.004
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -18,8 +18,7 @@
 )
 from acaciapier.gateway.peer_sync import PeerSync
 from acaciapier.gateway.peers import Peers
-from acaciapier.gateway.request_state import abandon_after_ms
-from acaciapier.gateway.routing import RouteTable
+from acaciapier.gateway.routing import RouteTable, abandon_after_ms
 from acaciapier.platform.configuration import decode_configuration
 from acaciapier.wire.messages.gateway import Heartbeat
 from acaciapier_standins.platform.platform import configuration, route
