Send no records of streams to instances that keep none

Cause: holders of records are chosen among all instances that are up. While one version serves, the two copies of a record could both go to instances that drop them.

Change: instances that are known to keep no records are neither holders nor asked.

Class of fault: a call that can only fail is made again and again.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -213,6 +213,7 @@
             tasks,
             lambda: self.sync.reachable,
             self.followers.chosen,
+            without_records,
         )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -89,6 +89,8 @@
         Returns whether this instance reads the list of workers from the store.
     followers : callable
         Returns the instances that follow the store for a large fleet.
+    without_records : callable
+        Returns the instances of earlier builds, which keep no records.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         tasks: TaskSupervisor,
         list_is_current: Callable[[], bool] = lambda: True,
         followers: Callable[[], Iterable[InstanceId]] = lambda: (),
+        without_records: Callable[[], Iterable[InstanceId]] = lambda: (),
     ):
         self._peers = peers
         self._serving = serving
@@ -107,6 +110,7 @@
         self._tasks = tasks
         self._list_is_current = list_is_current
         self._followers = followers
+        self._without_records = without_records
         self._streams = BegunStreams(clock)
         """Those that this instance forwards, and those that it holds for others."""
         self._mixed: set[ServiceName] = set()
@@ -230,8 +234,9 @@
 
     def _candidates(self) -> list[InstanceId]:
         """Return the other instances that may hold records."""
+        excluded = {self._peers.own, *self._without_records()}
         ranked = self._peers.rank(RANK_KEY, True)[:MAX_HOLDERS]
-        return [instance for instance in ranked if instance != self._peers.own]
+        return [instance for instance in ranked if instance not in excluded]
 
     def _holders(self, attempt: AttemptId) -> list[InstanceId]:
         """Return the instances that should hold an attempt's record, best first."""
@@ -270,7 +275,7 @@
         asked = set(self._candidates()) | set(self._followers())
         if not self._peers.large_fleet:
             asked.update(self._peers.up_instances())
-        asked.discard(self._peers.own)
+        asked -= {self._peers.own, *self._without_records()}
         message = FindStream(attempt or "", workspace, tuple(services))
         answers: list[StreamFound] = []
 
--- a/tests/gateway/test_earlier_builds.py
+++ b/tests/gateway/test_earlier_builds.py
@@ -14,6 +14,7 @@
 from acaciapier.platform.workers import PEER_KIND, encode_peer
 from acaciapier.wire import FleetKeys, PeerIdentity, PeerNetwork
 from acaciapier.wire.messages.gateway import Heartbeat, WorkerGranted
+from acaciapier.wire.messages.streams import FindStream, StreamsBegun
 from acaciapier_standins.platform.platform import HOST
 
 from .support import ENVIRONMENT, deployment
@@ -80,10 +81,17 @@
             random.Random(1),
         )
         self.network.register(Heartbeat, self._answer)
+        self.unknown = []
+        """Messages of later builds that were sent here."""
+        for later in (StreamsBegun, FindStream):
+            self.network.register(later, self._record_unknown)
 
     async def _answer(self, peer, heartbeat):
         return EarlierHeartbeat()
 
+    async def _record_unknown(self, peer, message):
+        self.unknown.append(message)
+
     async def join(self, nursery: trio.Nursery) -> None:
         """Serve, and be listed at all gateways."""
         port = await nursery.start(self.network.serve, HOST)
@@ -148,6 +156,19 @@
         assert FOUR[worker] == "v2"
 
 
+async def test_an_instance_without_records_is_not_asked_to_keep_or_find_any(capsys):
+    async with beside_earlier_instance() as (world, earlier):
+        await list_versions(world, FOUR)
+        caller = world.caller()
+        await caller.request("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        refused = await caller.request(
+            "POST", "/mail/1", b"{}", Attempt_Id="a2", Last_Event_Id="1", Resumes="a0"
+        )
+        assert refused.status == 503
+        assert earlier.unknown == []
+    assert "stream_version_not" not in capsys.readouterr().out
+
+
 async def test_streams_that_nobody_resumes_use_all_versions():
     async with beside_earlier_instance() as (world, earlier):
         await list_versions(world, FOUR)
