--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -38,6 +38,8 @@
 from .connection_pool import WorkerConnectionPool, sweep_idle
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.dispatcher import Dispatcher
+from .dispatch.version_preference import KeptVersions
+from .earlier_builds import DISPATCH_PREFERENCE, EarlierBuilds
 from .followers import StoreFollowers
 from .incarnation_check import CheckedConnections
 from .incarnations import Incarnations
@@ -132,7 +134,7 @@
             settings.control.port,
             settings.data_centre,
             epoch_ms(self.clock.now()),
-            settings.link_mbps * settings.cores,
+            settings.link_mbps * settings.cores * DISPATCH_PREFERENCE,
         )
         identity = PeerIdentity(
             settings.instance,
@@ -154,6 +156,8 @@
             build_name(), self.peers.builds, self.clock, self.log.write
         )
         self.metrics.watch_builds(self.builds.counts)
+        self.earlier_builds = EarlierBuilds(self.peers)
+        without_records = self.earlier_builds.without_records
         self.followers = StoreFollowers(self.peers)
         connector = self._make_connector(tasks)
         worker_connections = WorkerConnectionPool(self.clock, connector)
@@ -183,6 +187,7 @@
             settings.bounds,
             settings.instance,
             self.limits,
+            KeptVersions(self.catalogue, without_records, self.log.write),
         )
         self.quarantine = RequestQuarantine(
             self.clock,
@@ -200,6 +205,7 @@
             tasks,
             lambda: self.sync.reachable,
             self.followers.chosen,
+            without_records,
         )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
@@ -384,10 +390,12 @@
             self.quarantine.part_crashes_digest,
             self.catalogue.complete and not self.paths.partitioned_from_all,
             build=self.builds.own,
+            keeps_stream_records=True,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
         self.builds.update()
+        self.earlier_builds.record_heartbeat(peer, heartbeat)
         self._peer_sync.handle_heartbeat(peer, heartbeat)
         self.notices.merge(peer, heartbeat.leaving)
         self.quarantine.handle_heartbeat(peer, heartbeat)
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -101,6 +101,8 @@
         Returns whether this instance reads the list of workers from the store.
     followers : callable
         Returns the instances that follow the store for a large fleet.
+    without_records : callable
+        Returns the instances of earlier builds, which keep no records.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         tasks: TaskSupervisor,
         list_is_current: Callable[[], bool] = lambda: True,
         followers: Callable[[], Iterable[InstanceId]] = lambda: (),
+        without_records: Callable[[], Iterable[InstanceId]] = lambda: (),
     ):
         self._peers = peers
         self._serving = serving
@@ -119,6 +122,7 @@
         self._tasks = tasks
         self._list_is_current = list_is_current
         self._followers = followers
+        self._without_records = without_records
         self._streams = BegunStreams(clock)
         """Those that this instance forwards, and those that it holds for others."""
         self._mixed: set[ServiceName] = set()
@@ -276,13 +280,13 @@
         instances = set(self._candidates()) | set(self._followers())
         if not self._peers.large_fleet:
             instances.update(self._peers.up_instances())
-        instances.discard(self._peers.own)
-        return instances
+        return instances - {self._peers.own, *self._without_records()}
 
     def _candidates(self) -> list[InstanceId]:
         """Return the other instances that may hold records."""
+        excluded = {self._peers.own, *self._without_records()}
         ranked = self._peers.rank(RANK_KEY, not self._stopping)[:MAX_HOLDERS]
-        return [instance for instance in ranked if instance != self._peers.own]
+        return [instance for instance in ranked if instance not in excluded]
 
     def _holders(self, attempt: AttemptId) -> list[InstanceId]:
         """Return the instances that should hold an attempt's record, best first."""
