Conclude no version for a route that lately led to another service

What callers could see: after a route had moved to another service, or a route with a longer prefix had taken some of its requests over, a stream without a record, or whose attempt was not named, went on at the only version of the new service.

Hypothesis: a conclusion asks which versions serve the services of the route now; what served the request when the stream began may be another one.

A first try, in the relay, missed changes between two of its requests, as its table is made by requests.

Open: an instance that has started within that time knows no earlier configuration, and the configuration's history is not asked of peers.

Class of fault: what held when a stream began is asked of the present.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -25,6 +25,7 @@
     WorkerKey,
     WorkerState,
 )
+from .routing import FormerRoutes
 from .settings import DEFAULT_WORKER_HEARTBEAT_MS
 from .software_versions import ServingVersions
 
@@ -79,6 +80,7 @@
         self.workers_digest = 0
         self.workers: dict[WorkerId, Worker] = {}
         self.serving = ServingVersions(clock)
+        self.former_routes = FormerRoutes(clock)
         self._clock = clock
         self._decode = decode_configuration
         self._on_change = on_change
@@ -160,6 +162,8 @@
             )
             return False
         self.configuration_position = position
+        if self.configuration is not None:
+            self.former_routes.replace(self.configuration, decoded)
         self.configuration = decoded
         self.configuration_source = source
         self._on_change(
--- a/src/acaciapier/gateway/routing.py
+++ b/src/acaciapier/gateway/routing.py
@@ -1,9 +1,12 @@
 """Selects the route, workspace and service of a request from the configuration."""
 
 import random as random_module
+from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ..core.clock import Clock, to_s
 from .models import GatewayConfiguration, RouteRule, ServiceName, WorkspaceRule
+from .software_versions import MAX_RETENTION_MS
 
 
 @dataclass(frozen=True)
@@ -37,14 +40,10 @@
 
     def find_route(self, host: str, target: str) -> RouteRule | None:
         """Return the route with the longest matching prefix that ends with a slash."""
-        host = host.lower()
-        path = target.partition("?")[0]
-        end = path.rfind("/")
-        while end >= 0:
-            route = self._by_prefix.get((host, path[: end + 1]))
+        for prefix in _prefixes(host, target):
+            route = self._by_prefix.get(prefix)
             if route is not None:
                 return route
-            end = path.rfind("/", 0, end)
         return None
 
     def find_workspace(self, key: str | None) -> WorkspaceRule | None:
@@ -56,6 +55,61 @@
         return self.configuration.workspaces is not None and not route.public
 
 
+class FormerRoutes:
+    """Services to which earlier configurations sent requests of resumable streams.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._until_s: dict[tuple[str, str], dict[ServiceName, float]] = {}
+        """Times until which routes, by host and prefix, led to services."""
+
+    def replace(
+        self, configuration: GatewayConfiguration, later: GatewayConfiguration
+    ) -> None:
+        """Record what a later configuration changes."""
+        now_s = self._clock.monotonic_s()
+        former, table = RouteTable(configuration), RouteTable(later)
+        for prefix in former._by_prefix.keys() | table._by_prefix.keys():
+            before, after = former.find_route(*prefix), table._by_prefix.get(prefix)
+            if before is None or not before.resumable:
+                continue
+            services = {service for service, _ in before.services}
+            if after is None or services != {service for service, _ in after.services}:
+                self._until_s.setdefault(prefix, {}).update(
+                    dict.fromkeys(services, now_s)
+                )
+        oldest_s = now_s - to_s(MAX_RETENTION_MS)
+        for prefix, until_s in list(self._until_s.items()):
+            if max(until_s.values()) < oldest_s:
+                del self._until_s[prefix]
+
+    def services(self, host: str, target: str, within_ms: float) -> set[ServiceName]:
+        """Return the services to which a request could lead within a time."""
+        oldest_s = self._clock.monotonic_s() - to_s(within_ms)
+        return {
+            service
+            for prefix in _prefixes(host, target)
+            for service, until_s in self._until_s.get(prefix, {}).items()
+            if until_s >= oldest_s
+        }
+
+
+def _prefixes(host: str, target: str) -> Iterator[tuple[str, str]]:
+    """Yield the keys under which a table may have a request's route, best first."""
+    host = host.lower()
+    path = target.partition("?")[0]
+    end = path.rfind("/")
+    while end >= 0:
+        yield host, path[: end + 1]
+        end = path.rfind("/", 0, end)
+
+
 def choose_service(route: RouteRule, random: random_module.Random) -> ServiceName:
     """Choose one of a route's services at random, by weight."""
     if len(route.services) == 1:
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -180,6 +180,7 @@
         attempt: AttemptId | None,
         services: list[ServiceName],
         life_ms: float = RETENTION_MS,
+        former_services: Iterable[ServiceName] = (),
     ) -> FoundStream:
         """Return the stream that an attempt began, with its service and version.
 
@@ -193,6 +194,8 @@
             Services to which the caller's route leads.
         life_ms : float, optional
             Longest time for which a caller resumes a stream.
+        former_services : iterable of ServiceName, optional
+            Services to which the route led within that time.
 
         Raises
         ------
@@ -209,7 +212,8 @@
                 (stream,) = known
         recorded = stream is not None
         concluded = None
-        if not recorded and not known and len(services) == 1:
+        one_service = len({*services, *former_services}) == 1
+        if not recorded and not known and one_service:
             concluded = self._conclude(
                 workspace, attempt, services[0], answers, life_ms
             )
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -379,7 +379,7 @@
 class GuessesUnknown(StreamRecords):
     """Takes any version that serves if nobody knows the stream's."""
 
-    async def find(self, workspace, attempt, services, life_ms):
+    async def find(self, workspace, attempt, services, life_ms, former_services=()):
         """Guess instead of refusing."""
         try:
             return await super().find(workspace, attempt, services, life_ms)
