Withdraw the version of a stream by calls instead of queued messages

What callers could see: after an instance had found that the recorded version of a stream may be wrong, a resumed stream could still go on at it, at any instance that had not got the withdrawal.

Hypothesis: the withdrawal is a queued message, whose delivery is not guaranteed, while copies of the record are made by calls.

Evidence: with queued messages dropped, a withdrawn version was still found (new test failed: no refusal). Found by reading; no run showed a mixed stream.

Class of fault: a message that may be lost carries what must not be.

--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -162,8 +162,9 @@
         """Withdraw a version that was recorded for an attempt and may be wrong."""
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
         self._streams.add(unknown)
+        message = StreamsBegun((self._entry(unknown),))
         for instance in self._possible_holders():
-            self._peers.send(instance, StreamsBegun((self._entry(unknown),)))
+            self._tasks.start_soon(self._send_copies, instance, message)
 
     def hand_over(self) -> None:
         """Copy all records to instances that remain, since this one stops."""
--- a/tests/gateway/test_copied_records.py
+++ b/tests/gateway/test_copied_records.py
@@ -13,7 +13,7 @@
 from acaciapier.gateway.stream_records import StreamRecords
 
 from .test_instance_state import make_peers, record, set_stable_records
-from .test_stream_records import LIFE_MS, MODEL, NAMES, Fleet, stream
+from .test_stream_records import LIFE_MS, MODEL, NAMES, Fleet, View, stream
 
 STREAMS_PER_S = 20
 LONGEST_S = 10.0
@@ -133,3 +133,30 @@
     restarted = dataclasses.replace(listed[2], started_ms=9)
     set_stable_records(peers, [*listed[:2], restarted])
     assert lost == [("edge-1", False), ("edge-2", True)]
+
+
+class DroppingView(View):
+    """Peers whose queued messages are dropped, as they may be."""
+
+    def send(self, instance, message):
+        """Drop the message."""
+
+
+def test_a_version_is_withdrawn_though_queued_messages_are_dropped():
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, versions=("v1", "v2"))
+            for name in NAMES:
+                fleet.start(name)
+            first = fleet.nodes["i0"]
+            await first.records.record(stream("a", "v1"))
+            await trio.sleep(0.1)
+            first.records._peers = DroppingView(fleet, first)
+            first.records.invalidate(stream("a", "v1"))
+            await trio.sleep(0.1)
+            for node in fleet.nodes.values():
+                with pytest.raises(Refused, match="software_version_unknown"):
+                    await node.records.find("", AttemptId("a"), [MODEL], LIFE_MS)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
