--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -166,8 +166,9 @@
         """Withdraw a version that was recorded for an attempt and may be wrong."""
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
         self._streams.add(unknown)
+        message = StreamsBegun((self._entry(unknown),))
         for instance in self._possible_holders():
-            self._peers.send(instance, StreamsBegun((self._entry(unknown),)))
+            self._tasks.start_soon(self._send_copies, instance, message)
 
     def hand_over(self) -> None:
         """Copy all records to instances that remain, since this one stops."""
@@ -184,6 +185,7 @@
         attempt: AttemptId | None,
         services: list[ServiceName],
         life_ms: float = RETENTION_MS,
+        former_services: Iterable[ServiceName] = (),
     ) -> FoundStream:
         """Return the stream that an attempt began, with its service and version.
 
@@ -197,6 +199,8 @@
             Services to which the caller's route leads.
         life_ms : float, optional
             Longest time for which a caller resumes a stream.
+        former_services : iterable of ServiceName, optional
+            Services to which the route led within that time.
 
         Raises
         ------
@@ -213,7 +217,8 @@
                 (stream,) = known
         recorded = stream is not None
         concluded = None
-        if not recorded and not known and len(services) == 1:
+        one_service = len({*services, *former_services}) == 1
+        if not recorded and not known and one_service:
             concluded = self._conclude(
                 workspace, attempt, services[0], answers, life_ms
             )
