Prove beside a stream which incarnation writes it

Callers saw: a stream that began at a worker that had started again with another version, where one version was listed and no connection had failed here, was recorded with the former version, and resumed there.

Hypothesis: the version recorded is that of the listed incarnation, and nothing shows that the connection leads to it.

Change: a connection leads to one incarnation for its whole life, and one that reports its start now was reached by all connections opened for it before. So one report in the background proves all new connections to a worker; one at most is in progress for a worker. The first event and the repetition of a broken stream wait up to 60 ms for it. The version of a stream that ends unproved, or whose worker reports another start, is withdrawn. Starts are only compared for equality, so no clock of a worker matters, and the path does not matter either: a report through one instance proves connections through another. Checks before the stream stay, and are left out for connections that a report has proved.

Class of fault: an identity that is assumed and not proved.

--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -77,6 +77,7 @@
         connection = None if force_new else self._pop_idle(worker, repeatable)
         if connection is None:
             connection = await self._connector.open(worker, request)
+            connection.opened_s = self._clock.monotonic_s()
             self.opened += 1
         else:
             self._connector.record_reuse(worker, connection, request)
--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -1,26 +1,39 @@
 """Provides connections to the listed incarnations of workers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from weakref import WeakSet
+from weakref import WeakKeyDictionary
 
 import trio
 
 from ..core.clock import Clock, to_s
-from ..http.client import ConnectionBroken, HttpConnection, OutgoingRequest
+from ..http.client import (
+    ConnectFailed,
+    ConnectionBroken,
+    HttpConnection,
+    OutgoingRequest,
+)
 from ..platform import requests as request_format
 from ..platform import workers as worker_format
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool
 from .incarnations import Incarnations, Verdict
-from .models import RequestKind, ResponseMetadata, Worker, WorkerId
+from .models import RequestKind, ResponseMetadata, Worker, WorkerId, WorkerKey
 from .request_state import RequestState, WorkerDidNotRun
-from .software_versions import UNKNOWN_VERSION
+from .software_versions import UNKNOWN_VERSION, BegunStream
+from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
 
 REPORT_TIMEOUT_MS = 300.0
 """A report needs no slot and takes about one round trip."""
 
+PROOF_TIMEOUT_MS = 60.0
+"""Longest delay of a first event, or of the repetition of a broken stream, by a report
+that is still in progress."""
+
+FINISHED_PROOF_TIMEOUT_MS = 2 * REPORT_TIMEOUT_MS
+"""Longest wait after a stream has ended: for one report in progress and another one."""
+
 MAX_REPORT_BYTES = 262_144
 
 
@@ -28,6 +41,8 @@
     """Connections of the pool, with the incarnation of the worker checked if needed.
 
     Only streams that may be resumed are checked; others are written by one worker.
+    Streams for which no check is needed first begin at once, and a report in the
+    background proves their connections. Without this proof their versions are unknown.
 
     Parameters
     ----------
@@ -43,6 +58,10 @@
         Source of time.
     observer : object
         Notified of checks through ``decided``.
+    tasks : TaskSupervisor
+        Runs reports in the background.
+    withdraw : callable
+        Withdraws the recorded version of a stream.
     """
 
     def __init__(
@@ -53,6 +72,8 @@
         notices: WorkerNotices,
         clock: Clock,
         observer,
+        tasks: TaskSupervisor,
+        withdraw: Callable[[BegunStream], None],
     ):
         self._connections = connections
         self._incarnations = incarnations
@@ -60,7 +81,14 @@
         self._notices = notices
         self._clock = clock
         self._observer = observer
-        self._confirmed: WeakSet[HttpConnection] = WeakSet()
+        self._tasks = tasks
+        self._withdraw = withdraw
+        self._reports: dict[WorkerKey, trio.Event] = {}
+        """Ends of the reports in progress in the background."""
+        self._streams: dict[RequestState, tuple[Worker, HttpConnection]] = {}
+        """Streams in progress that began without a check, and their connections."""
+        self._reported: WeakKeyDictionary[HttpConnection, int] = WeakKeyDictionary()
+        """Number of exchanges of connections after their last report."""
 
     @asynccontextmanager
     async def acquire(
@@ -98,34 +126,135 @@
             force_new=force_new,
             request=state.metadata.attempt,
         ) as connection:
+            if not _may_be_resumed(state):
+                yield connection
+                return
+            self._prove(worker, connection.opened_s)
+            self._streams[state] = worker, connection
             try:
                 yield connection
-            except Exception:
-                self._review_version(state, worker)
+            except BaseException as error:
+                if isinstance(error, (ConnectionBroken, trio.TooSlowError)):
+                    await self.wait_for_proof(worker, connection)
+                self._end_stream(state, worker, connection)
                 raise
+            if worker.key in self._reports:
+                # The caller has all events; it may still miss the last of them.
+                self._tasks.start_soon(self._end_proved, state, worker, connection)
+            else:
+                self._end_stream(state, worker, connection)
 
-    def _review_version(self, state: RequestState, worker: Worker) -> None:
+    async def wait_for_proof(
+        self,
+        worker: Worker,
+        connection: HttpConnection,
+        timeout_ms: float = PROOF_TIMEOUT_MS,
+    ) -> None:
+        """Wait for a report in progress that may prove a connection."""
+        with trio.move_on_after(to_s(timeout_ms)):
+            while not self._is_proved(worker, connection):
+                ended = self._reports.get(worker.key)
+                if ended is None:
+                    return
+                await ended.wait()
+
+    def _is_proved(self, worker: Worker, connection: HttpConnection) -> bool:
+        return self._incarnations.is_proved(worker, connection.opened_s)
+
+    async def _end_proved(
+        self, state: RequestState, worker: Worker, connection: HttpConnection
+    ) -> None:
+        """Withdraw the version of a finished stream if no report proves it."""
+        await self.wait_for_proof(worker, connection, FINISHED_PROOF_TIMEOUT_MS)
+        self._end_stream(state, worker, connection)
+        if state.version_recorded and state.software_version == UNKNOWN_VERSION:
+            self._withdraw(state.begun_stream)
+
+    def _end_stream(
+        self, state: RequestState, worker: Worker, connection: HttpConnection
+    ) -> None:
+        del self._streams[state]
+        self._review_version(state, worker, connection)
+
+    def _review_version(
+        self, state: RequestState, worker: Worker, connection: HttpConnection
+    ) -> None:
         """Forget the version of a stream that another incarnation may have written.
 
-        The connection was not checked, and a new entry of the worker came meanwhile.
+        The new entry of a worker tells that all its incarnations had one version.
         """
         listed = self._catalogue.workers.get(WorkerId(worker.id))
         if (
             state.software_version in (None, UNKNOWN_VERSION)
-            or listed is None
-            or listed.key == worker.key
-            or listed.software_version == state.software_version
+            or self._is_proved(worker, connection)
+            or (
+                listed is not None
+                and listed.key != worker.key
+                and listed.software_version == state.software_version
+            )
         ):
             return
         self._log(
-            state,
+            state.metadata.attempt,
             worker,
             "stream_version_unknown",
-            listed=listed.software_version,
+            listed=listed.software_version if listed is not None else None,
             former=state.software_version,
         )
         state.software_version = UNKNOWN_VERSION
 
+    def _prove(self, worker: Worker, opened_s: float) -> None:
+        """Ask for a report in the background if a connection is not proved."""
+        now_s = self._clock.monotonic_s()
+        if self._incarnations.wants_report(worker, opened_s, now_s):
+            self._reports[worker.key] = trio.Event()
+            self._tasks.start_soon(self._ask_in_background, worker)
+
+    async def _ask_in_background(self, worker: Worker) -> None:
+        """Ask for reports until all connections are proved, or one proves none."""
+        again = True
+        while again:
+            verdict = Verdict.UNKNOWN
+            try:
+                verdict = await self._ask_any(worker)
+            finally:
+                ended = self._reports.pop(worker.key)
+                again = self._incarnations.end_report(worker, verdict)
+                if again:
+                    self._reports[worker.key] = trio.Event()
+                ended.set()
+
+    def _doubt_streams(self, ended: Worker) -> None:
+        """Withdraw the versions of streams that an ended incarnation may not write."""
+        for state, (worker, connection) in self._streams.items():
+            if worker.key != ended.key or self._is_proved(worker, connection):
+                continue
+            state.writer_in_doubt = True
+            if state.version_recorded:
+                self._withdraw(state.begun_stream)
+
+    async def _ask_any(self, worker: Worker) -> Verdict:
+        """Ask for a report over any connection to a worker."""
+        for new in (False, True):
+            try:
+                async with self._connections.acquire(
+                    worker, repeatable=True, force_new=new
+                ) as connection:
+                    reused = connection.exchanges > 0
+                    verdict = await self._ask("", worker, connection)
+                    self._reported[connection] = connection.exchanges
+            except ConnectFailed as error:
+                self._log("", worker, "worker_report_failed", reason=str(error))
+                verdict, reused = None, False
+            except WorkerDidNotRun:
+                return Verdict.DIFFERENT
+            if verdict is not None:
+                return verdict
+            if not reused:
+                self.record_failure(worker)
+                break
+        return Verdict.UNKNOWN
+
     def record_failure(self, worker: Worker) -> None:
         """Record that a connection to a worker was refused or broken."""
         self._incarnations.record_failure(worker, self._clock.monotonic_s())
@@ -138,8 +267,7 @@
         Reports carry no attempt and no seal.
         """
         return (
-            connection in self._confirmed
-            and connection.exchanges == 1
+            connection.exchanges == self._reported.get(connection, -1) + 1
             and status == 200
             and response.attempt is None
             and not response.has_seal
@@ -147,7 +275,7 @@
         )
 
     def _needs_check(self, state: RequestState, worker: Worker) -> bool:
-        if state.route.kind is not RequestKind.STREAMING or not state.route.resumable:
+        if not _may_be_resumed(state):
             return False
         versions = self._catalogue.serving.of(worker.service)
         return self._incarnations.needs_check(
@@ -166,42 +294,61 @@
         WorkerDidNotRun
             If it leads elsewhere.
         """
-        if connection in self._confirmed:
+        if self._is_proved(worker, connection):
             return Verdict.SAME
+        verdict = await self._ask(state.metadata.attempt, worker, connection)
+        if verdict is None:
+            return None
+        if verdict is Verdict.DIFFERENT:
+            raise WorkerDidNotRun("incarnation_differs")
+        refusal = self._notices.refusal(worker)
+        if refusal is not None:
+            self._refuse(state, worker, refusal)
+        if verdict is Verdict.SAME:
+            if not connection.reusable or connection.has_unread_input():
+                return None
+            connection.exchanges = 0
+            self._reported[connection] = 0
+        return verdict
+
+    async def _ask(
+        self, request: str, worker: Worker, connection: HttpConnection
+    ) -> Verdict | None:
+        """Ask for a worker's report; return None if the connection is closed.
+
+        `request` is the id of the request that it is for, for logs.
+
+        Raises
+        ------
+        WorkerDidNotRun
+            If the address belongs to another worker.
+        """
         asked_s = self._clock.monotonic_s()
         try:
             with trio.fail_after(to_s(REPORT_TIMEOUT_MS)):
-                started_ms = await self._receive_report(state, worker, connection)
+                started_ms = await self._receive_report(request, worker, connection)
         except ConnectionBroken as error:
-            self._log(state, worker, "worker_report_failed", reason=str(error))
+            self._log(request, worker, "worker_report_failed", reason=str(error))
             return None
         except (ValueError, trio.TooSlowError) as error:
-            self._log(state, worker, "worker_report_failed", reason=repr(error))
+            self._log(request, worker, "worker_report_failed", reason=repr(error))
             started_ms = None
         verdict = self._incarnations.judge(worker, started_ms, asked_s)
-        self._log(state, worker, "worker_incarnation_checked", result=verdict.value)
+        self._log(request, worker, "worker_incarnation_checked", result=verdict.value)
         if verdict is Verdict.DIFFERENT:
             self._log(
-                state,
+                request,
                 worker,
                 "worker_incarnation_differs",
                 listed=worker.started_ms,
                 reported=started_ms,
             )
             self._notices.record_ended(worker, "report")
-            raise WorkerDidNotRun("incarnation_differs")
-        refusal = self._notices.refusal(worker)
-        if refusal is not None:
-            self._refuse(state, worker, refusal)
-        if verdict is Verdict.SAME:
-            if not connection.reusable or connection.has_unread_input():
-                return None
-            connection.exchanges = 0
-            self._confirmed.add(connection)
+            self._doubt_streams(worker)
         return verdict
 
     async def _receive_report(
-        self, state: RequestState, worker: Worker, connection: HttpConnection
+        self, request: str, worker: Worker, connection: HttpConnection
     ) -> int | None:
         """Return the start time in a worker's report; None if it names none.
 
@@ -223,15 +370,22 @@
         self._notices.observe(worker, response)
         if response.wrong_worker:
             self._catalogue.record_draining(worker, "report")
-            self._refuse(state, worker, "wrong_worker")
+            self._doubt_streams(worker)
+            self._log(request, worker, "worker_not_asked", reason="wrong_worker")
+            raise WorkerDidNotRun("wrong_worker")
         if head.status != 200:
             raise ValueError(f"status {head.status}")
         return worker_format.decode_report_start(body)
 
     def _refuse(self, state: RequestState, worker: Worker, reason: str) -> None:
         """Raise `WorkerDidNotRun`."""
-        self._log(state, worker, "worker_not_asked", reason=reason)
+        attempt = state.metadata.attempt
+        self._log(attempt, worker, "worker_not_asked", reason=reason)
         raise WorkerDidNotRun(reason)
 
-    def _log(self, state: RequestState, worker: Worker, kind: str, **fields) -> None:
-        self._observer.decided(kind, state.metadata.attempt, worker=worker.id, **fields)
+    def _log(self, request: str, worker: Worker, kind: str, **fields) -> None:
+        self._observer.decided(kind, request, worker=worker.id, **fields)
+
+
+def _may_be_resumed(state: RequestState) -> bool:
+    return state.route.kind is RequestKind.STREAMING and state.route.resumable
--- a/src/acaciapier/gateway/incarnations.py
+++ b/src/acaciapier/gateway/incarnations.py
@@ -34,6 +34,10 @@
         """Last failures of connections since the incarnation was last confirmed."""
         self._no_report_s: dict[WorkerKey, float] = {}
         """Times of the last checks that failed."""
+        self._proved_s: dict[WorkerKey, float] = {}
+        """Times at which the last reports with the listed start were asked for."""
+        self._wanted_s: dict[WorkerKey, float] = {}
+        """When the last connections were opened that reports in progress may prove."""
 
     def record_failure(self, worker: Worker, now_s: float) -> None:
         """Record that a connection to a worker was refused or broken."""
@@ -64,11 +68,51 @@
             return False
         if version is not None:
             return True
-        no_report_s = self._no_report_s.get(worker.key)
-        if no_report_s is not None and now_s < no_report_s + to_s(NO_REPORT_PERIOD_MS):
+        if self._lacks_report(worker, now_s):
             return False
         return len(listed_versions) > 1 or worker.key in self._failed_s
 
+    def is_proved(self, worker: Worker, opened_s: float) -> bool:
+        """Return whether a connection to a worker leads to the listed incarnation.
+
+        An incarnation starts before it is listed, and two of a worker never run at the
+        same time. So one that reports its start was reached by all connections that
+        were opened for it before, on whatever path. Only its identity is compared, no
+        time of the worker's clock.
+
+        Parameters
+        ----------
+        worker : Worker
+            The incarnation for which the connection was opened.
+        opened_s : float
+            Time at which it was open.
+        """
+        if not worker.started_ms:
+            return True
+        proved_s = self._proved_s.get(worker.key)
+        return proved_s is not None and opened_s <= proved_s
+
+    def wants_report(self, worker: Worker, opened_s: float, now_s: float) -> bool:
+        """Return whether to ask for a report now, which proves a connection.
+
+        At most one is in progress for a worker: it proves all connections that were
+        opened before.
+        """
+        if self.is_proved(worker, opened_s) or self._lacks_report(worker, now_s):
+            return False
+        in_progress = worker.key in self._wanted_s
+        wanted_s = self._wanted_s.get(worker.key, opened_s)
+        self._wanted_s[worker.key] = max(wanted_s, opened_s)
+        return not in_progress
+
+    def end_report(self, worker: Worker, verdict: Verdict) -> bool:
+        """Return whether to ask again, for connections opened after the question."""
+        wanted_s = self._wanted_s[worker.key]
+        if verdict is Verdict.SAME and not self.is_proved(worker, wanted_s):
+            return True
+        del self._wanted_s[worker.key]
+        return False
+
     def judge(self, worker: Worker, started_ms: int | None, asked_s: float) -> Verdict:
         """Return what the report of a worker says, and record it.
 
@@ -88,8 +132,17 @@
             return Verdict.DIFFERENT
         if self._failed_s.get(worker.key, asked_s) <= asked_s:
             self._failed_s.pop(worker.key, None)
+        proved_s = max(asked_s, self._proved_s.get(worker.key, asked_s))
+        _remember(self._proved_s, worker.key, proved_s)
         return Verdict.SAME
 
+    def _lacks_report(self, worker: Worker, now_s: float) -> bool:
+        """Return whether the worker gave no report lately."""
+        no_report_s = self._no_report_s.get(worker.key)
+        return no_report_s is not None and now_s < no_report_s + to_s(
+            NO_REPORT_PERIOD_MS
+        )
+
 
 def _remember(memory: dict[WorkerKey, float], key: WorkerKey, value: float) -> None:
     """Set the newest entry of a bounded memory and drop the oldest if it is full."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -229,6 +229,8 @@
                 self.notices,
                 self.clock,
                 self.observer,
+                tasks,
+                self.streams.invalidate,
             ),
         )
         self.relay = Relay(
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -18,7 +18,7 @@
     SoftwareVersion,
 )
 from .pipeline import StageRun
-from .software_versions import BegunStream
+from .software_versions import UNKNOWN_VERSION, BegunStream
 
 BASE_VALUE, REFERENCE_SIZE_TOKENS, MAX_VALUE = 0.3, 5_000.0, 4.0
 """A generation's value grows with its size, by the users' scoring rules. These refer to
@@ -75,6 +75,8 @@
     """Version of the workers that wrote the events that the caller has."""
     version_recorded: bool = False
     """Whether this version has been recorded under the attempt."""
+    writer_in_doubt: bool = False
+    """Whether another incarnation than the listed one may have written the events."""
     resumption: Resumption | None = None
     """The stream that the caller resumes."""
     begun_s: float | None = None
@@ -85,11 +87,12 @@
     @property
     def begun_stream(self) -> BegunStream:
         """The record of the stream's version, under the caller's attempt."""
+        version = self.software_version or SoftwareVersion("")
         return BegunStream(
             self.metadata.attempt,
             self.workspace or "",
             ServiceName(self.service),
-            self.software_version or SoftwareVersion(""),
+            UNKNOWN_VERSION if self.writer_in_doubt else version,
         )
 
     @property
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -403,7 +403,7 @@
             if complete:
                 if not received:
                     state.begun_s = self._clock.monotonic_s()
-                    await self._record_version(state, worker)
+                    await self._record_version(state, worker, connection)
                 received = True
                 yield complete
                 idle_at_s = trio.current_time() + idle_timeout_s
@@ -412,11 +412,14 @@
         if framing is Framing.CONNECTION_END and not received:
             raise ConnectionBroken("the connection ended before the first event")
 
-    async def _record_version(self, state: RequestState, worker: Worker) -> None:
+    async def _record_version(
+        self, state: RequestState, worker: Worker, connection: HttpConnection
+    ) -> None:
         """Record the version of a stream before its first event is forwarded."""
         state.software_version = SoftwareVersion(worker.software_version)
         if state.version_recorded or not state.route.resumable:
             return
+        await self._checked_connections.wait_for_proof(worker, connection)
         state.version_recorded = True
         await self._streams.record(state.begun_stream)
 
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -5,6 +5,7 @@
 on top of h11 do not expose.
 """
 
+import math
 import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
@@ -129,6 +130,8 @@
         self.address = address
         self.exchanges = 0
         """Requests that were sent since it was opened or last checked."""
+        self.opened_s = math.inf
+        """Time at which it was open, set by the pool."""
         self.idle_since_s = 0.0
         self.keep_alive_ms: float | None = None
         self._stream = stream
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -94,6 +94,7 @@
     report: str | None = None
     """What to send for a report: ``silent``, ``without_start``, ``error``, or ``twice``
     for a second copy ahead of the next answer."""
+    report_delay_s: float = 0.0
     unframed: bool = False
     """Answer with neither a length nor chunks; an answer that is cut ends like a
     complete one, with the end of its connection."""
@@ -259,6 +260,7 @@
         if headers.get("expect-instance", self.name) != self.name:
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
             return
+        await trio.sleep(self.faults.report_delay_s)
         if self.faults.report == "silent":
             await trio.sleep_forever()
         if self.faults.report == "error":
