Continue no stream of an incarnation that was never listed

A worker started twice, and only the second start was listed, with the former version. A stream of the first start was continued there, within the answer: any new entry of the worker with the same version was taken to tell the version of all its starts.

Now it must be the start that a report named. The test failed before (the answer was complete, from two incarnations of which one was unknown).

Beside it tests of other cases, which passed: an entry that lapses and comes back, a restart while the store is away, an address that passes to another worker of the service, a clock that stepped between two starts.

--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -181,7 +181,8 @@
     ) -> None:
         """Forget the version of a stream that another incarnation may have written.
 
-        The new entry of a worker tells that all its incarnations had one version.
+        It is known if the incarnation that was found there has come to be listed with
+        the same version.
         """
         listed = self._catalogue.workers.get(WorkerId(worker.id))
         if (
@@ -189,7 +190,7 @@
             or self._is_proved(worker, connection)
             or (
                 listed is not None
-                and listed.key != worker.key
+                and self._incarnations.is_successor(worker, listed)
                 and listed.software_version == state.software_version
             )
         ):
--- a/src/acaciapier/gateway/incarnations.py
+++ b/src/acaciapier/gateway/incarnations.py
@@ -36,6 +36,8 @@
         """Times of the last checks that failed."""
         self._proved_s: dict[WorkerKey, float] = {}
         """Times at which the last reports with the listed start were asked for."""
+        self._successors_ms: dict[WorkerKey, int] = {}
+        """Other starts that reports named."""
         self._wanted_s: dict[WorkerKey, float] = {}
         """When the last connections were opened that reports in progress may prove."""
 
@@ -92,6 +94,10 @@
         proved_s = self._proved_s.get(worker.key)
         return proved_s is not None and opened_s <= proved_s
 
+    def is_successor(self, worker: Worker, listed: Worker) -> bool:
+        """Return whether `listed` is what was found in the place of `worker`."""
+        return self._successors_ms.get(worker.key) == listed.started_ms
+
     def wants_report(self, worker: Worker, opened_s: float, now_s: float) -> bool:
         """Return whether to ask for a report now, which proves a connection.
 
@@ -129,6 +135,7 @@
             _remember(self._no_report_s, worker.key, asked_s)
             return Verdict.UNKNOWN
         if started_ms != worker.started_ms:
+            _remember(self._successors_ms, worker.key, started_ms)
             return Verdict.DIFFERENT
         if self._failed_s.get(worker.key, asked_s) <= asked_s:
             self._failed_s.pop(worker.key, None)
--- a/tests/gateway/test_connection_proofs.py
+++ b/tests/gateway/test_connection_proofs.py
@@ -89,6 +89,17 @@
     assert known.wants_report(LISTED, 1.0, ended_s)
 
 
+def test_only_the_start_that_was_reported_is_a_successor():
+    known = Incarnations()
+    third = msgspec.structs.replace(LISTED, started_ms=9)
+    second = msgspec.structs.replace(LISTED, started_ms=8)
+    assert not known.is_successor(LISTED, second)
+    known.judge(LISTED, 8, 1.0)
+    assert known.is_successor(LISTED, second)
+    assert not known.is_successor(LISTED, third)
+    assert not known.is_successor(LISTED, LISTED)
+
+
 def test_a_worker_without_a_start_is_not_asked():
     known = Incarnations()
     without_start = msgspec.structs.replace(LISTED, started_ms=0)
@@ -337,3 +348,23 @@
         assert (await stream(world, "a2")).complete
         assert recorded(world.gateways[0], "a1") == "v1"
         assert recorded(world.gateways[0], "a2") == "v2"
+
+
+async def test_a_stream_of_an_incarnation_that_was_never_listed_is_not_resumed():
+    async with deployment() as world:
+        await drain(world, "model-2")
+        second_ms = await world.platform.restart("model-1")
+        caller, _ = await begin_stream(world)
+        third_ms = second_ms + 50
+        world.platform.register("model-1", version="v1", born=third_ms)
+        world.platform.register("model-2", state="ready")
+        listed = world.gateways[0].catalogue.workers
+        await world.until(
+            lambda: (
+                listed["model-1"].started_ms == third_ms
+                and len(world.gateways[0].catalogue.workers_of(MODEL)) == 2
+            )
+        )
+        world.platform.crash("model-1")
+        assert not (await caller.receive()).complete
+        assert incarnations(world) == [("model-1", second_ms)]
