Test that a stream sent after its check broke off is proved, too

Where several versions serve, a new stream whose check ended with a reset connection is sent over another one, unchecked.

--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -95,6 +95,8 @@
     """What to send for a report: ``silent``, ``without_start``, ``error``, or ``twice``
     for a second copy ahead of the next answer."""
     report_delay_s: float = 0.0
+    reset_reports: int = 0
+    """Number of reports instead of which the connection is reset."""
     unframed: bool = False
     """Answer with neither a length nor chunks; an answer that is cut ends like a
     complete one, with the end of its connection."""
@@ -261,6 +263,9 @@
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
             return
         await trio.sleep(self.faults.report_delay_s)
+        if self.reports <= self.faults.reset_reports:
+            exchange.abort()
+            return
         if self.faults.report == "silent":
             await trio.sleep_forever()
         if self.faults.report == "error":
--- a/tests/gateway/test_connection_proofs.py
+++ b/tests/gateway/test_connection_proofs.py
@@ -242,7 +242,22 @@
             )
 
 
-async def test_a_stream_begins_unproved_where_the_address_is_another_workers():
+async def test_a_stream_sent_after_its_check_broke_off_is_proved_as_well():
+    async with deployment(gateways=2) as world:
+        world.platform.register("model-2", version="v2")
+        await drain(world, "model-2")
+        await world.platform.restart("model-1")
+        worker = world.platform.workers["model-1"]
+        worker.faults.reset_reports = 1
+        assert (await stream(world, "a1")).complete
+        assert worker.reports == 2
+        for gateway in world.gateways:
+            await world.until(
+                lambda gateway=gateway: recorded(gateway) == UNKNOWN_VERSION
+            )
+
+
+async def test_no_stream_begins_where_the_address_is_another_workers():
     async with deployment() as world:
         await drain(world, "model-2")
         await world.platform.restart("model-1")
