End checks of workers that are cancelled when the process ends

Callers see nothing; the process does not end by itself and keeps a core busy until it is killed.

Cause: a cancelled connection has its worker checked, and a cancelled check is such a connection, too. If a comparison and a check of the same worker run at once, the first removes the mark that keeps the second one from starting a third, and so on; each is cancelled at once.

Change: only connections for requests start a check when cancelled. After: the test sees one connection.

Class of fault: a handler of cancellation that starts new work.

--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -133,16 +133,22 @@
         self, worker: Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
     ) -> HttpConnection:
         """Open a direct connection, or raise `ConnectFailed`."""
+        try:
+            return await self._connect(worker, timeout_ms)
+        except trio.Cancelled:
+            # Calls may have shorter timeouts than connecting.
+            self.check(worker)
+            raise
+
+    async def _connect(
+        self, worker: Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
+    ) -> HttpConnection:
         try:
             connection = await HttpConnection.open(worker.host, worker.port, timeout_ms)
         except ConnectFailed as error:
             self._paths.record_failure(worker, str(error))
             self._compare(worker)
             raise
-        except trio.Cancelled:
-            # Calls may have shorter timeouts than connecting.
-            self.check(worker)
-            raise
         self._paths.record_success(worker)
         return connection
 
@@ -185,7 +191,7 @@
 
     async def _check(self, worker: Worker) -> None:
         try:
-            connection = await self.open_direct(worker)
+            connection = await self._connect(worker)
             connection.close()
         except ConnectFailed:
             return  # recorded as a failure of the path
--- a/tests/gateway/test_worker_connector.py
+++ b/tests/gateway/test_worker_connector.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from acaciapier.core.clock import ManualClock
 from acaciapier.gateway.connection_pool import WorkerConnectionPool
@@ -101,6 +102,7 @@
 
     async def _open(self, host, port, timeout_ms):
         self.direct.append(f"{host}-{port}")
+        assert len(self.direct) < 1_000
         if f"{host}-{port}" in self.failing:
             await trio.sleep(min(self.silent_s, timeout_ms / 1_000.0))
             raise ConnectFailed("planted")
@@ -256,3 +258,14 @@
         pool.check_silent()
     pool.check_silent()
     assert checked == [[], [], [], [worker], []]
+
+
+async def test_a_check_that_is_cancelled_at_the_stop_starts_no_other(monkeypatch):
+    """Guards against checks that start each other for ever when the process ends."""
+    async with trio.open_nursery() as nursery:
+        world = World(monkeypatch, nursery)
+        world.silent_s = 60.0
+        world.connector._compare(world.book)
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    assert len(world.direct) == 1
