End exclusions of stage workers when the path to them changes

Cause: a call of a stage that gets no answer excludes its worker, 400 ms at first, doubling to 6 s. The dispatcher took its own cut link for a fault of the workers, and after it had concluded its partition the workers stayed excluded, so nothing went through the other instance. Calls time out (210 to 240 ms) before a connect timeout (400 ms), so the first connection that failed was that of a check that began with the second call: the partition was concluded 2 s after the cut, with the exclusions at 1.6 s.

Change: a call without an answer in time has its worker checked at once. Exclusions by such calls end when the path changes, a call that began on the former path excludes nothing, and through other instances they do not double. Refusals of a worker exclude it as before.

Class of fault: evidence about a link that is kept as evidence about the worker behind it.

--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -6,7 +6,7 @@
 
 from ..core.clock import Clock
 from ..http.client import HttpConnection
-from .models import Worker
+from .models import ServiceName, Worker
 from .worker_connector import Connector, DirectConnector
 
 KEEP_ALIVE_MARGIN_MS = 500.0
@@ -106,6 +106,14 @@
             ]
         )
 
+    def check(self, worker: Worker) -> None:
+        """Have a worker checked that did not answer in time."""
+        self._connector.check_one_of([worker])
+
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        return self._connector.is_partitioned(service)
+
     def close_expired(self) -> None:
         """Close idle connections that are too old, or that the worker has closed."""
         for key in list(self._idle):
--- a/src/acaciapier/gateway/dispatch/health.py
+++ b/src/acaciapier/gateway/dispatch/health.py
@@ -111,6 +111,13 @@
         )
         return excluded_ms
 
+    def readmit(self, key: str) -> None:
+        """End a worker's exclusion without a successful call."""
+        state = self._states.get(key)
+        if state is not None:
+            state.exclusion_ms = 0.0
+            state.excluded_until_s = 0.0
+
     def excluded_ms(self, key: str, now_s: float) -> float:
         """Return how much longer a worker is excluded."""
         state = self._states.get(key)
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -10,6 +10,7 @@
 from ..models import BatchSpec, PieceFailure, PieceResult, Worker
 from ..supervision import TaskSupervisor
 from ..worker_limits import WorkerLimits
+from .health import FIRST_EXCLUSION_MS, MAX_EXCLUSION_MS
 from .piece_groups import PieceGroup, StageCall
 from .refusal import CANCELLED
 from .stage_queue import StageQueue
@@ -69,7 +70,8 @@
     workers : callable
         Returns the workers that accept work.
     client : object
-        Coroutines ``run(worker, pieces)`` and ``free(worker, handles)``.
+        Coroutines ``run(worker, pieces)`` and ``free(worker, handles)``, and a method
+        ``is_partitioned(service)``.
     clock : Clock
         Source of time.
     log : callable
@@ -106,6 +108,9 @@
         self._released_s: dict[str, float] = {}
         """Time of the last release call to each limited worker."""
         self._checking = False
+        self._partitioned = False
+        self._unanswered: set[str] = set()
+        """Workers excluded after calls without an answer on the present path."""
         self._next_report_s = 0.0
         self._next_expiry_check_s = 0.0
 
@@ -120,6 +125,7 @@
 
     def forecast_ms(self, group: PieceGroup) -> float | None:
         """Return the time until a new group would be done; None without a worker."""
+        self._update_path()
         now_s = self._clock.monotonic_s()
         return self.queue.forecast_ms(group, self._workers(), now_s)
 
@@ -172,6 +178,7 @@
 
     def start_calls(self) -> None:
         """Start a call at each idle worker for which there is work."""
+        self._update_path()
         now_s = self._clock.monotonic_s()
         workers = self._workers()
         self.queue.retain_workers(workers)
@@ -186,6 +193,20 @@
             if call is not None:
                 self._tasks.start_soon(self._run_call, call)
 
+    def _update_path(self) -> bool:
+        """Return whether this instance is partitioned from the service.
+
+        Calls without an answer say nothing about the workers once the path to them has
+        changed.
+        """
+        partitioned = self._client.is_partitioned(self.service)
+        if partitioned != self._partitioned:
+            self._partitioned = partitioned
+            for key in self._unanswered:
+                self.queue.health.readmit(key)
+            self._unanswered.clear()
+        return partitioned
+
     def _start_checks(self) -> None:
         if not self._checking:
             self._checking = True
@@ -223,25 +244,32 @@
             (group.pieces[number], (group.expires_s - start_s) * 1_000.0)
             for group, number in call.items()
         ]
-        worker, key = call.worker, call.worker.key
+        worker = call.worker
         results = None
         timeout_ms = CALL_TIMEOUT_FACTOR * call.expected_ms + CALL_TIMEOUT_MARGIN_MS
         reason = f"no answer in {timeout_ms:.0f} ms"
         retry_after_ms = 0.0
+        answered = False
+        partitioned = self._update_path()
         with trio.move_on_after(to_s(timeout_ms)):
             try:
                 results = await self._client.run(worker, pieces)
             except WorkerRefused as refusal:
+                answered = True
                 reason = str(refusal)
                 retry_after_ms = refusal.retry_after_ms
-            except (ConnectFailed, ConnectionBroken, ValueError) as error:
+            except ValueError as error:
+                answered = True
+                reason = str(error)
+            except (ConnectFailed, ConnectionBroken) as error:
                 reason = str(error)
         now_s = self._clock.monotonic_s()
         elapsed_ms = (now_s - start_s) * 1_000.0
         if results is None:
             self.queue.fail(call)
-            min_ms = max(retry_after_ms, self._limits.brittle.pause_ms(worker))
-            excluded_ms = self.queue.health.exclude(key, now_s, min_ms=min_ms)
+            excluded_ms = 0.0
+            if answered or self._update_path() == partitioned:
+                excluded_ms = self._exclude(worker, answered, retry_after_ms, now_s)
             self._log(
                 "stage_call_failed",
                 service=self.service,
@@ -256,6 +284,21 @@
         self.start_calls()
         self._start_checks()
 
+    def _exclude(
+        self, worker: Worker, answered: bool, retry_after_ms: float, now_s: float
+    ) -> float:
+        """Exclude a worker after a failed call; return for how many ms."""
+        min_ms = max(retry_after_ms, self._limits.brittle.pause_ms(worker))
+        max_ms = MAX_EXCLUSION_MS
+        if answered or min_ms:
+            self._unanswered.discard(worker.key)
+        else:
+            self._unanswered.add(worker.key)
+        if self._partitioned and not answered:
+            # The instance that passes the call on may have failed.
+            max_ms = FIRST_EXCLUSION_MS
+        return self.queue.health.exclude(worker.key, now_s, max_ms, min_ms)
+
     def _record_results(
         self,
         call: StageCall,
@@ -268,6 +311,7 @@
         if not failures:
             ratio = elapsed_ms / spec.duration_ms(call.size)
             self.queue.health.record_success(call.worker.key)
+            self._unanswered.discard(call.worker.key)
             self.queue.health.record_slowdown(call.worker.key, ratio, now_s)
         if PieceFailure.OUT_OF_MEMORY in failures:
             self.queue.record_out_of_memory(call.worker, now_s)
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Sequence
 
+import trio
+
 from ..core.clock import Clock
 from ..http.client import (
     ConnectionBroken,
@@ -13,7 +15,7 @@
 from ..platform import stages as stage_format
 from .connection_pool import WorkerConnectionPool
 from .dispatch.stage_scheduler import WorkerRefused
-from .models import Piece, PieceResult, Worker
+from .models import Piece, PieceResult, ServiceName, Worker
 from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
 
@@ -94,6 +96,10 @@
         body = stage_format.encode_free(handles)
         await self._call(worker, stage_format.FREE_PATH, body)
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        return self._connections.is_partitioned(service)
+
     def _is_copy(self, worker: Worker, body: bytes) -> bool:
         """Return whether a response has results of an earlier one.
 
@@ -122,8 +128,13 @@
         headers = request_format.worker_call_headers(worker.id)
         request = OutgoingRequest(b"POST", path, headers, body)
         async with self._connections.acquire(worker, repeatable=True) as connection:
-            await connection.send(request, self._tasks)
-            head, response_body = await self._receive(worker, connection)
+            try:
+                await connection.send(request, self._tasks)
+                head, response_body = await self._receive(worker, connection)
+            except trio.Cancelled:
+                # The worker is slow, or its link is cut.
+                self._connections.check(worker)
+                raise
             if head.status == 200:
                 try:
                     decode(response_body)
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -9,7 +9,7 @@
 from ..core.clock import to_s
 from ..core.ids import InstanceId
 from ..http.client import ConnectFailed, HttpConnection
-from .models import Worker, WorkerKey
+from .models import ServiceName, Worker, WorkerKey
 from .supervision import TaskSupervisor
 from .tunnels import TunnelClient, TunneledConnection, WorkerUnreachable
 from .worker_paths import WorkerPath, WorkerPaths
@@ -43,6 +43,10 @@
         """Check one of the workers whose connections have been silent for a while."""
         ...
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        ...
+
 
 class DirectConnector:
     """Opens direct connections only."""
@@ -63,6 +67,10 @@
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Do nothing: the path to a worker is always the same."""
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return False: the path to a worker is always the same."""
+        return False
+
 
 class WorkerConnector:
     """Opens connections on the path that `WorkerPaths` chooses.
@@ -168,6 +176,10 @@
         if direct:
             self.check(self._random.choice(direct))
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        return self._paths.since_s(service) is not None
+
     def _compare(self, failed: Worker) -> None:
         """Check another worker, preferably of another service, in the background.
 
