Use links to workers that come and go only once they have held

Cause: the first direct success ended the conclusion that the instance is partitioned, so each cut was found anew, by calls that failed: 0.65 s of each 2 s at the dispatcher.

The unit test failed before.

Change: a partition that begins within 5 s after another one ends only when direct connections have succeeded for 2 s. A worker that keeps failing meanwhile does not prolong it.

Class of fault: a decision without hysteresis on an input that alternates.

--- a/src/acaciapier/gateway/worker_paths.py
+++ b/src/acaciapier/gateway/worker_paths.py
@@ -17,6 +17,12 @@
 UNREACHABLE_TTL_MS = 1_000.0
 """For how long a worker that another instance could not reach is not tried again."""
 
+RECURRENCE_MS = 5_000.0
+"""A partition that begins within this time after the last one ended recurs."""
+
+RECURRENT_END_MS = 2_000.0
+"""For how long direct connections must succeed until a recurrent partition ends."""
+
 
 class WorkerPath(Enum):
     """How the next connection to a worker is opened."""
@@ -31,7 +37,8 @@
     """Concludes from failed direct connections that this instance is partitioned.
 
     The conclusion holds for the workers of a service, or for all workers, until a
-    direct connection to one of them succeeds.
+    direct connection to one of them succeeds. One that follows another shortly holds
+    until they have succeeded for a while, so that links that come and go are not used.
 
     Parameters
     ----------
@@ -58,6 +65,14 @@
         self._partitioned_since_s: dict[ServiceName, float] = {}
         self._all_since_s: float | None = None
         self._last_success_s = -math.inf
+        self._ended_s = -math.inf
+        """When the last conclusion ended."""
+        self._recurrent = False
+        self._successful_since_s: float | None = None
+        """Time of the first success since the last failure of the links."""
+        self._failing: set[WorkerKey] = set()
+        """Workers that failed during the present conclusion and were not reached since;
+        another failure of one of them says nothing about the links."""
         self._unreachable_until_s: dict[WorkerKey, float] = {}
 
     @property
@@ -94,23 +109,35 @@
     def record_success(self, worker: Worker) -> None:
         """Record that a direct connection to a worker was opened."""
         service = worker.service
+        self._failing.discard(worker.key)
         self._last_success_s = self._clock.monotonic_s()
         self._unreachable_until_s.pop(worker.key, None)
         for key in [
             key for key, known in self._failures.items() if known[0] == service
         ]:
             del self._failures[key]
+        if self._successful_since_s is None:
+            self._successful_since_s = self._last_success_s
+        successful_s = self._last_success_s - self._successful_since_s
+        if self._recurrent and successful_s < to_s(RECURRENT_END_MS):
+            return
         restored = self._partitioned_since_s.pop(service, None) is not None
         if self._all_since_s is not None:
             self._all_since_s = None
             restored = True
         if restored:
+            self._failing.clear()
+            self._ended_s = self._last_success_s
             self._on_change("workers_reachable", worker=worker.id, service=service)
 
     def record_failure(self, worker: Worker, reason: str) -> None:
         """Record that a direct connection to a worker could not be opened."""
         now_s = self._clock.monotonic_s()
         oldest_s = now_s - to_s(FAILURE_EXPIRY_MS)
+        if worker.key not in self._failing:
+            self._successful_since_s = None
+        if self.partitioned:
+            self._failing.add(worker.key)
         self._failures.pop(worker.key, None)
         self._failures[worker.key] = (worker.service, now_s)
         for key, (_, failed_s) in list(self._failures.items()):
@@ -129,6 +156,9 @@
         self._unreachable_until_s[worker.key] = now_s + to_s(UNREACHABLE_TTL_MS)
 
     def _conclude(self, service: ServiceName, reason: str) -> None:
+        if not self.partitioned:
+            recurs_until_s = self._ended_s + to_s(RECURRENCE_MS)
+            self._recurrent = self._clock.monotonic_s() < recurs_until_s
         listed = {worker.key: worker.service for worker in self._workers()}
         failed = {key: known for key, known in self._failures.items() if key in listed}
         of_service = [since_s for name, since_s in failed.values() if name == service]
--- a/tests/gateway/test_partitioned_stages.py
+++ b/tests/gateway/test_partitioned_stages.py
@@ -40,3 +40,22 @@
 async def test_stages_go_on_when_most_instances_are_cut_off_silently(monkeypatch):
     """Guards against a cut-off dispatcher that excludes all stage workers."""
     await run_staged(monkeypatch, GATEWAYS - 1, cut_silently)
+
+
+def cut_each_second(links, gateways, nursery) -> None:
+    nursery.start_soon(flap, links, gateways)
+
+
+async def flap(links, gateways) -> None:
+    """Cut links silently for every other second."""
+    while True:
+        cut_silently(links, gateways, None)
+        await trio.sleep(1.0)
+        for gateway in gateways:
+            links.restore(gateway)
+        await trio.sleep(1.0)
+
+
+async def test_stages_go_on_when_the_links_of_their_dispatcher_come_and_go(monkeypatch):
+    """Guards against a dispatcher that uses links again after each short return."""
+    await run_staged(monkeypatch, 1, cut_each_second)
--- a/tests/gateway/test_worker_paths.py
+++ b/tests/gateway/test_worker_paths.py
@@ -7,6 +7,8 @@
 from acaciapier.gateway.peers import HEARTBEAT_EXPIRY_MS, Peers
 from acaciapier.gateway.worker_paths import (
     FAILURE_EXPIRY_MS,
+    RECURRENCE_MS,
+    RECURRENT_END_MS,
     UNREACHABLE_TTL_MS,
     WorkerPath,
     WorkerPaths,
@@ -184,3 +186,44 @@
 
     def add_addresses(self, addresses):
         pass
+
+
+def test_links_that_come_and_go_are_used_once_they_have_held():
+    paths = Paths()
+    paths.fail(BOOK_1, BOOK_2)
+    paths.succeed(BOOK_1)
+    assert paths.choose(BOOK_1) is DIRECT
+    paths.fail(BOOK_1, BOOK_2)
+    for _ in range(3):
+        paths.succeed(BOOK_1)
+        paths.clock.advance(RECURRENT_END_MS / 2_000.0)
+        paths.fail(BOOK_1)
+        assert paths.choose(BOOK_1) is TUNNEL
+    paths.succeed(BOOK_1)
+    assert paths.choose(BOOK_1) is TUNNEL
+    paths.clock.advance(RECURRENT_END_MS / 1_000.0)
+    paths.succeed(BOOK_2)
+    assert paths.choose(BOOK_1) is DIRECT
+
+
+def test_a_worker_that_is_gone_does_not_keep_links_that_hold_from_use():
+    paths = Paths()
+    paths.fail(BOOK_1, BOOK_2)
+    paths.succeed(BOOK_1)
+    paths.fail(BOOK_1, BOOK_2)
+    for _ in range(9):
+        paths.succeed(BOOK_1)
+        paths.clock.advance(RECURRENT_END_MS / 8_000.0)
+        paths.fail(BOOK_2)
+    paths.succeed(BOOK_1)
+    assert paths.choose(BOOK_1) is DIRECT
+
+
+def test_a_partition_long_after_another_ends_with_the_first_success():
+    paths = Paths()
+    for _ in range(2):
+        paths.fail(BOOK_1, BOOK_2)
+        assert paths.choose(BOOK_1) is TUNNEL
+        paths.succeed(BOOK_1)
+        assert paths.choose(BOOK_1) is DIRECT
+        paths.clock.advance(RECURRENCE_MS / 1_000.0)
