--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -328,7 +328,7 @@
         )
         self.tunnel_server = TunnelServer(
             self.catalogue,
-            connector.open_direct,
+            connector.open_for_peer,
             lambda worker: self.paths.since_s(worker.service) is not None,
             self.log.write,
             self.metrics,
--- a/src/acaciapier/gateway/tunnels.py
+++ b/src/acaciapier/gateway/tunnels.py
@@ -313,11 +313,11 @@
         ConnectFailed
             If no helper opened a tunnel for another reason.
         """
-        helpers = self.helpers()[:MAX_HELPERS_ASKED]
+        helpers = self.helpers()
         causes = []
         last_refusal = "no instance serves tunnels"
         give_up_at_s = trio.current_time() + to_s(OPEN_TOTAL_TIMEOUT_MS)
-        for helper in helpers:
+        for helper in helpers[:MAX_HELPERS_ASKED]:
             try:
                 with trio.fail_at(give_up_at_s):
                     return await self._open_through(helper, worker, request)
@@ -337,7 +337,8 @@
             if causes.count(UNREACHABLE) >= UNREACHABLE_ANSWERS:
                 break
         confirmed = causes.count(UNREACHABLE) >= UNREACHABLE_ANSWERS
-        if causes and (confirmed or {UNREACHABLE, PARTITIONED}.issuperset(causes)):
+        all_failed = {UNREACHABLE, PARTITIONED}.issuperset(causes)
+        if confirmed or (causes and len(causes) == len(helpers) and all_failed):
             raise WorkerUnreachable(f"{worker.address}: {last_refusal}")
         raise ConnectFailed(f"{worker.address}: {last_refusal}")
 
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -123,8 +123,7 @@
             try:
                 return await self.open_direct(worker)
             except ConnectFailed:
-                if self._comparison is not None:
-                    await self._comparison.wait()
+                await self._wait_for_comparison()
                 if self._paths.choose(worker) is WorkerPath.DIRECT:
                     raise
         elif not self._tunnels.helpers():
@@ -137,6 +136,17 @@
             self._paths.record_unreachable(worker)
             raise
 
+    async def open_for_peer(self, worker: Worker) -> HttpConnection:
+        """Open a direct connection for another instance, or raise `ConnectFailed`.
+
+        After a failure it is known whether this instance is partitioned.
+        """
+        try:
+            return await self.open_direct(worker)
+        except ConnectFailed:
+            await self._wait_for_comparison()
+            raise
+
     async def open_direct(
         self, worker: Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
     ) -> HttpConnection:
@@ -194,6 +204,10 @@
             self._comparison = trio.Event()
             self._tasks.start_soon(self._run_comparison, other, self._comparison)
 
+    async def _wait_for_comparison(self) -> None:
+        if self._comparison is not None:
+            await self._comparison.wait()
+
     async def _run_comparison(self, worker: Worker, ended: trio.Event) -> None:
         try:
             await self._check(worker)
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -411,6 +411,21 @@
             await world.client.open(world.worker)
 
 
+async def test_some_helpers_without_links_say_nothing_about_a_worker(monkeypatch):
+    monkeypatch.setattr(tunnels, "MAX_HELPERS_ASKED", 1)
+
+    async def serve(stream):
+        await trio.sleep_forever()
+
+    async with running(serve) as world:
+        for helper in world.helpers:
+            helper.partitioned = True
+            helper.failures = 1
+        with pytest.raises(ConnectFailed) as raised:
+            await world.client.open(world.worker)
+        assert not isinstance(raised.value, WorkerUnreachable)
+
+
 async def test_an_instance_of_an_earlier_release_fails_only_the_call():
     async def serve(stream):
         await trio.sleep_forever()
--- a/tests/gateway/test_worker_connector.py
+++ b/tests/gateway/test_worker_connector.py
@@ -269,3 +269,26 @@
         await trio.testing.wait_all_tasks_blocked()
         nursery.cancel_scope.cancel()
     assert len(world.direct) == 1
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 0.1])
+async def test_a_helper_that_fails_knows_whether_it_is_partitioned(
+    monkeypatch, silent_s
+):
+    """Guards against helpers that blame a worker for the loss of their own links."""
+    async with trio.open_nursery() as nursery:
+        world = World(monkeypatch, nursery)
+        world.silent_s = silent_s
+        with pytest.raises(ConnectFailed):
+            await world.connector.open_for_peer(world.book)
+        assert world.paths.partitioned_from_all
+
+
+async def test_a_helper_that_reaches_other_workers_is_not_partitioned(monkeypatch):
+    async with trio.open_nursery() as nursery:
+        world = World(monkeypatch, nursery)
+        world.failing = {"book-1"}
+        with pytest.raises(ConnectFailed):
+            await world.connector.open_for_peer(world.book)
+        assert not world.paths.partitioned
+        assert len(world.direct) == 2
