--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -106,9 +106,9 @@
             ]
         )
 
-    def check(self, worker: Worker) -> None:
-        """Have a worker checked that did not answer in time."""
-        self._connector.check_one_of([worker])
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Record that an exchange ended without an answer in time."""
+        self._connector.record_silence(worker, connection)
 
     def is_partitioned(self, service: ServiceName) -> bool:
         """Return whether this instance does not reach a service's workers itself."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -54,7 +54,8 @@
 from .stream_records import StreamRecords
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
-from .tunnels import TunnelClient, TunnelServer
+from .tunnel_server import TunnelServer
+from .tunnels import TunnelClient
 from .worker_connector import WorkerConnector
 from .worker_exchange import WorkerExchange
 from .worker_limits import WorkerLimits
@@ -389,6 +390,7 @@
             self.dispatcher.engine_times(),
             self.quarantine.part_crashes_digest,
             self.catalogue.complete and not self.paths.partitioned_from_all,
+            self.paths.partitioned_lately,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -211,16 +211,23 @@
         )
 
     def tunnel_helpers(self) -> list[PeerRecord]:
-        """Return the peers that lately reported that they serve tunnels."""
+        """Return the peers that lately reported that they serve tunnels.
+
+        Those that were partitioned themselves lately are left out if there are others.
+        """
         after_s = self._clock.monotonic_s() - to_s(HEARTBEAT_EXPIRY_MS)
-        return [
-            peer.record
+        helpers = [
+            peer
             for instance, peer in self._peers.items()
             if self.is_up(instance)
             and peer.last_heartbeat is not None
             and peer.last_heartbeat.serves_tunnels
             and peer.last_heartbeat_s > after_s
         ]
+        steady = [
+            peer for peer in helpers if not peer.last_heartbeat.partitioned_lately
+        ]
+        return [peer.record for peer in steady or helpers]
 
     @contextmanager
     def fails_when_down(self, instance: InstanceId) -> Iterator[trio.CancelScope]:
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -133,7 +133,7 @@
                 head, response_body = await self._receive(worker, connection)
             except trio.Cancelled:
                 # The worker is slow, or its link is cut.
-                self._connections.check(worker)
+                self._connections.record_silence(worker, connection)
                 raise
             if head.status == 200:
                 try:
--- /dev/null
+++ b/src/acaciapier/gateway/tunnel_server.py
@@ -0,0 +1,153 @@
+"""Serves tunnels: connects to workers for other instances, and forwards bytes."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import trio
+
+from ..core.ids import InstanceId
+from ..http.client import ConnectFailed, HttpConnection
+from ..observability.metrics import Metrics
+from ..wire.messages.base import Message
+from ..wire.messages.tunnels import (
+    OpenTunnel,
+    TunnelData,
+    TunnelEnded,
+    TunnelOpened,
+    TunnelRefused,
+    TunnelWritten,
+    WriteTunnel,
+)
+from .catalogue import Catalogue
+from .models import Worker, WorkerKey
+from .tunnels import OVERLOADED, PARTITIONED, UNKNOWN_WORKER, UNREACHABLE
+
+READ_BYTES = 4_096
+"""Maximum number of bytes in a message from a worker. A stream's window of messages may
+be ahead of a heartbeat on the same connection."""
+
+MAX_TUNNELS = 256
+MAX_TUNNELS_PER_PEER = 64
+"""Bounds of the tunnels that an instance serves. Each takes a descriptor, and one of
+the calls that a peer may have in progress."""
+
+
+class TunnelServer:
+    """Connects to workers for other instances, and forwards bytes.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        The workers that may be connected to.
+    open_direct : callable
+        Coroutine that opens a direct connection to a worker.
+    is_partitioned : callable
+        Returns whether this instance is partitioned from a worker's service.
+    log : callable
+        Logs an event with its fields.
+    metrics : Metrics
+        Counts tunnels.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        open_direct: Callable[[Worker], Awaitable[HttpConnection]],
+        is_partitioned: Callable[[Worker], bool],
+        log: Callable[..., None],
+        metrics: Metrics,
+    ):
+        self._catalogue = catalogue
+        self._open_direct = open_direct
+        self._is_partitioned = is_partitioned
+        self._log = log
+        self._metrics = metrics
+        self._opening = 0
+        self._connections: dict[tuple[InstanceId, int], HttpConnection] = {}
+
+    @property
+    def count(self) -> int:
+        """Number of tunnels that are open or being opened."""
+        return self._opening + len(self._connections)
+
+    async def serve(
+        self, peer: InstanceId, message: OpenTunnel
+    ) -> AsyncIterator[Message]:
+        """Connect to a worker and yield what it sends."""
+        worker = self._catalogue.find(WorkerKey(message.worker))
+        refusal = self._refusal(peer, worker)
+        if refusal is None:
+            self._opening += 1
+            try:
+                connection = await self._open_direct(worker)
+            except ConnectFailed as error:
+                partitioned = self._is_partitioned(worker)
+                cause = PARTITIONED if partitioned else UNREACHABLE
+                refusal = TunnelRefused(cause, str(error))
+            finally:
+                self._opening -= 1
+        fields = {
+            "request": message.request,
+            "worker": message.worker,
+            "peer": peer,
+            "tunnel": message.tunnel,
+        }
+        if refusal is not None:
+            self._metrics.worker_tunnel("refused")
+            self._log(
+                "tunnel_not_served",
+                cause=refusal.cause,
+                reason=refusal.reason,
+                **fields,
+            )
+            yield refusal
+            return
+        self._metrics.worker_tunnel("served")
+        self._log("tunnel_served", **fields)
+        key = peer, message.tunnel
+        self._connections[key] = connection
+        try:
+            yield TunnelOpened()
+            async for item in _received(connection.stream):
+                yield item
+        finally:
+            del self._connections[key]
+            connection.close()
+
+    def _refusal(self, peer: InstanceId, worker: Worker | None) -> TunnelRefused | None:
+        if worker is None:
+            return TunnelRefused(UNKNOWN_WORKER)
+        of_peer = sum(owner == peer for owner, _ in self._connections)
+        if self.count >= MAX_TUNNELS or of_peer >= MAX_TUNNELS_PER_PEER:
+            return TunnelRefused(OVERLOADED, f"{self.count} tunnels")
+        return None
+
+    async def write(self, peer: InstanceId, message: WriteTunnel) -> TunnelWritten:
+        """Write bytes to the worker of a tunnel."""
+        connection = self._connections.get((peer, message.tunnel))
+        if connection is None:
+            return TunnelWritten(False)
+        try:
+            await connection.stream.send_all(message.data)
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            # The end of the connection is reported to the reading side.
+            return TunnelWritten(False)
+        return TunnelWritten(True)
+
+
+async def _received(stream: trio.SocketStream) -> AsyncIterator[Message]:
+    """Yield the bytes from a worker and the end of its connection."""
+    while True:
+        try:
+            data = await stream.receive_some(READ_BYTES)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            yield TunnelEnded(False, repr(error))
+            return
+        if not data:
+            yield TunnelEnded(True)
+            return
+        yield TunnelData(data)
--- a/src/acaciapier/gateway/tunnels.py
+++ b/src/acaciapier/gateway/tunnels.py
@@ -4,7 +4,7 @@
 """
 
 import random as random_module
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Callable
 from contextlib import aclosing
 
 import trio
@@ -25,14 +25,13 @@
     WriteTunnel,
 )
 from ..wire.network import PeerNetwork
-from .catalogue import Catalogue
-from .models import Worker, WorkerKey
+from .models import Worker
 from .peers import Peers
 from .supervision import TaskSupervisor
 
-READ_BYTES, WRITE_BYTES = 4_096, 16_384
-"""Maximum number of bytes in a message from and to a worker. A stream's window of
-messages, and one write, may be ahead of a heartbeat on the same connection."""
+WRITE_BYTES = 16_384
+"""Maximum number of bytes in a message to a worker. One write may be ahead of a
+heartbeat on the same connection."""
 
 OPEN_TIMEOUT_MS = 600.0
 """Timeout of opening a tunnel: the helper's connect timeout and two round trips."""
@@ -52,10 +51,13 @@
 """Helpers that must fail to reach a worker before it is taken to be unreachable: a
 single one may just have been partitioned itself."""
 
-MAX_TUNNELS = 256
-MAX_TUNNELS_PER_PEER = 64
-"""Bounds of the tunnels that an instance serves. Each takes a descriptor, and one of
-the calls that a peer may have in progress."""
+HELPER_ANSWER_MS = 100.0
+"""Time after which a helper is not expected to reach the worker: it takes two round
+trips and about a millisecond."""
+
+AVOIDED_S = 5.0
+"""For how long a helper that may be partitioned is asked last, and its tunnels are not
+used for other requests."""
 
 UNREACHABLE, PARTITIONED = "unreachable", "partitioned"
 UNKNOWN_WORKER, OVERLOADED = "unknown_worker", "overloaded"
@@ -286,12 +288,25 @@
         self._log = log
         self._metrics = metrics
         self._last_number = 0
+        self._avoided_until_s: dict[InstanceId, float] = {}
+
+    def avoid(self, helper: InstanceId) -> None:
+        """Ask a helper last for a while."""
+        self._avoided_until_s[helper] = trio.current_time() + AVOIDED_S
+
+    def _is_avoided(self, helper: InstanceId) -> bool:
+        return trio.current_time() < self._avoided_until_s.get(helper, 0.0)
 
     def helpers(self) -> list[InstanceId]:
         """Return the instances to ask for a tunnel, in order."""
         records = self._peers.tunnel_helpers()
         self._random.shuffle(records)
-        records.sort(key=lambda record: record.data_centre != self._data_centre)
+        records.sort(
+            key=lambda record: (
+                self._is_avoided(record.instance),
+                record.data_centre != self._data_centre,
+            )
+        )
         return [record.instance for record in records]
 
     def sample_peers(self) -> list[InstanceId]:
@@ -301,7 +316,8 @@
 
     def is_usable(self, connection: TunneledConnection) -> bool:
         """Return whether another request may be sent through a tunnel's helper."""
-        return self._peers.is_up(connection.tunnel.helper)
+        helper = connection.tunnel.helper
+        return self._peers.is_up(helper) and not self._is_avoided(helper)
 
     async def open(self, worker: Worker, request: str = "") -> TunneledConnection:
         """Open a connection to a worker through another instance.
@@ -348,11 +364,16 @@
         self._last_number += 1
         stream = TunnelStream(helper, self._last_number, self._network, self._peers)
         message = OpenTunnel(stream.number, worker.key, request)
+        asked_s = trio.current_time()
         self._tasks.start_soon(stream.run, message)
         try:
             await stream.wait_opened()
-        except BaseException:
+        except BaseException as error:
             stream.close()
+            answered = isinstance(error, TunnelRefusedError) and error.cause
+            late = trio.current_time() - asked_s > to_s(HELPER_ANSWER_MS)
+            if error.cause == PARTITIONED if answered else late:
+                self.avoid(helper)
             raise
         self._metrics.worker_tunnel("opened")
         self._log(
@@ -363,125 +384,3 @@
             tunnel=stream.number,
         )
         return TunneledConnection(stream, f"{worker.address} through {helper}")
-
-
-class TunnelServer:
-    """Connects to workers for other instances, and forwards bytes.
-
-    Parameters
-    ----------
-    catalogue : Catalogue
-        The workers that may be connected to.
-    open_direct : callable
-        Coroutine that opens a direct connection to a worker.
-    is_partitioned : callable
-        Returns whether this instance is partitioned from a worker's service.
-    log : callable
-        Logs an event with its fields.
-    metrics : Metrics
-        Counts tunnels.
-    """
-
-    def __init__(
-        self,
-        catalogue: Catalogue,
-        open_direct: Callable[[Worker], Awaitable[HttpConnection]],
-        is_partitioned: Callable[[Worker], bool],
-        log: Callable[..., None],
-        metrics: Metrics,
-    ):
-        self._catalogue = catalogue
-        self._open_direct = open_direct
-        self._is_partitioned = is_partitioned
-        self._log = log
-        self._metrics = metrics
-        self._opening = 0
-        self._connections: dict[tuple[InstanceId, int], HttpConnection] = {}
-
-    @property
-    def count(self) -> int:
-        """Number of tunnels that are open or being opened."""
-        return self._opening + len(self._connections)
-
-    async def serve(
-        self, peer: InstanceId, message: OpenTunnel
-    ) -> AsyncIterator[Message]:
-        """Connect to a worker and yield what it sends."""
-        worker = self._catalogue.find(WorkerKey(message.worker))
-        refusal = self._refusal(peer, worker)
-        if refusal is None:
-            self._opening += 1
-            try:
-                connection = await self._open_direct(worker)
-            except ConnectFailed as error:
-                partitioned = self._is_partitioned(worker)
-                cause = PARTITIONED if partitioned else UNREACHABLE
-                refusal = TunnelRefused(cause, str(error))
-            finally:
-                self._opening -= 1
-        fields = {
-            "request": message.request,
-            "worker": message.worker,
-            "peer": peer,
-            "tunnel": message.tunnel,
-        }
-        if refusal is not None:
-            self._metrics.worker_tunnel("refused")
-            self._log(
-                "tunnel_not_served",
-                cause=refusal.cause,
-                reason=refusal.reason,
-                **fields,
-            )
-            yield refusal
-            return
-        self._metrics.worker_tunnel("served")
-        self._log("tunnel_served", **fields)
-        key = peer, message.tunnel
-        self._connections[key] = connection
-        try:
-            yield TunnelOpened()
-            async for item in _received(connection.stream):
-                yield item
-        finally:
-            del self._connections[key]
-            connection.close()
-
-    def _refusal(self, peer: InstanceId, worker: Worker | None) -> TunnelRefused | None:
-        if worker is None:
-            return TunnelRefused(UNKNOWN_WORKER)
-        of_peer = sum(owner == peer for owner, _ in self._connections)
-        if self.count >= MAX_TUNNELS or of_peer >= MAX_TUNNELS_PER_PEER:
-            return TunnelRefused(OVERLOADED, f"{self.count} tunnels")
-        return None
-
-    async def write(self, peer: InstanceId, message: WriteTunnel) -> TunnelWritten:
-        """Write bytes to the worker of a tunnel."""
-        connection = self._connections.get((peer, message.tunnel))
-        if connection is None:
-            return TunnelWritten(False)
-        try:
-            await connection.stream.send_all(message.data)
-        except (
-            OSError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            trio.BusyResourceError,
-        ):
-            # The end of the connection is reported to the reading side.
-            return TunnelWritten(False)
-        return TunnelWritten(True)
-
-
-async def _received(stream: trio.SocketStream) -> AsyncIterator[Message]:
-    """Yield the bytes from a worker and the end of its connection."""
-    while True:
-        try:
-            data = await stream.receive_some(READ_BYTES)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            yield TunnelEnded(False, repr(error))
-            return
-        if not data:
-            yield TunnelEnded(True)
-            return
-        yield TunnelData(data)
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -39,6 +39,10 @@
         """Record that an idle connection is used for another request."""
         ...
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Record that an exchange ended without an answer in time."""
+        ...
+
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Check one of the workers whose connections have been silent for a while."""
         ...
@@ -64,6 +68,9 @@
     ) -> None:
         """Do nothing: the path to a worker is always the same."""
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Do nothing: the path to a worker is always the same."""
+
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Do nothing: the path to a worker is always the same."""
 
@@ -176,6 +183,13 @@
             self._checked.add(worker.key)
             self._tasks.start_soon(self._check, worker)
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Record that an exchange ended without an answer in time."""
+        if isinstance(connection, TunneledConnection):
+            self._tunnels.avoid(connection.tunnel.helper)
+        else:
+            self.check_one_of([worker])
+
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Check one of the workers whose connections have been silent for a while."""
         direct = [
--- a/src/acaciapier/gateway/worker_paths.py
+++ b/src/acaciapier/gateway/worker_paths.py
@@ -80,6 +80,12 @@
         """Whether the workers of any service are out of reach."""
         return self._all_since_s is not None or bool(self._partitioned_since_s)
 
+    @property
+    def partitioned_lately(self) -> bool:
+        """Whether a partition would recur if it began now."""
+        recurs_until_s = self._ended_s + to_s(RECURRENCE_MS)
+        return self.partitioned or self._clock.monotonic_s() < recurs_until_s
+
     @property
     def partitioned_from_all(self) -> bool:
         """Whether all workers are out of reach."""
@@ -157,8 +163,7 @@
 
     def _conclude(self, service: ServiceName, reason: str) -> None:
         if not self.partitioned:
-            recurs_until_s = self._ended_s + to_s(RECURRENCE_MS)
-            self._recurrent = self._clock.monotonic_s() < recurs_until_s
+            self._recurrent = self.partitioned_lately
         listed = {worker.key: worker.service for worker in self._workers()}
         failed = {key: known for key, known in self._failures.items() if key in listed}
         of_service = [since_s for name, since_s in failed.values() if name == service]
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -76,6 +76,8 @@
     """Hash of the crash records of prompt parts; 0 if there are none."""
     serves_tunnels: bool = False
     """Whether the sender reaches workers and opens connections to them for peers."""
+    partitioned_lately: bool = False
+    """Whether the sender was partitioned from workers within the last seconds."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
--- a/tests/gateway/test_partitioned_stages.py
+++ b/tests/gateway/test_partitioned_stages.py
@@ -59,3 +59,8 @@
 async def test_stages_go_on_when_the_links_of_their_dispatcher_come_and_go(monkeypatch):
     """Guards against a dispatcher that uses links again after each short return."""
     await run_staged(monkeypatch, 1, cut_each_second)
+
+
+async def test_stages_go_on_when_the_links_of_most_instances_come_and_go(monkeypatch):
+    """Guards against tunnels through instances whose own links come and go."""
+    await run_staged(monkeypatch, GATEWAYS - 1, cut_each_second)
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -9,10 +9,11 @@
 import trio
 
 from acaciapier.core.clock import SystemClock
-from acaciapier.gateway import tunnels
+from acaciapier.gateway import tunnel_server, tunnels
 from acaciapier.gateway.models import PeerRecord, Worker, WorkerState
 from acaciapier.gateway.supervision import TaskSupervisor
-from acaciapier.gateway.tunnels import TunnelClient, TunnelServer, WorkerUnreachable
+from acaciapier.gateway.tunnel_server import TunnelServer
+from acaciapier.gateway.tunnels import TunnelClient, WorkerUnreachable
 from acaciapier.http.client import (
     ConnectFailed,
     ConnectionBroken,
@@ -87,6 +88,9 @@
     def tunnel_helpers(self):
         return [PeerRecord(name, "h", 1, "zone-a", 1) for name in self.names]
 
+    def is_up(self, instance):
+        return instance in self.names
+
     async def call(self, instance, message, timeout_ms):
         return await self.network.call(instance, message, timeout_ms)
 
@@ -227,7 +231,7 @@
         await trio.sleep(0.3)
         assert written == before
         # A window of messages, and the socket buffers of one connection.
-        assert written < 32 * tunnels.READ_BYTES + 12_000_000
+        assert written < 32 * tunnel_server.READ_BYTES + 12_000_000
         connection.close()
         await world.until(lambda: not world.served)
 
@@ -369,8 +373,11 @@
             if cause != "unknown":
                 first.workers[world.worker.key] = world.worker
             first.failures = 1 if cause == "unreachable" else 0
-            first.server._opening = tunnels.MAX_TUNNELS if cause == "overloaded" else 0
+            first.server._opening = (
+                tunnel_server.MAX_TUNNELS if cause == "overloaded" else 0
+            )
             world.client._random = random.Random(3)
+            world.client._avoided_until_s.clear()
             connection = await world.client.open(world.worker)
             assert connection.tunnel.helper != first.name
             connection.close()
@@ -426,6 +433,49 @@
         assert not isinstance(raised.value, WorkerUnreachable)
 
 
+async def test_a_helper_that_opened_no_tunnel_is_asked_last():
+    """Guards against asking again and again a helper that has lost its own links."""
+
+    async def serve(stream):
+        await trio.sleep_forever()
+
+    async with running(serve) as world:
+        first, second = world.helpers
+        first.partitioned = True
+        first.failures = 99
+        for _ in range(8):
+            connection = await world.client.open(world.worker)
+            assert connection.tunnel.helper == second.name
+            connection.close()
+        assert first.failures >= 98
+
+
+async def test_a_helper_that_cannot_reach_one_worker_is_asked_for_others():
+    async def serve(stream):
+        await trio.sleep_forever()
+
+    async with running(serve, helpers=1) as world:
+        (helper,) = world.helpers[:1]
+        connection = await world.client.open(world.worker)
+        helper.failures = 1
+        with pytest.raises(WorkerUnreachable):
+            await world.client.open(world.worker)
+        assert world.client.is_usable(connection)
+        connection.close()
+
+
+async def test_a_tunnel_through_a_helper_that_was_silent_is_not_reused():
+    async def serve(stream):
+        await trio.sleep_forever()
+
+    async with running(serve) as world:
+        connection = await world.client.open(world.worker)
+        assert world.client.is_usable(connection)
+        world.client.avoid(connection.tunnel.helper)
+        assert not world.client.is_usable(connection)
+        connection.close()
+
+
 async def test_an_instance_of_an_earlier_release_fails_only_the_call():
     async def serve(stream):
         await trio.sleep_forever()
@@ -439,7 +489,7 @@
 
 
 async def test_a_helper_bounds_the_tunnels_of_one_peer(monkeypatch):
-    monkeypatch.setattr(tunnels, "MAX_TUNNELS_PER_PEER", 2)
+    monkeypatch.setattr(tunnel_server, "MAX_TUNNELS_PER_PEER", 2)
 
     async def serve(stream):
         await trio.sleep_forever()
--- a/tests/gateway/test_worker_paths.py
+++ b/tests/gateway/test_worker_paths.py
@@ -181,6 +181,30 @@
     assert not peers.tunnel_helpers()
 
 
+def test_helpers_that_were_partitioned_lately_are_used_if_there_is_no_other():
+    own = PeerRecord("own", "h", 1, "zone-a", 1)
+    clock = ManualClock()
+    peers = Peers(own, FakeNetwork(), clock, None, lambda kind, **fields: None)
+    names = ["steady", "lately"]
+    peers.set_records(PeerRecord(name, "h", 1, "zone-a", 1) for name in names)
+    beat = Heartbeat(1, 1, 1, False, uptime_ms=60_000.0, serves_tunnels=True)
+    peers.record_heartbeat("lately", replace(beat, partitioned_lately=True))
+    assert [record.instance for record in peers.tunnel_helpers()] == ["lately"]
+    peers.record_heartbeat("steady", beat)
+    assert [record.instance for record in peers.tunnel_helpers()] == ["steady"]
+
+
+def test_an_instance_is_partitioned_lately_for_some_seconds_after_the_end():
+    paths = Paths()
+    assert not paths.partitioned_lately
+    paths.fail(BOOK_1, BOOK_2)
+    assert paths.partitioned_lately
+    paths.succeed(BOOK_1)
+    assert paths.partitioned_lately
+    paths.clock.advance(RECURRENCE_MS / 1_000.0)
+    assert not paths.partitioned_lately
+
+
 class FakeNetwork:
     """Network that only learns addresses."""
 
