--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -6,7 +6,7 @@
 
 from ..core.clock import Clock
 from ..http.client import HttpConnection
-from .models import Worker
+from .models import ServiceName, Worker
 from .worker_connector import Connector, DirectConnector
 
 KEEP_ALIVE_MARGIN_MS = 500.0
@@ -107,6 +107,14 @@
             ]
         )
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Record that an exchange ended without an answer in time."""
+        self._connector.record_silence(worker, connection)
+
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        return self._connector.is_partitioned(service)
+
     def close_expired(self) -> None:
         """Close idle connections that are too old, or that the worker has closed."""
         for key in list(self._idle):
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -56,7 +56,8 @@
 from .stream_records import StreamRecords
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
-from .tunnels import TunnelClient, TunnelServer
+from .tunnel_server import TunnelServer
+from .tunnels import TunnelClient
 from .worker_connector import WorkerConnector
 from .worker_exchange import WorkerExchange
 from .worker_limits import WorkerLimits
@@ -330,7 +331,7 @@
         )
         self.tunnel_server = TunnelServer(
             self.catalogue,
-            connector.open_direct,
+            connector.open_for_peer,
             lambda worker: self.paths.since_s(worker.service) is not None,
             self.log.write,
             self.metrics,
@@ -393,6 +394,7 @@
             self.catalogue.complete and not self.paths.partitioned_from_all,
             build=self.builds.own,
             keeps_stream_records=True,
+            partitioned_lately=self.paths.partitioned_lately,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -9,7 +9,7 @@
 from ..core.clock import to_s
 from ..core.ids import InstanceId
 from ..http.client import ConnectFailed, HttpConnection
-from .models import Worker, WorkerKey
+from .models import ServiceName, Worker, WorkerKey
 from .supervision import TaskSupervisor
 from .tunnels import TunnelClient, TunneledConnection, WorkerUnreachable
 from .worker_paths import WorkerPath, WorkerPaths
@@ -39,10 +39,18 @@
         """Record that an idle connection is used for another request."""
         ...
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Record that an exchange ended without an answer in time."""
+        ...
+
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Check one of the workers whose connections have been silent for a while."""
         ...
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        ...
+
 
 class DirectConnector:
     """Opens direct connections only."""
@@ -60,9 +68,16 @@
     ) -> None:
         """Do nothing: the path to a worker is always the same."""
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Do nothing: the path to a worker is always the same."""
+
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Do nothing: the path to a worker is always the same."""
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return False: the path to a worker is always the same."""
+        return False
+
 
 class WorkerConnector:
     """Opens connections on the path that `WorkerPaths` chooses.
@@ -115,8 +130,7 @@
             try:
                 return await self.open_direct(worker)
             except ConnectFailed:
-                if self._comparison is not None:
-                    await self._comparison.wait()
+                await self._wait_for_comparison()
                 if self._paths.choose(worker) is WorkerPath.DIRECT:
                     raise
         elif not self._tunnels.helpers():
@@ -129,20 +143,37 @@
             self._paths.record_unreachable(worker)
             raise
 
+    async def open_for_peer(self, worker: Worker) -> HttpConnection:
+        """Open a direct connection for another instance, or raise `ConnectFailed`.
+
+        After a failure it is known whether this instance is partitioned.
+        """
+        try:
+            return await self.open_direct(worker)
+        except ConnectFailed:
+            await self._wait_for_comparison()
+            raise
+
     async def open_direct(
         self, worker: Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
     ) -> HttpConnection:
         """Open a direct connection, or raise `ConnectFailed`."""
+        try:
+            return await self._connect(worker, timeout_ms)
+        except trio.Cancelled:
+            # Calls may have shorter timeouts than connecting.
+            self.check(worker)
+            raise
+
+    async def _connect(
+        self, worker: Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
+    ) -> HttpConnection:
         try:
             connection = await HttpConnection.open(worker.host, worker.port, timeout_ms)
         except ConnectFailed as error:
             self._paths.record_failure(worker, str(error))
             self._compare(worker)
             raise
-        except trio.Cancelled:
-            # Calls may have shorter timeouts than connecting.
-            self.check(worker)
-            raise
         self._paths.record_success(worker)
         return connection
 
@@ -152,6 +183,13 @@
             self._checked.add(worker.key)
             self._tasks.start_soon(self._check, worker)
 
+    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+        """Record that an exchange ended without an answer in time."""
+        if isinstance(connection, TunneledConnection):
+            self._tunnels.avoid(connection.tunnel.helper)
+        else:
+            self.check_one_of([worker])
+
     def check_one_of(self, workers: Sequence[Worker]) -> None:
         """Check one of the workers whose connections have been silent for a while."""
         direct = [
@@ -162,6 +200,10 @@
         if direct:
             self.check(self._random.choice(direct))
 
+    def is_partitioned(self, service: ServiceName) -> bool:
+        """Return whether this instance does not reach a service's workers itself."""
+        return self._paths.since_s(service) is not None
+
     def _compare(self, failed: Worker) -> None:
         """Check another worker, preferably of another service, in the background.
 
@@ -176,6 +218,10 @@
             self._comparison = trio.Event()
             self._tasks.start_soon(self._run_comparison, other, self._comparison)
 
+    async def _wait_for_comparison(self) -> None:
+        if self._comparison is not None:
+            await self._comparison.wait()
+
     async def _run_comparison(self, worker: Worker, ended: trio.Event) -> None:
         try:
             await self._check(worker)
@@ -185,7 +231,7 @@
 
     async def _check(self, worker: Worker) -> None:
         try:
-            connection = await self.open_direct(worker)
+            connection = await self._connect(worker)
             connection.close()
         except ConnectFailed:
             return  # recorded as a failure of the path
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -80,6 +80,8 @@
     """Build that the sender runs; earlier releases do not name it."""
     keeps_stream_records: bool = False
     """Whether the sender records the software versions of streams."""
+    partitioned_lately: bool = False
+    """Whether the sender was partitioned from workers within the last seconds."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
--- a/tests/gateway/test_worker_paths.py
+++ b/tests/gateway/test_worker_paths.py
@@ -7,6 +7,8 @@
 from acaciapier.gateway.peers import HEARTBEAT_EXPIRY_MS, Peers
 from acaciapier.gateway.worker_paths import (
     FAILURE_EXPIRY_MS,
+    RECURRENCE_MS,
+    RECURRENT_END_MS,
     UNREACHABLE_TTL_MS,
     WorkerPath,
     WorkerPaths,
@@ -179,8 +181,73 @@
     assert not peers.tunnel_helpers()
 
 
+def test_helpers_that_were_partitioned_lately_are_used_if_there_is_no_other():
+    own = PeerRecord("own", "h", 1, "zone-a", 1)
+    clock = ManualClock()
+    peers = Peers(own, FakeNetwork(), clock, None, lambda kind, **fields: None)
+    names = ["steady", "lately"]
+    peers.set_records(PeerRecord(name, "h", 1, "zone-a", 1) for name in names)
+    beat = Heartbeat(1, 1, 1, False, uptime_ms=60_000.0, serves_tunnels=True)
+    peers.record_heartbeat("lately", replace(beat, partitioned_lately=True))
+    assert [record.instance for record in peers.tunnel_helpers()] == ["lately"]
+    peers.record_heartbeat("steady", beat)
+    assert [record.instance for record in peers.tunnel_helpers()] == ["steady"]
+
+
+def test_an_instance_is_partitioned_lately_for_some_seconds_after_the_end():
+    paths = Paths()
+    assert not paths.partitioned_lately
+    paths.fail(BOOK_1, BOOK_2)
+    assert paths.partitioned_lately
+    paths.succeed(BOOK_1)
+    assert paths.partitioned_lately
+    paths.clock.advance(RECURRENCE_MS / 1_000.0)
+    assert not paths.partitioned_lately
+
+
 class FakeNetwork:
     """Network that only learns addresses."""
 
     def add_addresses(self, addresses):
         pass
+
+
+def test_links_that_come_and_go_are_used_once_they_have_held():
+    paths = Paths()
+    paths.fail(BOOK_1, BOOK_2)
+    paths.succeed(BOOK_1)
+    assert paths.choose(BOOK_1) is DIRECT
+    paths.fail(BOOK_1, BOOK_2)
+    for _ in range(3):
+        paths.succeed(BOOK_1)
+        paths.clock.advance(RECURRENT_END_MS / 2_000.0)
+        paths.fail(BOOK_1)
+        assert paths.choose(BOOK_1) is TUNNEL
+    paths.succeed(BOOK_1)
+    assert paths.choose(BOOK_1) is TUNNEL
+    paths.clock.advance(RECURRENT_END_MS / 1_000.0)
+    paths.succeed(BOOK_2)
+    assert paths.choose(BOOK_1) is DIRECT
+
+
+def test_a_worker_that_is_gone_does_not_keep_links_that_hold_from_use():
+    paths = Paths()
+    paths.fail(BOOK_1, BOOK_2)
+    paths.succeed(BOOK_1)
+    paths.fail(BOOK_1, BOOK_2)
+    for _ in range(9):
+        paths.succeed(BOOK_1)
+        paths.clock.advance(RECURRENT_END_MS / 8_000.0)
+        paths.fail(BOOK_2)
+    paths.succeed(BOOK_1)
+    assert paths.choose(BOOK_1) is DIRECT
+
+
+def test_a_partition_long_after_another_ends_with_the_first_success():
+    paths = Paths()
+    for _ in range(2):
+        paths.fail(BOOK_1, BOOK_2)
+        assert paths.choose(BOOK_1) is TUNNEL
+        paths.succeed(BOOK_1)
+        assert paths.choose(BOOK_1) is DIRECT
+        paths.clock.advance(RECURRENCE_MS / 1_000.0)
