Release slots at all dispatchers that count them

The trace of test_brittle_workers shows workers of which the dispatcher counted 2 or 3 slots as used for the whole run that no instance held, so that no request fitted into the room of 2.

Cause: an instance reported the end of a request to its current dispatcher only. When a service passed to another dispatcher and back within a second, as at the start of three gateways, the first one kept the slots whose requests ended at the second: they were less than UNLISTED_PERMIT_MS old when it was told of the held slots again, and stayed reserved for PERMIT_TTL_MS, 30 s. A request that waited at a dispatcher while it was replaced, and was granted there, was even ascribed to the new one, which did not know of it.

Now a permit keeps the dispatchers that count its slot, the granting one first, and its end is reported to each. A grant by a dispatcher that has been replaced meanwhile is reported to the new one as held. This also frees the slots of services that are not brittle, of which such a change cost some for 30 s.

Two tests of the dispatch client failed before: 4 slots counted where 3 were held; 1 and 0 where none was.

Class of fault: state that two processes count is released at one.

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -68,7 +68,8 @@
     worker: Worker
     prompt_tokens: int
     output_tokens: int
-    dispatcher: InstanceId
+    dispatchers: tuple[InstanceId, ...]
+    """Those that count its slot, the current dispatcher last."""
     granted_s: float
     usable_until_s: float = math.inf
     limited: LimitedWorker | None = None
@@ -165,7 +166,7 @@
 
     async def enter_stages(self, message: EnterStages) -> None:
         """Wait until a request may start its stages, or raise `Refused`."""
-        answer, _ = await self._call_dispatcher(
+        answer, *_ = await self._call_dispatcher(
             message.service, message, message.expires_ms
         )
         if not isinstance(answer, StagesEntered):
@@ -173,7 +174,7 @@
 
     async def run_pieces(self, message: RunPieces) -> tuple[str, ...]:
         """Return the handles of all pieces of a stage, or raise `Refused`."""
-        answer, _ = await self._call_dispatcher(
+        answer, *_ = await self._call_dispatcher(
             message.service, message, message.expires_ms
         )
         if isinstance(answer, PiecesMade):
@@ -191,12 +192,12 @@
                 limits=self._known_limits(message.service),
                 brittle=self._known_brittle(message.service),
             )
-            answer, asked_s = await self._call_dispatcher(
+            answer, asked_s, dispatcher = await self._call_dispatcher(
                 message.service, message, message.expires_ms
             )
             if not isinstance(answer, WorkerGranted):
                 raise _refusal_of(answer)
-            permit = self._accept_grant(message, answer, asked_s)
+            permit = self._accept_grant(message, answer, asked_s, dispatcher)
             if permit is not None:
                 return permit
             avoid = (*message.avoid, answer.worker)
@@ -216,7 +217,7 @@
     def report_started(self, permit: Permit) -> None:
         """Report to the dispatcher that the first part of an answer has arrived."""
         self._notify(
-            permit.dispatcher,
+            permit.dispatchers[-1],
             PermitStarted(
                 permit.service,
                 permit.name,
@@ -242,7 +243,8 @@
             permit.limit_per_s,
             permit.brittle_rejections,
         )
-        self._notify(permit.dispatcher, message)
+        for instance in permit.dispatchers:
+            self._notify(instance, message)
 
     def release_results(self, service: str, handles: Sequence[str]) -> None:
         """Release results of a stage service."""
@@ -265,10 +267,10 @@
 
     async def _call_dispatcher(
         self, service: str, message: Message, wait_ms: float
-    ) -> tuple[Message, float]:
+    ) -> tuple[Message, float, InstanceId]:
         """Call the dispatcher of a service; on failure call the next one.
 
-        Return its answer and the time at which it was called.
+        Return its answer, the time at which it was called, and which one answered.
         """
         start_s = self._clock.monotonic_s()
         for _ in range(MAX_DISPATCHERS):
@@ -276,7 +278,7 @@
             self._update_dispatcher(service, instance)
             remaining_ms = wait_ms - (self._clock.monotonic_s() - start_s) * 1_000.0
             if remaining_ms <= 0:
-                return WorkRefused("expired", 0.0), start_s
+                return WorkRefused("expired", 0.0), start_s, instance
             asked_s = self._clock.monotonic_s()
             try:
                 answer = await self._call_instance(instance, message, remaining_ms)
@@ -300,8 +302,9 @@
                 if instance != self._peers.own:
                     self._peers.record_stopping(instance)
                 continue
-            return answer, asked_s
-        return WorkRefused("no_dispatcher", DISPATCHER_CHANGE_RETRY_MS), start_s
+            return answer, asked_s, instance
+        refused = WorkRefused("no_dispatcher", DISPATCHER_CHANGE_RETRY_MS)
+        return refused, start_s, self._peers.own
 
     async def _call_instance(
         self, instance: InstanceId, message: Message, remaining_ms: float
@@ -315,7 +318,11 @@
         )
 
     def _accept_grant(
-        self, message: AcquireWorker, answer: WorkerGranted, asked_s: float
+        self,
+        message: AcquireWorker,
+        answer: WorkerGranted,
+        asked_s: float,
+        dispatcher: InstanceId,
     ) -> Permit | None:
         """Return the permit for a granted slot; None if it must not be used.
 
@@ -323,7 +330,6 @@
         grant ignores.
         """
         worker = self._catalogue.workers.get(WorkerId(answer.worker))
-        dispatcher = self._dispatchers[message.service]
         if (
             worker is None
             or worker.started_ms != answer.started_ms
@@ -340,13 +346,16 @@
             worker,
             message.prompt_tokens,
             message.output_tokens,
-            dispatcher,
+            (dispatcher,),
             self._clock.monotonic_s(),
             asked_s + to_s(answer.waited_ms + UNUSED_PERMIT_TTL_MS),
             answer.limited,
             answer.waited_ms,
         )
         self._permits[permit.name] = permit
+        if dispatcher != self._dispatchers[message.service]:
+            # It was replaced while the request waited there.
+            self._report_permits(message.service)
         return permit
 
     def _keeps_to_limit(
@@ -394,19 +403,24 @@
         if service in self._results:
             results = tuple(self._results[service].items())
             self._notify(instance, HeldResults(service, results))
+        if not first:
+            self._report_permits(service)
+            self._log("dispatcher_changed", service=service, dispatcher=instance)
+
+    def _report_permits(self, service: str) -> None:
+        """Report the held permits of a service to its current dispatcher."""
+        instance = self._dispatchers[service]
         permits = [
             permit for permit in self._permits.values() if permit.service == service
         ]
         for permit in permits:
-            permit.dispatcher = instance
+            others = (known for known in permit.dispatchers if known != instance)
+            permit.dispatchers = (*others, instance)
         entries = tuple(
             (permit.name, permit.worker.key, permit.prompt_tokens, permit.output_tokens)
             for permit in permits
         )
-        if entries or not first:
-            self._notify(instance, HeldPermits(service, entries))
-        if not first:
-            self._log("dispatcher_changed", service=service, dispatcher=instance)
+        self._notify(instance, HeldPermits(service, entries))
 
     def _held_ms(self, permit: Permit) -> float:
         return (self._clock.monotonic_s() - permit.granted_s) * 1_000.0
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -1,5 +1,7 @@
 """Slots that a dispatcher granted or queued for an instance that gave up on it."""
 
+from contextlib import asynccontextmanager
+
 import msgspec
 import trio
 import trio.testing
@@ -14,10 +16,11 @@
 from acaciapier.gateway.settings import GatewayBounds
 from acaciapier.gateway.supervision import TaskSupervisor
 from acaciapier.platform.configuration import decode_configuration
-from acaciapier.wire.messages.gateway import AcquireWorker, PermitEnded
+from acaciapier.wire.messages.gateway import AcquireWorker, HeldPermits, PermitEnded
 from acaciapier_standins.platform.platform import configuration
 
 CALLER, DISPATCHER = InstanceId("edge-1"), InstanceId("edge-2")
+NEXT_DISPATCHER = InstanceId("edge-3")
 
 
 class FreezingPeers:
@@ -90,3 +93,102 @@
             answer = await remote.acquire(DISPATCHER, acquire_message("next"))
         assert answer.worker == "w1"
         nursery.cancel_scope.cancel()
+
+
+class ChangingPeers:
+    """Peers of which one or the other dispatches."""
+
+    own = CALLER
+
+    def __init__(self, dispatchers: dict[InstanceId, Dispatcher]):
+        self.dispatchers = dispatchers
+        self.first = DISPATCHER
+
+    def rank(self, service: str, own_usable: bool) -> list[InstanceId]:
+        return [self.first]
+
+    async def call(self, instance, message, timeout_ms):
+        # Messages to an instance keep their order.
+        await trio.testing.wait_all_tasks_blocked()
+        return await self.dispatchers[instance].acquire(CALLER, message)
+
+    def send(self, instance, message) -> None:
+        dispatcher = self.dispatchers[instance]
+        handlers = {
+            PermitEnded: dispatcher.permit_ended,
+            HeldPermits: dispatcher.held_permits,
+        }
+        trio.lowlevel.spawn_system_task(handlers[type(message)], CALLER, message)
+
+
+@asynccontextmanager
+async def two_dispatchers(slots: int):
+    """Run a client of two dispatchers of a service with one worker."""
+    clock = ManualClock()
+    catalogue = Catalogue(clock, decode_configuration)
+    source = configuration(1, [], [{"name": "book", "max_conns": 100}])
+    catalogue.update_configuration(
+        StorePosition(1, 1), msgspec.json.encode(source), "store"
+    )
+    worker = Worker("w1", "book", "10.0.0.1", 80, "a", slots, WorkerState.READY, 1)
+    catalogue.update_workers(StorePosition(1, 1), [worker], "store")
+    async with trio.open_nursery() as nursery:
+        dispatchers = {
+            instance: make_dispatcher(nursery, catalogue, clock, instance)
+            for instance in (DISPATCHER, NEXT_DISPATCHER)
+        }
+        peers = ChangingPeers(dispatchers)
+        own = make_dispatcher(nursery, catalogue, clock, CALLER)
+        client = DispatchClient(
+            peers, own, catalogue, clock, lambda kind, **fields: None
+        )
+        yield client, peers
+        nursery.cancel_scope.cancel()
+
+
+def reserved(peers: ChangingPeers) -> list[int]:
+    """Return the slots that each dispatcher counts as used."""
+    return [
+        dispatcher._allocators["book"].reserved
+        for dispatcher in peers.dispatchers.values()
+    ]
+
+
+async def test_a_slot_that_two_dispatchers_count_is_released_at_both():
+    async with two_dispatchers(slots=4) as (client, peers):
+        held = [await client.acquire(acquire_message("")) for _ in range(2)]
+        peers.first = NEXT_DISPATCHER
+        held.append(await client.acquire(acquire_message("")))
+        await trio.testing.wait_all_tasks_blocked()
+        client.release_permit(held.pop(0))
+        peers.first = DISPATCHER
+        held.append(await client.acquire(acquire_message("")))
+        await trio.testing.wait_all_tasks_blocked()
+        assert reserved(peers)[0] == 3
+        for permit in held:
+            client.release_permit(permit)
+        await trio.testing.wait_all_tasks_blocked()
+        assert reserved(peers) == [0, 0]
+
+
+async def test_a_slot_granted_by_a_dispatcher_replaced_meanwhile_is_released_there():
+    async with (
+        two_dispatchers(slots=1) as (client, peers),
+        trio.open_nursery() as tasks,
+    ):
+        permits = []
+
+        async def acquire() -> None:
+            permits.append(await client.acquire(acquire_message("")))
+
+        await acquire()
+        tasks.start_soon(acquire)
+        await trio.testing.wait_all_tasks_blocked()
+        peers.first = NEXT_DISPATCHER
+        tasks.start_soon(acquire)
+        await trio.testing.wait_all_tasks_blocked()
+        assert reserved(peers) == [1, 1]
+        while permits:
+            client.release_permit(permits.pop())
+            await trio.testing.wait_all_tasks_blocked()
+        assert reserved(peers) == [0, 0]
