Count a request that a brittle worker took only once

A brittle worker was held to have more room after a single request beyond its proven room: the request counted at its start and again at its end, so the 2 (or 4) successes asked for were 1 (or 2).

Evidence: the trace of test_brittle_workers (record_taken twice for one permit); the new test failed before (room 2 after one request, expected 1).

Class of fault: two reports of one event counted as two events.

--- a/src/acaciapier/gateway/dispatch/limit_reports.py
+++ b/src/acaciapier/gateway/dispatch/limit_reports.py
@@ -88,7 +88,7 @@
     """Record whether a worker took a granted request."""
     service, key, sent = message.service, reservation.worker, reservation.sent
     if isinstance(message, PermitStarted) or message.outcome == OUTCOME_DONE:
-        if sent is not None:
+        if sent is not None and not reservation.started:
             granted_s = reservation.granted_s
             limits.brittle.record_taken(
                 service, key, reservation.slots, sent, granted_s
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -152,6 +152,24 @@
         assert limits.brittle.room(worker("w1"), SLOTS) == room
 
 
+async def test_a_request_that_a_worker_took_proves_more_room_only_once():
+    async with trio.open_nursery() as nursery:
+        clock, limits = ManualClock(), WorkerLimits()
+        dispatcher = make_dispatcher(nursery, clock, limits)
+        prove(limits.brittle, 1)
+        limits.brittle.record("book", KEY, 2, clock.monotonic_s(), 0.0, "test")
+        clock.advance(1.0)
+        for number, room in ((1, 1), (2, 2)):
+            for permit in ("held", f"p{number}"):
+                await dispatcher.acquire(OTHER, ask(permit))
+            started = PermitStarted("book", f"p{number}", 50.0, brittle_rejections=2)
+            await dispatcher.permit_started(OTHER, started)
+            for permit in ("held", f"p{number}"):
+                ended = PermitEnded("book", permit, "done", 60.0)
+                await dispatcher.permit_ended(OTHER, ended)
+            assert limits.brittle.room(worker("w1"), SLOTS) == room
+
+
 async def test_a_new_dispatcher_knows_the_brittle_workers_of_those_that_ask_it():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
