Blame rejections on the request beyond the room that caused them

Cause, from the trace of each rejected request and of those that ran then: a request beyond the proven room is granted in the same moment as others and arrives before them. The worker takes it and rejects one of the others, which counted as a rejection within the proven room; two within 1.2 s halved it. The request that caused it counted as a proof of more room besides.

Now a rejection of a request beside which one beyond the room was under way is taken for a failed attempt to find more room, if the room was learned while the worker was brittle, and proves nothing. Two new tests failed before (room 1, expected 3).

Class of fault: a rejection is ascribed to the request that meets it.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -61,15 +61,19 @@
     held: int = 0
     """Requests that were granted and have not ended."""
     probes: int = 0
-    """Those beyond the proven room that it has not answered."""
+    """Those beyond the proven room that have not ended."""
+    probes_made: int = 0
+    """All that were granted beyond the proven room."""
     probe_after_s: float = BEFORE_ALL_S
     probe_delay_s: float = FIRST_PROBE_DELAY_S
     rejections_s: deque[float] = field(default_factory=deque)
     abandoned_until_s: deque[float] = field(default_factory=deque)
     successes: int = 0
     """Requests beyond the proven room that it took since it last rejected one."""
-    rejected: bool = False
-    """Whether it has rejected a request within its proven room."""
+    tested: bool = False
+    """Whether its proven room was learned while it was brittle."""
+    rejected_s: float = BEFORE_ALL_S
+    """When it last rejected a request."""
     lowered_s: float = BEFORE_ALL_S
     """When the proven room was last lowered; rejections of requests that were granted
     before tell nothing more."""
@@ -97,6 +101,8 @@
     """Requests that the worker had then, with this one."""
     probe: bool
     """Whether they are more than it had proved to take."""
+    probes_ended: int = 0
+    """Requests beyond the proven room that had ended by then."""
 
 
 class BrittleWorkers:
@@ -317,15 +323,19 @@
 
     def record_send(self, worker: Worker, slots: int, now_s: float) -> SentWithin:
         """Count a request that is granted."""
+        rejections = self.rejections(worker)
+        starts_brittle = rejections is not None and worker.key not in self._rooms
         known = self._room(worker.key)
+        known.tested = known.tested or starts_brittle
         level = known.occupied(now_s) + 1
-        rejections = self.rejections(worker)
         probe = rejections is not None and level > self._proven(
             worker, slots, rejections
         )
+        probes_ended = known.probes_made - known.probes
         known.held += 1
         known.probes += probe
-        return SentWithin(level, probe)
+        known.probes_made += probe
+        return SentWithin(level, probe, probes_ended)
 
     def record_held(self, key: str) -> None:
         """Count a request that an earlier dispatcher granted."""
@@ -348,7 +358,7 @@
         known = self._room(WorkerKey(key))
         if granted_s <= self._lowered_s.get(service, BEFORE_ALL_S):
             return
-        if sent.level > known.proven:
+        if sent.level > known.proven and granted_s > known.rejected_s:
             # Another request may have just ended, so one success proves little.
             known.successes += 1
             taken = self._taken_shares.get(service, 0.0) * slots
@@ -375,18 +385,20 @@
         recent = known.recent_rejections(now_s)
         known.probe_after_s = now_s + known.probe_delay_s
         known.successes = 0
-        probe = sent is not None and sent.probe
-        if probe or (known.rejected and recent == 1):
+        known.rejected_s = now_s
+        # A request within the proven room may arrive after one beyond it.
+        probed = sent is not None and known.probes_made > sent.probes_ended
+        if probed or (known.tested and recent == 1):
             known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
-        if probe or granted_s <= known.lowered_s:
+        if (probed and known.tested) or granted_s <= known.lowered_s:
             return
         taken = min(known.proven, known.held)
-        if known.rejected and recent == 1:
+        if known.tested and recent == 1:
             known.proven = max(1, min(taken, known.proven - 1))
         else:
             # Its room has become smaller, and nothing is known of how much.
             known.proven = max(1, taken // 2)
-        known.rejected, known.lowered_s = True, now_s
+        known.tested, known.lowered_s = True, now_s
         self._lower(service, key, slots, known, now_s)
 
     def record_broken(
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -104,6 +104,46 @@
     assert brittle.room(worker("w1"), SLOTS) == 3
 
 
+def grow(brittle: BrittleWorkers, room: int) -> float:
+    """Let a brittle worker prove a room; return the time."""
+    now_s = 2.0
+    while brittle.room(worker("w1"), SLOTS) < room:
+        for sent in fill(brittle, now_s):
+            brittle.record_release(KEY, sent)
+            brittle.record_taken("book", KEY, SLOTS, sent, now_s)
+        now_s += 0.1
+    return now_s
+
+
+def test_a_rejection_caused_by_a_request_in_excess_does_not_lower_the_room():
+    brittle = BrittleWorkers()
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    now_s = grow(brittle, 3)
+    sent = fill(brittle, now_s)
+    assert [one.probe for one in sent] == [False, False, False, True]
+    brittle.record_release(KEY, sent[2])
+    brittle.record_rejected("book", KEY, SLOTS, sent[2], now_s, now_s + 0.01)
+    assert brittle.room(worker("w1"), SLOTS) == 3
+    brittle.record_release(KEY, sent[3])
+    brittle.record_rejected("book", KEY, SLOTS, sent[1], now_s, now_s + 0.02)
+    assert brittle.room(worker("w1"), SLOTS) == 3
+
+
+def test_a_request_in_excess_proves_nothing_if_another_was_rejected_for_it():
+    brittle = BrittleWorkers()
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    now_s = grow(brittle, 3)
+    for _ in range(4):
+        sent = fill(brittle, now_s)
+        brittle.record_release(KEY, sent[0])
+        brittle.record_rejected("book", KEY, SLOTS, sent[0], now_s, now_s + 0.01)
+        for one in sent[1:]:
+            brittle.record_release(KEY, one)
+            brittle.record_taken("book", KEY, SLOTS, one, now_s)
+        now_s += 20.0
+    assert brittle.room(worker("w1"), SLOTS) == 3
+
+
 def test_a_rejected_request_is_not_used_to_find_more_room():
     brittle = BrittleWorkers()
     prove(brittle, 2)
