Let workers prove their room anew after that of the service was lowered

When one worker had rejected, a single lucky request raised the room of the whole service again, if its worker had taken more before the room shrank: its old proof stood for it.

Now requests beyond the lowered room have to be taken several times at any worker. The new test failed before (room 2 after one request, expected 1).

Class of fault: a proof from before a change counts after it.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -285,9 +285,13 @@
         Where hardly a rejection is survived, one request less, since slots become free
         a moment later at the worker than here.
         """
-        taken = int(self._taken_shares.get(worker.service, 0.0) * slots + 1e-6)
+        taken = self._taken(worker.service, slots)
         return taken - (rejections < STURDY_REJECTIONS)
 
+    def _taken(self, service: str, slots: int) -> int:
+        """Return the most requests that some worker of a service has taken at once."""
+        return int(self._taken_shares.get(service, 0.0) * slots + 1e-6)
+
     def allows(
         self, worker: Worker, slots: int, now_s: float, may_probe: bool = True
     ) -> bool:
@@ -358,14 +362,19 @@
         known = self._room(WorkerKey(key))
         if granted_s <= self._lowered_s.get(service, BEFORE_ALL_S):
             return
-        if sent.level > known.proven and granted_s > known.rejected_s:
+        taken = max(1, self._taken(service, slots))
+        raised = sent.level > known.proven
+        if self._is_brittle(service, key) and sent.level > taken:
+            if granted_s <= known.rejected_s:
+                return
             # Another request may have just ended, so one success proves little.
             known.successes += 1
-            taken = self._taken_shares.get(service, 0.0) * slots
-            cautious = self._is_brittle(service, key) and sent.level > taken
-            if not cautious or known.successes >= self._successes(service):
-                known.proven, known.successes = sent.level, 0
-                known.probe_delay_s = FIRST_PROBE_DELAY_S
+            if known.successes < self._successes(service):
+                return
+            raised = True
+        if raised:
+            known.proven, known.successes = sent.level, 0
+            known.probe_delay_s = FIRST_PROBE_DELAY_S
         share = min(sent.level, known.proven) / slots
         if share > self._taken_shares.get(service, 0.0):
             self._taken_shares[service] = share
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -154,6 +154,20 @@
     assert not brittle.allows(worker("w1"), SLOTS, 2.0, may_probe=False)
 
 
+def test_a_worker_that_took_more_before_another_rejected_proves_its_room_anew():
+    brittle = BrittleWorkers()
+    prove(brittle, 8)
+    rejected = brittle.record_send(worker("w2"), SLOTS, 0.5)
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    brittle.record_release("w2/1", rejected)
+    brittle.record_rejected("book", "w2/1", SLOTS, rejected, 0.5, 1.1)
+    assert brittle.room(worker("w1"), SLOTS) == 1
+    sent = fill(brittle, 2.0)
+    brittle.record_release(KEY, sent[1])
+    brittle.record_taken("book", KEY, SLOTS, sent[1], 2.0)
+    assert brittle.room(worker("w1"), SLOTS) == 1
+
+
 async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
