Let brittle workers with N = 1 regain room after a rejection

At N = 1 a worker gets one request less than was taken, and at most one more to find out.

Now several requests that were taken at the level kept free raise the room by one. What is sent before that is the same. The new test failed before at N = 1 (room 1 after 10 s without a rejection, expected 8), not at 2 and 3.

Class of fault: a bound that is derived from what it bounds.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -362,9 +362,11 @@
         known = self._room(WorkerKey(key))
         if granted_s <= self._lowered_s.get(service, BEFORE_ALL_S):
             return
-        taken = max(1, self._taken(service, slots))
+        spare = self._spare(service)
+        used = max(1, self._taken(service, slots) - spare)
         raised = sent.level > known.proven
-        if self._is_brittle(service, key) and sent.level > taken:
+        level = sent.level
+        if self._is_brittle(service, key) and level > used:
             if granted_s <= known.rejected_s:
                 return
             # Another request may have just ended, so one success proves little.
@@ -372,10 +374,11 @@
             if known.successes < self._successes(service):
                 return
             raised = True
+            level += spare
         if raised:
-            known.proven, known.successes = sent.level, 0
+            known.proven, known.successes = level, 0
             known.probe_delay_s = FIRST_PROBE_DELAY_S
-        share = min(sent.level, known.proven) / slots
+        share = min(level, known.proven) / slots
         if share > self._taken_shares.get(service, 0.0):
             self._taken_shares[service] = share
 
@@ -431,6 +434,11 @@
         sturdy = shared is None or shared.rejections >= STURDY_REJECTIONS
         return PROVING_SUCCESSES if sturdy else CAREFUL_SUCCESSES
 
+    def _spare(self, service: str) -> int:
+        """Return how many requests are kept free of the room but for probes."""
+        shared = self._services.get(service)
+        return int(shared is not None and shared.rejections == 1)
+
     def _lower(
         self, service: str, key: str, slots: int, known: WorkerRoom, now_s: float
     ) -> None:
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -154,6 +154,22 @@
     assert not brittle.allows(worker("w1"), SLOTS, 2.0, may_probe=False)
 
 
+@pytest.mark.parametrize("rejections", [1, 2, 3])
+def test_a_worker_that_survives_rejections_gets_more_again_after_one(rejections):
+    brittle = BrittleWorkers()
+    prove(brittle, 6)
+    brittle.record("book", KEY, rejections, 1.0, 0.5, "test")
+    sent = brittle.record_send(worker("w1"), SLOTS, 1.5)
+    brittle.record_release(KEY, sent)
+    brittle.record_rejected("book", KEY, SLOTS, sent, 1.5, 1.6)
+    assert brittle.room(worker("w1"), SLOTS) == 1
+    for step in range(100):
+        for one in fill(brittle, 3.0 + step / 10):
+            brittle.record_release(KEY, one)
+            brittle.record_taken("book", KEY, SLOTS, one, 3.0 + step / 10)
+    assert brittle.room(worker("w1"), SLOTS) == SLOTS
+
+
 def test_a_worker_that_took_more_before_another_rejected_proves_its_room_anew():
     brittle = BrittleWorkers()
     prove(brittle, 8)
