Lower the room of brittle workers once for requests sent before

When a room shrinks, several workers reject or fall over within milliseconds.

Now requests that were granted before the last lowering of the service tell nothing more, as those of the same worker before. The new test failed before (room 1, expected 2), both for a rejection and for a fall.

Class of fault: several signs of one event count as several.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -74,9 +74,6 @@
     """Whether its proven room was learned while it was brittle."""
     rejected_s: float = BEFORE_ALL_S
     """When it last rejected a request."""
-    lowered_s: float = BEFORE_ALL_S
-    """When the proven room was last lowered; rejections of requests that were granted
-    before tell nothing more."""
     broken: bool = False
     """Whether it has broken off requests, as a worker does that falls over."""
 
@@ -128,7 +125,8 @@
         """When the latest request was sent whose answer had no notice."""
         self._rooms: dict[WorkerKey, WorkerRoom] = {}
         self._lowered_s: dict[str, float] = {}
-        """When a worker of a service last proved to have less room."""
+        """When a worker of a service last proved to have less room; what becomes of
+        requests that were granted before tells nothing more."""
         self._taken_shares: dict[str, float] = {}
         """Share of its slots that some worker of a service has proved to fill."""
 
@@ -402,15 +400,17 @@
         probed = sent is not None and known.probes_made > sent.probes_ended
         if probed or (known.tested and recent == 1):
             known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
-        if (probed and known.tested) or granted_s <= known.lowered_s:
+        tested, known.tested = known.tested, True
+        if (probed and tested) or granted_s <= self._lowered_s.get(
+            service, BEFORE_ALL_S
+        ):
             return
         taken = min(known.proven, known.held)
-        if known.tested and recent == 1:
+        if tested and recent == 1:
             known.proven = max(1, min(taken, known.proven - 1))
         else:
             # Its room has become smaller, and nothing is known of how much.
             known.proven = max(1, taken // 2)
-        known.tested, known.lowered_s = True, now_s
         self._lower(service, key, slots, known, now_s)
 
     def record_broken(
@@ -421,10 +421,10 @@
         One that falls over does so, mostly without the rejection that brought it down.
         """
         known = self._room(WorkerKey(key))
-        if granted_s <= known.lowered_s or known.broken:
+        if known.broken or not self._is_brittle(service, key):
             return
-        if self._is_brittle(service, key):
-            known.broken = True
+        known.broken = True
+        if granted_s > self._lowered_s.get(service, BEFORE_ALL_S):
             known.proven = max(1, min(known.proven, known.held) // 2)
             self._lower(service, key, slots, known, now_s)
 
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -184,6 +184,22 @@
     assert brittle.room(worker("w1"), SLOTS) == 1
 
 
+@pytest.mark.parametrize("falls", [False, True])
+def test_workers_whose_room_shrinks_at_the_same_time_lower_it_once(falls):
+    brittle = BrittleWorkers()
+    prove(brittle, 6)
+    sent = [brittle.record_send(worker("w2"), SLOTS, 0.5) for _ in range(3)]
+    brittle.record("book", KEY, 2, 1.0, 0.5, "test")
+    rejected = [brittle.record_send(worker("w1"), SLOTS, 1.5) for _ in range(5)][-1]
+    brittle.record_rejected("book", KEY, SLOTS, rejected, 1.5, 1.6)
+    assert brittle.room(worker("w1"), SLOTS) == 2
+    if falls:
+        brittle.record_broken("book", "w2/1", SLOTS, 0.5, 1.7)
+    else:
+        brittle.record_rejected("book", "w2/1", SLOTS, sent[-1], 0.5, 1.7)
+    assert brittle.room(worker("w1"), SLOTS) == 2
+
+
 async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
