Use a fixed room after falls of workers that survive no rejection

At N = 0 the room after a fall was half of the requests that the fallen worker still had when its first end was reported, less one.

Now the room after a fall does not depend on this: 2, and 1 after a further fall.

Class of fault: a value is read after what it depends on has changed.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -34,6 +34,10 @@
 """Requests that a brittle worker must take beyond its proven room before it counts as
 larger."""
 
+ASSUMED_ROOM = 2
+"""Room of a service's workers after a fall, if they fall at the first rejection: each
+trial of more would cost one."""
+
 MAX_WORKERS = 2_000
 """Number of workers that are remembered; the oldest are forgotten first."""
 
@@ -409,8 +413,7 @@
         if tested and recent == 1:
             known.proven = max(1, min(taken, known.proven - 1))
         else:
-            # Its room has become smaller, and nothing is known of how much.
-            known.proven = max(1, taken // 2)
+            known.proven = self._shrunk(service, taken, slots)
         self._lower(service, key, slots, known, now_s)
 
     def record_broken(
@@ -425,9 +428,19 @@
             return
         known.broken = True
         if granted_s > self._lowered_s.get(service, BEFORE_ALL_S):
-            known.proven = max(1, min(known.proven, known.held) // 2)
+            taken = min(known.proven, known.held)
+            known.proven = self._shrunk(service, taken, slots)
             self._lower(service, key, slots, known, now_s)
 
+    def _shrunk(self, service: str, taken: int, slots: int) -> int:
+        """Return the room that a worker has at most, of which nothing else is known."""
+        shared = self._services.get(service)
+        if shared is None or shared.rejections > 0:
+            return max(1, taken // 2)
+        given = self._taken(service, slots) - 1
+        # One request less than this is sent; see `_most`.
+        return max(1, min(ASSUMED_ROOM, given - 1) + 1)
+
     def _successes(self, service: str) -> int:
         """Return how many requests must be taken to prove more room."""
         shared = self._services.get(service)
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -67,20 +67,22 @@
     assert brittle.rejections(worker("w2")) is None
 
 
-def fill(brittle: BrittleWorkers, now_s: float) -> list:
+def fill(
+    brittle: BrittleWorkers, now_s: float, name: str = "w1", slots: int = SLOTS
+) -> list:
     """Grant requests at a worker as long as it may get some."""
     sent = []
-    while len(sent) < SLOTS and brittle.allows(worker("w1"), SLOTS, now_s):
-        sent.append(brittle.record_send(worker("w1"), SLOTS, now_s))
+    while len(sent) < slots and brittle.allows(worker(name), slots, now_s):
+        sent.append(brittle.record_send(worker(name), slots, now_s))
     return sent
 
 
-def prove(brittle: BrittleWorkers, count: int) -> None:
+def prove(brittle: BrittleWorkers, count: int, slots: int = SLOTS) -> None:
     """Let a sound worker take some requests at once, and then become brittle."""
-    sent = [brittle.record_send(worker("w1"), SLOTS, 0.0) for _ in range(count)]
+    sent = [brittle.record_send(worker("w1"), slots, 0.0) for _ in range(count)]
     for one in sent:
         brittle.record_release(KEY, one)
-        brittle.record_taken("book", KEY, SLOTS, one, 0.0)
+        brittle.record_taken("book", KEY, slots, one, 0.0)
 
 
 @pytest.mark.parametrize("rejections, granted", [(0, 5), (1, 6), (2, 7)])
@@ -200,6 +202,21 @@
     assert brittle.room(worker("w1"), SLOTS) == 2
 
 
+@pytest.mark.parametrize("slots, held", [(8, 3), (8, 7), (16, 3), (16, 15)])
+def test_after_a_fall_at_the_first_rejection_each_worker_gets_two_requests(slots, held):
+    brittle = BrittleWorkers()
+    prove(brittle, slots, slots)
+    for _ in range(held):
+        brittle.record_send(worker("w1"), slots, 0.5)
+    brittle.record("book", KEY, 0, 1.0, 0.5, "test")
+    brittle.record_broken("book", KEY, slots, 1.5, 2.0)
+    brittle.record_send(worker("w2"), slots, 2.5)
+    assert len(fill(brittle, 3.0, "w2", slots)) == 1
+    brittle.record_broken("book", "w2/1", slots, 3.0, 4.0)
+    brittle.record_send(worker("w3"), slots, 4.5)
+    assert fill(brittle, 5.0, "w3", slots) == []
+
+
 async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
