Take one from the room at a rejection after one beyond the room

Now only a room that was itself lowered shortly before is halved, and the number of requests at the worker is taken from the rejected request, too. The new test failed before (room 1, expected 3).

Class of fault: a count mixes events of different meaning.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -78,6 +78,8 @@
     """Whether its proven room was learned while it was brittle."""
     rejected_s: float = BEFORE_ALL_S
     """When it last rejected a request."""
+    lowered_s: float = BEFORE_ALL_S
+    """When its proven room was last lowered."""
     broken: bool = False
     """Whether it has broken off requests, as a worker does that falls over."""
 
@@ -87,6 +89,11 @@
             self.abandoned_until_s.popleft()
         return self.held + len(self.abandoned_until_s)
 
+    def add_rejection(self, now_s: float) -> None:
+        """Count a rejection."""
+        self.recent_rejections(now_s)
+        self.rejections_s.append(now_s)
+
     def recent_rejections(self, now_s: float) -> int:
         """Return the rejections that still count."""
         while self.rejections_s and self.rejections_s[0] <= now_s - REJECTION_WINDOW_S:
@@ -395,25 +402,27 @@
     ) -> None:
         """Record that a worker rejected a request for want of room."""
         known = self._room(WorkerKey(key))
-        known.rejections_s.append(now_s)
-        recent = known.recent_rejections(now_s)
+        known.add_rejection(now_s)
         known.probe_after_s = now_s + known.probe_delay_s
         known.successes = 0
         known.rejected_s = now_s
         # A request within the proven room may arrive after one beyond it.
         probed = sent is not None and known.probes_made > sent.probes_ended
-        if probed or (known.tested and recent == 1):
-            known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
         tested, known.tested = known.tested, True
+        once = tested and now_s - known.lowered_s > REJECTION_WINDOW_S
+        if probed or once:
+            known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
         if (probed and tested) or granted_s <= self._lowered_s.get(
             service, BEFORE_ALL_S
         ):
             return
-        taken = min(known.proven, known.held)
-        if tested and recent == 1:
+        before = 0 if sent is None else sent.level - 1
+        taken = min(known.proven, max(known.held, before))
+        if once:
             known.proven = max(1, min(taken, known.proven - 1))
         else:
             known.proven = self._shrunk(service, taken, slots)
+        known.lowered_s = now_s
         self._lower(service, key, slots, known, now_s)
 
     def record_broken(
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -217,6 +217,22 @@
     assert fill(brittle, 5.0, "w3", slots) == []
 
 
+def test_a_rejection_soon_after_one_of_a_request_in_excess_costs_one_of_the_room():
+    brittle = BrittleWorkers()
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    now_s = grow(brittle, 4)
+    sent = fill(brittle, now_s)
+    assert sent[-1].probe
+    brittle.record_release(KEY, sent[-1])
+    brittle.record_rejected("book", KEY, SLOTS, sent[-1], now_s, now_s + 0.01)
+    brittle.record_release(KEY, sent[0])
+    sent = fill(brittle, now_s + 0.02)
+    brittle.record_release(KEY, sent[-1])
+    rejected_s = now_s + 0.03
+    brittle.record_rejected("book", KEY, SLOTS, sent[-1], now_s + 0.02, rejected_s)
+    assert brittle.room(worker("w1"), SLOTS) == 3
+
+
 async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
