Ask for four requests before a brittle worker counts as larger

At N of 2 and more two requests beyond the proven room sufficed. A request is often taken only since another has just ended, of which the dispatcher does not know yet: grants took 5 to 40 ms to arrive, requests run for 100 to 140 ms. So the room rose to 4 where 3 was, with a rejection each time.

Now it is four at any N. The new test failed before at N = 3 (room 7, expected 3).

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -29,8 +29,7 @@
 """Rejections that a worker must survive not to be handled with special care: another
 request may be rejected at the same moment."""
 
-PROVING_SUCCESSES = 2
-CAREFUL_SUCCESSES = 4
+PROVING_SUCCESSES = 4
 """Requests that a brittle worker must take beyond its proven room before it counts as
 larger."""
 
@@ -380,7 +379,7 @@
                 return
             # Another request may have just ended, so one success proves little.
             known.successes += 1
-            if known.successes < self._successes(service):
+            if known.successes < PROVING_SUCCESSES:
                 return
             raised = True
             level += spare
@@ -450,12 +449,6 @@
         # One request less than this is sent; see `_most`.
         return max(1, min(ASSUMED_ROOM, given - 1) + 1)
 
-    def _successes(self, service: str) -> int:
-        """Return how many requests must be taken to prove more room."""
-        shared = self._services.get(service)
-        sturdy = shared is None or shared.rejections >= STURDY_REJECTIONS
-        return PROVING_SUCCESSES if sturdy else CAREFUL_SUCCESSES
-
     def _spare(self, service: str) -> int:
         """Return how many requests are kept free of the room but for probes."""
         shared = self._services.get(service)
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -233,6 +233,23 @@
     assert brittle.room(worker("w1"), SLOTS) == 3
 
 
+@pytest.mark.parametrize("rejections", [1, 3])
+def test_some_requests_taken_in_place_of_just_ended_ones_prove_no_room(rejections):
+    brittle = BrittleWorkers()
+    brittle.record("book", KEY, rejections, 1.0, 0.5, "test")
+    now_s = grow(brittle, 3)
+    for number in range(40):
+        sent = fill(brittle, now_s)
+        for one in sent:
+            brittle.record_release(KEY, one)
+        if number % 4 < 3:
+            brittle.record_taken("book", KEY, SLOTS, sent[-1], now_s)
+        else:
+            brittle.record_rejected("book", KEY, SLOTS, sent[-1], now_s, now_s)
+        now_s += 20.0
+    assert brittle.room(worker("w1"), SLOTS) == 3
+
+
 async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
@@ -278,7 +295,7 @@
         prove(limits.brittle, 1)
         limits.brittle.record("book", KEY, 2, clock.monotonic_s(), 0.0, "test")
         clock.advance(1.0)
-        for number, room in ((1, 1), (2, 2)):
+        for number, room in ((1, 1), (2, 1), (3, 1), (4, 2)):
             for permit in ("held", f"p{number}"):
                 await dispatcher.acquire(OTHER, ask(permit))
             started = PermitStarted("book", f"p{number}", 50.0, brittle_rejections=2)
