Search the room of workers that survive no rejection on a log scale

After a fall at N = 0 each worker got 2 requests at once, whatever its size.

Now it is the geometric mean of the known bounds: one request, and those that the service's workers got: 2 for 8 slots, 3 for 16, 9 for 100; after a further fall 1, 1 and 3. It stays a guess: where each trial costs a fall, nothing else tells the room.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -6,6 +6,7 @@
 risks rejections only as far as the worker survives them.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -33,10 +34,6 @@
 """Requests that a brittle worker must take beyond its proven room before it counts as
 larger."""
 
-ASSUMED_ROOM = 2
-"""Room of a service's workers after a fall, if they fall at the first rejection: each
-trial of more would cost one."""
-
 MAX_WORKERS = 2_000
 """Number of workers that are remembered; the oldest are forgotten first."""
 
@@ -441,13 +438,17 @@
             self._lower(service, key, slots, known, now_s)
 
     def _shrunk(self, service: str, taken: int, slots: int) -> int:
-        """Return the room that a worker has at most, of which nothing else is known."""
+        """Return the room of a worker that has become smaller by an unknown part.
+
+        Where each trial costs a fall, it is the geometric mean of the known bounds: one
+        request, and those that the service's workers got.
+        """
         shared = self._services.get(service)
         if shared is None or shared.rejections > 0:
             return max(1, taken // 2)
-        given = self._taken(service, slots) - 1
+        given = max(1, self._taken(service, slots) - 1)
         # One request less than this is sent; see `_most`.
-        return max(1, min(ASSUMED_ROOM, given - 1) + 1)
+        return math.isqrt(given) + 1
 
     def _spare(self, service: str) -> int:
         """Return how many requests are kept free of the room but for probes."""
