--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -7,18 +7,18 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..wire.messages.gateway import BrittleWorkerEntry
 from .models import ResponseMetadata, Worker, WorkerKey
-
-REJECTION_WINDOW_S = 1.2
-"""Time over which rejections are counted: a second, and the delay of the reports."""
-
-FIRST_PROBE_DELAY_S = 1.5
-"""Time after a rejection in which no request is sent beyond the proven room."""
+from .worker_rooms import (
+    BEFORE_ALL_S,
+    FIRST_PROBE_DELAY_S,
+    REJECTION_WINDOW_S,
+    SentWithin,
+    WorkerRoom,
+)
 
 MAX_PROBE_DELAY_S = 12.0
 """The same after probes that failed one after another."""
@@ -37,9 +37,6 @@
 MAX_WORKERS = 2_000
 """Number of workers that are remembered; the oldest are forgotten first."""
 
-BEFORE_ALL_S = float("-inf")
-"""Time of a request of which it is not known when it was sent."""
-
 
 @dataclass(eq=False)
 class BrittleNotice:
@@ -52,63 +49,6 @@
     """When one first said so."""
 
 
-@dataclass(eq=False)
-class WorkerRoom:
-    """Requests at one incarnation of a worker, as its dispatcher knows them."""
-
-    proven: int = 0
-    """Most requests that it has taken at once since it last rejected one."""
-    held: int = 0
-    """Requests that were granted and have not ended."""
-    probes: int = 0
-    """Those beyond the proven room that have not ended."""
-    probes_made: int = 0
-    """All that were granted beyond the proven room."""
-    probe_after_s: float = BEFORE_ALL_S
-    probe_delay_s: float = FIRST_PROBE_DELAY_S
-    rejections_s: deque[float] = field(default_factory=deque)
-    abandoned_until_s: deque[float] = field(default_factory=deque)
-    successes: int = 0
-    """Requests beyond the proven room that it took since it last rejected one."""
-    tested: bool = False
-    """Whether its proven room was learned while it was brittle."""
-    rejected_s: float = BEFORE_ALL_S
-    """When it last rejected a request."""
-    lowered_s: float = BEFORE_ALL_S
-    """When its proven room was last lowered."""
-    broken: bool = False
-    """Whether it has broken off requests, as a worker does that falls over."""
-
-    def occupied(self, now_s: float) -> int:
-        """Return how many requests the worker may have."""
-        while self.abandoned_until_s and self.abandoned_until_s[0] <= now_s:
-            self.abandoned_until_s.popleft()
-        return self.held + len(self.abandoned_until_s)
-
-    def add_rejection(self, now_s: float) -> None:
-        """Count a rejection."""
-        self.recent_rejections(now_s)
-        self.rejections_s.append(now_s)
-
-    def recent_rejections(self, now_s: float) -> int:
-        """Return the rejections that still count."""
-        while self.rejections_s and self.rejections_s[0] <= now_s - REJECTION_WINDOW_S:
-            self.rejections_s.popleft()
-        return len(self.rejections_s)
-
-
-@dataclass(frozen=True)
-class SentWithin:
-    """State of a worker's room when a request was granted."""
-
-    level: int
-    """Requests that the worker had then, with this one."""
-    probe: bool
-    """Whether they are more than it had proved to take."""
-    probes_ended: int = 0
-    """Requests beyond the proven room that had ended by then."""
-
-
 class BrittleWorkers:
     """Records which workers are brittle, and decides which of them get a request.
 
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from ...core.clock import Clock, to_s
-from ..brittle_workers import SentWithin
 from ..models import Worker
+from ..worker_rooms import SentWithin
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
