Halve the room of all brittle workers while it is searched for

A worker that had been brittle before also lost one at a time when its room shrank anew.

Now all workers halve it within 1.2 s after one had to, and what is learned while brittle counts as such only until the notice ends. Two new tests failed before (7 and 4, expected 3 and 2).

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -74,6 +74,8 @@
         self._lowered_s: dict[str, float] = {}
         """When a worker of a service last proved to have less room; what becomes of
         requests that were granted before tells nothing more."""
+        self._shrunk_s: dict[str, float] = {}
+        """When the room of a service's workers last shrank by an unknown part."""
         self._taken_shares: dict[str, float] = {}
         """Share of its slots that some worker of a service has proved to fill."""
 
@@ -134,7 +136,7 @@
         known = self._notices.get(key)
         if known is not None and sent_s > known.named_s:
             del self._notices[key]
-            self._log("worker_brittle_ended", worker=key, origin=origin)
+            self._end(key, origin)
         if shared is None or key in self._notices:
             return
         _put(self._ended_s, key, max(sent_s, self._ended_s.get(key, BEFORE_ALL_S)))
@@ -145,7 +147,13 @@
     def forget(self, key: str, origin: str) -> None:
         """Forget a notice that a dispatcher has seen end."""
         if self._notices.pop(WorkerKey(key), None) is not None:
-            self._log("worker_brittle_ended", worker=key, origin=origin)
+            self._end(WorkerKey(key), origin)
+
+    def _end(self, key: WorkerKey, origin: str) -> None:
+        """Note that a worker is not brittle any more."""
+        self._log("worker_brittle_ended", worker=key, origin=origin)
+        if key in self._rooms:
+            self._rooms[key].tested = False
 
     def find(self, key: str) -> BrittleNotice | None:
         """Return the notice of a worker; None if it has given none."""
@@ -344,8 +352,10 @@
         known.rejected_s = now_s
         # A request within the proven room may arrive after one beyond it.
         probed = sent is not None and known.probes_made > sent.probes_ended
-        tested, known.tested = known.tested, True
-        once = tested and now_s - known.lowered_s > REJECTION_WINDOW_S
+        tested = known.tested
+        known.tested = tested or self._is_brittle(service, key)
+        lowered_s = max(known.lowered_s, self._shrunk_s.get(service, BEFORE_ALL_S))
+        once = tested and now_s - lowered_s > REJECTION_WINDOW_S
         if probed or once:
             known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
         if (probed and tested) or granted_s <= self._lowered_s.get(
@@ -357,7 +367,7 @@
         if once:
             known.proven = max(1, min(taken, known.proven - 1))
         else:
-            known.proven = self._shrunk(service, taken, slots)
+            known.proven = self._shrunk(service, taken, slots, now_s)
         known.lowered_s = now_s
         self._lower(service, key, slots, known, now_s)
 
@@ -374,15 +384,16 @@
         known.broken = True
         if granted_s > self._lowered_s.get(service, BEFORE_ALL_S):
             taken = min(known.proven, known.held)
-            known.proven = self._shrunk(service, taken, slots)
+            known.proven = self._shrunk(service, taken, slots, now_s)
             self._lower(service, key, slots, known, now_s)
 
-    def _shrunk(self, service: str, taken: int, slots: int) -> int:
+    def _shrunk(self, service: str, taken: int, slots: int, now_s: float) -> int:
         """Return the room of a worker that has become smaller by an unknown part.
 
         Where each trial costs a fall, it is the geometric mean of the known bounds: one
         request, and those that the service's workers got.
         """
+        self._shrunk_s[service] = now_s
         shared = self._services.get(service)
         if shared is None or shared.rejections > 0:
             return max(1, taken // 2)
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -264,6 +264,37 @@
     assert brittle.room(worker("w1"), SLOTS) == 3
 
 
+def test_room_that_a_worker_proved_while_it_was_brittle_before_may_shrink_again():
+    brittle = BrittleWorkers()
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    now_s = grow(brittle, 6)
+    brittle.record_none("book", KEY, now_s, "test")
+    prove(brittle, 7)
+    brittle.record("book", KEY, 3, now_s + 9.0, now_s + 9.0, "test")
+    sent = fill(brittle, now_s + 10.0)
+    brittle.record_release(KEY, sent[6])
+    rejected_s = now_s + 10.1
+    brittle.record_rejected("book", KEY, SLOTS, sent[6], now_s + 10.0, rejected_s)
+    assert brittle.room(worker("w1"), SLOTS) == 3
+
+
+def test_workers_of_which_one_had_to_halve_its_room_halve_it_soon_after():
+    brittle = BrittleWorkers()
+    prove(brittle, 8)
+    sent = [brittle.record_send(worker("w2"), SLOTS, 0.5) for _ in range(8)]
+    brittle.record_taken("book", "w2/1", SLOTS, sent[-1], 0.5)
+    brittle.record("book", KEY, 3, 1.0, 0.5, "test")
+    rejected = [brittle.record_send(worker("w1"), SLOTS, 1.5) for _ in range(8)][-1]
+    brittle.record_rejected("book", KEY, SLOTS, rejected, 1.5, 1.6)
+    brittle.record_rejected("book", "w2/1", SLOTS, sent[-1], 0.5, 1.7)
+    assert brittle.room(worker("w2"), SLOTS) == 4
+    for one in sent:
+        brittle.record_release("w2/1", one)
+    sent = [brittle.record_send(worker("w2"), SLOTS, 1.8) for _ in range(4)]
+    brittle.record_rejected("book", "w2/1", SLOTS, sent[-1], 1.8, 1.9)
+    assert brittle.room(worker("w2"), SLOTS) == 2
+
+
 async def test_a_dispatcher_learns_brittleness_from_the_answer_to_a_granted_request():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
