Do not count failed connections to new workers as falls

An instance that lost its connections to the fallen workers takes itself for cut off and asks others for a tunnel; these did not list the successor yet (unknown_worker), and the request ended as unreachable, which counted as a fall.

A worker falls over since it rejects, so one that has no other request, or has not taken any yet, failed for another reason. A worker gets one request until it has taken one. Both new tests failed before.

Class of fault: a failed connection is taken for a sign of overload.

--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -272,7 +272,9 @@
             proven = max(1, proven - 1)
         if occupied < proven:
             return True
-        if not may_probe or occupied > proven or known.probes or recent:
+        if not known.proven or not may_probe:
+            return False
+        if occupied > proven or known.probes or recent:
             return False
         if rejections == 0:
             return occupied < self._most(worker, slots, rejections)
@@ -372,14 +374,24 @@
         self._lower(service, key, slots, known, now_s)
 
     def record_broken(
-        self, service: str, key: str, slots: int, granted_s: float, now_s: float
+        self,
+        service: str,
+        key: str,
+        slots: int,
+        sent: SentWithin | None,
+        granted_s: float,
+        now_s: float,
     ) -> None:
         """Record that a worker broke off a request that it had not begun to answer.
 
         One that falls over does so, mostly without the rejection that brought it down.
+        One that has no other request, or has taken none yet, failed for another reason.
         """
         known = self._room(WorkerKey(key))
-        if known.broken or not self._is_brittle(service, key):
+        alone = sent is not None and sent.level == 1
+        if alone or not known.proven or known.broken:
+            return
+        if not self._is_brittle(service, key):
             return
         known.broken = True
         if granted_s > self._lowered_s.get(service, BEFORE_ALL_S):
--- a/src/acaciapier/gateway/dispatch/limit_reports.py
+++ b/src/acaciapier/gateway/dispatch/limit_reports.py
@@ -100,7 +100,7 @@
     elif message.outcome != OUTCOME_CANCELLED and not reservation.started:
         if not reachability.may_be_partitioned(reservation.owner):
             limits.brittle.record_broken(
-                service, key, reservation.slots, reservation.granted_s, now_s
+                service, key, reservation.slots, sent, reservation.granted_s, now_s
             )
     elif message.elapsed_ms > 0:
         limits.brittle.record_abandoned(key, now_s)
--- a/tests/gateway/test_brittle_rooms.py
+++ b/tests/gateway/test_brittle_rooms.py
@@ -191,12 +191,13 @@
     brittle = BrittleWorkers()
     prove(brittle, 6)
     sent = [brittle.record_send(worker("w2"), SLOTS, 0.5) for _ in range(3)]
+    brittle.record_taken("book", "w2/1", SLOTS, sent[-1], 0.5)
     brittle.record("book", KEY, 2, 1.0, 0.5, "test")
     rejected = [brittle.record_send(worker("w1"), SLOTS, 1.5) for _ in range(5)][-1]
     brittle.record_rejected("book", KEY, SLOTS, rejected, 1.5, 1.6)
     assert brittle.room(worker("w1"), SLOTS) == 2
     if falls:
-        brittle.record_broken("book", "w2/1", SLOTS, 0.5, 1.7)
+        brittle.record_broken("book", "w2/1", SLOTS, sent[-1], 0.5, 1.7)
     else:
         brittle.record_rejected("book", "w2/1", SLOTS, sent[-1], 0.5, 1.7)
     assert brittle.room(worker("w1"), SLOTS) == 2
@@ -212,9 +213,9 @@
     for _ in range(min(held, slots)):
         brittle.record_send(worker("w1"), slots, 0.5)
     brittle.record("book", KEY, 0, 1.0, 0.5, "test")
-    brittle.record_broken("book", KEY, slots, 1.5, 2.0)
+    brittle.record_broken("book", KEY, slots, None, 1.5, 2.0)
     assert most_at_once(brittle, "w2", slots, 3.0) == given
-    brittle.record_broken("book", "w2/1", slots, 50.0, 60.0)
+    brittle.record_broken("book", "w2/1", slots, None, 50.0, 60.0)
     assert most_at_once(brittle, "w3", slots, 70.0) == then
 
 
@@ -351,6 +352,30 @@
             assert limits.brittle.room(worker("w1"), SLOTS) == room
 
 
+async def test_a_failed_connection_for_the_only_request_does_not_lower_the_room():
+    async with trio.open_nursery() as nursery:
+        clock, limits = ManualClock(), WorkerLimits()
+        dispatcher = make_dispatcher(nursery, clock, limits)
+        prove(limits.brittle, 4)
+        clock.advance(1.0)
+        limits.brittle.record("book", KEY, 2, clock.monotonic_s(), 0.0, "test")
+        await dispatcher.acquire(OTHER, ask("p1"))
+        ended = PermitEnded("book", "p1", "unreachable", 0.0)
+        await dispatcher.permit_ended(OTHER, ended)
+        assert limits.brittle.room(worker("w1"), SLOTS) == 4
+
+
+def test_a_worker_that_has_not_taken_a_request_gets_one_and_does_not_lower_the_room():
+    brittle = BrittleWorkers()
+    prove(brittle, 4)
+    brittle.record("book", KEY, 2, 1.0, 0.5, "test")
+    sent = [brittle.record_send(worker("w2"), SLOTS, 1.5)]
+    assert fill(brittle, 1.5, "w2") == []
+    sent.append(brittle.record_send(worker("w2"), SLOTS, 1.5))
+    brittle.record_broken("book", "w2/1", SLOTS, sent[1], 1.5, 1.6)
+    assert brittle.room(worker("w1"), SLOTS) == 4
+
+
 async def test_a_new_dispatcher_knows_the_brittle_workers_of_those_that_ask_it():
     async with trio.open_nursery() as nursery:
         clock = ManualClock()
