--- a/src/acaciapier/gateway/brittle_workers.py
+++ b/src/acaciapier/gateway/brittle_workers.py
@@ -6,18 +6,19 @@
 risks rejections only as far as the worker survives them.
 """
 
-from collections import deque
+import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..wire.messages.gateway import BrittleWorkerEntry
 from .models import ResponseMetadata, Worker, WorkerKey
-
-REJECTION_WINDOW_S = 1.2
-"""Time over which rejections are counted: a second, and the delay of the reports."""
-
-FIRST_PROBE_DELAY_S = 1.5
-"""Time after a rejection in which no request is sent beyond the proven room."""
+from .worker_rooms import (
+    BEFORE_ALL_S,
+    FIRST_PROBE_DELAY_S,
+    REJECTION_WINDOW_S,
+    SentWithin,
+    WorkerRoom,
+)
 
 MAX_PROBE_DELAY_S = 12.0
 """The same after probes that failed one after another."""
@@ -29,17 +30,13 @@
 """Rejections that a worker must survive not to be handled with special care: another
 request may be rejected at the same moment."""
 
-PROVING_SUCCESSES = 2
-CAREFUL_SUCCESSES = 4
+PROVING_SUCCESSES = 4
 """Requests that a brittle worker must take beyond its proven room before it counts as
 larger."""
 
 MAX_WORKERS = 2_000
 """Number of workers that are remembered; the oldest are forgotten first."""
 
-BEFORE_ALL_S = float("-inf")
-"""Time of a request of which it is not known when it was sent."""
-
 
 @dataclass(eq=False)
 class BrittleNotice:
@@ -52,53 +49,6 @@
     """When one first said so."""
 
 
-@dataclass(eq=False)
-class WorkerRoom:
-    """Requests at one incarnation of a worker, as its dispatcher knows them."""
-
-    proven: int = 0
-    """Most requests that it has taken at once since it last rejected one."""
-    held: int = 0
-    """Requests that were granted and have not ended."""
-    probes: int = 0
-    """Those beyond the proven room that it has not answered."""
-    probe_after_s: float = BEFORE_ALL_S
-    probe_delay_s: float = FIRST_PROBE_DELAY_S
-    rejections_s: deque[float] = field(default_factory=deque)
-    abandoned_until_s: deque[float] = field(default_factory=deque)
-    successes: int = 0
-    """Requests beyond the proven room that it took since it last rejected one."""
-    rejected: bool = False
-    """Whether it has rejected a request within its proven room."""
-    lowered_s: float = BEFORE_ALL_S
-    """When the proven room was last lowered; rejections of requests that were granted
-    before tell nothing more."""
-    broken: bool = False
-    """Whether it has broken off requests, as a worker does that falls over."""
-
-    def occupied(self, now_s: float) -> int:
-        """Return how many requests the worker may have."""
-        while self.abandoned_until_s and self.abandoned_until_s[0] <= now_s:
-            self.abandoned_until_s.popleft()
-        return self.held + len(self.abandoned_until_s)
-
-    def recent_rejections(self, now_s: float) -> int:
-        """Return the rejections that still count."""
-        while self.rejections_s and self.rejections_s[0] <= now_s - REJECTION_WINDOW_S:
-            self.rejections_s.popleft()
-        return len(self.rejections_s)
-
-
-@dataclass(frozen=True)
-class SentWithin:
-    """State of a worker's room when a request was granted."""
-
-    level: int
-    """Requests that the worker had then, with this one."""
-    probe: bool
-    """Whether they are more than it had proved to take."""
-
-
 class BrittleWorkers:
     """Records which workers are brittle, and decides which of them get a request.
 
@@ -122,7 +72,10 @@
         """When the latest request was sent whose answer had no notice."""
         self._rooms: dict[WorkerKey, WorkerRoom] = {}
         self._lowered_s: dict[str, float] = {}
-        """When a worker of a service last proved to have less room."""
+        """When a worker of a service last proved to have less room; what becomes of
+        requests that were granted before tells nothing more."""
+        self._shrunk_s: dict[str, float] = {}
+        """When the room of a service's workers last shrank by an unknown part."""
         self._taken_shares: dict[str, float] = {}
         """Share of its slots that some worker of a service has proved to fill."""
 
@@ -183,7 +136,7 @@
         known = self._notices.get(key)
         if known is not None and sent_s > known.named_s:
             del self._notices[key]
-            self._log("worker_brittle_ended", worker=key, origin=origin)
+            self._end(key, origin)
         if shared is None or key in self._notices:
             return
         _put(self._ended_s, key, max(sent_s, self._ended_s.get(key, BEFORE_ALL_S)))
@@ -194,7 +147,13 @@
     def forget(self, key: str, origin: str) -> None:
         """Forget a notice that a dispatcher has seen end."""
         if self._notices.pop(WorkerKey(key), None) is not None:
-            self._log("worker_brittle_ended", worker=key, origin=origin)
+            self._end(WorkerKey(key), origin)
+
+    def _end(self, key: WorkerKey, origin: str) -> None:
+        """Note that a worker is not brittle any more."""
+        self._log("worker_brittle_ended", worker=key, origin=origin)
+        if key in self._rooms:
+            self._rooms[key].tested = False
 
     def find(self, key: str) -> BrittleNotice | None:
         """Return the notice of a worker; None if it has given none."""
@@ -279,9 +238,13 @@
         Where hardly a rejection is survived, one request less, since slots become free
         a moment later at the worker than here.
         """
-        taken = int(self._taken_shares.get(worker.service, 0.0) * slots + 1e-6)
+        taken = self._taken(worker.service, slots)
         return taken - (rejections < STURDY_REJECTIONS)
 
+    def _taken(self, service: str, slots: int) -> int:
+        """Return the most requests that some worker of a service has taken at once."""
+        return int(self._taken_shares.get(service, 0.0) * slots + 1e-6)
+
     def allows(
         self, worker: Worker, slots: int, now_s: float, may_probe: bool = True
     ) -> bool:
@@ -309,7 +272,9 @@
             proven = max(1, proven - 1)
         if occupied < proven:
             return True
-        if not may_probe or occupied > proven or known.probes or recent:
+        if not known.proven or not may_probe:
+            return False
+        if occupied > proven or known.probes or recent:
             return False
         if rejections == 0:
             return occupied < self._most(worker, slots, rejections)
@@ -317,15 +282,19 @@
 
     def record_send(self, worker: Worker, slots: int, now_s: float) -> SentWithin:
         """Count a request that is granted."""
+        rejections = self.rejections(worker)
+        starts_brittle = rejections is not None and worker.key not in self._rooms
         known = self._room(worker.key)
+        known.tested = known.tested or starts_brittle
         level = known.occupied(now_s) + 1
-        rejections = self.rejections(worker)
         probe = rejections is not None and level > self._proven(
             worker, slots, rejections
         )
+        probes_ended = known.probes_made - known.probes
         known.held += 1
         known.probes += probe
-        return SentWithin(level, probe)
+        known.probes_made += probe
+        return SentWithin(level, probe, probes_ended)
 
     def record_held(self, key: str) -> None:
         """Count a request that an earlier dispatcher granted."""
@@ -348,15 +317,23 @@
         known = self._room(WorkerKey(key))
         if granted_s <= self._lowered_s.get(service, BEFORE_ALL_S):
             return
-        if sent.level > known.proven:
+        spare = self._spare(service)
+        used = max(1, self._taken(service, slots) - spare)
+        raised = sent.level > known.proven
+        level = sent.level
+        if self._is_brittle(service, key) and level > used:
+            if granted_s <= known.rejected_s:
+                return
             # Another request may have just ended, so one success proves little.
             known.successes += 1
-            taken = self._taken_shares.get(service, 0.0) * slots
-            cautious = self._is_brittle(service, key) and sent.level > taken
-            if not cautious or known.successes >= self._successes(service):
-                known.proven, known.successes = sent.level, 0
-                known.probe_delay_s = FIRST_PROBE_DELAY_S
-        share = min(sent.level, known.proven) / slots
+            if known.successes < PROVING_SUCCESSES:
+                return
+            raised = True
+            level += spare
+        if raised:
+            known.proven, known.successes = level, 0
+            known.probe_delay_s = FIRST_PROBE_DELAY_S
+        share = min(level, known.proven) / slots
         if share > self._taken_shares.get(service, 0.0):
             self._taken_shares[service] = share
 
@@ -371,44 +348,75 @@
     ) -> None:
         """Record that a worker rejected a request for want of room."""
         known = self._room(WorkerKey(key))
-        known.rejections_s.append(now_s)
-        recent = known.recent_rejections(now_s)
+        known.add_rejection(now_s)
         known.probe_after_s = now_s + known.probe_delay_s
         known.successes = 0
-        probe = sent is not None and sent.probe
-        if probe or (known.rejected and recent == 1):
+        known.rejected_s = now_s
+        # A request within the proven room may arrive after one beyond it.
+        probed = sent is not None and known.probes_made > sent.probes_ended
+        tested = known.tested
+        known.tested = tested or self._is_brittle(service, key)
+        lowered_s = max(known.lowered_s, self._shrunk_s.get(service, BEFORE_ALL_S))
+        once = tested and now_s - lowered_s > REJECTION_WINDOW_S
+        if probed or once:
             known.probe_delay_s = min(MAX_PROBE_DELAY_S, 2 * known.probe_delay_s)
-        if probe or granted_s <= known.lowered_s:
+        if (probed and tested) or granted_s <= self._lowered_s.get(
+            service, BEFORE_ALL_S
+        ):
             return
-        taken = min(known.proven, known.held)
-        if known.rejected and recent == 1:
+        before = 0 if sent is None else sent.level - 1
+        taken = min(known.proven, max(known.held, before))
+        if once:
             known.proven = max(1, min(taken, known.proven - 1))
         else:
-            # Its room has become smaller, and nothing is known of how much.
-            known.proven = max(1, taken // 2)
-        known.rejected, known.lowered_s = True, now_s
+            known.proven = self._shrunk(service, taken, slots, now_s)
+        known.lowered_s = now_s
         self._lower(service, key, slots, known, now_s)
 
     def record_broken(
-        self, service: str, key: str, slots: int, granted_s: float, now_s: float
+        self,
+        service: str,
+        key: str,
+        slots: int,
+        sent: SentWithin | None,
+        granted_s: float,
+        now_s: float,
     ) -> None:
         """Record that a worker broke off a request that it had not begun to answer.
 
         One that falls over does so, mostly without the rejection that brought it down.
+        One that has no other request, or has taken none yet, failed for another reason.
         """
         known = self._room(WorkerKey(key))
-        if granted_s <= known.lowered_s or known.broken:
+        alone = sent is not None and sent.level == 1
+        if alone or not known.proven or known.broken:
             return
-        if self._is_brittle(service, key):
-            known.broken = True
-            known.proven = max(1, min(known.proven, known.held) // 2)
+        if not self._is_brittle(service, key):
+            return
+        known.broken = True
+        if granted_s > self._lowered_s.get(service, BEFORE_ALL_S):
+            taken = min(known.proven, known.held)
+            known.proven = self._shrunk(service, taken, slots, now_s)
             self._lower(service, key, slots, known, now_s)
 
-    def _successes(self, service: str) -> int:
-        """Return how many requests must be taken to prove more room."""
+    def _shrunk(self, service: str, taken: int, slots: int, now_s: float) -> int:
+        """Return the room of a worker that has become smaller by an unknown part.
+
+        Where each trial costs a fall, it is the geometric mean of the known bounds: one
+        request, and those that the service's workers got.
+        """
+        self._shrunk_s[service] = now_s
+        shared = self._services.get(service)
+        if shared is None or shared.rejections > 0:
+            return max(1, taken // 2)
+        given = max(1, self._taken(service, slots) - 1)
+        # One request less than this is sent; see `_most`.
+        return math.isqrt(given) + 1
+
+    def _spare(self, service: str) -> int:
+        """Return how many requests are kept free of the room but for probes."""
         shared = self._services.get(service)
-        sturdy = shared is None or shared.rejections >= STURDY_REJECTIONS
-        return PROVING_SUCCESSES if sturdy else CAREFUL_SUCCESSES
+        return int(shared is not None and shared.rejections == 1)
 
     def _lower(
         self, service: str, key: str, slots: int, known: WorkerRoom, now_s: float
