Announce the capacity of instances as it is

Instances announced three times their capacity, so that those of earlier builds rank them first as dispatchers. In any upgrade, also from builds that keep records, the first new instance would then dispatch all services until more have joined.

--- a/src/acaciapier/gateway/earlier_builds.py
+++ b/src/acaciapier/gateway/earlier_builds.py
@@ -7,10 +7,6 @@
 from .models import PeerRecord
 from .peers import Peers
 
-DISPATCH_PREFERENCE = 3.0
-"""Factor of the announced capacity. Instances of builds that announce it without this
-factor dispatch only if they have far more capacity."""
-
 
 class EarlierBuilds:
     """The listed instances that keep no records of streams.
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -39,7 +39,7 @@
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.dispatcher import Dispatcher
 from .dispatch.version_preference import KeptVersions
-from .earlier_builds import DISPATCH_PREFERENCE, EarlierBuilds
+from .earlier_builds import EarlierBuilds
 from .followers import StoreFollowers
 from .incarnation_check import CheckedConnections
 from .incarnations import Incarnations
@@ -135,7 +135,7 @@
             settings.control.port,
             settings.data_centre,
             epoch_ms(self.clock.now()),
-            settings.link_mbps * settings.cores * DISPATCH_PREFERENCE,
+            settings.link_mbps * settings.cores,
         )
         identity = PeerIdentity(
             settings.instance,
@@ -146,16 +146,9 @@
         self.network = PeerNetwork(
             identity, FleetKeys([settings.fleet_key]), self.clock, self._random
         )
-        self.peers = Peers(
-            own,
-            self.network,
-            self.clock,
-            self._make_heartbeat,
-            self.log.write,
-        )
-        self.builds = Builds(
-            build_name(), self.peers.builds, self.clock, self.log.write
-        )
+        log = self.log.write
+        self.peers = Peers(own, self.network, self.clock, self._make_heartbeat, log)
+        self.builds = Builds(build_name(), self.peers.builds, self.clock, log)
         self.metrics.watch_builds(self.builds.counts)
         self.earlier_builds = EarlierBuilds(self.peers)
         without_records = self.earlier_builds.without_records
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -207,15 +207,9 @@
         return [instance for instance, peer in self._peers.items() if peer.up]
 
     def builds(self) -> list[str]:
-        """Return the builds of the peers that are up, empty for those that name none.
-
-        Peers that have sent no heartbeat yet are left out.
-        """
-        return [
-            peer.last_heartbeat.build
-            for peer in self._peers.values()
-            if peer.up and peer.last_heartbeat is not None
-        ]
+        """Return the builds in the last heartbeats of the peers that are up."""
+        heartbeats = (peer.last_heartbeat for peer in self._peers.values() if peer.up)
+        return [heartbeat.build for heartbeat in heartbeats if heartbeat is not None]
 
     def follows_store(self, instance: InstanceId) -> bool:
         """Return whether an instance is up and reported that it follows the store."""
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -30,13 +30,7 @@
 )
 from .event_stream import event_ids
 from .incarnation_check import CheckedConnections
-from .models import (
-    RequestKind,
-    ResponseMetadata,
-    RouteRule,
-    SoftwareVersion,
-    Worker,
-)
+from .models import RequestKind, ResponseMetadata, RouteRule, SoftwareVersion, Worker
 from .request_quarantine import RequestQuarantine
 from .request_state import RequestFailed, RequestState, WorkerDidNotRun
 from .software_versions import UNKNOWN_VERSION
