Answer a request that ends with an unforeseen error

Callers saw a closed connection instead of an answer or a refusal whenever an error that nothing expects ended their request: one in a decision, or any error within a nursery, which comes out as a group that no handler matches. Now such a request is refused (503, not run) if no worker may have run it, and fails with 502 otherwise; a stream that has begun is still broken off. The error is logged and counted as before.

The final responses have a module of their own.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -13,6 +13,13 @@
 from .catalogue import Catalogue
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.refusal import NO_WORKER_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
+from .final_responses import (
+    MIN_RETRY_AFTER_S,
+    end_unanswered,
+    refuse,
+    respond_failed,
+    respond_refused,
+)
 from .hedging import Hedging, Sender
 from .models import RequestKind, Resumption, RouteRule
 from .pipeline import StageRun
@@ -31,7 +38,7 @@
 )
 from .stage_times import StageTimes
 from .stream_records import StreamRecords
-from .worker_exchange import WorkerExchange, response_headers
+from .worker_exchange import WorkerExchange
 
 MAX_SENDS = 4
 """Maximum number of workers to which one request is sent, including those that refuse
@@ -43,12 +50,6 @@
 DEFAULT_DEADLINE_MS = 30_000.0
 """Deadline of a request without one: twice the longest in the users' specifications."""
 
-MIN_RETRY_AFTER_S = 0.2
-"""Minimum Retry-After of a refused request."""
-
-RETRY_AFTER_SHARE = 1 / 3
-"""Callers honour a Retry-After of at most this share of their remaining time."""
-
 NO_CONFIGURATION_RETRY_S = 1.0
 """An instance without a configuration loads one within about a second."""
 
@@ -115,13 +116,15 @@
         start_s = self._clock.monotonic_s()
         outcome, fields = "caller_gone", {}
         try:
-            outcome, fields = await self._handle(request, exchange, start_s)
+            try:
+                outcome, fields = await self._handle(request, exchange, start_s)
+            except CallerDisconnected:
+                raise
+            except Exception as error:
+                outcome, fields = self._record_error(error)
+                await end_unanswered(exchange, False, 502)
         except CallerDisconnected:
             exchange.abort()
-        except Exception as error:
-            outcome, fields = "internal", {"error": repr(error)}
-            self._observer.failed(error)
-            exchange.abort()
         finally:
             self.in_flight -= 1
             elapsed_ms = (self._clock.monotonic_s() - start_s) * 1_000.0
@@ -134,11 +137,11 @@
         self, request: IncomingRequest, exchange: Exchange, start_s: float
     ) -> tuple[str, dict]:
         if self.closing:
-            await self._refuse(exchange, 503, MIN_RETRY_AFTER_S)
+            await refuse(exchange, 503, MIN_RETRY_AFTER_S)
             return "refused", {"cause": "stopping"}
         table = self._route_table()
         if table is None:
-            await self._refuse(exchange, 503, NO_CONFIGURATION_RETRY_S)
+            await refuse(exchange, 503, NO_CONFIGURATION_RETRY_S)
             return "refused", {"cause": "no_configuration"}
         version = table.configuration.version
         host = request.values.get(b"host", b"").decode("latin-1")
@@ -173,7 +176,7 @@
         )
         blocked = self._quarantine.block_reason(state)
         if blocked is not None:
-            await self._refuse(exchange, 503, BLOCKED_RETRY_S)
+            await refuse(exchange, 503, BLOCKED_RETRY_S)
             return "blocked", {"route": route.name, **blocked}
         outcome, fields = await self._serve_until_deadline(state, exchange, deadline_ms)
         fields |= {
@@ -213,9 +216,15 @@
             try:
                 result = await self._serve(state, exchange)
             except Refused as refused:
-                result = await self._respond_refused(state, exchange, refused)
+                left_s = state.deadline_s - self._clock.monotonic_s()
+                result = await respond_refused(state, exchange, refused, left_s)
             except RequestFailed as failed:
-                result = await self._respond_failed(state, exchange, failed)
+                result = await respond_failed(exchange, failed)
+            except CallerDisconnected:
+                raise
+            except Exception as error:
+                result = self._record_error(error)
+                await end_unanswered(exchange, state.may_have_run, 502)
             finally:
                 self._scopes.discard(scope)
                 if state.stages is not None:
@@ -223,48 +232,13 @@
             return result
         if self.closing:
             result = ("stopped", {"cause": "stopping"})
-        if exchange.started:
-            exchange.abort()
-        elif state.may_have_run:
-            await exchange.respond(504, [])
-        else:
-            await self._refuse(exchange, 503, MIN_RETRY_AFTER_S)
+        await end_unanswered(exchange, state.may_have_run, 504)
         return result
 
-    async def _respond_refused(
-        self, state: RequestState, exchange: Exchange, refused: Refused
-    ) -> tuple[str, dict]:
-        left_s = state.deadline_s - self._clock.monotonic_s()
-        if exchange.started:
-            exchange.abort()
-            return "failed", {"cause": refused.cause}
-        if state.may_have_run:
-            await exchange.respond(502, [])
-            return "failed", {"cause": refused.cause}
-        after_s = max(MIN_RETRY_AFTER_S, refused.retry_after_ms / 1_000.0)
-        after_s = min(after_s, max(MIN_RETRY_AFTER_S, left_s * RETRY_AFTER_SHARE))
-        await self._refuse(exchange, 503, after_s)
-        fields = {"cause": refused.cause, "retry_after_s": round(after_s, 3)}
-        if refused.limited:
-            fields["limited"] = [
-                [one.worker, one.per_s, one.sends] for one in refused.limited
-            ]
-        return "refused", fields
-
-    async def _respond_failed(
-        self, state: RequestState, exchange: Exchange, failed: RequestFailed
-    ) -> tuple[str, dict]:
-        if exchange.started:
-            exchange.abort()
-        elif failed.response is not None:
-            head, body = failed.response
-            await exchange.respond(head.status, response_headers(head), body)
-        else:
-            await exchange.respond(502, [])
-        return "failed", {"cause": failed.cause}
-
-    async def _refuse(self, exchange: Exchange, status: int, after_s: float) -> None:
-        await exchange.respond(status, request_format.refusal_headers(after_s))
+    def _record_error(self, error: Exception) -> tuple[str, dict]:
+        """Record an error that no part of this class expects."""
+        self._observer.failed(error)
+        return "internal", {"error": repr(error)}
 
     async def _serve(self, state: RequestState, exchange: Exchange) -> tuple[str, dict]:
         """Run the stages and then the request, with retries on other workers."""
