Do not run a request a third time when it breaks while a second worker is sought

A stream that broke at its silent worker while another sender waited for a slot was sent by both: three runs where the route allows two (BUDGET). The sender that tries again now replaces the one that has not sent yet. The test failed before: 3 runs, now 2.

--- a/src/acaciapier/gateway/hedging.py
+++ b/src/acaciapier/gateway/hedging.py
@@ -55,6 +55,15 @@
         """Record that the worker no longer has the request."""
         self.sending = False
 
+    def retry(self) -> None:
+        """Replace the sender that still looks for a worker, as this one does so, too.
+
+        Together they would run the request more often than its route allows.
+        """
+        for one in self._hedging.others(self):
+            if not one.sending:
+                one.scope.cancel()
+
     def record_silence(self) -> None:
         """Have another worker tried, too, if the request may run there."""
         self.silent = True
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -292,6 +292,7 @@
                 self._dispatch_client.release_permit(permit)
             if sender.is_replaced:
                 break
+            sender.retry()
         raise last_refusal
 
     async def _bind_to_version(
--- a/tests/gateway/test_silent_workers.py
+++ b/tests/gateway/test_silent_workers.py
@@ -118,3 +118,32 @@
         first, second = world.platform.run_log.runs
         assert second.complete
         assert first.ended_s - second.started_s < 0.2
+
+
+async def test_a_stream_that_breaks_while_a_second_worker_is_sought_runs_twice_only():
+    async with deployment() as world:
+        await world.platform.add_worker("model-3", "model", kind="stream")
+        gateway = world.gateways[0]
+        await world.until(lambda: len(gateway.catalogue.workers) == 9)
+        acquire = gateway.dispatch_client.acquire
+
+        async def acquire_slowly(message):
+            permit = await acquire(message)
+            await trio.sleep(0.5 if message.only_untried else 0.0)
+            return permit
+
+        gateway.dispatch_client.acquire = acquire_slowly
+        caller = world.caller()
+        await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        await world.until(lambda: world.platform.run_log.runs)
+        first = world.platform.run_log.runs[0].worker
+        for name, worker in world.platform.workers.items():
+            if name == first:
+                worker.faults.silence = trio.Event()
+            elif name.startswith("model-"):
+                worker.faults.delay_s = 0.5
+        await trio.sleep(1.2)
+        world.platform.crash(first)
+        answer = await caller.receive()
+        assert EVENTS.startswith(answer.body)
+        assert len(world.platform.run_log.runs_of("a1")) == 2
