Log a connection that is closed while input of a request is there

Now caller_connection_closed says why, which status the caller got, if any, and how far the request had been read or had arrived; it is one line for each such connection, counted as a decision, and over 400 lines a second only counted as dropped. An idle connection without input leaves no line, as before. The connections of callers have a module of their own.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -9,7 +9,6 @@
 from ..core.build import build_name
 from ..core.clock import BootClock, epoch_ms, to_s
 from ..core.ids import Incarnation, InstanceId
-from ..http.caller import CallerConnection, ConnectionLimits
 from ..observability.metrics import Metrics
 from ..platform.configuration import decode_configuration
 from ..platform.store import PlatformStore
@@ -34,6 +33,7 @@
 from ..wire.messages.tunnels import OpenTunnel, WriteTunnel
 from ..wire.network import PeerNetwork
 from .builds import Builds
+from .caller_connections import CallerConnections
 from .catalogue import Catalogue
 from .connection_pool import WorkerConnectionPool, sweep_idle
 from .dispatch.dispatch_client import DispatchClient
@@ -43,7 +43,7 @@
 from .followers import StoreFollowers
 from .incarnation_check import CheckedConnections
 from .incarnations import Incarnations
-from .models import InputLimits, PeerRecord, Worker
+from .models import PeerRecord, Worker
 from .observing import RequestObserver, StructuredLog
 from .peer_sync import PeerSync
 from .peers import Peers
@@ -114,7 +114,6 @@
         self.metrics = Metrics(settings.instance)
         self._random = random
         self._stopping = False
-        self._connections: set[CallerConnection] = set()
 
     async def start(self, app: Application, nursery: trio.Nursery) -> None:
         """Start all components in `nursery` and register the stop hook with `app`."""
@@ -235,6 +234,9 @@
             self._random,
             self.observer,
         )
+        self.connections = CallerConnections(
+            self.catalogue, self.relay.handle, self.clock, self.observer
+        )
         self.store = PlatformStore(
             settings.store.address, self.metrics.gateway_store, self.log.write
         )
@@ -420,40 +422,14 @@
             async with trio.open_nursery() as nursery:
                 with self._listening_scope:
                     await trio.serve_listeners(
-                        self._serve_caller, listeners, handler_nursery=nursery
+                        self.connections.serve, listeners, handler_nursery=nursery
                     )
                 for listener in listeners:
                     await listener.aclose()
 
-    async def _serve_caller(self, stream: trio.SocketStream) -> None:
-        connection = CallerConnection(
-            stream,
-            self._limits,
-            self.relay.handle,
-            self.clock.monotonic_s,
-            lambda: self._stopping,
-        )
-        self._connections.add(connection)
-        try:
-            await connection.serve()
-        except Exception as error:
-            self.observer.failed(error)
-        finally:
-            self._connections.discard(connection)
-
-    def _limits(self) -> ConnectionLimits:
-        configuration = self.catalogue.configuration
-        limits = configuration.limits if configuration else InputLimits()
-        return ConnectionLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            to_s(limits.header_timeout_ms),
-            to_s(limits.idle_timeout_ms),
-        )
-
     async def _stop(self) -> None:
         """Finish requests in flight within the shutdown grace period."""
-        self._stopping = True
+        self._stopping = self.connections.stopping = True
         self.log.write("stopping", in_flight=self.relay.in_flight)
         self.dispatcher.stopping = True
         self.dispatcher.hand_over()
@@ -464,10 +440,8 @@
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
             self.relay.closing = True
             self._listening_scope.cancel()
-            while self._connections or self.tunnel_server.count:
-                for connection in list(self._connections):
-                    if connection.idle:
-                        connection.close()
+            while self.connections.count or self.tunnel_server.count:
+                self.connections.close_idle()
                 await trio.sleep(STOP_POLL_S)
         self.relay.cancel_all()
         await trio.sleep(FINAL_ANSWER_FLUSH_S)
--- a/src/acaciapier/gateway/observing.py
+++ b/src/acaciapier/gateway/observing.py
@@ -26,7 +26,7 @@
 MAX_LINES_PER_S = 400
 """Lines per second beyond which routine events are dropped and counted."""
 
-ROUTINE_EVENTS = frozenset({"request_done"})
+ROUTINE_EVENTS = frozenset({"request_done", "caller_connection_closed"})
 """Events that may be dropped at a high rate."""
 
 
--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -4,10 +4,13 @@
 incomplete response closes the connection, so that it cannot look complete.
 """
 
+import fcntl
 import socket
 import struct
+import termios
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import h11
 import trio
@@ -64,6 +67,47 @@
     """Time of its last byte on the connection's clock."""
 
 
+class CloseReason(Enum):
+    """Why this side closes a connection from which it has read input."""
+
+    IDLE_TIMEOUT = "idle_timeout"
+    HEADER_TIMEOUT = "header_timeout"
+    BODY_TIMEOUT = "body_timeout"
+    REJECTED = "rejected"
+    """The input is malformed or over a limit."""
+    AFTER_RESPONSE = "after_response"
+    """The last response was the connection's last one, or is incomplete."""
+    STOP = "stop"
+
+
+@dataclass(frozen=True)
+class UnansweredInput:
+    """Input of a request that has no complete answer of a handler.
+
+    Parameters
+    ----------
+    reason : CloseReason
+        Why the connection closes.
+    status : int or None
+        Status that the caller gets in its place, if any.
+    head : h11.Request or None
+        Head of the request if it was read.
+    body_bytes : int
+        Bytes of its body that were read.
+    unparsed_bytes : int
+        Bytes that were read and belong to an incomplete head, or to further requests.
+    unread_bytes : int
+        Bytes that had arrived and were not read.
+    """
+
+    reason: CloseReason
+    status: int | None
+    head: h11.Request | None
+    body_bytes: int
+    unparsed_bytes: int
+    unread_bytes: int
+
+
 class CallerDisconnected(Exception):
     """The caller has disconnected."""
 
@@ -71,8 +115,9 @@
 class _Rejected(Exception):
     """The input is rejected with a status, and the connection closed."""
 
-    def __init__(self, status: int):
+    def __init__(self, status: int, reason: CloseReason = CloseReason.REJECTED):
         self.status = status
+        self.reason = reason
 
 
 class Exchange:
@@ -139,6 +184,8 @@
         Returns the current time in seconds.
     stopping : callable
         Returns whether connections are to be closed after their response.
+    record_unanswered : callable, optional
+        Called when this side closes the connection while input of a request is there.
     """
 
     def __init__(
@@ -148,6 +195,7 @@
         handler: Handler,
         clock: Callable[[], float],
         stopping: Callable[[], bool],
+        record_unanswered: Callable[[UnansweredInput], None] = lambda unanswered: None,
     ):
         self.idle = True
         self._stream = stream
@@ -155,6 +203,9 @@
         self._handler = handler
         self._clock = clock
         self._stopping = stopping
+        self._record_unanswered = record_unanswered
+        self._head: h11.Request | None = None
+        self._body_bytes = 0
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
         )
@@ -171,10 +222,19 @@
         except CallerDisconnected:
             pass
         except _Rejected as rejected:
+            self._record_close(rejected.reason, rejected.status)
             await self._reject(rejected.status)
+        except trio.Cancelled:
+            self._record_close(CloseReason.STOP)
+            raise
         finally:
             self.close()
 
+    def close_idle(self) -> None:
+        """Close a connection that has no request, when the process stops."""
+        self._record_close(CloseReason.STOP)
+        self.close()
+
     def close(self) -> None:
         """Close immediately; reset if a regular end would complete a response."""
         if self._close_would_complete and self._stream.socket.fileno() >= 0:
@@ -222,6 +282,7 @@
         if request is None:
             return False
         self.idle = False
+        self._head, self._body_bytes = None, 0
         exchange = Exchange(self)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_caller, nursery.cancel_scope)
@@ -231,11 +292,9 @@
                 self.close()
             nursery.cancel_scope.cancel()
         # Without the announcement, the caller's next request may be on its way.
-        if not exchange.ended or self._close_announced:
-            return False
-        if self._parser.our_state is not h11.DONE:
-            return False
-        if self._parser.their_state is not h11.DONE:
+        done = (self._parser.our_state, self._parser.their_state)
+        if not exchange.ended or self._close_announced or done != (h11.DONE, h11.DONE):
+            self._record_close(CloseReason.AFTER_RESPONSE)
             return False
         self._parser.start_next_cycle()
         return True
@@ -247,6 +306,7 @@
             if event is h11.NEED_DATA and not await self._receive():
                 return None
         if idle.cancelled_caught:
+            self._record_close(CloseReason.IDLE_TIMEOUT)
             return None
         self.idle = False
         with trio.move_on_after(limits.header_timeout_s) as scope:
@@ -255,9 +315,10 @@
                 if event is h11.NEED_DATA and not await self._receive():
                     return None
         if scope.cancelled_caught:
-            raise _Rejected(408)
+            raise _Rejected(408, CloseReason.HEADER_TIMEOUT)
         if not isinstance(event, h11.Request):
             return None
+        self._head, self._body_bytes = event, 0
         return await self._read_body(event, limits)
 
     async def _read_body(
@@ -285,6 +346,7 @@
             event = self._parser_event()
             if isinstance(event, h11.Data):
                 body += event.data
+                self._body_bytes = len(body)
                 if len(body) > limits.max_body_bytes:
                     raise _Rejected(413)
             elif isinstance(event, h11.EndOfMessage):
@@ -294,7 +356,7 @@
                     if not await self._receive():
                         return None
                 if scope.cancelled_caught:
-                    raise _Rejected(408)
+                    raise _Rejected(408, CloseReason.BODY_TIMEOUT)
             else:
                 return None
         return IncomingRequest(
@@ -306,6 +368,27 @@
             self._clock(),
         )
 
+    @property
+    def _unparsed_bytes(self) -> int:
+        return len(self._parser.trailing_data[0])
+
+    def _unread_bytes(self) -> int:
+        """Return how many bytes wait in the socket's buffer."""
+        if self._stream.socket.fileno() < 0:
+            return 0
+        count = fcntl.ioctl(self._stream.socket, termios.FIONREAD, b"\0" * 4)
+        return struct.unpack("i", count)[0]
+
+    def _record_close(self, reason: CloseReason, status: int | None = None) -> None:
+        unparsed, unread = self._unparsed_bytes, self._unread_bytes()
+        if self._head is None and not unparsed and not unread and status is None:
+            return
+        self._record_unanswered(
+            UnansweredInput(
+                reason, status, self._head, self._body_bytes, unparsed, unread
+            )
+        )
+
     def _parser_event(self):
         try:
             return self._parser.next_event()
