Close no connection at a stop on which a request has begun

Callers saw a request end without an answer beside a stop: the connection was closed as idle although the first bytes of the request lay in the parser, behind the request before it, or its bytes had arrived and had not been read. After an answer, such a request also had the idle timeout for its head, and was closed without a status when that ended. Cause: the connection counted as idle until the first read after its last answer, whatever had been read before. Now it is idle only while it waits for the first byte and none has arrived; input that was read with the request before has the head's timeout.

--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -197,7 +197,8 @@
         stopping: Callable[[], bool],
         record_unanswered: Callable[[UnansweredInput], None] = lambda unanswered: None,
     ):
-        self.idle = True
+        self._waiting = False
+        """Whether the first bytes of a request are waited for."""
         self._stream = stream
         self._limits = limits
         self._handler = handler
@@ -213,6 +214,11 @@
         self._close_would_complete = False
         self._close_announced = False
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of a request has arrived since the last response."""
+        return self._waiting and not self._unread_bytes()
+
     async def serve(self) -> None:
         """Serve until either side closes."""
         set_keepalive_options(self._stream)
@@ -277,11 +283,9 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
-        self.idle = True
         request = await self._read_request()
         if request is None:
             return False
-        self.idle = False
         self._head, self._body_bytes = None, 0
         exchange = Exchange(self)
         async with trio.open_nursery() as nursery:
@@ -301,18 +305,11 @@
 
     async def _read_request(self) -> IncomingRequest | None:
         limits = self._limits()
-        with trio.move_on_after(limits.idle_timeout_s) as idle:
-            event = self._parser_event()
-            if event is h11.NEED_DATA and not await self._receive():
-                return None
-        if idle.cancelled_caught:
-            self._record_close(CloseReason.IDLE_TIMEOUT)
+        if not self._unparsed_bytes and not await self._wait_for_input(limits):
             return None
-        self.idle = False
         with trio.move_on_after(limits.header_timeout_s) as scope:
-            while event is h11.NEED_DATA:
-                event = self._parser_event()
-                if event is h11.NEED_DATA and not await self._receive():
+            while (event := self._parser_event()) is h11.NEED_DATA:
+                if not await self._receive():
                     return None
         if scope.cancelled_caught:
             raise _Rejected(408, CloseReason.HEADER_TIMEOUT)
@@ -321,6 +318,19 @@
         self._head, self._body_bytes = event, 0
         return await self._read_body(event, limits)
 
+    async def _wait_for_input(self, limits: ConnectionLimits) -> bool:
+        """Wait for the first bytes of a request; return False if there are none."""
+        self._waiting = True
+        try:
+            with trio.move_on_after(limits.idle_timeout_s):
+                return await self._receive()
+            if self._unread_bytes():
+                return await self._receive()
+            self._record_close(CloseReason.IDLE_TIMEOUT)
+            return False
+        finally:
+            self._waiting = False
+
     async def _read_body(
         self, head: h11.Request, limits: ConnectionLimits
     ) -> IncomingRequest | None:
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers that this side closes, and what of a request was read."""
 
 import json
+import os
 
 import pytest
 import trio
@@ -121,3 +122,91 @@
         await receive_answer(stream)
         assert not await receive_all(stream, 9.0)
         assert not written
+
+
+@pytest.mark.parametrize(
+    "first", [b"G", HEAD % 2, HEAD % 2 + b"\r\n"], ids=["byte", "head", "whole"]
+)
+@pytest.mark.parametrize("behind_another", [False, True])
+async def test_a_stop_does_not_close_a_connection_with_a_request_begun(
+    first, behind_another
+):
+    async with deployment() as world:
+        gateway = world.gateways[0]
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.delay_s = 0.3
+        await configure_and_wait(world, 2, header_timeout_ms=5_000)
+        stream = await connect(world)
+        if behind_another:
+            await stream.send_all(HEAD % 1 + b"\r\n" + first)
+            assert b"did a1" in await receive_answer(stream)
+        else:
+            await stream.send_all(first)
+        gateway.app.stop()
+        if first != HEAD % 2 + b"\r\n":
+            await world.until(lambda: gateway.relay.closing, 6.0)
+            await trio.sleep(0.2)
+            await stream.send_all((HEAD % 2 + b"\r\n")[len(first) :])
+        received = await receive_all(stream)
+        assert received.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+
+
+async def test_a_stop_closes_no_connection_whose_request_has_arrived_unread():
+    async with deployment() as world:
+        gateway = world.gateways[0]
+        stream = await connect(world)
+        await stream.send_all(HEAD % 1 + b"\r\n")
+        await receive_answer(stream)
+        await trio.sleep(0.1)
+        os.write(stream.socket.fileno(), HEAD % 2 + b"\r\n")
+        # Without a step of the event loop in between, nothing has been read.
+        gateway.relay.closing = True
+        gateway.connections.stopping = True
+        gateway.connections.close_idle()
+        received = await receive_all(stream)
+        assert received.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+
+
+async def test_a_stop_answers_a_request_whose_body_follows_100_continue():
+    async with deployment() as world:
+        gateway = world.gateways[0]
+        stream = await connect(world)
+        expecting = b"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+        await stream.send_all(WITH_BODY % 1 + expecting)
+        assert b" 100 " in await stream.receive_some(1_000)
+        gateway.app.stop()
+        await world.until(lambda: gateway.relay.closing, 6.0)
+        await trio.sleep(0.2)
+        await stream.send_all(b"body")
+        received = await receive_all(stream)
+        assert received.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+
+
+async def test_a_stop_beside_changes_answers_requests_in_flight():
+    async with deployment() as world:
+        gateway = world.gateways[0]
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.delay_s = 1.0
+        streams = [await connect(world) for _ in range(8)]
+        for number, stream in enumerate(streams):
+            await stream.send_all(HEAD % number + b"\r\n")
+        gateway.app.stop()
+        for version in range(2, 12):
+            configure(world, version, idle_timeout_ms=50 * version)
+            await trio.sleep(0.05)
+        for number, stream in enumerate(streams):
+            assert f"did a{number}".encode() in await receive_answer(stream)
+
+
+@pytest.mark.parametrize("sent", [HEAD % 2, b"G"], ids=["head", "byte"])
+async def test_a_request_begun_behind_another_has_the_time_of_a_head(sent):
+    async with deployment() as world:
+        for number in (1, 2):
+            world.platform.workers[f"book-{number}"].faults.delay_s = 0.3
+        await configure_and_wait(world, 2, header_timeout_ms=4_000, idle_timeout_ms=200)
+        stream = await connect(world)
+        await stream.send_all(HEAD % 1 + b"\r\n" + sent)
+        assert b"did a1" in await receive_answer(stream)
+        await trio.sleep(1.0)
+        await stream.send_all((HEAD % 2 + b"\r\n")[len(sent) :])
+        assert b"did a2" in await receive_answer(stream)
