Let a former idle timeout apply while callers rely on it

Callers saw requests on kept connections end without an answer beside a change that lowered idle_timeout_ms: the new value applied at once, and a caller that does not know it yet reuses connections that have been idle for up to four fifths of the former one. Now a former, longer timeout applies for three seconds, within which callers know the change, and then for its own length, for which a connection that they last used may still be idle. In a series of changes each value has that time, and only values that can still matter are kept. A longer timeout applies at once, as before.

--- a/src/acaciapier/gateway/caller_connections.py
+++ b/src/acaciapier/gateway/caller_connections.py
@@ -81,7 +81,7 @@
             limits.max_header_bytes,
             limits.max_body_bytes,
             to_s(limits.header_timeout_ms),
-            to_s(limits.idle_timeout_ms),
+            to_s(self._catalogue.idle_timeouts.longest_ms(limits.idle_timeout_ms)),
         )
 
     def _record_unanswered(self, unanswered: UnansweredInput) -> None:
--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from ..core.clock import Clock, to_s
+from .idle_timeouts import IdleTimeouts
 from .models import (
     NO_POSITION,
     GatewayConfiguration,
@@ -81,6 +82,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.serving = ServingVersions(clock)
         self.former_routes = FormerRoutes(clock)
+        self.idle_timeouts = IdleTimeouts(clock)
         self._clock = clock
         self._decode = decode_configuration
         self._on_change = on_change
@@ -164,6 +166,7 @@
         self.configuration_position = position
         if self.configuration is not None:
             self.former_routes.replace(self.configuration, decoded)
+            self.idle_timeouts.replaced(self.configuration.limits.idle_timeout_ms)
         self.configuration = decoded
         self.configuration_source = source
         self._on_change(
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -13,6 +13,7 @@
 
 HEAD = b"GET /lookup/1 HTTP/1.1\r\nHost: orders.example\r\nAttempt-Id: a%d\r\n"
 WITH_BODY = b"POST /confirm/1 HTTP/1.1\r\nHost: orders.example\r\nAttempt-Id: a%d\r\n"
+LIMITS = configuration(1, [], [])["limits"]
 
 
 @pytest.fixture
@@ -81,8 +82,7 @@
 
 
 async def test_the_log_tells_how_much_of_a_body_was_read_before_a_timeout(written):
-    async with deployment() as world:
-        await configure_and_wait(world, 2, idle_timeout_ms=300)
+    async with deployment(limits=LIMITS | {"idle_timeout_ms": 300}) as world:
         stream = await connect(world)
         await stream.send_all(WITH_BODY % 7 + b"Content-Length: 10\r\n\r\nhalf")
         assert (await receive_all(stream, 9.0)).startswith(b"HTTP/1.1 408")
@@ -115,8 +115,7 @@
 
 
 async def test_the_log_is_silent_about_an_idle_connection(written):
-    async with deployment() as world:
-        await configure_and_wait(world, 2, idle_timeout_ms=100)
+    async with deployment(limits=LIMITS | {"idle_timeout_ms": 100}) as world:
         stream = await connect(world)
         await stream.send_all(HEAD % 1 + b"\r\n")
         await receive_answer(stream)
@@ -200,7 +199,8 @@
 
 @pytest.mark.parametrize("sent", [HEAD % 2, b"G"], ids=["head", "byte"])
 async def test_a_request_begun_behind_another_has_the_time_of_a_head(sent):
-    async with deployment() as world:
+    limits = LIMITS | {"header_timeout_ms": 4_000, "idle_timeout_ms": 200}
+    async with deployment(limits=limits) as world:
         for number in (1, 2):
             world.platform.workers[f"book-{number}"].faults.delay_s = 0.3
         await configure_and_wait(world, 2, header_timeout_ms=4_000, idle_timeout_ms=200)
@@ -210,3 +210,33 @@
         await trio.sleep(1.0)
         await stream.send_all((HEAD % 2 + b"\r\n")[len(sent) :])
         assert b"did a2" in await receive_answer(stream)
+
+
+@pytest.mark.parametrize("former_ms", [1_000, 2_500])
+@pytest.mark.parametrize("changes", [1, 3])
+async def test_a_lowered_idle_timeout_closes_no_connection_that_callers_reuse(
+    former_ms, changes, written
+):
+    async with deployment(limits=LIMITS | {"idle_timeout_ms": former_ms}) as world:
+        kept, early = await connect(world), await connect(world)
+        await early.send_all(HEAD % 0 + b"\r\n")
+        await receive_answer(early)
+        for version in range(2, 2 + changes):
+            await configure_and_wait(world, version, idle_timeout_ms=40 * version)
+        late = await connect(world)
+        for number, stream in enumerate((kept, late)):
+            await stream.send_all(HEAD % number + b"\r\n")
+            assert f"did a{number}".encode() in await receive_answer(stream)
+        await trio.sleep(0.8 * former_ms / 1_000.0)
+        for number, stream in enumerate((early, kept, late), start=2):
+            await stream.send_all(HEAD % number + b"\r\n")
+            assert f"did a{number}".encode() in await receive_answer(stream)
+
+
+async def test_a_lowered_idle_timeout_applies_in_the_end():
+    async with deployment(limits=LIMITS | {"idle_timeout_ms": 500}) as world:
+        await configure_and_wait(world, 2, idle_timeout_ms=100)
+        await trio.sleep(3.6)
+        stream = await connect(world)
+        with trio.fail_after(0.4):
+            assert not await stream.receive_some(1)
