Apply raised limits to connections that are idle

Callers saw a kept connection closed, or a request on it rejected with 413 or 431, although a change had raised the limit before they sent: a connection's limits were those at the end of its last answer, and its parser kept the limit of heads with which it was opened. Now they are those in force when a request's first byte is read, and an idle connection is kept for as long as the timeout in force says.

tests/gateway/test_caller_connections.py: 3 of 24 cases failed before (idle timeout, bodies, heads), 24 pass.

--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -207,8 +207,9 @@
         self._record_unanswered = record_unanswered
         self._head: h11.Request | None = None
         self._body_bytes = 0
+        self._max_head_bytes = limits().max_header_bytes
         self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
+            h11.SERVER, max_incomplete_event_size=self._max_head_bytes
         )
         self._eof = False
         self._close_would_complete = False
@@ -304,9 +305,10 @@
         return True
 
     async def _read_request(self) -> IncomingRequest | None:
-        limits = self._limits()
-        if not self._unparsed_bytes and not await self._wait_for_input(limits):
+        if not self._unparsed_bytes and not await self._wait_for_input():
             return None
+        limits = self._limits()
+        self._limit_head(limits.max_header_bytes)
         with trio.move_on_after(limits.header_timeout_s) as scope:
             while (event := self._parser_event()) is h11.NEED_DATA:
                 if not await self._receive():
@@ -318,12 +320,16 @@
         self._head, self._body_bytes = event, 0
         return await self._read_body(event, limits)
 
-    async def _wait_for_input(self, limits: ConnectionLimits) -> bool:
+    async def _wait_for_input(self) -> bool:
         """Wait for the first bytes of a request; return False if there are none."""
+        since_s = now_s = trio.current_time()
         self._waiting = True
         try:
-            with trio.move_on_after(limits.idle_timeout_s):
-                return await self._receive()
+            # The limit may be raised meanwhile.
+            while now_s < (until_s := since_s + self._limits().idle_timeout_s):
+                with trio.move_on_at(until_s):
+                    return await self._receive()
+                now_s = trio.current_time()
             if self._unread_bytes():
                 return await self._receive()
             self._record_close(CloseReason.IDLE_TIMEOUT)
@@ -331,6 +337,15 @@
         finally:
             self._waiting = False
 
+    def _limit_head(self, max_bytes: int) -> None:
+        """Apply a changed limit before a request; the parser cannot change its own."""
+        if max_bytes == self._max_head_bytes:
+            return
+        self._max_head_bytes = max_bytes
+        data, _ = self._parser.trailing_data
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
+        self._parser.receive_data(data)
+
     async def _read_body(
         self, head: h11.Request, limits: ConnectionLimits
     ) -> IncomingRequest | None:
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -240,3 +240,35 @@
         stream = await connect(world)
         with trio.fail_after(0.4):
             assert not await stream.receive_some(1)
+
+
+async def test_a_raised_idle_timeout_applies_to_a_connection_that_is_idle():
+    async with deployment(limits=LIMITS | {"idle_timeout_ms": 600}) as world:
+        stream = await connect(world)
+        await stream.send_all(HEAD % 1 + b"\r\n")
+        await receive_answer(stream)
+        await trio.sleep(0.1)
+        await configure_and_wait(world, 2, idle_timeout_ms=5_000)
+        await trio.sleep(1.5)
+        await stream.send_all(HEAD % 2 + b"\r\n")
+        assert b"did a2" in await receive_answer(stream)
+
+
+@pytest.mark.parametrize(
+    "limit, filler, body",
+    [("max_body_bytes", b"", b"x" * 3_000), ("max_header_bytes", b"y" * 3_000, b"")],
+)
+async def test_raised_limits_apply_to_a_connection_that_is_kept(limit, filler, body):
+    async with deployment() as world:
+        await configure_and_wait(world, 2, **{limit: 2_000})
+        stream = await connect(world)
+        await stream.send_all(HEAD % 1 + b"\r\n")
+        await receive_answer(stream)
+        await trio.sleep(0.1)
+        await configure_and_wait(world, 3, **{limit: 10_000})
+        length = b"Content-Length: %d\r\n" % len(body)
+        await stream.send_all(WITH_BODY % 2 + length + b"Filler: ")
+        await stream.send_all(filler)
+        await trio.sleep(0.1)
+        await stream.send_all(b"\r\n\r\n" + body)
+        assert b"did a2" in await receive_answer(stream)
