Conclude no software version from a list younger than streams of a longer timeout

What callers saw: a configuration lowered the timeout of a route, all gateways were killed and came back, and the last workers of the version that began a stream had left. A caller that resumed the stream got 200 and the rest of it from another version.

Cause: without a record, the version is concluded once a list of workers has been known for two timeouts of the route. This took the timeout in force; the stream began under a longer one, which an instance that has started since cannot know.

Change: a stream counts as resumable for 60 s at least, as long as its record is kept. After a restart of all instances, resumes without a record are refused for 60 s; for two timeouts before (10 s where the timeout is 5 s). Resumes with a record are not concerned. Open: timeouts of over 30 s that are lowered.

Three tests set the time for which callers resume to 0 to get a conclusion; they let the lists be 60 s older instead, which is as strict.

--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -18,7 +18,7 @@
     Worker,
 )
 from .pipeline import StageRun
-from .software_versions import UNKNOWN_VERSION, BegunStream
+from .software_versions import RETENTION_MS, UNKNOWN_VERSION, BegunStream
 
 BASE_VALUE, REFERENCE_SIZE_TOKENS, MAX_VALUE = 0.3, 5_000.0, 4.0
 """A generation's value grows with its size, by the users' scoring rules. These refer to
@@ -78,8 +78,11 @@
 
     @property
     def resumed_within_ms(self) -> float:
-        """Longest time for which callers resume a stream of the route."""
-        return RESUMED_WITHIN_TIMEOUTS * self.route.timeout_ms
+        """Longest time for which callers resume a stream of the route.
+
+        The stream may have begun while the timeout of the route was longer.
+        """
+        return max(RETENTION_MS, RESUMED_WITHIN_TIMEOUTS * self.route.timeout_ms)
 
     @property
     def value(self) -> float:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -123,6 +123,11 @@
             while not condition():
                 await trio.sleep(0.01)
 
+    def age_lists(self, age_s: float) -> None:
+        """Let all gateways have known their lists of workers for so much longer."""
+        for gateway in self.gateways:
+            gateway.catalogue.serving._first_s -= age_s
+
     def caller(self, number: int = 0) -> Caller:
         """Return a new client of the gateway with index `number`."""
         return Caller(self.gateways[number].settings.front.port)
--- a/tests/gateway/test_resumed_elsewhere.py
+++ b/tests/gateway/test_resumed_elsewhere.py
@@ -6,9 +6,9 @@
 import trio
 
 from acaciapier.core.clock import ManualClock
-from acaciapier.gateway import request_state
 from acaciapier.gateway.models import ServiceName
 from acaciapier.gateway.routing import FormerRoutes
+from acaciapier.gateway.software_versions import RETENTION_MS
 from acaciapier.platform.configuration import decode_configuration
 from acaciapier_standins.platform.platform import configuration, route
 
@@ -87,8 +87,7 @@
     async with deployment(gateways=2) as world:
         await add_other_service(world, "v9")
         await configure(world, 2, mail("model"))
-        for gateway in world.gateways:
-            gateway.catalogue.serving._first_s -= 60.0
+        world.age_lists(RETENTION_MS / 1_000.0)
         await take_one_event(world, "first", 0)
         longer = mail("other", path_prefix="/mail/1/")
         if change == "moved":
@@ -109,9 +108,9 @@
         assert not world.platform.run_log.runs_of("later")
 
 
-async def test_a_route_that_did_not_change_lets_a_version_be_concluded(monkeypatch):
-    monkeypatch.setattr(request_state, "RESUMED_WITHIN_TIMEOUTS", 0.0)
+async def test_a_route_that_did_not_change_lets_a_version_be_concluded():
     async with deployment(gateways=2) as world:
+        world.age_lists(RETENTION_MS / 1_000.0)
         await configure(world, 2, mail("model"), route("new", "idempotent", "book"))
         await configure(world, 3, mail("model"))
         answer = await resume(world, "later", None)
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -5,9 +5,8 @@
 import pytest
 import trio
 
-from acaciapier.gateway import request_state
 from acaciapier.gateway.models import AttemptId, ServiceName
-from acaciapier.gateway.software_versions import BegunStream
+from acaciapier.gateway.software_versions import RETENTION_MS, BegunStream
 from acaciapier_standins.platform.example import ROUTES
 from acaciapier_standins.platform.platform import configuration
 
@@ -146,11 +145,11 @@
 )
 @pytest.mark.parametrize("lately_started", [False, True], ids=["", "lately_started"])
 async def test_a_stream_of_unknown_version_goes_on_where_one_version_served_long_enough(
-    headers, lately_started, monkeypatch
+    headers, lately_started
 ):
-    if not lately_started:
-        monkeypatch.setattr(request_state, "RESUMED_WITHIN_TIMEOUTS", 0.0)
     async with deployment(gateways=2) as world:
+        if not lately_started:
+            world.age_lists(RETENTION_MS / 1_000.0)
         answer = await world.caller().request(
             "POST", "/mail/1", b"{}", Attempt_Id="a", Last_Event_Id="1", **headers
         )
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -6,12 +6,12 @@
 import trio.testing
 
 from acaciapier.core.clock import ManualClock
-from acaciapier.gateway import request_state
 from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.dispatch import dispatch_client
 from acaciapier.gateway.dispatch.dispatcher import Dispatcher
 from acaciapier.gateway.dispatch.slots import SlotAllocator, SlotRequest
 from acaciapier.gateway.models import ServiceName, ServiceRule, WorkerState
+from acaciapier.gateway.software_versions import RETENTION_MS
 from acaciapier.platform.configuration import decode_configuration
 from acaciapier.platform.workers import decode_worker
 from acaciapier.wire.messages.gateway import AcquireWorker, WorkerEntry
@@ -252,9 +252,9 @@
         assert (answer.status, answer.body, answer.complete) == (200, EVENTS, True)
 
 
-async def test_no_version_is_concluded_from_workers_without_a_known_one(monkeypatch):
-    monkeypatch.setattr(request_state, "RESUMED_WITHIN_TIMEOUTS", 0.0)
+async def test_no_version_is_concluded_from_workers_without_a_known_one():
     async with deployment() as world:
+        world.age_lists(RETENTION_MS / 1_000.0)
         await list_without_versions(world)
         world.gateways[0].catalogue.serving._removed_s.clear()
         answer = await world.caller().request(
