Keep the version of a stream whose worker's report comes late

Cause: the check before a stream timed out, and for 5 s nothing asked that worker again, so the connections of its streams stayed unproved and their versions were withdrawn when their callers left or the streams ended.

Evidence: two tests with two real instances failed before: reports of 400 ms while a stream of 1.2 s runs, and one report of 350 ms followed by quick ones, after which the caller leaves at the first event.

Change: a check without a report in time is followed by one report beside the stream, which may take 1 s as it delays nothing; streams that begin meanwhile are proved by it, too, and a report that comes ends the pause of 5 s. Nothing is taken as proved without a report.

Left: a caller that leaves before any report has come still finds its stream refused.

--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -27,6 +27,9 @@
 REPORT_TIMEOUT_MS = 300.0
 """A report needs no slot and takes about one round trip."""
 
+BACKGROUND_REPORT_TIMEOUT_MS = 1_000.0
+"""Timeout of a report that delays no stream."""
+
 PROOF_TIMEOUT_MS = 60.0
 """Longest delay of a first event, or of the repetition of a broken stream, by a report
 that is still in progress."""
@@ -105,6 +108,7 @@
             unknown and the request's version is not to change.
         """
         repeatable, worker = state.route.repeatable, send.worker
+        verdict = None
         if self._needs_check(state, worker):
             for new in (force_new, True):
                 async with self._connections.acquire(
@@ -129,7 +133,8 @@
             if not _may_be_resumed(state):
                 yield connection
                 return
-            self._prove(worker, connection.opened_s)
+            after_check = verdict is Verdict.UNKNOWN
+            self._prove(worker, connection.opened_s, after_check)
             self._streams[send] = state, connection
             try:
                 yield connection
@@ -215,10 +220,13 @@
             )
         )
 
-    def _prove(self, worker: Worker, opened_s: float) -> None:
-        """Ask for a report in the background if a connection is not proved."""
+    def _prove(self, worker: Worker, opened_s: float, after_check: bool) -> None:
+        """Ask for a report in the background if a connection is not proved.
+
+        `after_check` tells that a check of it got no report in time.
+        """
         now_s = self._clock.monotonic_s()
-        if self._incarnations.wants_report(worker, opened_s, now_s):
+        if self._incarnations.wants_report(worker, opened_s, now_s, after_check):
             self._reports[worker.key] = trio.Event()
             self._tasks.start_soon(self._ask_in_background, worker)
 
@@ -256,7 +264,9 @@
                     worker, repeatable=True, force_new=new
                 ) as connection:
                     reused = connection.exchanges > 0
-                    verdict = await self._ask("", worker, connection)
+                    verdict = await self._ask(
+                        "", worker, connection, BACKGROUND_REPORT_TIMEOUT_MS
+                    )
                     self._reported[connection] = connection.exchanges
             except ConnectFailed as error:
                 self._log("", worker, "worker_report_failed", reason=str(error))
@@ -327,7 +337,11 @@
         return verdict
 
     async def _ask(
-        self, request: str, worker: Worker, connection: HttpConnection
+        self,
+        request: str,
+        worker: Worker,
+        connection: HttpConnection,
+        timeout_ms: float = REPORT_TIMEOUT_MS,
     ) -> Verdict | None:
         """Ask for a worker's report; return None if the connection is closed.
 
@@ -340,7 +354,7 @@
         """
         asked_s = self._clock.monotonic_s()
         try:
-            with trio.fail_after(to_s(REPORT_TIMEOUT_MS)):
+            with trio.fail_after(to_s(timeout_ms)):
                 started_ms = await self._receive_report(request, worker, connection)
         except ConnectionBroken as error:
             self._log(request, worker, "worker_report_failed", reason=str(error))
--- a/src/acaciapier/gateway/incarnations.py
+++ b/src/acaciapier/gateway/incarnations.py
@@ -98,15 +98,19 @@
         """Return whether `listed` is what was found in the place of `worker`."""
         return self._successors_ms.get(worker.key) == listed.started_ms
 
-    def wants_report(self, worker: Worker, opened_s: float, now_s: float) -> bool:
+    def wants_report(
+        self, worker: Worker, opened_s: float, now_s: float, after_check: bool = False
+    ) -> bool:
         """Return whether to ask for a report now, which proves a connection.
 
         At most one is in progress for a worker: it proves all connections that were
-        opened before.
+        opened before. One follows a check that got no report in time (`after_check`).
         """
-        if self.is_proved(worker, opened_s) or self._lacks_report(worker, now_s):
+        if self.is_proved(worker, opened_s):
             return False
         in_progress = worker.key in self._wanted_s
+        if self._lacks_report(worker, now_s) and not (in_progress or after_check):
+            return False
         wanted_s = self._wanted_s.get(worker.key, opened_s)
         self._wanted_s[worker.key] = max(wanted_s, opened_s)
         return not in_progress
@@ -137,6 +141,8 @@
         if started_ms != worker.started_ms:
             _remember(self._successors_ms, worker.key, started_ms)
             return Verdict.DIFFERENT
+        if self._no_report_s.get(worker.key, asked_s) <= asked_s:
+            self._no_report_s.pop(worker.key, None)
         if self._failed_s.get(worker.key, asked_s) <= asked_s:
             self._failed_s.pop(worker.key, None)
         proved_s = max(asked_s, self._proved_s.get(worker.key, asked_s))
--- a/tests/gateway/test_connection_proofs.py
+++ b/tests/gateway/test_connection_proofs.py
@@ -16,6 +16,7 @@
 from .support import deployment
 from .test_broken_streams import EVENTS
 from .test_incarnations import LISTED, begin_stream, incarnations, reports, stream
+from .test_resumed_streams import VERSIONS, mix_versions, take_one_event, version_of
 from .test_tunneled_requests import partitioned
 from .worker_links import REFUSED
 
@@ -89,6 +90,26 @@
     assert known.wants_report(LISTED, 1.0, ended_s)
 
 
+def test_one_report_follows_a_check_that_got_none_in_time():
+    known = Incarnations()
+    known.judge(LISTED, None, 1.0)
+    assert not known.wants_report(LISTED, 1.3, 1.3)
+    assert known.wants_report(LISTED, 1.4, 1.4, after_check=True)
+    assert not known.wants_report(LISTED, 1.5, 1.5), "in progress"
+    assert known.judge(LISTED, 7, 1.4) is Verdict.SAME
+    assert known.end_report(LISTED, Verdict.SAME), "opened after the question"
+    known.judge(LISTED, 7, 1.6)
+    assert not known.end_report(LISTED, Verdict.SAME)
+    assert known.wants_report(LISTED, 1.7, 1.7), "reports come again"
+
+
+def test_an_earlier_report_that_comes_late_does_not_end_the_pause_after_a_check():
+    known = Incarnations()
+    known.judge(LISTED, None, 2.0)
+    known.judge(LISTED, 7, 1.5)
+    assert not known.wants_report(LISTED, 2.1, 2.1)
+
+
 def test_only_the_start_that_was_reported_is_a_successor():
     known = Incarnations()
     third = msgspec.structs.replace(LISTED, started_ms=9)
@@ -189,6 +210,52 @@
             )
 
 
+async def test_a_report_slower_than_its_check_still_proves_the_version_of_a_stream():
+    async with deployment(gateways=2) as world:
+        world.platform.register("model-2", version="v2")
+        for gateway in world.gateways:
+            await world.until(
+                lambda gateway=gateway: (
+                    gateway.catalogue.serving.of("model") == {"v1", "v2"}
+                )
+            )
+        for name in ("model-1", "model-2"):
+            faults = world.platform.workers[name].faults
+            faults.pause_s, faults.report_delay_s = 1.2, 0.4
+        for number in range(2):
+            caller, attempt = world.caller(), f"a{number}"
+            await caller.send("POST", "/mail/1", b"{}", Attempt_Id=attempt)
+            await world.until(lambda: recorded(world.gateways[0], attempt) is not None)
+            began = recorded(world.gateways[0], attempt)
+            await trio.sleep(0.6)
+            await caller.aclose()
+            await trio.sleep(0.2)
+            for gateway in world.gateways:
+                assert recorded(gateway, attempt) == began != UNKNOWN_VERSION
+
+
+async def test_a_caller_that_leaves_after_one_slow_report_resumes_its_stream():
+    async with deployment(gateways=2) as world:
+        await mix_versions(world)
+        for name in VERSIONS:
+            world.platform.workers[name].faults.report_delay_s = 0.35
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(take_one_event, world, "a1", 0)
+            await trio.sleep(0.15)
+            for name in VERSIONS:
+                world.platform.workers[name].faults.report_delay_s = 0.0
+        answer = await world.caller(1).request(
+            "POST",
+            "/mail/1",
+            b"{}",
+            Attempt_Id="a2",
+            Resumes="a1",
+            Last_Event_Id="1",
+        )
+        assert (answer.status, answer.complete) == (200, True)
+        assert version_of(world, "a2") == version_of(world, "a1")
+
+
 async def test_a_finished_stream_that_no_report_proves_has_no_known_version():
     async with deployment(gateways=2) as world:
         await drain(world, "model-2")
