--- a/src/acaciapier/gateway/dispatch/stage_order.py
+++ b/src/acaciapier/gateway/dispatch/stage_order.py
@@ -2,12 +2,17 @@
 
 from collections.abc import Iterable
 
+from ..models import BatchSpec
 from .piece_groups import PieceGroup
 
 PRIORITY_STEP_S = 0.3
 """Offset added to the due time for each step of lower priority when groups are sorted;
 the order matters while more work waits than fits in one call."""
 
+EXPIRES_SOON_CALLS = 4.0
+"""A deprioritized group is added to a call when it expires within the time of this many
+calls: its remaining stages need about three."""
+
 
 def select_on_time(
     groups: Iterable[PieceGroup], rate_per_ms: float, now_s: float
@@ -62,3 +67,38 @@
         max_pieces -= count
         free_bytes -= count * group.result_bytes
     return parts
+
+
+def deprioritized_pieces(
+    spec: BatchSpec,
+    parts: list[tuple[PieceGroup, list[int]]],
+    on_time: list[PieceGroup],
+    deprioritized: list[PieceGroup],
+    max_pieces: int,
+    free_bytes: float,
+    now_s: float,
+) -> list[tuple[PieceGroup, list[int]]]:
+    """Return pieces of deprioritized groups to add to a call.
+
+    They make the call longer, so they are added only if the other groups stay on
+    time, or if they expire soon.
+    """
+    size = sum(len(numbers) for _, numbers in parts)
+    free_bytes -= sum(len(numbers) * group.result_bytes for group, numbers in parts)
+    max_pieces -= size
+    if max_pieces <= 0 or not deprioritized:
+        return []
+    if parts:
+        in_call = {group for group, _ in parts}
+        due_s = min(group.due_s for group, _ in parts)
+        slack_ms = (due_s - now_s) * 1_000.0 - spec.duration_ms(size)
+        acceptable = int(max(0.0, slack_ms) / spec.piece_ms)
+        if any(group not in in_call for group in on_time):
+            acceptable = 0
+        soon_s = now_s + EXPIRES_SOON_CALLS * spec.duration_ms(max_pieces) / 1_000.0
+        expiring = [group for group in deprioritized if group.expires_s <= soon_s]
+        if acceptable < max_pieces and expiring:
+            deprioritized = expiring[:1]
+        else:
+            max_pieces = min(max_pieces, acceptable)
+    return fill_call(deprioritized, max_pieces, free_bytes)
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -18,7 +18,7 @@
     keys_by_address,
 )
 from .stage_capacity import SLOW_WORKER_SLOWDOWN, capacity_per_ms, next_call_ms
-from .stage_order import fill_call, select_on_time
+from .stage_order import deprioritized_pieces, fill_call, select_on_time
 
 PROBATION_PIECES = 2
 """Maximum size of calls to a worker that has not succeeded since its exclusion."""
@@ -30,10 +30,6 @@
 """Share of the work ahead of a group that is expected to run before it even in the best
 case: the rest may be cancelled or take less time than declared."""
 
-EXPIRES_SOON_CALLS = 4.0
-"""A deprioritized group is added to a call when it expires within the time of this many
-calls: its remaining stages need about three."""
-
 
 class StageQueue:
     """Pieces that wait for the workers of one stage service.
@@ -203,8 +199,8 @@
                 deprioritized, slowdown, workers, now_s
             )
         parts = fill_call(on_time, max_pieces, free_bytes)
-        parts += self._deprioritized_pieces(
-            parts, on_time, deprioritized, max_pieces, free_bytes, now_s
+        parts += deprioritized_pieces(
+            self.spec, parts, on_time, deprioritized, max_pieces, free_bytes, now_s
         )
         if not parts:
             return None
@@ -406,42 +402,6 @@
             [group for group in deprioritized if group in eligible],
         )
 
-    def _deprioritized_pieces(
-        self,
-        parts: list[tuple[PieceGroup, list[int]]],
-        on_time: list[PieceGroup],
-        deprioritized: list[PieceGroup],
-        max_pieces: int,
-        free_bytes: float,
-        now_s: float,
-    ) -> list[tuple[PieceGroup, list[int]]]:
-        """Return pieces of deprioritized groups to add to a call.
-
-        They make the call longer, so they are added only if the other groups stay on
-        time, or if they expire soon.
-        """
-        size = sum(len(numbers) for _, numbers in parts)
-        free_bytes -= sum(len(numbers) * group.result_bytes for group, numbers in parts)
-        max_pieces -= size
-        if max_pieces <= 0 or not deprioritized:
-            return []
-        if parts:
-            in_call = {group for group, _ in parts}
-            due_s = min(group.due_s for group, _ in parts)
-            slack_ms = (due_s - now_s) * 1_000.0 - self.spec.duration_ms(size)
-            acceptable = int(max(0.0, slack_ms) / self.spec.piece_ms)
-            if any(group not in in_call for group in on_time):
-                acceptable = 0
-            soon_s = (
-                now_s + EXPIRES_SOON_CALLS * self.spec.duration_ms(max_pieces) / 1_000.0
-            )
-            expiring = [group for group in deprioritized if group.expires_s <= soon_s]
-            if acceptable < max_pieces and expiring:
-                deprioritized = expiring[:1]
-            else:
-                max_pieces = min(max_pieces, acceptable)
-        return fill_call(deprioritized, max_pieces, free_bytes)
-
     def _near_data_deadline_s(self, group: PieceGroup, now_s: float) -> float:
         """Return when a call near a group's data must end for the group to await it."""
         if now_s + self.spec.call_ms / 1_000.0 <= group.latest_s:
