Exclude no worker for a silence that another one shared

Callers saw requests refused (503, `unreachable`) after all workers of a service had been silent for a second or so and went on. Cause: of a request that two silent workers had, the one that did not have the next part first was reported as unreachable, although both had gone on at the same moment; with both workers excluded for an instance, what followed was refused. Now the loser is reported only if the other worker's part came promptly, within half of the time after which a worker is silent.

A worker that is silent alone is still excluded. The stand-in's silent workers give no reports either now, which is stricter.

--- a/src/acaciapier/gateway/hedging.py
+++ b/src/acaciapier/gateway/hedging.py
@@ -14,6 +14,10 @@
 MAX_SENDERS = 2
 """Workers that may work on one request at once."""
 
+PROMPT_SHARE = 0.5
+"""A part that comes within this share of the time after which another worker is silent
+shows that not all workers are silent."""
+
 Outcome = tuple[str, dict]
 """How a request ended, and fields for the log."""
 
@@ -34,8 +38,12 @@
         """Whether this worker has been silent since the last part of its answer."""
         self.beaten = False
         """Whether another sender has had the next part of the answer."""
+        self.silent_alone = False
+        """Whether that one had it promptly while this one's worker was silent."""
         self.scope = trio.CancelScope()
         self._hedging = hedging
+        self._waiting_since_s = 0.0
+        self._silence_s = 0.0
 
     @property
     def is_hedge(self) -> bool:
@@ -50,14 +58,18 @@
     def begin(self) -> None:
         """Record that a worker gets the request."""
         self.sending, self.silent = True, False
+        self._waiting_since_s = trio.current_time()
 
     def end(self) -> None:
         """Record that the worker no longer has the request."""
         self.sending = False
 
-    def record_silence(self) -> None:
-        """Have another worker tried, too, if the request may run there."""
-        self.silent = True
+    def record_silence(self, silence_s: float) -> None:
+        """Have another worker tried, too, if the request may run there.
+
+        `silence_s` is the time without a part after which the worker is silent.
+        """
+        self.silent, self._silence_s = True, silence_s
         self._hedging.hedge(self)
 
     async def take_over(self) -> None:
@@ -69,8 +81,16 @@
             If the other one had it first.
         """
         await trio.lowlevel.checkpoint_if_cancelled()
+        now_s = trio.current_time()
+        self._hedging.cancel_others(self, now_s - self._waiting_since_s)
         self.silent = False
-        self._hedging.cancel_others(self)
+        self._waiting_since_s = now_s
+
+    def leave(self, waited_s: float) -> None:
+        """Leave the worker: another one has the next part, after `waited_s`."""
+        self.beaten = True
+        self.silent_alone = self.silent and waited_s < PROMPT_SHARE * self._silence_s
+        self.scope.cancel()
 
 
 class Hedging:
@@ -123,11 +143,10 @@
         """Return the other senders."""
         return [one for one in self._senders if one is not sender]
 
-    def cancel_others(self, sender: Sender) -> None:
-        """Cancel the other senders."""
+    def cancel_others(self, sender: Sender, waited_s: float) -> None:
+        """Cancel the other senders: one has the next part, after `waited_s`."""
         for one in self.others(sender):
-            one.beaten = True
-            one.scope.cancel()
+            one.leave(waited_s)
 
     def _add_sender(self) -> Sender:
         sender = Sender(self)
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -154,8 +154,10 @@
             self._record_silence(state, send)
             raise RequestFailed("silent") from error
         except trio.Cancelled:
-            if sender.beaten and sender.silent:
+            if sender.silent_alone:
                 self._record_silence(state, send)
+            elif sender.beaten:
+                self._quarantine.record_end(state, send, False)
             raise
         finally:
             sender.end()
@@ -276,10 +278,11 @@
         sender: Sender,
     ) -> ResponseHead:
         """Return the head of the response."""
+        timeout_s = head_timeout_s(state.route)
         while True:
-            with trio.move_on_after(head_timeout_s(state.route)):
+            with trio.move_on_after(timeout_s):
                 return await connection.receive_head(accept)
-            sender.record_silence()
+            sender.record_silence(timeout_s)
 
     async def _handle_not_run(
         self,
@@ -368,7 +371,7 @@
                 data = await anext(parts, None)
             if scope.cancelled_caught:
                 if await self._may_go_on_elsewhere(state, send, connection):
-                    sender.record_silence()
+                    sender.record_silence(idle_timeout_s)
                 parts = connection.receive_body()
                 idle_at_s = trio.current_time() + idle_timeout_s
                 continue
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -114,7 +114,8 @@
     endless: str | None = None
     """A key of `ENDLESS`: send these bytes until the caller closes."""
     silence: trio.Event | None = None
-    """Leave requests unanswered, and streams where they are, until this is set."""
+    """Leave requests and questions for reports unanswered, and streams where they are,
+    until this is set."""
 
 
 class StandInWorker:
@@ -263,6 +264,7 @@
             await exchange.respond(421, [(b"Instance-Id", self.name.encode())])
             return
         await trio.sleep(self.faults.report_delay_s)
+        await self._keep_silence()
         if self.reports <= self.faults.reset_reports:
             exchange.abort()
             return
