--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -129,6 +129,10 @@
         now_s = self._clock.monotonic_s()
         return self.queue.forecast_ms(group, self._workers(), now_s)
 
+    def least_ms(self, group: PieceGroup) -> float:
+        """Return the declared time of a call with all pieces of a group."""
+        return self.queue.spec.duration_ms(len(group.pieces))
+
     def excluded_ms(self) -> float:
         """Return after what time a worker accepts calls again; 0 if there is none."""
         now_s = self._clock.monotonic_s()
