--- a/tests/gateway/test_common_silence.py
+++ b/tests/gateway/test_common_silence.py
@@ -35,6 +35,16 @@
 
 
 async def test_a_worker_that_is_silent_alone_is_excluded(capfd):
+    lines = []
+
+    def excluded() -> set[str]:
+        lines.extend(map(json.loads, capfd.readouterr().out.splitlines()))
+        return {
+            line["worker"].partition("/")[0]
+            for line in lines
+            if line["event"] == "worker_excluded"
+        }
+
     async with deployment() as world:
         for name in ("model-1", "model-2"):
             world.platform.workers[name].faults.delay_s = 0.05
@@ -45,9 +55,5 @@
         world.platform.workers[first].faults.silence = trio.Event()
         answer = await caller.receive()
         assert (answer.status, answer.complete) == (200, True)
-        excluded = {
-            line["worker"].partition("/")[0]
-            for line in map(json.loads, capfd.readouterr().out.splitlines())
-            if line["event"] == "worker_excluded"
-        }
-        assert excluded == {first}
+        await world.until(excluded)
+        assert excluded() == {first}
