Keep the call of a silent stage worker open beside others

Callers with stages were refused (503, `no_worker`) while all stage workers were silent for a second or so, and for a time after it. Cause: a call without an answer was ended after 1.7 times its expected time and 200 ms, its worker excluded for 400 ms and more, and its results were lost; with all workers excluded, whatever needed the service was refused.

Now the pieces go to another worker while the call stays open, for 2 s more or until they expire: the first result of a piece is used, further ones are freed, and an answer ends the exclusion. While no other worker is left, those silent for less than 2 s count as capacity, so requests wait. The slowdown that a late answer adds is bounded.

--- a/src/acaciapier/gateway/connection_pool.py
+++ b/src/acaciapier/gateway/connection_pool.py
@@ -107,7 +107,7 @@
             ]
         )
 
-    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+    def record_silence(self, worker: Worker, connection: HttpConnection | None) -> None:
         """Record that an exchange ended without an answer in time."""
         self._connector.record_silence(worker, connection)
 
--- a/src/acaciapier/gateway/dispatch/piece_groups.py
+++ b/src/acaciapier/gateway/dispatch/piece_groups.py
@@ -72,6 +72,20 @@
         """Value of the group divided by its number of pieces."""
         return self.value / len(self.pieces)
 
+    def take(self, number: int, result: PieceResult) -> bool:
+        """Take the first result of a piece; return False for any further one."""
+        if number in self.results:
+            return False
+        self.results[number] = result
+        if number in self.waiting:
+            self.waiting.remove(number)
+        return True
+
+    def put_back(self, number: int) -> None:
+        """Let a piece without a result wait again."""
+        if number not in self.results and number not in self.waiting:
+            self.waiting.append(number)
+
 
 @dataclass(eq=False)
 class StageCall:
@@ -82,6 +96,8 @@
     expected_ms: float
     reserved_bytes: float
     expected_end_s: float = 0.0
+    left: bool = False
+    """Whether its pieces wait again, because its worker is silent."""
 
     @property
     def size(self) -> int:
--- a/src/acaciapier/gateway/dispatch/stage_capacity.py
+++ b/src/acaciapier/gateway/dispatch/stage_capacity.py
@@ -1,7 +1,8 @@
 """Rate at which the workers of a stage service complete pieces."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
+from ...core.clock import to_s
 from ..models import BatchSpec, Worker
 from ..worker_limits import WorkerLimits
 from .health import WorkerHealth
@@ -10,27 +11,37 @@
 """Slowdown from which a worker counts as slow (twice the expected time): it is used
 last, and only for groups that it can still complete in time."""
 
+SOUND_SILENCE_MS = 2_000.0
+"""For how long a silent worker may be sound: a sound one goes on after a second or
+so."""
+
 
 def capacity_per_ms(
     spec: BatchSpec,
     health: WorkerHealth,
     limits: WorkerLimits,
     workers: Sequence[Worker],
+    silent_since_s: Mapping[str, float],
     now_s: float,
 ) -> float:
-    """Return the pieces a millisecond by declared call times, slowdowns and limits."""
-    fast = slow = 0.0
+    """Return the pieces a millisecond by declared call times, slowdowns and limits.
+
+    Workers that are silent, since the given times, count if there are no others.
+    """
+    fast = slow = silent = 0.0
     for worker in workers:
-        if not health.usable(worker.key, now_s):
-            continue
         slowdown = max(1.0, health.slowdown(worker.key))
         call_ms = slowdown * spec.duration_ms(spec.max_pieces)
         calls_per_ms = min(1.0 / call_ms, limits.rate_per_ms(worker.key))
-        if slowdown < SLOW_WORKER_SLOWDOWN:
+        if not health.usable(worker.key, now_s):
+            since_s = silent_since_s.get(worker.key)
+            if since_s is not None and now_s < since_s + to_s(SOUND_SILENCE_MS):
+                silent += spec.max_pieces * calls_per_ms
+        elif slowdown < SLOW_WORKER_SLOWDOWN:
             fast += spec.max_pieces * calls_per_ms
         else:
             slow += spec.max_pieces * calls_per_ms
-    return fast or slow
+    return fast or slow or silent
 
 
 def next_call_ms(
--- a/src/acaciapier/gateway/dispatch/stage_queue.py
+++ b/src/acaciapier/gateway/dispatch/stage_queue.py
@@ -50,6 +50,9 @@
         self._busy: dict[str, StageCall] = {}
         self._memories: dict[str, ResultMemory] = {}
         self._throughput = Throughput()
+        self._silent_since_s: dict[str, float] = {}
+        """By worker, until it answers."""
+        self._unused_handles: list[str] = []
         self._cached_priorities: tuple[list[PieceGroup], list[PieceGroup]] | None = None
         self._cached_priorities_s = 0.0
 
@@ -75,7 +78,9 @@
 
     def capacity_per_ms(self, workers: Sequence[Worker], now_s: float) -> float:
         """Return the rate by declared call times, slowdowns and limits."""
-        return capacity_per_ms(self.spec, self.health, self._limits, workers, now_s)
+        return capacity_per_ms(
+            self.spec, self.health, self._limits, workers, self._silent_since_s, now_s
+        )
 
     def forecast_ms(
         self, group: PieceGroup, workers: Sequence[Worker], now_s: float
@@ -257,7 +262,10 @@
     ) -> list[PieceGroup]:
         """Record the results of a call and return the groups that are done."""
         self._cached_priorities = None
-        memory = self._end_call(call)
+        if call.left:
+            memory = self._memories.setdefault(call.worker.key, ResultMemory())
+        else:
+            memory = self._end_call(call)
         completed = sum(result.handle is not None for result in results)
         saturation_pieces = self.spec.max_pieces * (len(self._busy) + 1)
         self._throughput.record(
@@ -270,29 +278,60 @@
         for (group, number), result in zip(call.items(), results, strict=True):
             if result.failure not in (None, PieceFailure.OUT_OF_MEMORY):
                 failed.add(group)
-            if result.handle is not None:
+            if result.handle is None:
+                group.put_back(number)
+            elif group.take(number, result):
                 memory.results[result.handle] = StoredResult(
                     group.result_bytes, until_s, group.owner
                 )
-                group.results[number] = result
             else:
-                group.waiting.append(number)
+                self._unused_handles.append(result.handle)
         for group, _ in call.parts:
             group.failed_calls += group in failed
             if group.done and not group.cancelled:
                 done.append(group)
-            elif group.waiting and not group.cancelled and group not in self._groups:
-                self._groups.append(group)
+        self._groups = [group for group in self._groups if group.waiting]
+        self._queue_again(call)
         return done
 
     def fail(self, call: StageCall) -> None:
         """Return all pieces of a failed call to the queue."""
+        for group, _ in call.parts:
+            group.failed_calls += 1
+        if not call.left:
+            self._return_pieces(call)
+
+    def leave(self, call: StageCall, now_s: float) -> None:
+        """Return the pieces of a call to the queue whose worker is silent.
+
+        The worker may be sound: its answer is used for the pieces that have no result
+        by then.
+        """
+        call.left = True
+        self._silent_since_s.setdefault(call.worker.key, now_s)
+        self._return_pieces(call)
+
+    def record_answer(self, worker: Worker) -> None:
+        """Record that a worker has answered, or that its connection has failed."""
+        self._silent_since_s.pop(worker.key, None)
+
+    def pop_unused(self) -> list[str]:
+        """Remove and return the handles of second results of pieces."""
+        handles, self._unused_handles = self._unused_handles, []
+        return handles
+
+    def _return_pieces(self, call: StageCall) -> None:
         self._cached_priorities = None
         self._end_call(call)
         for group, numbers in call.parts:
-            group.failed_calls += 1
-            group.waiting += numbers
-            if not group.cancelled and group not in self._groups:
+            for number in numbers:
+                group.put_back(number)
+        self._queue_again(call)
+
+    def _queue_again(self, call: StageCall) -> None:
+        """Queue the groups of a call that have pieces to run."""
+        for group, _ in call.parts:
+            if group.waiting and not group.cancelled and group not in self._groups:
                 self._groups.append(group)
 
     def record_out_of_memory(self, worker: Worker, now_s: float) -> None:
@@ -358,8 +397,9 @@
         """Remove the state of workers that are gone."""
         keys = {worker.key for worker in workers} | self._busy.keys()
         self.health.keep_only(keys)
-        for key in self._memories.keys() - keys:
-            del self._memories[key]
+        for memory in (self._memories, self._silent_since_s):
+            for key in memory.keys() - keys:
+                del memory[key]
 
     def _eligible_groups(
         self, worker: Worker, workers: Sequence[Worker], now_s: float
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -1,6 +1,7 @@
 """Scheduler of one stage service: sends pieces to its workers, one call at a time."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import trio
 
@@ -13,15 +14,21 @@
 from .health import FIRST_EXCLUSION_MS, MAX_EXCLUSION_MS
 from .piece_groups import PieceGroup, StageCall
 from .refusal import CANCELLED
+from .stage_capacity import SOUND_SILENCE_MS
 from .stage_queue import StageQueue
 
 CALL_TIMEOUT_FACTOR = 1.7
-"""Timeout of a call as a multiple of its expected time. Pieces vary by at most half of
-it, and after a timeout a second call must still be able to finish in time."""
+"""Time after which the worker of a call is silent, as a multiple of the call's expected
+time. Pieces vary by at most half of it, and a second call must still be able to finish
+in time."""
 
 CALL_TIMEOUT_MARGIN_MS = 200.0
 """Time that round trips and transfers of results may add to a call."""
 
+MAX_LATE_RATIO = 4.0
+"""Largest ratio of measured to expected time that a late answer counts for in its
+worker's slowdown: a silence tells little of the following calls."""
+
 CHECK_PERIOD_MS = 40.0
 """Interval at which excluded workers and infeasible groups are checked."""
 
@@ -70,8 +77,8 @@
     workers : callable
         Returns the workers that accept work.
     client : object
-        Coroutines ``run(worker, pieces)`` and ``free(worker, handles)``, and a method
-        ``is_partitioned(service)``.
+        Coroutines ``run(worker, pieces, silence_ms, on_silence)`` and ``free(worker,
+        handles)``, and a method ``is_partitioned(service)``.
     clock : Clock
         Source of time.
     log : callable
@@ -236,7 +243,10 @@
         )
 
     async def _run_call(self, call: StageCall) -> None:
-        """Run one call; if it fails, its pieces return to the queue."""
+        """Run one call; if it fails, its pieces return to the queue.
+
+        They also do so while its worker is silent, which may answer all the same.
+        """
         self.calls += 1
         self.pieces_sent += call.size
         start_s = self._clock.monotonic_s()
@@ -246,14 +256,18 @@
         ]
         worker = call.worker
         results = None
-        timeout_ms = CALL_TIMEOUT_FACTOR * call.expected_ms + CALL_TIMEOUT_MARGIN_MS
-        reason = f"no answer in {timeout_ms:.0f} ms"
+        silence_ms = CALL_TIMEOUT_FACTOR * call.expected_ms + CALL_TIMEOUT_MARGIN_MS
+        reason = f"no answer in {silence_ms:.0f} ms"
         retry_after_ms = 0.0
         answered = False
         partitioned = self._update_path()
-        with trio.move_on_after(to_s(timeout_ms)):
+        expires_s = max(group.expires_s for group, _ in call.parts)
+        longest_s = to_s(silence_ms + SOUND_SILENCE_MS)
+        timeout_s = max(to_s(silence_ms), min(expires_s - start_s, longest_s))
+        on_silence = partial(self._leave, call, start_s, partitioned, reason)
+        with trio.move_on_after(timeout_s) as timeout:
             try:
-                results = await self._client.run(worker, pieces)
+                results = await self._client.run(worker, pieces, silence_ms, on_silence)
             except WorkerRefused as refusal:
                 answered = True
                 reason = str(refusal)
@@ -264,26 +278,49 @@
             except (ConnectFailed, ConnectionBroken) as error:
                 reason = str(error)
         now_s = self._clock.monotonic_s()
-        elapsed_ms = (now_s - start_s) * 1_000.0
+        if timeout.cancelled_caught:
+            reason = f"no answer in {(now_s - start_s) * 1_000.0:.0f} ms"
+        else:
+            self.queue.record_answer(worker)
         if results is None:
             self.queue.fail(call)
             excluded_ms = 0.0
-            if answered or self._update_path() == partitioned:
+            same_path = self._update_path() == partitioned
+            if answered or (same_path and not call.left):
                 excluded_ms = self._exclude(worker, answered, retry_after_ms, now_s)
-            self._log(
-                "stage_call_failed",
-                service=self.service,
-                worker=worker.id,
-                pieces=call.size,
-                elapsed_ms=round(elapsed_ms),
-                reason=reason,
-                excluded_ms=excluded_ms,
-            )
+            self._log_failure(call, start_s, reason, excluded_ms)
         else:
-            self._record_results(call, results, elapsed_ms, now_s)
+            self._record_results(call, results, (now_s - start_s) * 1_000.0, now_s)
+        self.start_calls()
+        self._start_checks()
+
+    def _leave(
+        self, call: StageCall, start_s: float, partitioned: bool, reason: str
+    ) -> None:
+        """Run the pieces of a call elsewhere, too, as its worker is silent."""
+        now_s = self._clock.monotonic_s()
+        self.queue.leave(call, now_s)
+        excluded_ms = 0.0
+        if self._update_path() == partitioned:
+            excluded_ms = self._exclude(call.worker, False, 0.0, now_s)
+        self._log_failure(call, start_s, reason, excluded_ms)
         self.start_calls()
         self._start_checks()
 
+    def _log_failure(
+        self, call: StageCall, start_s: float, reason: str, excluded_ms: float
+    ) -> None:
+        elapsed_ms = (self._clock.monotonic_s() - start_s) * 1_000.0
+        self._log(
+            "stage_call_failed",
+            service=self.service,
+            worker=call.worker.id,
+            pieces=call.size,
+            elapsed_ms=round(elapsed_ms),
+            reason=reason,
+            excluded_ms=excluded_ms,
+        )
+
     def _exclude(
         self, worker: Worker, answered: bool, retry_after_ms: float, now_s: float
     ) -> float:
@@ -310,6 +347,8 @@
         spec = self.queue.spec
         if not failures:
             ratio = elapsed_ms / spec.duration_ms(call.size)
+            if call.left:
+                ratio = min(ratio, MAX_LATE_RATIO)
             self.queue.health.record_success(call.worker.key)
             self._unanswered.discard(call.worker.key)
             self.queue.health.record_slowdown(call.worker.key, ratio, now_s)
@@ -327,10 +366,11 @@
         groups_without_inputs = {
             group
             for (group, _), result in zip(call.items(), results, strict=True)
-            if result.failure is PieceFailure.INPUT_MISSING
+            if result.failure is PieceFailure.INPUT_MISSING and not group.done
         }
         for group in self.queue.finish(call, results, now_s):
             self._complete(group, None)
+        self.release_results(self.queue.pop_unused())
         for group in groups_without_inputs:
             self.queue.cancel(group.attempt)
             self._complete(group, "input_gone")
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -1,10 +1,11 @@
 """Client of stage workers."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import trio
 
-from ..core.clock import Clock
+from ..core.clock import Clock, to_s
 from ..http.client import (
     ConnectionBroken,
     HttpConnection,
@@ -29,6 +30,16 @@
 """A response contains a handle of some tens of bytes for each piece of a call."""
 
 
+@dataclass
+class _Silence:
+    """What to do when a call has no answer for a while."""
+
+    after_ms: float
+    on_silence: Callable[[], None]
+    connection: HttpConnection | None = None
+    """Connection of the call, once there is one."""
+
+
 class StageClient:
     """Calls stage workers over persistent connections.
 
@@ -63,10 +74,17 @@
         """Worker and handle of received results; oldest first."""
 
     async def run(
-        self, worker: Worker, pieces: Sequence[tuple[Piece, float]]
+        self,
+        worker: Worker,
+        pieces: Sequence[tuple[Piece, float]],
+        silence_ms: float,
+        on_silence: Callable[[], None],
     ) -> list[PieceResult]:
         """Run pieces, each given with its remaining time in ms, in one call.
 
+        `on_silence` is called if there is no answer after `silence_ms`; the call goes
+        on.
+
         Raises
         ------
         ConnectFailed, ConnectionBroken
@@ -78,12 +96,26 @@
         """
         body = stage_format.encode_run(pieces)
         results: list[PieceResult] = []
-        await self._call(
-            worker,
-            stage_format.RUN_PATH,
-            body,
-            lambda body: results.extend(stage_format.decode_run(body, len(pieces))),
-        )
+        silence = _Silence(silence_ms, on_silence)
+        failure = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, worker, silence)
+            try:
+                await self._call(
+                    worker,
+                    stage_format.RUN_PATH,
+                    body,
+                    lambda body: results.extend(
+                        stage_format.decode_run(body, len(pieces))
+                    ),
+                    silence,
+                )
+            except Exception as error:
+                # Raised from here, it would leave the nursery as a group.
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         for result in results:
             if result.handle is not None:
                 self._received[worker.key, result.handle] = None
@@ -100,6 +132,12 @@
         """Return whether this instance does not reach a service's workers itself."""
         return self._connections.is_partitioned(service)
 
+    async def _watch(self, worker: Worker, silence: "_Silence") -> None:
+        await trio.sleep(to_s(silence.after_ms))
+        # The worker is slow or silent, or its link is cut.
+        self._connections.record_silence(worker, silence.connection)
+        silence.on_silence()
+
     def _is_copy(self, worker: Worker, body: bytes) -> bool:
         """Return whether a response has results of an earlier one.
 
@@ -117,6 +155,7 @@
         path: bytes,
         body: bytes,
         decode: Callable[[bytes], None] = lambda body: None,
+        silence: "_Silence | None" = None,
     ) -> None:
         """Make a call; `decode` gets the body of the response if the call was run."""
         refusal = self._notices.refusal(worker)
@@ -128,6 +167,8 @@
         headers = request_format.worker_call_headers(worker.id)
         request = OutgoingRequest(b"POST", path, headers, body)
         async with self._connections.acquire(worker, repeatable=True) as connection:
+            if silence is not None:
+                silence.connection = connection
             try:
                 await connection.send(request, self._tasks)
                 head, response_body = await self._receive(worker, connection)
--- a/src/acaciapier/gateway/worker_connector.py
+++ b/src/acaciapier/gateway/worker_connector.py
@@ -39,7 +39,7 @@
         """Record that an idle connection is used for another request."""
         ...
 
-    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+    def record_silence(self, worker: Worker, connection: HttpConnection | None) -> None:
         """Record that an exchange ended without an answer in time."""
         ...
 
@@ -68,7 +68,7 @@
     ) -> None:
         """Do nothing: the path to a worker is always the same."""
 
-    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+    def record_silence(self, worker: Worker, connection: HttpConnection | None) -> None:
         """Do nothing: the path to a worker is always the same."""
 
     def check_one_of(self, workers: Sequence[Worker]) -> None:
@@ -183,7 +183,7 @@
             self._checked.add(worker.key)
             self._tasks.start_soon(self._check, worker)
 
-    def record_silence(self, worker: Worker, connection: HttpConnection) -> None:
+    def record_silence(self, worker: Worker, connection: HttpConnection | None) -> None:
         """Record that an exchange ended without an answer in time."""
         if isinstance(connection, TunneledConnection):
             self._tunnels.avoid(connection.tunnel.helper)
--- a/tests/gateway/test_common_silence.py
+++ b/tests/gateway/test_common_silence.py
@@ -1,12 +1,119 @@
 """All workers of all services are silent for a while at once and go on."""
 
 import json
+from collections import Counter
+from dataclasses import dataclass
 
 import pytest
 import trio
 
 from .support import deployment
 
+ROUTES = ("lookup", "confirm", "chat", "mail", "staged")
+PERIOD_S = 0.1
+"""Time between the requests of a route."""
+
+SETTLE_S, AFTER_S = 1.0, 3.0
+
+
+@dataclass
+class Call:
+    """One request and how it ended."""
+
+    route: str
+    begun_s: float
+    """Since the silence began."""
+    status: int = 0
+    complete: bool = False
+
+    @property
+    def served(self) -> bool:
+        return self.status == 200 and self.complete
+
+
+class Load:
+    """Sends requests of all routes at a steady rate over kept connections."""
+
+    def __init__(self, world, silence_s: float):
+        self.calls: list[Call] = []
+        self.spans = {
+            (-SETTLE_S, 0.0): "before",
+            (0.0, silence_s): "during",
+            (silence_s, silence_s + AFTER_S): "after",
+        }
+        self._silence_s = silence_s
+        self._world = world
+        self._idle = {number: [] for number in range(len(world.gateways))}
+
+    async def run(self) -> None:
+        """Send requests before, during and after a common silence."""
+        start_s = trio.current_time()
+        silent_s = start_s + SETTLE_S
+        count = round((SETTLE_S + self._silence_s + AFTER_S) / PERIOD_S)
+        workers = self._world.platform.workers.values()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._silence, silent_s, list(workers))
+            for number in range(count):
+                await trio.sleep_until(start_s + number * PERIOD_S)
+                for route in ROUTES:
+                    call = Call(route, trio.current_time() - silent_s)
+                    self.calls.append(call)
+                    nursery.start_soon(self._send, call, f"{route}-{number}", number)
+
+    def describe(self, from_s: float, to_s: float) -> str:
+        """Return how the requests that began in a span ended, by route."""
+        return "; ".join(
+            f"{route} {dict(self._ends(route, from_s, to_s))}" for route in ROUTES
+        )
+
+    def _ends(self, route: str, from_s: float, to_s: float) -> Counter:
+        return Counter(
+            call.status if call.complete else f"{call.status} cut"
+            for call in self.calls
+            if from_s <= call.begun_s < to_s and call.route == route
+        )
+
+    async def _silence(self, silent_s: float, workers) -> None:
+        await trio.sleep_until(silent_s)
+        over = trio.Event()
+        for worker in workers:
+            worker.faults.silence = over
+        await trio.sleep(self._silence_s)
+        over.set()
+
+    async def _send(self, call: Call, attempt: str, number: int) -> None:
+        number %= len(self._world.gateways)
+        idle = self._idle[number]
+        caller = idle.pop() if idle else self._world.caller(number)
+        stages = {"Chunk_Count": "2,1", "Chunk_Key": "k"}
+        headers = stages if call.route == "staged" else {}
+        answer = await caller.request(
+            "POST", f"/{call.route}/1", b"{}", Attempt_Id=attempt, **headers
+        )
+        call.status, call.complete = answer.status, answer.complete
+        if answer.complete:
+            idle.append(caller)
+
+
+@pytest.mark.parametrize("silence_s", [0.9, 1.3, 1.6])
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_a_common_silence_of_sound_workers_costs_no_request(gateways, silence_s):
+    async with deployment(gateways) as world:
+        load = Load(world, silence_s)
+        await load.run()
+        print(f"{gateways} gateways, silent {silence_s} s")
+        for span, name in load.spans.items():
+            print(f"{name}: {load.describe(*span)}")
+        log = world.platform.run_log
+        assert all(call.served for call in load.calls)
+        runs = Counter(run.attempt for run in log.runs)
+        assert not [
+            attempt
+            for attempt, count in runs.items()
+            if count > 1 and attempt.startswith(("confirm", "chat"))
+        ]
+        await world.until(lambda: log.freed == sum(log.pieces.values()))
+
 
 @pytest.mark.parametrize("silence_s", [0.9, 1.3, 1.6])
 @pytest.mark.parametrize("route", ["lookup", "mail"])
