Count the attempts of a request when it is sent, not when it asks for a worker

A request could run on more workers than its route's max_attempts: a silent worker broke off while a second sender waited for its worker, both counted one run, and both went on. Now the runs are counted again right before each send.

tests/gateway/test_silent_workers.py: the new test saw 3 runs of 2 allowed before and sees 2 now; the dispatcher's answers to repetitions are 60 ms late in it.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -259,7 +259,7 @@
         only_untried = sender.is_hedge
         if only_untried:
             self._extend_abandonment(state)
-        while state.sends < MAX_SENDS:
+        while state.sends < MAX_SENDS and not state.attempts_used:
             await self._ensure_inputs(state)
             self._check_blocked(state)
             message = self._acquire_message(state, only_untried)
@@ -347,7 +347,7 @@
         """Return whether a request may run on another worker beside a silent one."""
         return (
             state.route.repeatable
-            and state.runs < state.route.max_attempts
+            and not state.attempts_used
             and state.sends < MAX_SENDS
         )
 
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -65,6 +65,11 @@
     last_event_id: str | None = None
     """Id of the last event that was forwarded."""
 
+    @property
+    def attempts_used(self) -> bool:
+        """Whether as many workers may have run the request as its route allows."""
+        return self.runs >= self.route.max_attempts
+
     @property
     def begun_stream(self) -> BegunStream:
         """The record of the stream's version, under the caller's attempt."""
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -138,6 +138,10 @@
                 state, send, force_new=sent_before
             ) as connection:
                 self._check_usable(state, permit)
+                if state.attempts_used:
+                    # Two senders may have waited for their workers at the same time.
+                    self._log_decision(state, worker, "not_asked", "attempts_used")
+                    raise WorkerDidNotRun("attempts_used")
                 return await self._exchange(state, exchange, send, connection, sender)
         except ConnectFailed as error:
             permit.outcome = OUTCOME_UNREACHABLE
--- a/tests/gateway/test_silent_workers.py
+++ b/tests/gateway/test_silent_workers.py
@@ -118,3 +118,32 @@
         first, second = world.platform.run_log.runs
         assert second.complete
         assert first.ended_s - second.started_s < 0.2
+
+
+async def test_a_silent_worker_that_breaks_off_leaves_no_run_beyond_the_attempts():
+    """Guards against a retry beside a second sender that waits for its worker."""
+    async with deployment() as world:
+        await world.platform.add_worker("book-3", "book", kind="plain")
+        (gateway,) = world.gateways
+        await world.until(lambda: len(gateway.catalogue.workers) == 9)
+        dispatch_client = gateway.relay._dispatch_client
+        acquire = dispatch_client.acquire
+
+        async def acquire_late(message):
+            permit = await acquire(message)
+            if message.repeat:
+                await trio.sleep(0.06)
+            return permit
+
+        dispatch_client.acquire = acquire_late
+        silence = trio.Event()
+        for name in ("book-1", "book-2", "book-3"):
+            faults = world.platform.workers[name].faults
+            faults.silence, faults.cut_after = silence, 0
+        caller = world.caller()
+        await caller.send("POST", "/lookup/1", b"{}", Attempt_Id="a1")
+        await trio.sleep(0.73)
+        silence.set()
+        answer = await caller.receive()
+        assert answer.status == 502
+        assert len(world.platform.run_log.runs) == 2
