Let the soak change what is served, and check that every request is answered

The soak's config fault changes only the version. A further fault, change, writes series of configurations that differ: routes dropped, reordered and added by hundreds, weights, timeouts, attempts, connections, slots, idle timeouts, keys. Callers know a change two seconds late and reuse a connection for four fifths of the idle timeout that they know.

Every run now checks that a request has an answer or a refusal, unless its gateway was killed or paused meanwhile, or it crosses the close of a connection by a gateway that stops or was killed. The check beside planned work also acts beside changes and silence of workers; there, answers cut at their route's timeout do not count.

--- a/src/acaciapier_bench/soak/callers.py
+++ b/src/acaciapier_bench/soak/callers.py
@@ -9,6 +9,8 @@
 import h11
 import trio
 
+from .changes import CALLERS_KEY
+
 HOST = "127.0.0.1"
 ANSWER_TIMEOUT_S = 6.0
 KINDS = ("lookup", "confirm", "chat", "mail", "staged")
@@ -69,6 +71,8 @@
         Whether it takes up broken streams, and asks for more that can be taken up.
     build_of : callable
         Returns the name of the build that a gateway runs.
+    reused_s : callable
+        Returns for how long a connection may be idle and is used again.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         records: list[Received],
         resumes: bool = False,
         build_of: Callable[[str], str] = lambda gateway: "",
+        reused_s: Callable[[float], float] = lambda now_s: math.inf,
     ):
         self._name = name
         self._ports = ports
@@ -86,6 +91,8 @@
         self._records = records
         self._resumes = resumes
         self._build_of = build_of
+        self._reused_s = reused_s
+        self._idle_since_s = 0.0
         self._stream: trio.SocketStream | None = None
         self._parser = h11.Connection(h11.CLIENT)
         self._gateway = ""
@@ -125,6 +132,8 @@
         self._records.append(record)
         leaves = self._random.random() < 0.05
         limit_s = self._random.uniform(0.01, 0.2) if leaves else ANSWER_TIMEOUT_S
+        if record.sent_s - self._idle_since_s > self._reused_s(record.sent_s):
+            self._drop()
         with trio.move_on_after(limit_s) as scope:
             try:
                 if self._stream is None:
@@ -142,7 +151,7 @@
                 self._drop()
         record.gateway = self._gateway
         record.left |= leaves and scope.cancelled_caught
-        record.ended_s = trio.current_time()
+        record.ended_s = self._idle_since_s = trio.current_time()
         if scope.cancelled_caught or not record.whole:
             self._drop()
 
@@ -164,6 +173,7 @@
             ("Content-Length", str(len(body))),
             ("Chunk-Count", "2,2"),
             ("Chunk-Key", "k"),
+            ("Key", CALLERS_KEY),
         ]
         if record.resumes:
             headers.append(("Last-Event-Id", str(record.last_id)))
--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -1,7 +1,7 @@
 """Checks the promises of the platform's rules from what both ends saw."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from acaciapier_standins.platform.run_log import Run, RunLog
@@ -13,6 +13,7 @@
 STREAMS = frozenset({"chat", "mail", "staged"})
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 DRAIN_S = 2.0
+LOSS_SLACK_S, CLOSED_WITHIN_S = 0.2, 13.0
 LEFT_S = 0.5
 LEFT_SLACK_S = 0.4
 MOST_LATE_ENDS = 3
@@ -37,11 +38,17 @@
         When gateways were started, stopped or paused; they may forget announcements.
     limits : dict of str to tuple of float
         Requests a second that workers take, and since when they name them.
+    struck_s : dict of str to list of float
+        When gateways were killed or paused.
+    stopped_s : dict of str to list of float
+        When gateways were told to stop.
     """
 
     leaving_s: dict[str, float] = field(default_factory=dict)
     disturbed_s: dict[str, list[float]] = field(default_factory=dict)
     limits: dict[str, tuple[float, float]] = field(default_factory=dict)
+    struck_s: dict[str, list[float]] = field(default_factory=dict)
+    stopped_s: dict[str, list[float]] = field(default_factory=dict)
 
     def remembers(self, gateway: str, from_s: float, to_s: float) -> bool:
         """Return whether a gateway ran undisturbed all the time."""
@@ -89,16 +96,57 @@
     return found
 
 
-def check_planned_work(records: Iterable[Received], run_log: RunLog) -> list[str]:
+def check_answered(
+    records: Iterable[Received], run_log: RunLog, announcements: Announcements
+) -> list[str]:
+    """Return a line for each request with neither an answer nor a refusal.
+
+    A request does not count if its gateway was killed or paused meanwhile, or if it
+    crosses the close of its connection by a gateway that stops or was killed.
+    """
+    attempts = {run.attempt for run in run_log.runs}
+    found = []
+    for record in records:
+        took_s = record.ended_s - record.sent_s
+        struck_at_s = announcements.struck_s.get(record.gateway, ())
+        struck = any(
+            record.sent_s <= struck_s <= record.ended_s for struck_s in struck_at_s
+        )
+        crosses = record.attempt not in attempts and took_s <= LOSS_SLACK_S
+        closes = any(
+            ended_s <= record.ended_s <= ended_s + CLOSED_WITHIN_S
+            for ended_s in (
+                *struck_at_s,
+                *announcements.stopped_s.get(record.gateway, ()),
+            )
+        )
+        unanswered = not (record.status or record.left or record.never_sent)
+        if unanswered and not struck and not (crosses and closes):
+            gateway = record.gateway
+            found.append(
+                f"{record.attempt} got no answer from {gateway} in {took_s:.2f} s"
+            )
+    return found
+
+
+def check_planned_work(
+    records: Iterable[Received],
+    run_log: RunLog,
+    reached_timeout: Callable[[str, float, float], bool] = lambda *_: False,
+) -> list[str]:
     """Return a line for each request that a worker had and that got no full answer.
 
-    Applies to runs whose only faults are planned work: stops, reloads and changes.
+    Applies to runs whose only faults are planned work, stops, reloads and changes, and
+    silence of workers. With other timeouts or silence, a request that took as long as
+    its route's timeout does not count.
     """
     attempts = {run.attempt for run in run_log.runs}
     return [
         f"{record.attempt} reached a worker and its answer is incomplete"
         for record in records
-        if record.attempt in attempts and not record.whole and not record.left
+        if record.attempt in attempts
+        and not (record.whole or record.left)
+        and not reached_timeout(record.kind, record.sent_s, record.ended_s)
     ]
 
 
--- a/src/acaciapier_bench/soak/gateways.py
+++ b/src/acaciapier_bench/soak/gateways.py
@@ -94,13 +94,16 @@
             if kind == "hup":
                 process.send_signal(signal.SIGHUP)
             elif kind == "pause":
+                self._note(self._announcements.struck_s, name)
                 process.send_signal(signal.SIGSTOP)
                 await trio.sleep(length_s)
                 process.send_signal(signal.SIGCONT)
                 self._note_disturbed(name)
             elif kind == "kill":
+                self._note(self._announcements.struck_s, name)
                 process.kill()
             else:
+                self._note(self._announcements.stopped_s, name)
                 process.terminate()
 
     async def replace(self, name: str, build: Build, way: Replacement) -> str:
@@ -180,6 +183,8 @@
             await stream.send_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
             return b" 200 " in await stream.receive_some(1_000)
 
+    def _note(self, times_s: dict[str, list[float]], name: str) -> None:
+        times_s.setdefault(name, []).append(trio.current_time())
+
     def _note_disturbed(self, name: str) -> None:
-        times = self._announcements.disturbed_s.setdefault(name, [])
-        times.append(trio.current_time())
+        self._note(self._announcements.disturbed_s, name)
--- a/src/acaciapier_bench/soak/plan.py
+++ b/src/acaciapier_bench/soak/plan.py
@@ -47,6 +47,11 @@
 SILENCE_FAULTS = ("silence",)
 """Sound workers that answer nothing for a second."""
 
+CHANGE_FAULTS = ("change",)
+"""Configurations in which routes, timeouts, attempts, connections, keys or the idle
+timeout differ. They decide which streams may be taken up, so `ALL_FAULTS` does not
+contain them."""
+
 VERSION_FAULTS = ("upgrade", "release")
 """Workers of another software version under the same id or in the place of others. With
 them, workers have versions and callers take up streams."""
@@ -77,6 +82,12 @@
     callers: int = 8
     faults: tuple[str, ...] = FAULTS
 
+    @property
+    def all_planned(self) -> bool:
+        """Return whether all faults are planned work, or none in the rules."""
+        allowed = PLANNED_FAULTS + CHANGE_FAULTS + SILENCE_FAULTS
+        return set(self.faults) <= set(allowed)
+
     @property
     def has_versions(self) -> bool:
         """Return whether workers have several software versions."""
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -9,13 +9,14 @@
 import trio
 
 from acaciapier.platform.workers import PEER_KIND
-from acaciapier_standins.platform.example import KINDS, ROUTES, services
-from acaciapier_standins.platform.platform import StandInPlatform, configuration
+from acaciapier_standins.platform.example import KINDS, services
+from acaciapier_standins.platform.platform import StandInPlatform
 from acaciapier_standins.platform.workers import ENDLESS
 
 from .builds import Build, current_build
 from .callers import HOST, Received, SoakCaller
-from .checker import Announcements, check, check_planned_work
+from .changes import Changes
+from .checker import Announcements, check, check_answered, check_planned_work
 from .gateways import RESTART_AFTER_S, Gateways
 from .partitions import BEFORE_S, Partitions, Way, check_partitions
 from .plan import (
@@ -100,7 +101,7 @@
         self._drained_s: dict[str, float] = {}
         self._announcements = Announcements()
         self._links: dict[str, Link] = {}
-        self._version = 1
+        self._changes = Changes(SERVICES)
         self._earlier = earlier
         self._current = current_build()
         self._names = [f"edge-{number + 1}" for number in range(plan.gateways)]
@@ -129,7 +130,7 @@
         self._store_link = Link(self._platform.store_port)
         await nursery.start(self._store_link.run)
         self._platform.store.translate = self._translate
-        self._platform.configure(configuration(1, ROUTES, SERVICES))
+        self._platform.configure(self._changes.first(trio.current_time()))
         for service, kind in KINDS.items():
             for number in (1, 2, 3, 4) if self._plan.has_versions else (1, 2, 3):
                 version = f"v{1 + number % 2}" if self._plan.has_versions else None
@@ -186,6 +187,7 @@
                     self.report.records,
                     self._plan.has_versions,
                     self._gateways.build_of,
+                    self._changes.reused_s,
                 )
                 nursery.start_soon(caller.run, until_s)
             if self._partitions is not None:
@@ -216,9 +218,15 @@
                 self._announcements.remembers,
             )
             self.report.broken += found
-        if set(self._plan.faults) <= set(PLANNED_FAULTS):
+        self.report.broken += check_answered(
+            self.report.records, self._platform.run_log, self._announcements
+        )
+        if self._plan.all_planned:
+            by_timeouts = not set(self._plan.faults) <= set(PLANNED_FAULTS)
             self.report.broken += check_planned_work(
-                self.report.records, self._platform.run_log
+                self.report.records,
+                self._platform.run_log,
+                *([self._changes.reached_timeout] if by_timeouts else []),
             )
 
     async def _roll_out(self) -> None:
@@ -259,8 +267,10 @@
         elif kind.startswith("peer"):
             await self._harm_peer(kind, name, length_s)
         elif kind == "config":
-            self._version += self._random.randint(1, 5)
-            self._platform.configure(configuration(self._version, ROUTES, SERVICES))
+            now_s = trio.current_time()
+            self._platform.configure(self._changes.renumbered(now_s, self._random))
+        elif kind == "change":
+            await self._change()
         elif kind == "compact":
             self._platform.store.compact()
         elif kind in PARTITION_FAULTS:
@@ -273,6 +283,15 @@
         else:
             await self._harm_worker(kind, worker, length_s)
 
+    async def _change(self) -> None:
+        """Write a series of changes, and then what was there before."""
+        for _ in range(self._random.randint(1, 4)):
+            now_s = trio.current_time()
+            self._platform.configure(self._changes.changed(now_s, self._random))
+            await trio.sleep(self._random.uniform(0.0, 1.0))
+        now_s = trio.current_time()
+        self._platform.configure(self._changes.renumbered(now_s, self._random))
+
     async def _restore_store(self, age_s: float) -> None:
         """Take the store away for a moment and let it return from a copy."""
         faults, store = self._platform.store.faults, self._platform.store
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,11 +1,15 @@
 """The soak's checker catches planted faults, and a short seeded run passes."""
 
+import random
+
 import pytest
 
 from acaciapier_bench.soak.callers import Received
+from acaciapier_bench.soak.changes import Changes
 from acaciapier_bench.soak.checker import (
     Announcements,
     check,
+    check_answered,
     check_planned_work,
 )
 from acaciapier_bench.soak.plan import (
@@ -17,8 +21,9 @@
     VERSION_FAULTS,
     SoakPlan,
 )
-from acaciapier_bench.soak.run import run_soak
+from acaciapier_bench.soak.run import SERVICES, run_soak
 from acaciapier_bench.soak.streams import Lifetime, check_streams
+from acaciapier_standins.platform.example import ROUTES
 from acaciapier_standins.platform.run_log import Arrival, Run, RunLog, TurnedAway
 
 STREAM = "".join(f"id: {n}\ndata: a {n}\n\n" for n in range(1, 5)).encode()
@@ -132,6 +137,64 @@
     assert check_planned_work([received()], RunLog([ran()])) == []
 
 
+@pytest.mark.parametrize(
+    ("changed", "findings"),
+    [
+        ({}, 1),
+        ({"ended_s": 0.1}, 1),
+        ({"ended_s": 0.1, "gateway": "edge-3"}, 0),
+        ({"gateway": "edge-3"}, 1),
+        ({"status": 502}, 0),
+        ({"left": True}, 0),
+        ({"never_sent": True}, 0),
+        ({"gateway": "edge-2"}, 0),
+    ],
+    ids=[
+        "unanswered",
+        "closed under its caller",
+        "crosses the close of a stop",
+        "unanswered at a stop",
+        "answered",
+        "left",
+        "unsent",
+        "killed",
+    ],
+)
+def test_a_request_without_an_answer_is_found(changed, findings):
+    record = received("confirm", whole=False, status=0, body=b"", ended_s=1.0)
+    for name, value in changed.items():
+        setattr(record, name, value)
+    announcements = Announcements(
+        struck_s={"edge-2": [0.5]}, stopped_s={"edge-3": [-3.0]}
+    )
+    assert len(check_answered([record], RunLog(), announcements)) == findings
+
+
+def test_a_request_that_a_worker_had_is_found_without_an_answer_at_once():
+    record = received("confirm", whole=False, status=0, body=b"", ended_s=0.1)
+    runs = RunLog([ran("confirm")])
+    assert len(check_answered([record], runs, Announcements())) == 1
+
+
+@pytest.mark.parametrize(("took_s", "findings"), [(0.5, 1), (1.0, 0)])
+def test_a_cut_answer_beside_changes_is_found_before_its_timeout(took_s, findings):
+    changes = Changes(SERVICES)
+    changes.first(0.0)
+    made = changes.changed(1.0, random.Random(1))
+    made["routes"] = [one | {"timeout_ms": 1_000} for one in ROUTES]
+    cut = received("chat", whole=False, ended_s=2.0 + took_s)
+    cut.sent_s = 2.0
+    found = check_planned_work([cut], RunLog([ran("chat")]), changes.reached_timeout)
+    assert len(found) == findings
+
+
+def test_changes_beside_signals_and_silence_leave_no_request_unanswered():
+    faults = ("change", "term", "hup", "silence")
+    report = run_soak(SoakPlan(seed=1, seconds=10.0, callers=12, faults=faults))
+    assert report.broken == []
+    assert report.records
+
+
 def test_instances_that_get_several_stop_signals_lose_no_request():
     plan = SoakPlan(seed=1, seconds=12.0, callers=16, faults=("term",))
     report = run_soak(plan)
