Let a young instance ask the others which services a route led to before

What callers saw: a route moved to another service, an instance started after that, and a caller that resumed a stream there without a record of it got 200 and the rest from the other service.

Cause: whether a route led to another service lately is known only to instances that had the former configuration. A young one concluded from the others' lists of workers, but from its own routes.

Evidence: test_an_instance_that_started_after_a_route_moved_resumes_nowhere (three real instances, one of them young) got 200 before, 503 now; test_an_instance_that_started_lately_concludes_from_what_others_know passes before and after.

Change: FindStream carries host and target, StreamFound the services of that route, now and lately, and for how long the instance has known a configuration; one that answered must have known it as long as streams live. Earlier builds skip these fields, and nothing is concluded from them alone by an instance that started lately. Two planted faults of the tests take the new parameter; they play as before. The choice of holders moved to record_holders, unchanged.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -164,6 +164,8 @@
         self.configuration_position = position
         if self.configuration is not None:
             self.former_routes.replace(self.configuration, decoded)
+        else:
+            self.former_routes.begin(decoded)
         self.configuration = decoded
         self.configuration_source = source
         self._on_change(
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -200,6 +200,8 @@
             lambda: self.sync.reachable,
             self.followers.chosen,
             without_records,
+            self.catalogue.former_routes.services_with_current,
+            lambda: self.catalogue.former_routes.known_ms,
         )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -298,17 +298,14 @@
         self, state: RequestState, resumption: Resumption
     ) -> None:
         """Bind a stream that its caller resumes to its service and version."""
-        former = self._catalogue.former_routes.services(
-            state.request.values.get(b"host", b"").decode("latin-1"),
-            state.request.target.decode("latin-1"),
-            state.resumed_within_ms,
-        )
+        host = state.request.values.get(b"host", b"").decode("latin-1")
+        target = state.request.target.decode("latin-1").partition("?")[0]
         found = await self._streams.find(
             state.workspace or "",
             resumption.attempt,
             [service for service, _ in state.route.services],
             state.resumed_within_ms,
-            former,
+            (host, target),
         )
         stream = found.stream
         state.service = stream.service
--- a/src/acaciapier/gateway/routing.py
+++ b/src/acaciapier/gateway/routing.py
@@ -80,15 +80,31 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
+        self._first_s: float | None = None
+        self._table: RouteTable | None = None
+        """Routes of the configuration in force."""
         self._until_s: dict[tuple[str, str], dict[ServiceName, float]] = {}
         """Times until which routes, by host and prefix, led to services."""
 
+    @property
+    def known_ms(self) -> float:
+        """For how long a configuration has been known; 0 if none is."""
+        if self._first_s is None:
+            return 0.0
+        return (self._clock.monotonic_s() - self._first_s) * 1_000.0
+
+    def begin(self, configuration: GatewayConfiguration) -> None:
+        """Record the first known configuration."""
+        self._first_s = self._clock.monotonic_s()
+        self._table = RouteTable(configuration)
+
     def replace(
         self, configuration: GatewayConfiguration, later: GatewayConfiguration
     ) -> None:
         """Record what a later configuration changes."""
         now_s = self._clock.monotonic_s()
         former, table = RouteTable(configuration), RouteTable(later)
+        self._table = table
         for prefix in former._by_prefix.keys() | table._by_prefix.keys():
             before, after = former.find_route(*prefix), table._by_prefix.get(prefix)
             if before is None or not before.resumable:
@@ -113,6 +129,16 @@
             if until_s >= oldest_s
         }
 
+    def services_with_current(
+        self, host: str, target: str, within_ms: float
+    ) -> set[ServiceName]:
+        """Return the same services and those to which it leads now."""
+        services = self.services(host, target, within_ms)
+        route = self._table.find_route(host, target) if self._table else None
+        if route is not None:
+            services.update(service for service, _ in route.services)
+        return services
+
 
 def _prefixes(host: str, target: str) -> Iterator[tuple[str, str]]:
     """Yield the keys under which a table may have a request's route, best first."""
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -5,6 +5,7 @@
 while several versions serve, before the caller gets the first event.
 """
 
+import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
@@ -13,7 +14,6 @@
 from ..core.clock import Clock, to_s
 from ..core.ids import InstanceId
 from ..exceptions import PeerUnavailable
-from ..policy.subset import rendezvous_rank
 from ..wire.messages.streams import (
     FindStream,
     ServiceVersions,
@@ -24,6 +24,7 @@
 from .dispatch.refusal import Refused
 from .models import AttemptId, ServiceName, SoftwareVersion
 from .peers import Peers
+from .record_holders import COPIES, new_holders, ranked_holders
 from .software_versions import (
     MAX_RETENTION_MS,
     RETENTION_MS,
@@ -41,10 +42,6 @@
 """Instances among which the records are distributed. In a large fleet, more would cost
 a connection from each instance to each of them."""
 
-COPIES = 2
-"""Copies of a record at other instances. They are chosen by the attempt, so that a few
-simultaneous crashes lose the records of a few streams only."""
-
 SHARE_TIMEOUT_MS = 60.0
 """Longest delay of a first event by an unresponsive holder."""
 
@@ -103,6 +100,10 @@
         Returns the instances that follow the store for a large fleet.
     without_records : callable
         Returns the instances of earlier builds, which keep no records.
+    route_services : callable
+        Returns the services to which a host and a target lead, or led within a time.
+    routes_known_ms : callable
+        Returns for how long this instance has known a configuration.
     """
 
     def __init__(
@@ -115,6 +116,8 @@
         list_is_current: Callable[[], bool] = lambda: True,
         followers: Callable[[], Iterable[InstanceId]] = lambda: (),
         without_records: Callable[[], Iterable[InstanceId]] = lambda: (),
+        route_services: Callable[[str, str, float], Iterable[str]] = lambda *_: (),
+        routes_known_ms: Callable[[], float] = lambda: math.inf,
     ):
         self._peers = peers
         self._serving = serving
@@ -123,6 +126,8 @@
         self._list_is_current = list_is_current
         self._followers = followers
         self._without_records = without_records
+        self._route_services = route_services
+        self._routes_known_ms = routes_known_ms
         self._streams = BegunStreams(clock)
         """Those that this instance forwards, and those that it holds for others."""
         self._mixed: set[ServiceName] = set()
@@ -185,7 +190,7 @@
         attempt: AttemptId | None,
         services: list[ServiceName],
         life_ms: float = RETENTION_MS,
-        former_services: Iterable[ServiceName] = (),
+        request: tuple[str, str] = ("", ""),
     ) -> FoundStream:
         """Return the stream that an attempt began, with its service and version.
 
@@ -199,8 +204,8 @@
             Services to which the caller's route leads.
         life_ms : float, optional
             Longest time for which a caller resumes a stream.
-        former_services : iterable of ServiceName, optional
-            Services to which the route led within that time.
+        request : tuple of str, optional
+            Host and target of the caller's request, to find what its route was before.
 
         Raises
         ------
@@ -211,13 +216,13 @@
         answers: list[StreamFound] = []
         known: set[BegunStream] = set()
         if stream is None:
-            answers = await self._ask(workspace, attempt, services, life_ms)
+            answers = await self._ask(workspace, attempt, services, life_ms, request)
             known = {_from_entry(answer.stream) for answer in answers if answer.stream}
             if len(known) == 1:
                 (stream,) = known
         recorded = stream is not None
         concluded = None
-        one_service = len({*services, *former_services}) == 1
+        one_service = self._has_one_service(services, answers, life_ms, request)
         if not recorded and not known and one_service:
             concluded = self._conclude(
                 workspace, attempt, services[0], answers, life_ms
@@ -272,9 +277,18 @@
             for service in message.services
         )
         entry = None if stream is None else self._entry(stream)
+        services = self._route_services(message.host, message.target, within_ms)
         known_ms = self._serving.known_ms
         current = known_ms > 0 and self._list_is_current()
-        return StreamFound(entry, versions, current, known_ms, within_ms)
+        return StreamFound(
+            entry,
+            versions,
+            current,
+            known_ms,
+            within_ms,
+            tuple(sorted(services)),
+            self._routes_known_ms(),
+        )
 
     def _entry(self, stream: BegunStream) -> StreamEntry:
         """Return the record of a stream as it is sent to peers."""
@@ -295,7 +309,7 @@
 
     def _holders(self, attempt: AttemptId) -> list[InstanceId]:
         """Return the instances that should hold an attempt's record, best first."""
-        return _ranked(attempt, self._candidates())
+        return ranked_holders(attempt, self._candidates())
 
     async def _copy_records(self, lost: InstanceId | None) -> None:
         """Copy the latest records to the instances that now should hold them.
@@ -311,7 +325,7 @@
         for start in range(0, len(latest), COPY_BATCH):
             entries: dict[InstanceId, list[StreamEntry]] = {}
             for stream in latest[start : start + COPY_BATCH]:
-                for holder in _new_holders(stream.attempt, candidates, lost):
+                for holder in new_holders(stream.attempt, candidates, lost):
                     entries.setdefault(holder, []).append(self._entry(stream))
             for holder, copies in entries.items():
                 copied += len(copies)
@@ -357,12 +371,16 @@
         attempt: AttemptId | None,
         services: list[ServiceName],
         life_ms: float,
+        request: tuple[str, str],
     ) -> list[StreamFound]:
         """Ask the other instances for the record of an attempt.
 
         Return all answers, or those that came before an answer with the record.
         """
-        message = FindStream(attempt or "", workspace, tuple(services), life_ms)
+        host, target = request
+        message = FindStream(
+            attempt or "", workspace, tuple(services), life_ms, host, target
+        )
         answers: list[StreamFound] = []
 
         async def ask(instance: InstanceId) -> None:
@@ -386,6 +404,21 @@
                 nursery.start_soon(ask, instance)
         return answers
 
+    def _has_one_service(
+        self,
+        services: list[ServiceName],
+        answers: list[StreamFound],
+        life_ms: float,
+        request: tuple[str, str],
+    ) -> bool:
+        """Return whether the caller's route can only have led to one service."""
+        led_to = {*services, *self._route_services(*request, life_ms)}
+        known_ms = self._routes_known_ms()
+        for answer in answers:
+            led_to.update(answer.route_services)
+            known_ms = max(known_ms, min(answer.routes_known_ms, answer.within_ms))
+        return len(led_to) == 1 and known_ms >= life_ms
+
     def _conclude(
         self,
         workspace: str,
@@ -430,39 +463,6 @@
         )
 
 
-def _ranked(attempt: AttemptId, instances: Iterable[InstanceId]) -> list[InstanceId]:
-    """Return the instances in the order in which they should hold a record."""
-    return sorted(
-        instances,
-        key=lambda instance: rendezvous_rank(attempt, instance),
-        reverse=True,
-    )
-
-
-def _new_holders(
-    attempt: AttemptId, candidates: list[InstanceId], lost: InstanceId | None
-) -> list[InstanceId]:
-    """Return the instances that get a copy of an attempt's record.
-
-    Parameters
-    ----------
-    attempt : AttemptId
-        The attempt.
-    candidates : list of InstanceId
-        Instances that may hold records now.
-    lost : InstanceId or None
-        The instance that lost its copies; None if all holders get one.
-    """
-    holders = _ranked(attempt, candidates)[:COPIES]
-    if lost is None:
-        return holders
-    if lost in candidates:  # It has started anew.
-        return [holder for holder in holders if holder == lost]
-    # One more, as an instance that has become a candidate lately ranks among them.
-    former = _ranked(attempt, [*candidates, lost])[: COPIES + 1]
-    return holders if lost in former else []
-
-
 def _from_entry(entry: StreamEntry) -> BegunStream:
     return BegunStream(
         AttemptId(entry.attempt),
--- a/src/acaciapier/wire/messages/streams.py
+++ b/src/acaciapier/wire/messages/streams.py
@@ -32,6 +32,9 @@
     within_ms: float = 0.0
     """For how long a version counts after its last worker was removed; 0 leaves that to
     the receiver."""
+    host: str = ""
+    target: str = ""
+    """The caller's request, by which its route is found, without its query."""
 
 
 class ServiceVersions(msgspec.Struct, frozen=True, array_like=True):
@@ -52,3 +55,7 @@
     """For how long it has known a list of workers."""
     within_ms: float = 60_000.0
     """For how long versions count after their last worker was removed."""
+    route_services: tuple[str, ...] = ()
+    """Services to which the route of the request leads, or led within that time."""
+    routes_known_ms: float = 0.0
+    """For how long the instance has known a configuration."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -124,9 +124,10 @@
                 await trio.sleep(0.01)
 
     def age_lists(self, age_s: float) -> None:
-        """Let all gateways have known their lists of workers for so much longer."""
+        """Let all gateways have known their workers and routes for so much longer."""
         for gateway in self.gateways:
             gateway.catalogue.serving._first_s -= age_s
+            gateway.catalogue.former_routes._first_s -= age_s
 
     def caller(self, number: int = 0) -> Caller:
         """Return a new client of the gateway with index `number`."""
--- a/tests/gateway/test_resumed_elsewhere.py
+++ b/tests/gateway/test_resumed_elsewhere.py
@@ -108,6 +108,36 @@
         assert not world.platform.run_log.runs_of("later")
 
 
+async def test_an_instance_that_started_after_a_route_moved_resumes_nowhere():
+    async with deployment(gateways=2) as world:
+        await add_other_service(world, "v9")
+        await configure(world, 2, mail("model"))
+        world.age_lists(RETENTION_MS / 1_000.0)
+        await configure(world, 3, mail("other"))
+        await world.add_gateway()
+        for gateway in world.gateways:
+            await world.until(lambda gateway=gateway: gateway.peers.live_count == 3)
+            await world.until(
+                lambda gateway=gateway: (
+                    len(gateway.catalogue.workers_of(ServiceName("other"))) == 2
+                )
+            )
+        answer = await resume(world, "later", None, 2)
+        assert answer.status == 503
+        assert not world.platform.run_log.runs_of("later")
+
+
+async def test_an_instance_that_started_lately_concludes_from_what_others_know():
+    async with deployment(gateways=2) as world:
+        world.age_lists(RETENTION_MS / 1_000.0)
+        later = await world.add_gateway()
+        for gateway in world.gateways:
+            await world.until(lambda gateway=gateway: gateway.peers.live_count == 3)
+        await world.until(lambda: later.catalogue.complete)
+        answer = await resume(world, "later", None, 2)
+        assert (answer.status, answer.complete) == (200, True)
+
+
 async def test_a_route_that_did_not_change_lets_a_version_be_concluded():
     async with deployment(gateways=2) as world:
         world.age_lists(RETENTION_MS / 1_000.0)
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -379,7 +379,7 @@
 class GuessesUnknown(StreamRecords):
     """Takes any version that serves if nobody knows the stream's."""
 
-    async def find(self, workspace, attempt, services, life_ms, former_services=()):
+    async def find(self, workspace, attempt, services, life_ms, request=("", "")):
         """Guess instead of refusing."""
         try:
             return await super().find(workspace, attempt, services, life_ms)
@@ -391,7 +391,7 @@
 class ConcludesAlone(StreamRecords):
     """Concludes from its own list of workers what it has no record of."""
 
-    async def _ask(self, workspace, attempt, services, life_ms):
+    async def _ask(self, workspace, attempt, services, life_ms, request):
         return []
 
     def _conclude(self, workspace, attempt, service, answers, life_ms):
