--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -167,6 +167,8 @@
         if self.configuration is not None:
             self.former_routes.replace(self.configuration, decoded)
             self.idle_timeouts.replaced(self.configuration.limits.idle_timeout_ms)
+        else:
+            self.former_routes.begin(decoded)
         self.configuration = decoded
         self.configuration_source = source
         self._on_change(
