Let the stand-in store hold a watch before it falls silent in a test

test_a_configuration_takes_effect_in_time_after_a_silent_store failed once beside load, with 'no answer in 4500 ms'. The test is wrong there: it lets the store fall silent right after the start and expects the gateway to hear of version 2 from a watch that the store holds already.

--- a/src/acaciapier_standins/platform/store.py
+++ b/src/acaciapier_standins/platform/store.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -50,6 +50,8 @@
         self.oldest_revision = 1
         self.term = 1
         self.calls = 0
+        self.watches: Counter[str] = Counter()
+        """Watches that are held open, by kind."""
         self._copies: deque[tuple[float, int, dict]] = deque([(0.0, 1, {})])
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -147,9 +149,13 @@
 
     async def _watch(self, kind: str, since: int, query) -> tuple[int, Any]:
         term = self.term
-        with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000.0):
-            while self._has_history(since, term) and not self._since(kind, since):
-                await self._changed.wait()
+        self.watches[kind] += 1
+        try:
+            with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000.0):
+                while self._has_history(since, term) and not self._since(kind, since):
+                    await self._changed.wait()
+        finally:
+            self.watches[kind] -= 1
         if not self._has_history(since, term):
             return 410, {}
         found = self._since(kind, since)
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from acaciapier.platform.configuration import OBJECT_KIND
 from acaciapier_standins.platform.example import STAGES, services
 from acaciapier_standins.platform.platform import configuration, route
 
@@ -429,6 +430,8 @@
     async with deployment() as world:
         catalogue = world.gateways[0].catalogue
         store = world.platform.store
+        # A watch that arrives later would be silent, too, and not tell of version 2.
+        await world.until(lambda: store.watches[OBJECT_KIND])
         store.faults.silent = True
         world.platform.configure(configuration(2, ROUTES, SERVICES))
         await world.until(lambda: catalogue.configuration.version == 2)
