Let a soak kill all gateways at once, also with the store

Callers come back after `Retry-After`, and a try that reached no gateway does not count among their four, so that they are still there after such a kill.

--- a/src/acaciapier_bench/soak/callers.py
+++ b/src/acaciapier_bench/soak/callers.py
@@ -43,6 +43,8 @@
     """Attempt that brought the first event, if this one takes its stream up."""
     last_id: int = 0
     """Id of the last event that earlier attempts brought."""
+    retry_after_s: float = 0.0
+    """Time after which a refusal lets the caller come back."""
     build: str = ""
     """Build that the gateway ran when it was asked."""
 
@@ -107,18 +109,20 @@
     async def _resume(self, first: Received) -> None:
         """Take a broken stream up at a random gateway until it is whole."""
         until_s, last = first.sent_s + DEADLINE_S, first
-        last_id = 0
-        for number in range(MOST_RESUMPTIONS):
+        last_id = number = sent = 0
+        while sent < MOST_RESUMPTIONS:
             last_id = max([last_id, *(event_id for event_id, _ in last.events())])
             if last_id in (0, EVENTS) or (last.whole and last.status == 200):
                 return
-            await trio.sleep(self._random.uniform(0.0, 0.3))
+            await trio.sleep(last.retry_after_s + self._random.uniform(0.0, 0.3))
             if trio.current_time() > until_s:
                 return
             self._drop()
             last = Received(f"{first.attempt}.{number}", first.kind, "", 0.0)
             last.resumes, last.last_id = first.attempt, last_id
             await self._ask(last, until_s)
+            number += 1
+            sent += not last.never_sent
 
     async def _ask(self, record: Received, until_s: float | None = None) -> None:
         record.gateway, record.sent_s = self._gateway, trio.current_time()
@@ -184,7 +188,9 @@
                 self._parser.receive_data(await self._stream.receive_some(65_536))
             elif isinstance(event, h11.Response):
                 record.status = event.status_code
-                record.seal = dict(event.headers).get(b"server-seal", b"").decode()
+                headers = dict(event.headers)
+                record.seal = headers.get(b"server-seal", b"").decode()
+                record.retry_after_s = float(headers.get(b"retry-after", 0.0))
             elif isinstance(event, h11.Data):
                 record.body += event.data
                 if len(record.events()) >= breaks_after:
--- a/src/acaciapier_bench/soak/gateways.py
+++ b/src/acaciapier_bench/soak/gateways.py
@@ -103,6 +103,11 @@
             else:
                 process.terminate()
 
+    async def kill_all(self) -> None:
+        """Kill all gateways at once."""
+        for name in sorted(self.fronts):
+            await self.harm("kill", name, 0.0)
+
     async def replace(self, name: str, build: Build, way: Replacement) -> str:
         """Replace a gateway by one of another build, and return the name of that one.
 
--- a/src/acaciapier_bench/soak/plan.py
+++ b/src/acaciapier_bench/soak/plan.py
@@ -51,6 +51,11 @@
 """Workers of another software version under the same id or in the place of others. With
 them, workers have versions and callers take up streams."""
 
+FLEET_FAULTS = ("kill_all", "kill_all_store", "release_all", "timeout")
+"""All gateways killed at once, also with the store; all workers that write streams
+replaced by those of one version; a changed timeout of the route whose streams callers
+take up."""
+
 PARTITION_FAULTS = tuple(f"partition_{way.value}" for way in Way)
 """Gateways that reach no worker for some seconds. Other faults of workers would blur
 what callers may notice, so `ALL_FAULTS` does not contain them."""
@@ -64,6 +69,7 @@
     + ENDLESS_FAULTS
     + SILENCE_FAULTS
     + VERSION_FAULTS
+    + FLEET_FAULTS
 )
 
 
@@ -80,7 +86,8 @@
     @property
     def has_versions(self) -> bool:
         """Return whether workers have several software versions."""
-        return not set(VERSION_FAULTS).isdisjoint(self.faults)
+        versions = {*VERSION_FAULTS, "release_all"}
+        return not versions.isdisjoint(self.faults)
 
     @property
     def has_partitions(self) -> bool:
--- a/src/acaciapier_bench/soak/releases.py
+++ b/src/acaciapier_bench/soak/releases.py
@@ -97,8 +97,13 @@
         )
         self._restarting.discard(name)
 
-    async def release(self, random: random_module.Random) -> None:
-        """Replace the workers of the earliest version one after the other."""
+    async def release(
+        self, random: random_module.Random, all_versions: bool = False
+    ) -> None:
+        """Replace the workers of the earliest version one after the other.
+
+        With `all_versions`, all workers are replaced, so that one version is left.
+        """
         self._count += 1
         version = f"v{2 + self._count}"
         numbers = {
@@ -106,13 +111,19 @@
             for name in self._names()
         }
         earliest = min(numbers.values())
-        for name in [name for name, number in numbers.items() if number == earliest]:
+        replaced = [
+            name
+            for name, number in numbers.items()
+            if all_versions or number == earliest
+        ]
+        for name in replaced:
             if name in self._restarting or name not in self._links:
                 continue
             fresh = f"{STREAMING}-{version}-{name.rpartition('-')[2]}"
             await self._add_worker(fresh, STREAMING, KINDS[STREAMING], version)
             self._nursery.start_soon(self._retire, name)
-            await trio.sleep(random.uniform(0.2, 1.0))
+            if not all_versions:
+                await trio.sleep(random.uniform(0.2, 1.0))
 
     def _names(self) -> list[str]:
         return sorted(name for name in self._links if name.startswith(STREAMING))
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -14,7 +14,7 @@
 from acaciapier_standins.platform.workers import ENDLESS
 
 from .builds import Build, current_build
-from .callers import HOST, Received, SoakCaller
+from .callers import HOST, RESUMABLE, Received, SoakCaller
 from .checker import Announcements, check, check_planned_work
 from .gateways import RESTART_AFTER_S, Gateways
 from .partitions import BEFORE_S, Partitions, Way, check_partitions
@@ -39,6 +39,7 @@
 
 TURN_AWAY_S = 2.0
 SILENCE_S = 1.0
+TIMEOUTS_MS = (600.0, 2_000.0)
 SERVICES = services(call_ms=20.0, item_ms=1.0)
 
 
@@ -258,9 +259,15 @@
             await self._harm_store(kind, length_s)
         elif kind.startswith("peer"):
             await self._harm_peer(kind, name, length_s)
+        elif kind == "kill_all":
+            await self._gateways.kill_all()
+        elif kind == "kill_all_store":
+            await self._gateways.kill_all()
+            await self._harm_store("store_down", length_s)
+        elif kind == "timeout":
+            self._configure(self._random.choice(TIMEOUTS_MS))
         elif kind == "config":
-            self._version += self._random.randint(1, 5)
-            self._platform.configure(configuration(self._version, ROUTES, SERVICES))
+            self._configure()
         elif kind == "compact":
             self._platform.store.compact()
         elif kind in PARTITION_FAULTS:
@@ -270,9 +277,24 @@
             await self._releases.upgrade(self._random, self._announcements.leaving_s)
         elif kind == "release":
             await self._releases.release(self._random)
+        elif kind == "release_all":
+            await self._releases.release(self._random, all_versions=True)
         else:
             await self._harm_worker(kind, worker, length_s)
 
+    def _configure(self, timeout_ms: float | None = None) -> None:
+        """Write a configuration, with another timeout of streams if one is given."""
+        routes = ROUTES
+        if timeout_ms is not None:
+            routes = [
+                route | {"timeout_ms": timeout_ms}
+                if route["name"] == RESUMABLE
+                else route
+                for route in ROUTES
+            ]
+        self._version += self._random.randint(1, 5)
+        self._platform.configure(configuration(self._version, routes, SERVICES))
+
     async def _restore_store(self, age_s: float) -> None:
         """Take the store away for a moment and let it return from a copy."""
         faults, store = self._platform.store.faults, self._platform.store
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
     ANNOUNCEMENT_FAULTS,
     ENDLESS_FAULTS,
     FAULTS,
+    FLEET_FAULTS,
     FRAMING_FAULTS,
     LIMIT_FAULTS,
     VERSION_FAULTS,
@@ -267,3 +268,11 @@
     report = run_soak(SoakPlan(seed=2, seconds=6.0, callers=6, faults=faults))
     assert report.broken == []
     assert report.streams.went_on.count
+
+
+def test_streams_that_callers_take_up_after_all_gateways_were_killed_are_not_mixed():
+    faults = (*FLEET_FAULTS, "release", "break")
+    report = run_soak(SoakPlan(seed=2, seconds=6.0, callers=6, faults=faults))
+    assert report.broken == []
+    assert {"kill_all", "kill_all_store"} & set(report.faults)
+    assert report.streams.went_on.count
