--- a/src/acaciapier_bench/soak/changes.py
+++ b/src/acaciapier_bench/soak/changes.py
@@ -7,7 +7,11 @@
 from acaciapier_standins.platform.example import KINDS, ROUTES
 from acaciapier_standins.platform.platform import configuration, route
 
+RESUMABLE = "mail"
+"""Route whose streams callers resume."""
+
 TIMEOUTS_MS = (1_000, 2_000, 4_000)
+STREAM_TIMEOUTS_MS = (600, 2_000)
 IDLE_TIMEOUTS_MS = (150, 400, 1_000, 5_000)
 MOST_NEW_ROUTES = 300
 CALLERS_KEY, OTHER_KEY = "soak-1", "soak-2"
@@ -44,6 +48,16 @@
         self._version += random.randint(1, 5)
         return self._record(now_s, configuration(self._version, ROUTES, self._services))
 
+    def retimed(self, now_s: float, random: random_module.Random) -> dict[str, Any]:
+        """Return the first configuration with another timeout of resumable streams."""
+        self._version += random.randint(1, 5)
+        timeout_ms = random.choice(STREAM_TIMEOUTS_MS)
+        routes = [
+            one | {"timeout_ms": timeout_ms} if one["name"] == RESUMABLE else one
+            for one in ROUTES
+        ]
+        return self._record(now_s, configuration(self._version, routes, self._services))
+
     def changed(self, now_s: float, random: random_module.Random) -> dict[str, Any]:
         """Return a configuration in which several things differ."""
         self._version += random.randint(1, 5)
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -266,6 +266,14 @@
             await self._harm_store(kind, length_s)
         elif kind.startswith("peer"):
             await self._harm_peer(kind, name, length_s)
+        elif kind == "kill_all":
+            await self._gateways.kill_all()
+        elif kind == "kill_all_store":
+            await self._gateways.kill_all()
+            await self._harm_store("store_down", length_s)
+        elif kind == "timeout":
+            now_s = trio.current_time()
+            self._platform.configure(self._changes.retimed(now_s, self._random))
         elif kind == "config":
             now_s = trio.current_time()
             self._platform.configure(self._changes.renumbered(now_s, self._random))
@@ -280,6 +288,8 @@
             await self._releases.upgrade(self._random, self._announcements.leaving_s)
         elif kind == "release":
             await self._releases.release(self._random)
+        elif kind == "release_all":
+            await self._releases.release(self._random, all_versions=True)
         else:
             await self._harm_worker(kind, worker, length_s)
 
--- a/src/acaciapier_bench/soak/streams.py
+++ b/src/acaciapier_bench/soak/streams.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .callers import RESUMABLE, Received
+from .callers import Received
+from .changes import RESUMABLE
 
 STABLE_S = 3.0
 KNOWN_S = 1.0
