--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -36,7 +36,7 @@
         for number in (1, 2):
             world.platform.workers[f"model-{number}"].faults.pause_s = 1.3
         budget = world.gateways[0].dispatcher._budgets.of("model")
-        budget.spend = lambda now_s: False
+        budget.spend = lambda now_s, is_hedge=False: False
         answer = await request(world, "mail")
         assert (answer.body, answer.complete) == (EVENTS, True)
         assert len(world.platform.run_log.runs_of("a1")) == 1
