Wait for the report of a silent worker before a resume is refused

Callers saw resumed streams refused (503, `incarnation_unknown`) while all workers of a service were silent for over a second: each worker was asked for a report twice, for 300 ms each, which used up the four sends of the request. A worker that gave this request no report is now waited for up to 2 s at its next turn; the first question still ends after 300 ms, so that another worker is asked soon.

--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -27,6 +27,10 @@
 REPORT_TIMEOUT_MS = 300.0
 """A report needs no slot and takes about one round trip."""
 
+SILENCE_REPORT_TIMEOUT_MS = 2_000.0
+"""Timeout of the next report for a request that got none before: a sound worker may be
+silent for a second or so."""
+
 PROOF_TIMEOUT_MS = 60.0
 """Longest delay of a first event, or of the repetition of a broken stream, by a report
 that is still in progress."""
@@ -106,18 +110,22 @@
         """
         repeatable, worker = state.route.repeatable, send.worker
         if self._needs_check(state, worker):
+            timeout_ms = REPORT_TIMEOUT_MS
+            if state.software_version is not None and worker.id in state.unreported:
+                timeout_ms = SILENCE_REPORT_TIMEOUT_MS
             for new in (force_new, True):
                 async with self._connections.acquire(
                     worker, repeatable, force_new=new, request=state.metadata.attempt
                 ) as connection:
                     reused = connection.exchanges > 0
-                    verdict = await self._check(state, worker, connection)
+                    verdict = await self._check(state, worker, connection, timeout_ms)
                     if verdict is Verdict.SAME:
                         yield connection
                         return
                 if verdict is Verdict.UNKNOWN or not reused:
                     break
             if state.software_version is not None:
+                state.unreported.add(worker.id)
                 self._refuse(state, worker, "incarnation_unknown")
             force_new = True
         async with self._connections.acquire(
@@ -298,7 +306,11 @@
         )
 
     async def _check(
-        self, state: RequestState, worker: Worker, connection: HttpConnection
+        self,
+        state: RequestState,
+        worker: Worker,
+        connection: HttpConnection,
+        timeout_ms: float,
     ) -> Verdict | None:
         """Return whether a connection leads to the listed incarnation.
 
@@ -311,7 +323,8 @@
         """
         if self._is_proved(worker, connection):
             return Verdict.SAME
-        verdict = await self._ask(state.metadata.attempt, worker, connection)
+        attempt = state.metadata.attempt
+        verdict = await self._ask(attempt, worker, connection, timeout_ms)
         if verdict is None:
             return None
         if verdict is Verdict.DIFFERENT:
@@ -327,7 +340,11 @@
         return verdict
 
     async def _ask(
-        self, request: str, worker: Worker, connection: HttpConnection
+        self,
+        request: str,
+        worker: Worker,
+        connection: HttpConnection,
+        timeout_ms: float = REPORT_TIMEOUT_MS,
     ) -> Verdict | None:
         """Ask for a worker's report; return None if the connection is closed.
 
@@ -340,7 +357,7 @@
         """
         asked_s = self._clock.monotonic_s()
         try:
-            with trio.fail_after(to_s(REPORT_TIMEOUT_MS)):
+            with trio.fail_after(to_s(timeout_ms)):
                 started_ms = await self._receive_report(request, worker, connection)
         except ConnectionBroken as error:
             self._log(request, worker, "worker_report_failed", reason=str(error))
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -49,6 +49,8 @@
     """How often a worker may have run the request."""
     may_have_run: bool = False
     tried_workers: set[str] = field(default_factory=set)
+    unreported: set[str] = field(default_factory=set)
+    """Workers that were not asked, as they gave no report in time."""
     stages: StageRun | None = None
     framing: Framing | None = None
     """Framing of the last response of a worker."""
--- a/tests/gateway/test_common_silence.py
+++ b/tests/gateway/test_common_silence.py
@@ -213,3 +213,40 @@
             for worker in books:
                 worker.faults.silence = None
         assert answers == [200] * 6
+
+
+@pytest.mark.parametrize("silence_s", [0.9, 1.3])
+async def test_a_resumed_stream_waits_for_the_reports_of_silent_workers(silence_s):
+    """Guards against resumes that are refused while a report is late."""
+    async with deployment(gateways=2) as world:
+        for name in ("model-1", "model-2"):
+            world.platform.workers[name].faults.pause_s = 0.3
+        caller = world.caller()
+        await caller.send("POST", "/mail/1", b"{}", Attempt_Id="a1")
+        await world.until(
+            lambda: (
+                world.platform.run_log.runs and world.platform.run_log.runs[0].events
+            )
+        )
+        await trio.sleep(0.1)
+        await caller.aclose()
+        await trio.sleep(0.1)
+        over = trio.Event()
+        for worker in world.platform.workers.values():
+            worker.faults.silence = over
+        async with trio.open_nursery() as nursery:
+
+            async def end_silence() -> None:
+                await trio.sleep(silence_s)
+                over.set()
+
+            nursery.start_soon(end_silence)
+            answer = await world.caller(1).request(
+                "POST",
+                "/mail/1",
+                b"{}",
+                Attempt_Id="a2",
+                Resumes="a1",
+                Last_Event_Id="1",
+            )
+        assert (answer.status, answer.complete) == (200, True)
