--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -30,6 +30,10 @@
 BACKGROUND_REPORT_TIMEOUT_MS = 1_000.0
 """Timeout of a report that delays no stream."""
 
+SILENCE_REPORT_TIMEOUT_MS = 2_000.0
+"""Timeout of the next report for a request that got none before: a sound worker may be
+silent for a second or so."""
+
 PROOF_TIMEOUT_MS = 60.0
 """Longest delay of a first event, or of the repetition of a broken stream, by a report
 that is still in progress."""
@@ -110,18 +114,22 @@
         repeatable, worker = state.route.repeatable, send.worker
         verdict = None
         if self._needs_check(state, worker):
+            timeout_ms = REPORT_TIMEOUT_MS
+            if state.software_version is not None and worker.id in state.unreported:
+                timeout_ms = SILENCE_REPORT_TIMEOUT_MS
             for new in (force_new, True):
                 async with self._connections.acquire(
                     worker, repeatable, force_new=new, request=state.metadata.attempt
                 ) as connection:
                     reused = connection.exchanges > 0
-                    verdict = await self._check(state, worker, connection)
+                    verdict = await self._check(state, worker, connection, timeout_ms)
                     if verdict is Verdict.SAME:
                         yield connection
                         return
                 if verdict is Verdict.UNKNOWN or not reused:
                     break
             if state.software_version is not None:
+                state.unreported.add(worker.id)
                 self._refuse(state, worker, "incarnation_unknown")
             force_new = True
         async with self._connections.acquire(
@@ -308,7 +316,11 @@
         )
 
     async def _check(
-        self, state: RequestState, worker: Worker, connection: HttpConnection
+        self,
+        state: RequestState,
+        worker: Worker,
+        connection: HttpConnection,
+        timeout_ms: float,
     ) -> Verdict | None:
         """Return whether a connection leads to the listed incarnation.
 
@@ -321,7 +333,8 @@
         """
         if self._is_proved(worker, connection):
             return Verdict.SAME
-        verdict = await self._ask(state.metadata.attempt, worker, connection)
+        attempt = state.metadata.attempt
+        verdict = await self._ask(attempt, worker, connection, timeout_ms)
         if verdict is None:
             return None
         if verdict is Verdict.DIFFERENT:
