Refuse expired pieces before their next call

A request whose stage workers never answered could be held until its deadline instead of being refused: pieces that a failed call returned after their expiry went into another call if the periodic check of the queue was not due. They are checked at once now.

--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -284,6 +284,7 @@
             self.queue.record_answer(worker)
         if results is None:
             self.queue.fail(call)
+            self._next_expiry_check_s = now_s
             excluded_ms = 0.0
             same_path = self._update_path() == partitioned
             if answered or (same_path and not call.left):
@@ -300,6 +301,7 @@
         """Run the pieces of a call elsewhere, too, as its worker is silent."""
         now_s = self._clock.monotonic_s()
         self.queue.leave(call, now_s)
+        self._next_expiry_check_s = now_s
         excluded_ms = 0.0
         if self._update_path() == partitioned:
             excluded_ms = self._exclude(call.worker, False, 0.0, now_s)
