Keep the idle timeout of a version that comes after a newer one

A caller may know a version that this instance gets only after the next one, from a peer or the store, and rely on its longer idle timeout; it is now recorded like that of a version that was in force.

tests/gateway/test_idle_timeouts.py: the new case failed before; 24 pass.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -154,6 +154,7 @@
             )
             return False
         if not self.has_newer_configuration(decoded.version, position):
+            self.idle_timeouts.replaced(decoded.limits.idle_timeout_ms)
             self._on_change(
                 "configuration_outdated",
                 version=decoded.version,
--- a/tests/gateway/test_idle_timeouts.py
+++ b/tests/gateway/test_idle_timeouts.py
@@ -2,9 +2,14 @@
 
 import random
 
+import msgspec
 import pytest
 
+from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.idle_timeouts import KNOWN_WITHIN_S, IdleTimeouts
+from acaciapier.gateway.models import StorePosition
+from acaciapier.platform.configuration import decode_configuration
+from acaciapier_standins.platform.platform import configuration
 
 
 class ManualClock:
@@ -58,3 +63,14 @@
     for number in range(10_000):
         timeouts.replaced(float(number % 100))
     assert len(timeouts._former) <= 100
+
+
+def test_a_timeout_of_a_version_that_comes_late_applies_for_its_time():
+    catalogue = Catalogue(ManualClock(), decode_configuration)
+    for version, timeout_ms in ((1, 400), (3, 400), (2, 5_000)):
+        made = configuration(version, [], [])
+        made["limits"]["idle_timeout_ms"] = timeout_ms
+        source = msgspec.json.encode(made)
+        catalogue.update_configuration(StorePosition(1, version), source, "store")
+    assert catalogue.version == 3
+    assert catalogue.idle_timeouts.longest_ms(400.0) == 5_000.0
