Free results whose service a change has dropped

Results of a stage stayed at their workers until they expired (handle_s) when a change dropped the service, or its batches, before the request had read them: the dispatcher looked the service up in the configuration in force and ignored the message. Now it uses the scheduler that it already has.

Not mended: if the dispatcher itself changes after the drop, the new one has no scheduler, and the results still wait until they expire (seen with two gateways that had just started).

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -314,8 +314,9 @@
             grant.set_result(None)
 
     async def free_results(self, peer: InstanceId, message: FreeResults) -> None:
-        """Release results of a stage service at its workers."""
-        scheduler = self._scheduler(message.service)
+        """Release results at the workers of a service, which may have been dropped."""
+        service = message.service
+        scheduler = self._schedulers.get(service) or self._scheduler(service)
         if scheduler is not None:
             scheduler.release_results(message.handles)
 
--- a/tests/gateway/test_changes_in_flight.py
+++ b/tests/gateway/test_changes_in_flight.py
@@ -236,3 +236,22 @@
             if answer.status not in (401, 404, 413, 431, 504):
                 check(world, {attempt: answer}, internal)
             assert answer.complete
+
+
+@pytest.mark.parametrize(
+    "name", ["no search", "no encode", "no services", "stages without batches"]
+)
+async def test_results_are_freed_whose_service_was_dropped(name, internal):
+    async with deployment(tenants=KEYS) as world:
+        await put_in_force(world, 2, None)
+        for number in (1, 2):
+            world.platform.workers[f"model-{number}"].faults.delay_s = 0.3
+        answers: dict = {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, world.caller(), "staged", "staged-0", answers)
+            made = world.platform.run_log.pieces
+            await world.until(lambda: len(made) == 5)
+            await trio.sleep(0.05)
+            await put_in_force(world, 3, name)
+        check(world, answers, internal)
+        await world.until(lambda: world.platform.run_log.freed == 5, 2.0)
