--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -71,6 +71,9 @@
 """Time from failing readiness until no new callers are routed here: two failed checks,
 a second apart."""
 
+ACCEPT_PENDING_MS = 50.0
+"""Time for which connections that callers have opened are still accepted then."""
+
 STOP_MARGIN_MS = 900.0
 """Part of the shutdown grace period that is reserved for final answers and closing."""
 
@@ -441,6 +444,8 @@
         with trio.move_on_after(to_s(grace_ms)):
             await trio.sleep(to_s(DEREGISTRATION_DELAY_MS))
             self.relay.closing = True
+            # Closing a listener resets the connections that were not accepted.
+            await trio.sleep(to_s(ACCEPT_PENDING_MS))
             self._listening_scope.cancel()
             while self.connections.count or self.tunnel_server.count:
                 self.connections.close_idle()
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -2,10 +2,13 @@
 
 import json
 import os
+import socket
+import time
 
 import pytest
 import trio
 
+from acaciapier.gateway.instance import DEREGISTRATION_DELAY_MS
 from acaciapier_standins.platform.example import ROUTES
 from acaciapier_standins.platform.platform import HOST, configuration
 
@@ -272,3 +275,20 @@
         await trio.sleep(0.1)
         await stream.send_all(b"\r\n\r\n" + body)
         assert b"did a2" in await receive_answer(stream)
+
+
+async def test_a_stop_answers_requests_whose_connections_wait_after_a_freeze():
+    async with deployment() as world:
+        gateway = world.gateways[0]
+        gateway.app.stop()
+        await trio.sleep(DEREGISTRATION_DELAY_MS / 1_000.0 - 0.3)
+        waiting = []
+        for number in range(8):
+            sent = socket.create_connection((HOST, gateway.settings.front.port))
+            sent.sendall(HEAD % number + b"\r\n")
+            sent.setblocking(False)
+            waiting.append(trio.socket.from_stdlib_socket(sent))
+        time.sleep(0.5)
+        for one in waiting:
+            answer = await receive_all(trio.SocketStream(one))
+            assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
