Log and measure which dispatcher an instance asks, and which one granted

After a break of a limit the log could not tell whether grants at a worker came from one dispatcher or several: sent_within_limit named worker, limit and recent grants only, and an instance without requests logs no change of its dispatcher. sent_within_limit now names the dispatcher that granted, and the gauge acaciapier_dispatcher{service,dispatcher} shows whom an instance would ask. No decision changes.

--- a/src/acaciapier/gateway/dispatch/dispatch_client.py
+++ b/src/acaciapier/gateway/dispatch/dispatch_client.py
@@ -136,6 +136,12 @@
         ranked = self._peers.rank(service, not self._own_dispatcher.stopping)
         return ranked[0] if ranked else self._peers.own
 
+    def dispatchers(self) -> dict[str, InstanceId]:
+        """Return the current dispatcher of each service, as this instance sees it."""
+        configuration = self._catalogue.configuration
+        services = configuration.services if configuration is not None else ()
+        return {service: self.dispatcher_of(service) for service in services}
+
     def wait_ms(self, service: str, priority: int) -> float:
         """Return the expected wait of new work, as the dispatcher last reported it."""
         instance = self.dispatcher_of(service)
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -208,6 +208,7 @@
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
         )
+        self.metrics.watch_dispatchers(self.dispatch_client.dispatchers)
         workers = WorkerExchange(
             self.catalogue,
             self.dispatch_client,
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -194,6 +194,7 @@
                 "sent_within_limit",
                 state.metadata.attempt,
                 worker=permit.worker.id,
+                dispatcher=permit.dispatchers[0],
                 limit_per_s=permit.limited.per_s,
                 recent_sends=permit.limited.sends,
                 waited_ms=round(permit.waited_ms),
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -169,6 +169,21 @@
 
         self._meter.create_observable_gauge("acaciapier_worker_limit", [observe])
 
+    def watch_dispatchers(self, held: Callable[[], Mapping[str, str]]) -> None:
+        """Export which instance this one holds for the dispatcher of each service.
+
+        Parameters
+        ----------
+        held : callable
+            Returns the dispatcher by service.
+        """
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for service, dispatcher in held().items():
+                yield Observation(1, {"service": service, "dispatcher": dispatcher})
+
+        self._meter.create_observable_gauge("acaciapier_dispatcher", [observe])
+
     def watch_builds(self, counts: Callable[[], Mapping[str, int]]) -> None:
         """Export how many instances that are up run each build.
 
--- a/tests/gateway/test_limits_of_several_dispatchers.py
+++ b/tests/gateway/test_limits_of_several_dispatchers.py
@@ -1,5 +1,7 @@
 """Limits of workers while instances disagree about who dispatches a service."""
 
+import json
+
 import pytest
 import trio
 
@@ -49,3 +51,23 @@
         assert seen >= 0.7 * LIMIT_PER_S * WINDOW_S
         served = sum(reply.status == 200 for reply in answers)
         assert served >= 0.95 * len(answers)
+
+
+async def test_operators_see_which_dispatcher_an_instance_asks_and_who_granted(capfd):
+    async with deployment(gateways=2) as world:
+        needy = world.platform.workers["book-1"]
+        needy.faults.limit = str(LIMIT_PER_S)
+        await load(world, "GET", "/lookup/1", 1.0, 2)
+        gateway = world.gateways[0]
+        dispatcher = gateway.dispatch_client.dispatcher_of("book")
+        shown = gateway.metrics.exposition().decode()
+        await trio.sleep(0.2)
+    held = [line for line in shown.splitlines() if "acaciapier_dispatcher{" in line]
+    assert any(
+        f'dispatcher="{dispatcher}"' in line and 'service="book"' in line
+        for line in held
+    ), held
+    lines = map(json.loads, capfd.readouterr().out.splitlines())
+    sends = [line for line in lines if line["event"] == "sent_within_limit"]
+    assert sends
+    assert {line["dispatcher"] for line in sends} == {dispatcher}
