--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -20,6 +20,7 @@
 from ..wire.messages.base import Message
 from ..wire.messages.gateway import Heartbeat, ServiceWait
 from ..wire.network import PeerNetwork
+from .dispatch.ranking import rank_dispatchers
 from .engine_times import EngineEstimate
 from .models import PeerRecord
 from .settings import Address
@@ -33,10 +34,6 @@
 """Round trips take 3 ms; an instance whose event loop is frozen for longer than this is
 treated as unreachable."""
 
-MIN_CAPACITY_SHARE = 0.5
-"""Share of the largest capacity in the fleet. Instances below it become dispatchers
-only if there is no other, since the calls of one stage service saturate a slow link."""
-
 JOIN_TIMEOUT_MS = 500.0
 """A healthy seed completes the handshake in three round trips."""
 
@@ -296,7 +293,6 @@
         return first == self.own
 
     def _make_rank(self, key: str, own_usable: bool) -> list[InstanceId]:
-        """Rank by hash, with low-capacity and recently started instances last."""
         members = [
             (peer.stable, peer.record)
             for instance, peer in self._peers.items()
@@ -304,16 +300,7 @@
         ]
         if own_usable:
             members.append((self._stable, self._own_record))
-        max_capacity = max((record.capacity for _, record in members), default=0.0)
-        members.sort(
-            key=lambda member: (
-                member[0],
-                member[1].capacity >= MIN_CAPACITY_SHARE * max_capacity,
-                rendezvous_rank(key, member[1].instance),
-            ),
-            reverse=True,
-        )
-        return [record.instance for _, record in members]
+        return rank_dispatchers(key, members)
 
     def record_stopping(self, instance: InstanceId) -> None:
         """Record that a peer announced its shutdown."""
