Count the sends of all dispatchers against the limit of a worker

What callers saw: nothing; a worker in need got several times its limit.

Cause: instances decide alone who dispatches a service, and disagree for seconds in large fleets, where most exchange no heartbeats. Each dispatcher paced the whole limit, as all are up and see nearly all instances; nothing counted what the others granted, and a new one started with an empty pace. Class: a bound over all instances that one of them keeps while it believes to be the only one.

In the simulated fleet two to four views, changing every 2 s, also with heartbeats between neighbours alone, keep limits of 1.5 and 10 a second and use 80% of them; a world without the reports is a new planted fault, which is found.

Change: heartbeats carry the total of each dispatcher's sends by limited worker and hand on those of others; each dispatcher counts them in its pace, now a leaky bucket, and so does one that takes over. While it paces a limit, a large fleet's dispatcher sends heartbeats to all peers. This holds without agreement on the dispatcher, as totals only grow and may come by any way. The planted fault ResetsNotCounted reduces the bucket as it reduced the time.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -157,7 +157,11 @@
         self.followers = StoreFollowers(self.peers)
         connector = self._make_connector(tasks)
         worker_connections = WorkerConnectionPool(self.clock, connector)
-        self.limits = WorkerLimits(self.log.write, lambda: self.peers.reachable_share)
+        self.limits = WorkerLimits(
+            self.log.write,
+            lambda: self.peers.reachable_share,
+            f"{settings.instance}/{own.started_ms}",
+        )
         self.metrics.watch_worker_limits(
             lambda: self.limits.named_by(self._listed_workers())
         )
@@ -269,6 +273,9 @@
         self._peer_sync = peer_sync
         self.peers.on_heartbeat = self._handle_heartbeat
         self.peers.required_peers = self._required_peers
+        self.peers.paces_limits = lambda: self.limits.is_pacing(
+            self.clock.monotonic_s()
+        )
         self.peers.standby_peers = lambda: self._dispatchers(1).union(
             connector.observed_peers()
         )
@@ -396,6 +403,7 @@
             build=self.builds.own,
             keeps_stream_records=True,
             partitioned_lately=self.paths.partitioned_lately,
+            limited_sends=self.limits.reported_sends(self.clock.monotonic_s()),
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
@@ -403,6 +411,8 @@
         self.earlier_builds.record_heartbeat(peer, heartbeat)
         self._peer_sync.handle_heartbeat(peer, heartbeat)
         self.notices.merge(peer, heartbeat.leaving)
+        now_s = self.clock.monotonic_s()
+        self.limits.merge_sends(peer, heartbeat.limited_sends, now_s)
         self.quarantine.handle_heartbeat(peer, heartbeat)
 
     def _workers_changed(self) -> None:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -59,6 +59,10 @@
 the period grows in proportion, so that a dispatcher receives no more than about 480 a
 second, until the period reaches that of slow heartbeats."""
 
+PACING_HEARTBEAT_PERIOD_MS = 500.0
+"""Period of heartbeats of a large fleet's dispatcher to all peers while it paces the
+requests to limited workers; it grows as that to dispatchers does."""
+
 HEARTBEAT_EXPIRY_MS = 2_500.0
 """Age up to which a heartbeat tells whether its sender serves tunnels: two periods of
 slow heartbeats and a time-out."""
@@ -126,6 +130,8 @@
         """Returns the peers that get heartbeats often in a large fleet."""
         self.standby_peers: Callable[[], Iterable[InstanceId]] = lambda: ()
         """Returns the peers that get heartbeats at times in a large fleet."""
+        self.paces_limits: Callable[[], bool] = lambda: False
+        """Returns whether this instance reports sends to limited workers to all."""
         self._network = network
         self._clock = clock
         self._make_heartbeat = make_heartbeat
@@ -419,18 +425,25 @@
     def due_heartbeats(self, now_s: float) -> list[InstanceId]:
         """Return the peers that get a heartbeat now, and schedule their next ones.
 
-        In a large fleet their number does not grow with the fleet.
+        In a large fleet their number does not grow with the fleet, but for dispatchers
+        that pace the requests to limited workers.
         """
         often: Iterable[InstanceId] = self._peers
+        pacing: Iterable[InstanceId] = ()
         at_times: Iterable[InstanceId] = ()
         if self.large_fleet:
             often = self.required_peers()
+            pacing = self._peers if self.paces_limits() else ()
             at_times = [*self.standby_peers(), *self.neighbours()]
         growth = max(1.0, len(self._peers) / FULL_RATE_FLEET)
         often_period_ms = min(HEARTBEAT_PERIOD_MS * growth, SLOW_HEARTBEAT_PERIOD_MS)
+        pacing_period_ms = min(
+            PACING_HEARTBEAT_PERIOD_MS * growth, SLOW_HEARTBEAT_PERIOD_MS
+        )
         due = []
         for names, usual_period_ms in (
             (often, often_period_ms),
+            (pacing, pacing_period_ms),
             (at_times, SLOW_HEARTBEAT_PERIOD_MS),
         ):
             for name in names:
--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -1,7 +1,9 @@
 """Limits that workers named: how many requests a second they take from all instances.
 
 This answers the load on workers in need, which ask for less than their share of it. The
-dispatcher of a service paces the requests of all instances; see `wait_ms`.
+dispatcher of a service paces the requests of all instances; see `wait_ms`. Instances
+may disagree about the dispatcher for some seconds, so dispatchers report their sends to
+one another and count those of the others; see `merge_sends`.
 """
 
 import math
@@ -10,14 +12,11 @@
 from dataclasses import dataclass, field
 
 from ..core.clock import to_s
-from ..wire.messages.gateway import LimitedWorker, WorkerLimitEntry
+from ..wire.messages.gateway import LimitedSends, LimitedWorker, WorkerLimitEntry
 from .brittle_workers import BrittleWorkers
+from .limited_sends import RECENT_SENDS_MS, SendCounts
 from .models import AttemptId, ResponseMetadata, Worker, WorkerKey
 
-RECENT_SENDS_MS = 4_000.0
-"""Time over which the sends to a worker are counted for logs and metrics; the users'
-rule on limits counts over as long."""
-
 MIN_LIMIT_PER_S = 0.1
 """Rate at which a worker with a lower limit is still used, since only an answer tells
 that its limit has ended."""
@@ -26,6 +25,13 @@
 """Time by which a send may be ahead of a steady pace, so that periodic checks of the
 queue lose no rate."""
 
+UNREPORTED_MS = 1_000.0
+"""Time in which other dispatchers may have sent what they have not reported yet."""
+
+FIRST_REPORT_MS = 1_000.0
+"""Time in which the sends of a dispatcher count that reports them for the first time;
+they may be many and old."""
+
 MAX_LIMITS = 2_000
 """Number of limits that an instance remembers; the oldest are forgotten first."""
 
@@ -50,8 +56,10 @@
     per_s: float
     named_s: float
     attempt: AttemptId
-    next_s: float
-    """When the next send is due at a steady pace (virtual scheduling of GCRA)."""
+    owed: float
+    """Requests that were sent ahead of a steady pace (a leaky bucket)."""
+    paced_until_s: float
+    """Up to when `owed` has been reduced by the pace."""
     sends_s: deque[float] = field(default_factory=deque)
     """Times of the recent sends."""
 
@@ -70,12 +78,15 @@
     reachable_share : callable
         Returns the share of the listed instances that are up as seen from here. The
         others may be served by another dispatcher, which paces their share.
+    own : str, optional
+        Incarnation of this instance, under which its sends are reported.
     """
 
     def __init__(
         self,
         log: Callable[..., None] = lambda kind, **fields: None,
         reachable_share: Callable[[], float] = lambda: 1.0,
+        own: str = "",
     ):
         self.brittle = BrittleWorkers(log)
         self._log = log
@@ -83,6 +94,7 @@
         self._limits: dict[WorkerKey, NamedLimit] = {}
         self._ended_s: dict[WorkerKey, float] = {}
         """When the requests were sent whose answers ended a limit."""
+        self._sends = SendCounts(own)
 
     def observe(
         self,
@@ -124,15 +136,18 @@
         sent_s: float,
         origin: str,
         attempt: AttemptId = AttemptId(""),
+        told_s: float | None = None,
     ) -> None:
-        """Record that an answer to a request sent at `sent_s` named a limit."""
+        """Record that an answer to a request sent at `sent_s` named a limit.
+
+        `told_s` is when a peer told of it, if the answer is not this instance's own.
+        """
         known = self._limits.get(key)
         if known is None:
             if named_s > self._ended_s.get(key, BEFORE_ALL_S):
-                # What was sent just before is not known, so nothing is due at once.
-                interval_s = 1.0 / max(MIN_LIMIT_PER_S, per_s)
-                next_s = named_s + interval_s + to_s(BURST_MS)
-                self._add(key, NamedLimit(per_s, named_s, attempt, next_s))
+                owed = _owed_at_first(per_s, named_s, told_s)
+                from_s = named_s if told_s is None else told_s
+                self._add(key, NamedLimit(per_s, named_s, attempt, owed, from_s))
                 self._log_named(key, per_s, origin, attempt)
             return
         lowers = per_s < known.per_s and named_s >= known.named_s
@@ -170,8 +185,40 @@
                 named_s,
                 BEFORE_ALL_S,
                 f"peer {peer}",
+                told_s=now_s,
             )
 
+    def merge_sends(
+        self, peer: str, reports: Iterable[LimitedSends], now_s: float
+    ) -> None:
+        """Count the sends of other dispatchers that a peer reported."""
+        for new in self._sends.merge(reports, now_s):
+            limit = self._limits.get(new.key)
+            if limit is None:
+                continue
+            pace_per_s = self._advance(limit, now_s)
+            count = new.count
+            if new.is_first_report:
+                count = min(count, pace_per_s * to_s(FIRST_REPORT_MS))
+            most = max(limit.owed, 1.0 + pace_per_s * to_s(RECENT_SENDS_MS))
+            limit.owed = min(limit.owed + count, most)
+            if self._sends.should_log(new, now_s):
+                self._log(
+                    "worker_limit_shared",
+                    worker=new.key,
+                    dispatcher=new.dispatcher,
+                    origin=f"peer {peer}",
+                    sends=new.count,
+                )
+
+    def reported_sends(self, now_s: float) -> tuple[LimitedSends, ...]:
+        """Return the recent sends to limited workers, for a message to a peer."""
+        return self._sends.reports(now_s)
+
+    def is_pacing(self, now_s: float) -> bool:
+        """Return whether this instance lately sent requests to a limited worker."""
+        return self._sends.is_sending(now_s)
+
     def entries(
         self, workers: Iterable[Worker], now_s: float
     ) -> tuple[WorkerLimitEntry, ...]:
@@ -231,21 +278,27 @@
         limit = self.find(key)
         if limit is None:
             return 0.0
-        interval_s = 1.0 / (share * self._pace_per_s(limit))
-        # A pace that has risen since shortens the interval that began before.
-        latest_s = now_s + interval_s + to_s(BURST_MS)
-        limit.next_s = min(limit.next_s, latest_s)
-        return max(0.0, (limit.next_s - now_s) * 1_000.0 - BURST_MS)
+        pace_per_s = self._advance(limit, now_s, share)
+        return max(0.0, limit.owed / pace_per_s * 1_000.0 - BURST_MS)
 
     def record_send(self, key: str, now_s: float, share: float = 1.0) -> None:
         """Count a request that is granted or sent to a worker."""
         limit = self.find(key)
         if limit is None:
             return
-        interval_s = 1.0 / (share * self._pace_per_s(limit))
-        limit.next_s = max(now_s, limit.next_s) + interval_s
+        self._advance(limit, now_s, share)
+        limit.owed += 1.0
         limit.sends_s.append(now_s)
         self.recent_sends(key, now_s)
+        self._sends.record_own(WorkerKey(key), now_s)
+
+    def _advance(self, limit: NamedLimit, now_s: float, share: float = 1.0) -> float:
+        """Reduce what is owed by the pace since the last time, and return the pace."""
+        pace_per_s = share * self._pace_per_s(limit)
+        passed_s = max(0.0, now_s - limit.paced_until_s)
+        limit.owed = max(0.0, limit.owed - passed_s * pace_per_s)
+        limit.paced_until_s = max(limit.paced_until_s, now_s)
+        return pace_per_s
 
     def _pace_per_s(self, limit: NamedLimit) -> float:
         return max(MIN_LIMIT_PER_S, limit.per_s * self._reachable_share())
@@ -278,3 +331,17 @@
 def _forget_oldest(table: dict) -> None:
     if len(table) > MAX_LIMITS:
         del table[next(iter(table))]
+
+
+def _owed_at_first(per_s: float, named_s: float, told_s: float | None) -> float:
+    """Return the requests that count as sent when a limit becomes known.
+
+    What was sent just before is not known, so nothing is due at once.
+    """
+    pace_per_s = max(MIN_LIMIT_PER_S, per_s)
+    wait_s = interval_s = 1.0 / pace_per_s
+    if told_s is not None:
+        wait_s = max(
+            interval_s - (told_s - named_s), min(interval_s, to_s(UNREPORTED_MS))
+        )
+    return pace_per_s * (wait_s + to_s(BURST_MS))
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -45,6 +45,19 @@
     sends: int
 
 
+class LimitedSends(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that a dispatcher has sent to one incarnation of a limited worker.
+
+    `dispatcher` names its incarnation, `total` counts since its start, and `age_ms` is
+    the time since the last one.
+    """
+
+    worker: str
+    dispatcher: str
+    total: int
+    age_ms: float
+
+
 class BrittleWorkerEntry(msgspec.Struct, frozen=True, array_like=True):
     """Rejections in a second that one incarnation of a brittle worker survives.
 
@@ -82,6 +95,8 @@
     """Whether the sender records the software versions of streams."""
     partitioned_lately: bool = False
     """Whether the sender was partitioned from workers within the last seconds."""
+    limited_sends: tuple[LimitedSends, ...] = ()
+    """Recent sends to limited workers, the sender's own and those reported to it."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -157,6 +157,27 @@
     assert rates[2] <= 30
 
 
+@pytest.mark.parametrize("size, period_s", [(30, 0.5), (82, 0.5), (195, 1.0)])
+def test_a_dispatcher_that_paces_limits_reaches_all_peers_of_a_large_fleet(
+    size, period_s
+):
+    clock = ManualClock()
+    records = [record(f"edge-{n:03}") for n in range(size)]
+    peers = make_peers_on(clock, records[0])
+    set_stable_records(peers, records)
+    peers.paces_limits = lambda: True
+    sent = Counter()
+    for _ in range(20 * 10):
+        clock.advance(0.05)
+        sent.update(peers.due_heartbeats(clock.monotonic_s()))
+    assert len(sent) == size - 1
+    assert min(sent.values()) >= 0.9 * 10 / period_s
+    assert max(sent.values()) <= 1.1 * 10 / period_s
+    peers.paces_limits = lambda: False
+    clock.advance(2.0)
+    assert len(peers.due_heartbeats(clock.monotonic_s())) <= 2
+
+
 def test_a_dispatcher_receives_a_bounded_number_of_heartbeats():
     for size in (82, 195, 380):
         clock = ManualClock()
--- a/tests/gateway/test_limit_machine.py
+++ b/tests/gateway/test_limit_machine.py
@@ -36,6 +36,7 @@
 RUN_S = 30.0
 RESTART_S = 18.0
 LOAD_PER_S = 6.0
+HEARTBEAT_S = 0.2
 
 
 class TrioClock:
@@ -73,11 +74,11 @@
         self._number = number
 
     def rank(self, service: str, own_usable: bool) -> list[InstanceId]:
-        return [InstanceId(f"edge-{self._fleet.leader}")]
+        return [InstanceId(f"edge-{self._fleet.leader_of(self._number)}")]
 
     async def call(self, instance, message, timeout_ms):
         await self._fleet.delay()
-        if instance != f"edge-{self._fleet.leader}":
+        if instance not in self._fleet.dispatching():
             raise PeerUnavailable("not the dispatcher any more")
         answered = await self._fleet.dispatcher(instance).acquire(self.own, message)
         await self._fleet.delay()
@@ -110,7 +111,7 @@
         self.clock = TrioClock()
         self._random = random.Random(seed)
         tasks = TaskSupervisor(nursery, self._fail)
-        self.limits = [self.make_limits() for _ in range(INSTANCES)]
+        self.limits = [self.make_limits(number) for number in range(INSTANCES)]
         self.catalogues = [self._make_catalogue() for _ in range(INSTANCES)]
         self.dispatchers = [
             Dispatcher(
@@ -136,8 +137,33 @@
             for number in range(INSTANCES)
         ]
 
-    def make_limits(self) -> WorkerLimits:
-        return WorkerLimits()
+    def make_limits(self, number: int) -> WorkerLimits:
+        return WorkerLimits(own=f"edge-{number}/1")
+
+    def leader_of(self, number: int) -> int:
+        """Return the instance that another one holds for the dispatcher."""
+        return self.leader
+
+    def dispatching(self) -> set[str]:
+        """Return the instances that some instance holds for the dispatcher."""
+        return {f"edge-{self.leader_of(number)}" for number in range(INSTANCES)}
+
+    def reach_each_other(self, one: int, other: int) -> bool:
+        """Return whether heartbeats between two instances arrive."""
+        return True
+
+    async def heartbeats(self, number: int) -> None:
+        """Exchange the counts of sends with all other instances."""
+        while True:
+            await trio.sleep(HEARTBEAT_S)
+            for other in range(INSTANCES):
+                if other != number and self.reach_each_other(number, other):
+                    self.nursery.start_soon(self._report_sends, number, other)
+
+    async def _report_sends(self, number: int, other: int) -> None:
+        reports = self.limits[number].reported_sends(trio.current_time())
+        await self.delay()
+        self.limits[other].merge_sends(f"edge-{number}", reports, trio.current_time())
 
     def _fail(self, error: Exception) -> None:
         raise error
@@ -239,6 +265,7 @@
     async def run(self) -> None:
         for number in range(INSTANCES):
             self.nursery.start_soon(self.callers, number)
+            self.nursery.start_soon(self.heartbeats, number)
         while trio.current_time() < RESTART_S:
             await trio.sleep(self._random.uniform(0.5, 2.5))
             self.change_leader()
@@ -275,6 +302,45 @@
         return found
 
 
+class Disagreeing(Fleet):
+    """Instances hold different ones for the dispatcher, and others every 2 s."""
+
+    views = INSTANCES
+
+    def leader_of(self, number: int) -> int:
+        return (self.leader + number % self.views) % INSTANCES
+
+    def change_leader(self) -> None:
+        """Let others dispatch; those of before were not told to stop."""
+        self.leader = int(trio.current_time() / 2.0) % INSTANCES
+
+
+class TwoViews(Disagreeing):
+    """Two dispatchers at a time."""
+
+    views = 2
+
+
+class ThreeViews(Disagreeing):
+    """Three dispatchers at a time."""
+
+    views = 3
+
+
+class PartlyCut(Disagreeing):
+    """Heartbeats reach only the neighbours, which hand counts on."""
+
+    def reach_each_other(self, one: int, other: int) -> bool:
+        return abs(one - other) == 1
+
+
+class CountedByDispatcher(Disagreeing):
+    """Dispatchers that disagree report nothing to one another."""
+
+    def reach_each_other(self, one: int, other: int) -> bool:
+        return False
+
+
 class Unpaced(WorkerLimits):
     """Limits of an instance whose dispatcher does not pace."""
 
@@ -295,7 +361,7 @@
 class CountedPerInstance(Fleet):
     """Each instance keeps to the limit alone."""
 
-    def make_limits(self) -> WorkerLimits:
+    def make_limits(self, number: int) -> WorkerLimits:
         return Unpaced()
 
     def may_send(self, number: int, permit) -> bool:
@@ -327,7 +393,7 @@
 class KeptPastRestarts(Fleet):
     """Limits belong to a worker's name."""
 
-    def make_limits(self) -> WorkerLimits:
+    def make_limits(self, number: int) -> WorkerLimits:
         class ByName(WorkerLimits):
             def find(self, key: str) -> NamedLimit | None:
                 name = key.partition("/")[0]
@@ -347,7 +413,7 @@
         if permit.outcome != OUTCOME_DONE:
             limit = self.limits[self.leader].find(permit.worker.key)
             if limit is not None and self._random.random() < 0.8:
-                limit.next_s -= 1.0 / LIMIT_PER_S
+                limit.owed -= 1.0
 
 
 async def play(world: type[Fleet], seed: int) -> list[str]:
@@ -370,9 +436,28 @@
     assert findings(Fleet, seed) == []
 
 
+@pytest.mark.parametrize(
+    "world, per_s, seed",
+    [
+        *((world, 1.5, 0) for world in (TwoViews, ThreeViews, Disagreeing, PartlyCut)),
+        (Disagreeing, 1.5, 1),
+        (PartlyCut, 1.5, 1),
+        (TwoViews, 10.0, 0),
+        (PartlyCut, 10.0, 0),
+    ],
+)
+def test_limits_hold_and_are_used_while_instances_disagree_about_the_dispatcher(
+    world, per_s, seed, monkeypatch
+):
+    monkeypatch.setattr(f"{__name__}.LIMIT_PER_S", per_s)
+    monkeypatch.setattr(f"{__name__}.LOAD_PER_S", 4.0 * per_s)
+    assert findings(world, seed) == []
+
+
 @pytest.mark.parametrize(
     "world",
     [
+        CountedByDispatcher,
         CountedPerInstance,
         ForgottenByNewDispatchers,
         EndedByAnyAnswer,
