Close connections on which a worker refused a request

What callers saw: a request that a worker had run was answered 503, or failed and ran a second time, though the worker answered it.

Cause: a faulty worker wrote an earlier refusal once more on a kept connection. The next request on it took the copy for its own refusal, as refusals may name no attempt; calls of stages and reports never name one. Class: a response told from a copy of an earlier one by nothing but its place.

Change: a connection is closed after a refusal, and after a response that names no attempt, so no copy of either can meet a later request; also after a call of a stage or a release that was refused, and a report with another status than 200. The body of a refusal is not read any more. Price: a new connection after each refusal.

--- a/src/acaciapier/gateway/incarnation_check.py
+++ b/src/acaciapier/gateway/incarnation_check.py
@@ -416,6 +416,7 @@
             self._log(request, worker, "worker_not_asked", reason="wrong_worker")
             raise WorkerDidNotRun("wrong_worker")
         if head.status != 200:
+            connection.forbid_reuse()
             raise ValueError(f"status {head.status}")
         return worker_format.decode_report_start(body)
 
--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -176,14 +176,17 @@
                 # The worker is slow, or its link is cut.
                 self._connections.record_silence(worker, connection)
                 raise
-            if head.status == 200:
+            response = request_format.decode_response_metadata(head)
+            if response.not_run or head.status != 200:
+                # A second copy of it would be taken for the response to a later call.
+                connection.forbid_reuse()
+            else:
                 try:
                     decode(response_body)
                 except ValueError:
                     # It may be the answer to another call, and this one's follows.
                     connection.close()
                     raise
-        response = request_format.decode_response_metadata(head)
         ran = head.status == 200 and path == stage_format.RUN_PATH
         self._notices.observe(worker, response, sent_s if ran else None)
         if response.not_run or head.status != 200:
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..core.clock import Clock, to_s
+from ..core.clock import Clock
 from ..http.caller import Exchange
 from ..http.client import (
     ConnectFailed,
@@ -42,11 +42,6 @@
 MAX_BUFFERED_RESPONSE_BYTES = 8_000_000
 """Maximum size of a response that is buffered until it is complete."""
 
-MAX_REFUSAL_BODY_BYTES = 65_536
-REFUSAL_BODY_TIMEOUT_MS = 200.0
-"""The body of a refusal arrives with its head; a connection on which it does not is
-closed, which costs less than the wait."""
-
 
 class WorkerExchange:
     """Sends requests to workers and forwards their responses.
@@ -254,8 +249,11 @@
             raise
         permit.retry_after_ms = self._notices.blocked_ms(worker)
         state.framing = head.framing
+        if response.not_run or response.attempt is None:
+            # A second copy of it would be taken for the response to a later request.
+            connection.forbid_reuse()
         if response.not_run:
-            await self._handle_not_run(state, send, connection, head, response)
+            self._handle_not_run(state, send, head, response)
         self._dispatch_client.report_started(permit)
         if state.route.kind is RequestKind.STREAMING and head.status == 200:
             if not response.has_seal:
@@ -296,16 +294,15 @@
                 return await connection.receive_head(accept)
             sender.record_silence(timeout_s)
 
-    async def _handle_not_run(
+    def _handle_not_run(
         self,
         state: RequestState,
         send: WorkerSend,
-        connection: HttpConnection,
         head: ResponseHead,
         response: ResponseMetadata,
     ) -> None:
         """Handle a response which states that the worker did not run the request."""
-        permit, incomplete = send.permit, await _discard_body(connection)
+        permit = send.permit
         state.runs -= 1
         state.may_have_run = state.runs > 0
         permit.outcome = OUTCOME_CANCELLED
@@ -314,8 +311,7 @@
             self._catalogue.record_draining(permit.worker, "answer")
         elif not response.inputs_missing:
             permit.outcome = OUTCOME_FULL
-        reason = f"status {head.status}" + (f", {incomplete}" if incomplete else "")
-        self._log_decision(state, permit.worker, "not_run", reason)
+        self._log_decision(state, permit.worker, "not_run", f"status {head.status}")
         raise WorkerDidNotRun(f"status {head.status}", response.inputs_missing)
 
     async def _forward_stream(
@@ -458,20 +454,6 @@
         )
 
 
-async def _discard_body(connection: HttpConnection) -> str | None:
-    """Read the body of a refusal, so that its connection may be kept.
-
-    Return why it could not be read; the statement in the head holds all the same.
-    """
-    with trio.move_on_after(to_s(REFUSAL_BODY_TIMEOUT_MS)):
-        try:
-            await connection.receive_full_body(MAX_REFUSAL_BODY_BYTES)
-            return None
-        except ConnectionBroken as error:
-            return str(error)
-    return f"no whole body in {REFUSAL_BODY_TIMEOUT_MS:g} ms"
-
-
 def _check_continuity(after: str, data: bytes) -> None:
     """Check that a resumed stream continues after the last forwarded event."""
     ids = event_ids(data)
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -138,6 +138,7 @@
         self._parser = self._new_parser()
         self._request: h11.Request | None = None
         self._skipping = False
+        self._reuse_forbidden = False
         self._write_pending = False
         self._received_bytes = 0
         self._content_bytes = 0
@@ -177,11 +178,16 @@
         parser = self._parser
         return (
             not self._write_pending
+            and not self._reuse_forbidden
             and parser.our_state is h11.DONE
             and parser.their_state is h11.DONE
             and not parser.trailing_data[0]
         )
 
+    def forbid_reuse(self) -> None:
+        """Let no request follow the present one."""
+        self._reuse_forbidden = True
+
     def has_unread_input(self) -> bool:
         """Return whether the server sent data, or closed, while idle."""
         try:
