Take an error where a stream should go on for a failed try

What callers saw: a stream that looked complete after two of four events, a whole error response as an event of a stream, or a stream that was cut although its silent worker went on with it.

Cause: the answer of the worker to which a begun stream moves was handled like a first answer: an empty 200 ended the stream as complete, a status below 500 took the stream over and could then not be sent, and only the first further event was checked for its number. Class: an answer to a continuation judged as if nothing had been sent yet.

Evidence: tests/gateway/test_errors_after_broken_streams.py, 19 of 28 cases failed (statuses 302, 204, 400, 404, empty answers, text after and within an event, a missing event), now none; broken, resumed, silent and serving tests pass (152).

Change: where an answer has begun, another status than 200, another content type, no further event, an event out of order and lines that are no event fail the try before it takes over; the silent worker keeps its stream, and the next worker is asked while the route allows. Price: a stream whose worker broke off after the last event, and whose next worker truly has no more, is left incomplete, and its caller takes it up.

--- a/src/acaciapier/gateway/event_stream.py
+++ b/src/acaciapier/gateway/event_stream.py
@@ -5,10 +5,16 @@
 be incomplete, however the worker framed it.
 """
 
+import re
+
 BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
 """Ends of an event, in the line endings that server-sent events allow."""
 
 BLANK_LINE_BYTES = 3
+BLANK_LINE_PATTERN = re.compile(rb"(?:\r\n|\r|\n){2,}")
+FIELD_PATTERN = re.compile(rb"[A-Za-z-]*:")
+"""Start of a line of an event; the name of a comment is empty."""
+
 LINE_ENDINGS = b"\r\n"
 MAX_EVENT_BYTES = 1_048_576
 """Maximum size of an incomplete event."""
@@ -61,6 +67,28 @@
     ]
 
 
+def check_continuation(after: str, data: bytes) -> str:
+    """Return the id of the last of complete events, which follow the event `after`.
+
+    Raises
+    ------
+    ValueError
+        If an event has no id, or not the next one, or if there is something else.
+    """
+    for event in BLANK_LINE_PATTERN.split(data):
+        if not event.strip(LINE_ENDINGS):
+            continue
+        if not all(FIELD_PATTERN.match(line) for line in event.splitlines()):
+            raise ValueError(f"text that is no event follows event {after}")
+        ids = event_ids(event)
+        if not (len(ids) == 1 and ids[0].isdigit() and after.isdigit()):
+            raise ValueError(f"the event after {after} has no number")
+        if int(ids[0]) != int(after) + 1:
+            raise ValueError(f"event {ids[0]} follows event {after}")
+        after = ids[0]
+    return after
+
+
 def _has_blank_line(data: bytes) -> bool:
     return any(blank in data for blank in BLANK_LINES)
 
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -27,7 +27,7 @@
     OUTCOME_FULL,
     OUTCOME_UNREACHABLE,
 )
-from .event_stream import EventSplitter, event_ids
+from .event_stream import EventSplitter, check_continuation
 from .hedging import Sender
 from .incarnation_check import CheckedConnections
 from .models import RequestKind, ResponseMetadata, SoftwareVersion, Worker
@@ -42,6 +42,8 @@
 MAX_BUFFERED_RESPONSE_BYTES = 8_000_000
 """Maximum size of a response that is buffered until it is complete."""
 
+EVENT_STREAM = b"text/event-stream"
+
 
 class WorkerExchange:
     """Sends requests to workers and forwards their responses.
@@ -255,6 +257,10 @@
         if response.not_run:
             self._handle_not_run(state, send, head, response)
         self._dispatch_client.report_started(permit)
+        if exchange.started and not _is_event_stream(head):
+            permit.outcome = OUTCOME_FAILED
+            self._quarantine.record_end(state, send, head.status < 500)
+            raise RequestFailed(f"status {head.status} instead of further events")
         if state.route.kind is RequestKind.STREAMING and head.status == 200:
             if not response.has_seal:
                 raise RequestFailed("an answer without the worker's mark")
@@ -329,15 +335,22 @@
         that wrote an event.
         """
         permit, may_move = send.permit, state.route.repeatable
+        goes_on, received = exchange.started, False
         if not may_move:
             await self._start_stream(state, exchange, head)
         if state.stages is not None:
             state.stages.release()
         events = self._complete_events(state, send, connection, head.framing, sender)
         async for data in events:
+            received = True
             if not exchange.started:
                 await self._start_stream(state, exchange, head)
             await exchange.send(data)
+        if goes_on and not received:
+            # It cannot be told from an answer that lacks the rest of the events.
+            permit.outcome = OUTCOME_FAILED
+            self._quarantine.record_end(state, send, True)
+            raise RequestFailed("no further event")
         await sender.take_over()
         if not exchange.started:
             await self._start_stream(state, exchange, head)
@@ -387,11 +400,10 @@
                 break
             try:
                 complete = events.feed(data)
+                if resumed_after is not None:
+                    resumed_after = check_continuation(resumed_after, complete)
             except ValueError as error:
                 raise ConnectionBroken(str(error)) from error
-            if complete and resumed_after is not None:
-                _check_continuity(resumed_after, complete)
-                resumed_after = None
             if complete:
                 await sender.take_over()
                 state.last_event_id = events.last_id or state.last_event_id
@@ -454,15 +466,6 @@
         )
 
 
-def _check_continuity(after: str, data: bytes) -> None:
-    """Check that a resumed stream continues after the last forwarded event."""
-    ids = event_ids(data)
-    if not (ids and after.isdigit() and ids[0].isdigit()):
-        raise ConnectionBroken(f"the event after {after} has no number")
-    if int(ids[0]) != int(after) + 1:
-        raise ConnectionBroken(f"event {ids[0]} follows event {after}")
-
-
 def response_headers(head: ResponseHead, keep_length: bool = False) -> Headers:
     """Return the headers of a worker's response as they are sent to the caller."""
     headers = end_to_end_headers(head.headers)
@@ -471,3 +474,9 @@
     return [
         (name, value) for name, value in headers if name.lower() != b"content-length"
     ]
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response may have events; a worker may name no content type."""
+    content_type = head.get(b"content-type") or EVENT_STREAM
+    return head.status == 200 and content_type.lower().startswith(EVENT_STREAM)
