Decode the store's answers one object at a time

What callers saw: nothing at first; then requests for workers that had left, and none for new ones, as the list of workers stood still for as long as one odd entry was in it.

Cause: a page or a set of changes was decoded as a whole, so that one entry that was nested very deeply, or had a number out of range, half a surrogate pair or bytes that are no UTF-8, cost all of them; a RecursionError was not caught at all. Ports, start times, slots and warm-up times out of range, hosts that are no address and names that fit in no header were taken for workers; opening a connection to such an address raised other errors than ConnectFailed. Class: what another writer may write, decoded together with what is sound.

Change: an answer that cannot be decoded as a whole is split into its objects without recursion; entries are checked for their ranges; connecting reports odd addresses as unreachable; numbers of thousands of digits in headers are ignored. Not handled: text whose brackets do not match.

--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
@@ -55,6 +56,7 @@
         b"upgrade",
     }
 )
+TIMEOUT_PATTERN = re.compile(rb"[0-9]{1,9}")
 BODILESS_STATUSES = frozenset({204, 304})
 Headers = list[tuple[bytes, bytes]]
 
@@ -156,7 +158,8 @@
                 except BaseException:
                     raw.close()
                     raise
-        except (OSError, trio.TooSlowError) as error:
+        except (OSError, OverflowError, ValueError, trio.TooSlowError) as error:
+            # An odd host or port raises others than OSError.
             raise ConnectFailed(f"{address}: {error!r}") from error
         stream = trio.SocketStream(raw)
         set_keepalive_options(stream)
@@ -372,7 +375,7 @@
         """Store how long the server keeps an idle connection open."""
         for part in (head.get(b"keep-alive") or b"").split(b","):
             name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
+            if name.lower() == b"timeout" and TIMEOUT_PATTERN.fullmatch(value):
                 self.keep_alive_ms = int(value) * 1_000.0
 
     @staticmethod
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -37,6 +37,7 @@
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
 """Excludes what `float` also accepts, such as "inf", "nan" and "1_0"."""
 
+INTEGER_PATTERN = re.compile(rb"[0-9]{1,15}")
 COUNT_PATTERN = re.compile(r"[0-9]{1,15}")
 
 ATTEMPT_PATTERN = re.compile(rb"[!-~]{1,256}")
@@ -235,7 +236,7 @@
 
 def _parse_int(value: bytes) -> int | None:
     value = value.strip()
-    return int(value) if value.isdigit() else None
+    return int(value) if INTEGER_PATTERN.fullmatch(value) else None
 
 
 def _parse_positive(value: bytes | None) -> float | None:
--- a/src/acaciapier/platform/store.py
+++ b/src/acaciapier/platform/store.py
@@ -19,6 +19,7 @@
     OutgoingRequest,
     ResponseHead,
 )
+from .pages import Object, decode_events, decode_object, decode_page
 
 CONNECT_TIMEOUT_MS = 1_000.0
 """Callers' new connections also time out after one second."""
@@ -36,32 +37,8 @@
 
 # The platform calls a term of its store an era.
 TERM_HEADER = b"store-era"
-
-
-class _Metadata(msgspec.Struct):
-    name: str
-    rev: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: Any = None
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object]
-    current_rev: int
-    has_more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    current_rev: int
+MAX_TERM_DIGITS = 18
+"""Longest term that is taken for one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +115,7 @@
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
             answer = await self._call("list", b"GET", f"{_path(kind)}{query}")
-            page = _decode(answer.body, _Page)
+            page = _decode(answer.body, decode_page)
             first_term = answer.term if first_term is None else first_term
             if not answer.term == first_term == self.term:
                 raise StoreUnavailable("the store was restored during a list")
@@ -162,7 +139,7 @@
         if not answer.term == position.term == self.term:
             # The restored store has assigned these revisions again.
             raise WatchCompacted(path)
-        changes = _decode(answer.body, _Events)
+        changes = _decode(answer.body, decode_events)
         return Snapshot(
             [
                 _to_stored_object(event.object, event.deleted)
@@ -244,7 +221,7 @@
         value = head.get(TERM_HEADER)
         if value is None:
             return self.term
-        if not value.isdigit():
+        if not value.isdigit() or len(value) > MAX_TERM_DIGITS:
             if value not in self._malformed_terms:
                 self._malformed_terms.add(value)
                 self._log("store_term_malformed", value=value.decode("latin-1"))
@@ -290,9 +267,7 @@
     if status == COMPACTED:
         raise WatchCompacted(path)
     if status == CONFLICT:
-        current = (
-            msgspec.json.decode(response_body, type=_Object) if response_body else None
-        )
+        current = decode_object(response_body)
         raise VersionConflict(path, current.metadata.rev if current else 0)
     if status == NOT_FOUND:
         raise StoreError(f"{path} does not exist")
@@ -310,12 +285,12 @@
     return msgspec.json.encode({"metadata": metadata, "spec": value})
 
 
-def _decode(body: bytes, kind: type):
+def _decode(body: bytes, decode: Callable[[bytes], Any]) -> Any:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode(body)
+    except ValueError as error:
         raise StoreUnavailable(f"malformed answer: {error}") from error
 
 
-def _to_stored_object(raw: _Object, deleted: bool = False) -> StoredObject:
+def _to_stored_object(raw: Object, deleted: bool = False) -> StoredObject:
     return StoredObject(raw.metadata.name, raw.metadata.rev, raw.spec, deleted)
--- a/src/acaciapier/platform/workers.py
+++ b/src/acaciapier/platform/workers.py
@@ -1,6 +1,8 @@
 """Entries of workers and of gateway instances in the platform's store."""
 
-from typing import Any
+import re
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, Any
 
 import msgspec
 
@@ -12,28 +14,58 @@
 REPORT_PATH = b"/api/report"
 
 
+MAX_PORT = 65_535
+PORT_PATTERN = re.compile("[0-9]{1,5}")
+MAX_SLOTS = 65_535
+"""A worker runs one request a connection and accepts them on one port."""
+
+MAX_COLD_MS = 86_400_000.0
+MAX_UNIX_MS = 2**53
+"""Latest Unix time that a JSON number holds exactly."""
+
+MAX_CAPACITY = 1e9
+MAX_NAME_LENGTH = 255
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+
+
 class _Entry(msgspec.Struct):
     service: str
     addr: str
     zone: str
     state: WorkerState
     version: str
-    slots: int = 1
-    cold_left_ms: float = 0.0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
     # Unix time of the worker's start in ms, which identifies its incarnation.
-    born: int = 0
+    born: _UnixMs = 0
 
 
 class _Report(msgspec.Struct):
-    born: int | None = None
+    born: _UnixMs | None = None
 
 
 class _Instance(msgspec.Struct):
     host: str
-    port: int
+    port: _Port
     zone: str
-    started_ms: int
-    capacity: float = 1.0
+    started_ms: _UnixMs
+    capacity: Annotated[float, msgspec.Meta(gt=0, le=MAX_CAPACITY)] = 1.0
+
+
+def _check_host(host: str) -> None:
+    """Raise `ValueError` unless a host is an IPv4 address; names are not looked up."""
+    try:
+        IPv4Address(host)
+    except AddressValueError as error:
+        raise ValueError(f"{host[:MAX_NAME_LENGTH]!r} is no address") from error
+
+
+def _check_name(name: str) -> None:
+    """Raise `ValueError` unless a name fits into a header."""
+    if not (name.isascii() and name.isprintable() and len(name) <= MAX_NAME_LENGTH):
+        raise ValueError(f"{name[:MAX_NAME_LENGTH]!r} is no name")
 
 
 def decode_worker(name: str, spec: Any) -> Worker:
@@ -48,9 +80,11 @@
         entry = msgspec.convert(spec, _Entry)
     except msgspec.ValidationError as error:
         raise ValueError(f"worker entry {name} is malformed: {error}") from error
+    _check_name(name)
     host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"worker entry {name} has no address: {entry.addr!r}")
+    if not PORT_PATTERN.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"worker entry {name} has no address: {entry.addr[:99]!r}")
+    _check_host(host)
     return Worker(
         id=name,
         service=entry.service,
@@ -96,6 +130,8 @@
         entry = msgspec.convert(spec, _Instance)
     except msgspec.ValidationError as error:
         raise ValueError(f"instance entry {name} is malformed: {error}") from error
+    _check_name(name)
+    _check_host(entry.host)
     return PeerRecord(
         InstanceId(name),
         entry.host,
--- a/src/acaciapier_standins/platform/store.py
+++ b/src/acaciapier_standins/platform/store.py
@@ -12,12 +12,20 @@
 
 from acaciapier.http.caller import Exchange, IncomingRequest
 
+RAW_MARK = "raw-spec-"
 PREFIX = "/api/objects/"
 JSON = [(b"Content-Type", b"application/json")]
 MAX_COPY_AGE_S = 10.0
 """Age up to which the store keeps copies of its state."""
 
 
+@dataclass(frozen=True)
+class RawSpec:
+    """Spec of another writer, which may be no valid JSON."""
+
+    text: bytes
+
+
 @dataclass
 class StoreFaults:
     """Faults that the store currently shows."""
@@ -121,7 +129,7 @@
             request.method.decode(), kind, unquote(name), query, request.body
         )
         headers = [*JSON, self._term_header()]
-        await exchange.respond(status, headers, json.dumps(body).encode())
+        await exchange.respond(status, headers, _encode(body))
 
     def _term_header(self) -> tuple[bytes, bytes]:
         return (b"Store-Era", str(self.term).encode())
@@ -213,3 +221,17 @@
     def _wake_watches(self) -> None:
         changed, self._changed = self._changed, trio.Event()
         changed.set()
+
+
+def _encode(body: Any) -> bytes:
+    """Encode an answer; raw specs are inserted as they are."""
+    raw_specs: list[bytes] = []
+
+    def mark(spec: RawSpec) -> str:
+        raw_specs.append(spec.text)
+        return f"{RAW_MARK}{len(raw_specs) - 1}."
+
+    data = json.dumps(body, default=mark).encode()
+    for number, text in enumerate(raw_specs):
+        data = data.replace(f'"{RAW_MARK}{number}."'.encode(), text)
+    return data
--- /dev/null
+++ b/tests/gateway/test_odd_entries.py
@@ -0,0 +1,189 @@
+"""Entries of other writers among those of the workers and instances."""
+
+import pytest
+
+from acaciapier.exceptions import StoreUnavailable
+from acaciapier.gateway.settings import Address
+from acaciapier.http.client import ConnectFailed, HttpConnection
+from acaciapier.platform.pages import decode_events, decode_page
+from acaciapier.platform.requests import decode_request_metadata
+from acaciapier.platform.store import PlatformStore
+from acaciapier.platform.workers import (
+    PEER_KIND,
+    WORKER_KIND,
+    decode_peer,
+    decode_worker,
+)
+from acaciapier_standins.platform.example import ROUTES
+from acaciapier_standins.platform.platform import configuration
+from acaciapier_standins.platform.store import RawSpec
+
+from .support import SERVICES, deployment
+
+ENTRY = {
+    "service": '"book"',
+    "addr": '"127.0.0.1:9"',
+    "zone": '"a"',
+    "state": '"ready"',
+    "version": '"v"',
+    "slots": "4",
+    "cold_left_ms": "0",
+    "born": "1",
+}
+
+
+def entry(**fields: str) -> bytes:
+    """Return a worker's entry as JSON, with some fields written as given."""
+    written = (f'"{name}": {value}' for name, value in (ENTRY | fields).items())
+    return f"{{{', '.join(written)}}}".encode("latin-1")
+
+
+DEEP = "[" * 3_000 + "]" * 3_000
+ODD = {
+    "deep": entry(more=DEEP),
+    "very-deep": entry(more="[" * 200_000 + "]" * 200_000),
+    "deep-objects": entry(more='{"a":' * 3_000 + "1" + "}" * 3_000),
+    "out-of-range": entry(born="1e999"),
+    "out-of-range-elsewhere": entry(more="-1e400"),
+    "half-surrogate": entry(zone='"\\ud800"'),
+    "no-utf8": entry(zone='"\xff\xfe"'),
+    "no-json": b"no json at all",
+    "nan": entry(slots="NaN"),
+    "null": b"null",
+    "list": b"[]",
+    "port-large": entry(addr='"127.0.0.1:70000"'),
+    "port-0": entry(addr='"127.0.0.1:0"'),
+    "port-long": entry(addr='"127.0.0.1:' + "9" * 5_000 + '"'),
+    "port-superscript": entry(addr='"127.0.0.1:\xb2"'),
+    "host-empty-label": entry(addr='"a..b:80"'),
+    "host-long-label": entry(addr='"' + "a" * 300 + ':80"'),
+    "host-nul": entry(addr='"127.0.0.1\\u0000:80"'),
+    "born-digits": entry(born="9" * 400),
+    "born-large": entry(born=str(2**70)),
+    "born-negative": entry(born="-1"),
+    "slots-negative": entry(slots="-5"),
+    "slots-0": entry(slots="0"),
+    "slots-large": entry(slots="1000000000000000"),
+    "slots-digits": entry(slots="9" * 30),
+    "cold-long": entry(cold_left_ms="1e308"),
+    "cold-negative": entry(cold_left_ms="-1"),
+}
+
+
+def page_with(odd: bytes, name: str = "odd") -> bytes:
+    objects = [
+        b'{"metadata": {"name": "%s", "rev": 3}, "spec": %s, "status": {}}'
+        % (one.encode(), spec)
+        for one, spec in (("first", entry()), (name, odd), ("last", entry()))
+    ]
+    return b'{"items": [%s], "has_more": false, "current_rev": 7}' % b",".join(objects)
+
+
+@pytest.mark.parametrize("odd", ODD.values(), ids=ODD)
+def test_an_odd_entry_names_no_worker_and_hides_no_other(odd):
+    page = decode_page(page_with(odd))
+    assert page.current_rev == 7
+    assert [item.metadata.name for item in page.items] == ["first", "odd", "last"]
+    first, other, last = (item.spec for item in page.items)
+    assert decode_worker("first", first).port == decode_worker("last", last).port == 9
+    with pytest.raises(ValueError):
+        decode_worker("odd", other)
+
+
+@pytest.mark.parametrize("odd", ODD.values(), ids=ODD)
+def test_an_odd_entry_hides_no_change_of_another(odd):
+    objects = page_with(odd)
+    start, end = objects.index(b"[") + 1, objects.rindex(b"]")
+    changes = objects[start:end].replace(b'{"metadata"', b'{"object": {"metadata"')
+    changes = changes.replace(b'"status": {}}', b'"status": {}}, "deleted": false}')
+    events = decode_events(b'{"events": [%s], "current_rev": 8}' % changes).events
+    assert [event.object.metadata.name for event in events] == ["first", "odd", "last"]
+    assert decode_worker("last", events[2].object.spec).slots == 4
+
+
+@pytest.mark.parametrize("name", ["a\r\nb", "\u00e9", "a" * 256, "\x00"])
+def test_an_entry_whose_name_fits_in_no_header_names_no_worker(name):
+    spec = decode_page(page_with(entry())).items[0].spec
+    with pytest.raises(ValueError):
+        decode_worker(name, spec)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"port": 70_000},
+        {"port": 0},
+        {"host": "a..b"},
+        {"host": ""},
+        {"started_ms": -1},
+        {"started_ms": 2**70},
+        {"capacity": 1e308},
+        {"capacity": 0.0},
+        {"port": None},
+    ],
+)
+def test_an_odd_entry_names_no_instance(fields):
+    known = {"host": "127.0.0.1", "port": 1, "zone": "a", "started_ms": 1}
+    assert decode_peer("edge-9", known).port == 1
+    with pytest.raises(ValueError):
+        decode_peer("edge-9", known | fields)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"items": [{]}', b"\xff", b'{"a": 1}'])
+def test_an_answer_that_is_no_list_is_an_error_of_the_store(body):
+    with pytest.raises(ValueError):
+        decode_page(body)
+
+
+@pytest.mark.parametrize(
+    "host, port", [("127.0.0.1", 70_000), ("a..b", 80), ("a\0b", 80), ("a" * 99, 80)]
+)
+async def test_an_address_to_which_nothing_can_connect_is_unreachable(host, port):
+    with pytest.raises(ConnectFailed):
+        await HttpConnection.open(host, port, 500.0)
+
+
+def test_numbers_of_thousands_of_digits_in_headers_are_ignored():
+    digits = b"9" * 5_000
+    metadata = decode_request_metadata(
+        {
+            b"deadline-ms": digits,
+            b"token-count": digits + b"," + digits,
+            b"chunk-count": digits,
+            b"prompt-prefix": b"a:" + digits,
+        }
+    )
+    assert metadata.deadline_ms is None
+
+
+async def test_a_store_whose_answers_are_malformed_is_unavailable():
+    store = PlatformStore(Address("127.0.0.1", 1))
+
+    async def answer(*args, **kwargs):
+        return type("Answer", (), {"body": b"{", "term": 0})
+
+    store._call = answer
+    with pytest.raises(StoreUnavailable):
+        await store.list(WORKER_KIND)
+
+
+@pytest.mark.parametrize("by_list", [False, True])
+async def test_instances_follow_workers_and_configurations_beside_odd_entries(by_list):
+    async with deployment(gateways=2) as world:
+        store = world.platform.store
+        for name, odd in ODD.items():
+            store.put(WORKER_KIND, f"odd-{name}", RawSpec(odd))
+            store.put(PEER_KIND, f"odd-{name}", RawSpec(odd))
+        if by_list:
+            store.compact()
+        await world.platform.add_worker("book-9", "book")
+        world.platform.configure(configuration(2, ROUTES, SERVICES))
+        for gateway in world.gateways:
+            await world.until(lambda g=gateway: "book-9" in g.catalogue.workers)
+            await world.until(lambda g=gateway: g.catalogue.configuration.version == 2)
+            assert len(gateway.catalogue.workers) == 9
+            assert gateway.peers.live_count == 2
+        for number in range(10):
+            path = f"/lookup/{number}"
+            answer = await world.caller().request("GET", path, Attempt_Id=f"a{number}")
+            assert answer.status == 200
