Report objects of the store that have no readable name

decode_page left them out without a log line, and a page that ended with one could not be continued. They now have an empty name, which entry_unreadable reports, and a list goes on after the last name that is readable; one without any is an error of the store.

--- a/src/acaciapier/platform/pages.py
+++ b/src/acaciapier/platform/pages.py
@@ -74,13 +74,12 @@
         decoded = msgspec.json.decode(rest, type=kind)
     except DECODE_ERRORS as error:
         raise ValueError(str(error)) from error
-    found = [decode_one(part) for part in parts if part.strip()]
-    setattr(decoded, field, [one for one in found if one is not None])
+    setattr(decoded, field, [decode_one(part) for part in parts if part.strip()])
     return decoded
 
 
-def decode_object(part: bytes) -> Object | None:
-    """Decode an object; None if not even its name is readable."""
+def decode_object(part: bytes) -> Object:
+    """Decode an object; its name is empty if not even that is readable."""
     try:
         return msgspec.json.decode(part, type=Object)
     except DECODE_ERRORS:
@@ -89,17 +88,15 @@
     try:
         metadata = msgspec.json.decode(found.group(1) if found else b"", type=Metadata)
     except DECODE_ERRORS:
-        return None
+        metadata = Metadata("")
     return Object(metadata, UNREADABLE)
 
 
-def _decode_event(part: bytes) -> Event | None:
+def _decode_event(part: bytes) -> Event:
     try:
         return msgspec.json.decode(part, type=Event)
     except DECODE_ERRORS:
-        pass
-    known = decode_object(part)
-    return None if known is None else Event(known)
+        return Event(decode_object(part))
 
 
 def _split(body: bytes, field: str) -> tuple[list[bytes], bytes]:
--- a/src/acaciapier/platform/store.py
+++ b/src/acaciapier/platform/store.py
@@ -122,7 +122,9 @@
             objects += [_to_stored_object(item) for item in page.items]
             if not page.has_more or not page.items:
                 return Snapshot(objects, StorePosition(answer.term, page.current_rev))
-            after = page.items[-1].metadata.name
+            before, after = after, max(item.metadata.name for item in page.items)
+            if after <= before:
+                raise StoreUnavailable("a page of a list names no object after it")
 
     async def watch(self, kind: str, position: StorePosition, wait_ms: int) -> Snapshot:
         """Return the changes after `position`; the store waits for one up to `wait_ms`.
@@ -268,7 +270,7 @@
         raise WatchCompacted(path)
     if status == CONFLICT:
         current = decode_object(response_body)
-        raise VersionConflict(path, current.metadata.rev if current else 0)
+        raise VersionConflict(path, current.metadata.rev)
     if status == NOT_FOUND:
         raise StoreError(f"{path} does not exist")
     raise StoreUnavailable(f"{path} was answered with {status}")
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -156,6 +156,12 @@
     assert metadata.deadline_ms is None
 
 
+def test_an_object_without_a_readable_name_hides_no_other():
+    body = page_with(entry()).replace(b'{"name": "odd", "rev": 3}', b"7")
+    page = decode_page(body)
+    assert [item.metadata.name for item in page.items] == ["first", "", "last"]
+
+
 async def test_a_store_whose_answers_are_malformed_is_unavailable():
     store = PlatformStore(Address("127.0.0.1", 1))
 
