Let a large fleet agree at once on a dispatcher that came back

What callers saw: work refused or limits exceeded for seconds after a dispatcher had restarted, as some instances asked it and others its stand-in.

Cause: in a large fleet instances learn of a restart from the list, which most poll every 5 s, and take an instance for stable 4 s after that, not after its start; one that gets no heartbeats from it learns nothing sooner. Class: a time that each instance measures from the moment at which it hears of something.

Change: an instance of a large fleet that becomes stable sends one heartbeat to all peers, and heartbeats name the start of their sender, so that one that is listed later counts from its start. The same cause acts on everything that a dispatcher keeps alone: rooms of brittle workers, retry budgets, queues.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -139,6 +139,7 @@
             epoch_ms(self.clock.now()),
             settings.link_mbps * settings.cores,
         )
+        self._started_ms = own.started_ms
         identity = PeerIdentity(
             settings.instance,
             Incarnation(own.started_ms),
@@ -404,6 +405,7 @@
             keeps_stream_records=True,
             partitioned_lately=self.paths.partitioned_lately,
             limited_sends=self.limits.reported_sends(self.clock.monotonic_s()),
+            started_ms=self._started_ms,
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -22,14 +22,16 @@
 from ..wire.network import PeerNetwork
 from .dispatch.ranking import rank_dispatchers
 from .engine_times import EngineEstimate
+from .heartbeat_schedule import (
+    HEARTBEAT_PERIOD_MS,
+    PACING_HEARTBEAT_PERIOD_MS,
+    SLOW_HEARTBEAT_PERIOD_MS,
+    take_due,
+)
 from .models import PeerRecord
 from .settings import Address
 from .supervision import TaskSupervisor
 
-HEARTBEAT_PERIOD_MS = 200.0
-"""Period of heartbeats to a peer that is up. Two missed heartbeats are detected within
-half of the shortest latency objective."""
-
 HEARTBEAT_TIMEOUT_MS = 250.0
 """Round trips take 3 ms; an instance whose event loop is frozen for longer than this is
 treated as unreachable."""
@@ -41,10 +43,6 @@
 """Consecutive missed heartbeats after which a peer is down; a single one may be lost by
 chance."""
 
-SLOW_HEARTBEAT_PERIOD_MS = 1_000.0
-"""Period of heartbeats to a peer that is down, and in a large fleet to peers that are
-not needed at present."""
-
 STABLE_AFTER_MS = 4_000.0
 """Uptime from which an instance is stable; until then it is ranked behind stable ones.
 After this time all others have read its entry from the list, so that they switch to it
@@ -54,19 +52,13 @@
 """Peers up to which an instance sends heartbeats to all of them. Beyond, it sends them
 to the required ones and a few neighbours, and knows the rest from the list alone."""
 
-FULL_RATE_FLEET = 96
-"""Instances up to which dispatchers get heartbeats at the full rate. In a larger fleet
-the period grows in proportion, so that a dispatcher receives no more than about 480 a
-second, until the period reaches that of slow heartbeats."""
-
-PACING_HEARTBEAT_PERIOD_MS = 500.0
-"""Period of heartbeats of a large fleet's dispatcher to all peers while it paces the
-requests to limited workers; it grows as that to dispatchers does."""
-
 HEARTBEAT_EXPIRY_MS = 2_500.0
 """Age up to which a heartbeat tells whether its sender serves tunnels: two periods of
 slow heartbeats and a time-out."""
 
+MAX_UNLISTED = 1_000
+"""Number of incarnations that are remembered before they are listed."""
+
 NEIGHBOUR_COUNT = 2
 """Neighbours that an instance of a large fleet observes, so that each instance is
 observed by two others."""
@@ -118,6 +110,10 @@
         self._own_record = own_record
         self._ranks: dict[tuple[str, bool], list[InstanceId]] = {}
         self._neighbours: list[InstanceId] | None = None
+        self._unannounced: set[InstanceId] = set()
+        """Peers of a large fleet to be told that this instance has become stable."""
+        self._stable_at_s: dict[tuple[InstanceId, int], float] = {}
+        """By incarnations that sent heartbeats before they were listed."""
         self.on_heartbeat: Callable[[InstanceId, Heartbeat], None] = (
             lambda peer, heartbeat: None
         )
@@ -191,8 +187,10 @@
         """
         if not self._stable:
             return Peer(record)
-        stable_at_s = self._clock.monotonic_s() + to_s(STABLE_AFTER_MS)
-        return Peer(record, stable_at_s=stable_at_s, stable=False)
+        now_s = self._clock.monotonic_s()
+        known_s = self._stable_at_s.pop((record.instance, record.started_ms), None)
+        stable_at_s = now_s + to_s(STABLE_AFTER_MS) if known_s is None else known_s
+        return Peer(record, stable_at_s=stable_at_s, stable=now_s >= stable_at_s)
 
     def add_records(self, records: Iterable[PeerRecord]) -> None:
         """Add instances that a peer knows; records known here take precedence."""
@@ -320,13 +318,19 @@
     def record_heartbeat(self, instance: InstanceId, heartbeat: Heartbeat) -> None:
         """Update a peer from its heartbeat."""
         peer = self._peers.get(instance)
+        left_ms = STABLE_AFTER_MS - heartbeat.uptime_ms
+        stable_at_s = self._clock.monotonic_s() + to_s(left_ms)
+        listed_ms = 0 if peer is None else peer.record.started_ms
+        if heartbeat.started_ms not in (0, listed_ms):
+            self._stable_at_s[instance, heartbeat.started_ms] = stable_at_s
+            if len(self._stable_at_s) > MAX_UNLISTED:
+                del self._stable_at_s[next(iter(self._stable_at_s))]
         if peer is None:
             return
         peer.missed_heartbeats = 0
         peer.last_heartbeat = heartbeat
         peer.last_heartbeat_s = self._clock.monotonic_s()
-        left_ms = STABLE_AFTER_MS - heartbeat.uptime_ms
-        peer.stable_at_s = self._clock.monotonic_s() + to_s(left_ms)
+        peer.stable_at_s = stable_at_s
         if peer.stable != (left_ms <= 0):
             peer.stable = left_ms <= 0
             self._ranks.clear()
@@ -419,6 +423,8 @@
             peer.stable = now_s >= peer.stable_at_s
         own = self.uptime_ms >= STABLE_AFTER_MS
         if own != self._stable or any(peer.stable for peer in unstable):
+            if own and not self._stable:
+                self._unannounced = set(self._peers)
             self._stable = own
             self._ranks.clear()
 
@@ -426,33 +432,22 @@
         """Return the peers that get a heartbeat now, and schedule their next ones.
 
         In a large fleet their number does not grow with the fleet, but for dispatchers
-        that pace the requests to limited workers.
+        that pace the requests to limited workers. One that has become stable tells all.
         """
-        often: Iterable[InstanceId] = self._peers
-        pacing: Iterable[InstanceId] = ()
-        at_times: Iterable[InstanceId] = ()
-        if self.large_fleet:
-            often = self.required_peers()
-            pacing = self._peers if self.paces_limits() else ()
-            at_times = [*self.standby_peers(), *self.neighbours()]
-        growth = max(1.0, len(self._peers) / FULL_RATE_FLEET)
-        often_period_ms = min(HEARTBEAT_PERIOD_MS * growth, SLOW_HEARTBEAT_PERIOD_MS)
-        pacing_period_ms = min(
-            PACING_HEARTBEAT_PERIOD_MS * growth, SLOW_HEARTBEAT_PERIOD_MS
-        )
-        due = []
-        for names, usual_period_ms in (
-            (often, often_period_ms),
-            (pacing, pacing_period_ms),
-            (at_times, SLOW_HEARTBEAT_PERIOD_MS),
-        ):
-            for name in names:
-                peer = self._peers.get(name)
-                if peer is None or peer.next_heartbeat_s > now_s:
-                    continue
-                period_ms = usual_period_ms if peer.up else SLOW_HEARTBEAT_PERIOD_MS
-                peer.next_heartbeat_s = now_s + to_s(period_ms)
-                due.append(name)
+        if not self.large_fleet:
+            groups = [(self._peers, HEARTBEAT_PERIOD_MS)]
+            return take_due(self._peers, groups, now_s)
+        for name in self._unannounced:
+            if name in self._peers:
+                self._peers[name].next_heartbeat_s = now_s
+        groups = [
+            (self.required_peers(), HEARTBEAT_PERIOD_MS),
+            (self._peers if self.paces_limits() else (), PACING_HEARTBEAT_PERIOD_MS),
+            (self._unannounced, SLOW_HEARTBEAT_PERIOD_MS),
+            ([*self.standby_peers(), *self.neighbours()], SLOW_HEARTBEAT_PERIOD_MS),
+        ]
+        due = take_due(self._peers, groups, now_s)
+        self._unannounced = set()
         return due
 
     @property
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -97,6 +97,8 @@
     """Whether the sender was partitioned from workers within the last seconds."""
     limited_sends: tuple[LimitedSends, ...] = ()
     """Recent sends to limited workers, the sender's own and those reported to it."""
+    started_ms: int = 0
+    """Unix time of the sender's start, as its entry names it; 0 if unknown."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
