Let the soak count all arrivals at limited workers, and two limits

The check of limits left out calls of stages and releases, which name no attempt, and a gateway for good once it had been disturbed; each limit was 1 a second, where the slack of the rule hides a second dispatcher. Calls without an attempt count while no gateway has been disturbed, a gateway counts again from its next answer that names the limit, and workers take 1 or 4 a second.

--- a/src/acaciapier_bench/soak/checker.py
+++ b/src/acaciapier_bench/soak/checker.py
@@ -55,6 +55,12 @@
         times = self.disturbed_s.get(gateway, ())
         return not any(from_s <= disturbed_s <= to_s for disturbed_s in times)
 
+    def disturbed_between(self, from_s: float, to_s: float) -> bool:
+        """Return whether some gateway was disturbed meanwhile."""
+        return not all(
+            self.remembers(gateway, from_s, to_s) for gateway in self.disturbed_s
+        )
+
 
 def check(
     records: Iterable[Received],
@@ -238,30 +244,35 @@
     """Check that all gateways together keep to the limits that workers named.
 
     A gateway counts from half a second after it had an answer that named the limit,
-    until it is disturbed.
+    until it is disturbed. Calls of stages and releases name no attempt, and count while
+    no gateway has been disturbed.
     """
     found = []
     for worker, (per_s, named_s) in announcements.limits.items():
-        told_s: dict[str, float] = {}
+        told_s: dict[str, list[float]] = {}
         for run in run_log.runs:
             record = known.get(run.attempt)
             if record is None or run.worker != worker or not run.complete:
                 continue
             if run.ended_s is not None and run.started_s > named_s:
-                first_s = told_s.get(record.gateway, run.ended_s)
-                told_s[record.gateway] = min(first_s, run.ended_s)
+                told_s.setdefault(record.gateway, []).append(run.ended_s)
         counted = []
         for arrival in run_log.arrivals:
-            record = known.get(arrival.attempt)
-            if record is None or arrival.worker != worker:
+            from_s = named_s + LIMIT_SETTLE_S
+            if arrival.worker != worker or arrival.at_s < from_s:
                 continue
-            first_s = told_s.get(record.gateway)
-            if (
-                first_s is not None
-                and arrival.at_s
-                >= max(first_s + LIMIT_TOLD_S, named_s + LIMIT_SETTLE_S)
-                and announcements.remembers(record.gateway, first_s, arrival.at_s)
-            ):
+            record = known.get(arrival.attempt)
+            if record is None:
+                counts = not announcements.disturbed_between(named_s, arrival.at_s)
+            else:
+                counts = any(
+                    answered_s + LIMIT_TOLD_S <= arrival.at_s
+                    and announcements.remembers(
+                        record.gateway, answered_s, arrival.at_s
+                    )
+                    for answered_s in told_s.get(record.gateway, ())
+                )
+            if counts:
                 counted.append(arrival.at_s)
         allowed = LIMIT_FACTOR * per_s * LIMIT_WINDOW_S + LIMIT_SLACK
         most = max(
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -34,7 +34,9 @@
 RECOVERY_S = 4.0
 """Time after the last fault in which the deployment recovers."""
 
-LIMIT_PER_S = 1.0
+LIMITS_PER_S = (1.0, 4.0)
+"""Requests a second that limited workers take; their names tell which."""
+
 WRITE_AGAIN_S = 1.2
 """Time after a restore of the store until operators and workers have written again."""
 
@@ -367,9 +369,10 @@
             if fresh not in self._links:
                 await self._add_worker(fresh, service, KINDS[service], worker.version)
         elif kind == "limit":
-            now_s = trio.current_time()
-            self._announcements.limits.setdefault(name, (LIMIT_PER_S, now_s))
-            worker.faults.limit = str(LIMIT_PER_S)
+            per_s = LIMITS_PER_S[sum(name.encode()) % len(LIMITS_PER_S)]
+            limit = (per_s, trio.current_time())
+            self._announcements.limits.setdefault(name, limit)
+            worker.faults.limit = str(per_s)
         elif kind == "endless":
             if worker.kind != "stage":
                 worker.faults.endless = self._random.choice(sorted(ENDLESS))
