--- a/tests/gateway/test_brittle_workers.py
+++ b/tests/gateway/test_brittle_workers.py
@@ -6,6 +6,7 @@
 from acaciapier_standins.platform.workers import Brittleness
 
 from .support import deployment
+from .test_limits_of_several_dispatchers import dispatch_alone
 from .test_worker_limits import load
 
 STABLE_S = 1.0
@@ -98,3 +99,17 @@
             for name in ("encode-1", "encode-2"):
                 world.platform.workers[name].faults.delay_s = 1.0
         assert len(world.platform.run_log.falls) <= allowed_falls(2)
+
+
+async def test_dispatchers_that_disagree_do_not_make_brittle_workers_fall_over():
+    async with deployment(gateways=3) as world:
+        async with trio.open_nursery() as nursery:
+            until_s = WARM_UP_S + LOAD_S
+            nursery.start_soon(load, world, "GET", "/lookup/{}", until_s, CALLERS)
+            delay_workers(world, "book")
+            await trio.sleep(WARM_UP_S)
+            brittle_workers(world, "book", 1, 3)
+            await trio.sleep(LEARN_S)
+            for gateway in world.gateways:
+                dispatch_alone(gateway)
+        assert len(world.platform.run_log.falls) <= allowed_falls(2)
