Accept host names in the entries of workers and instances again

Cause: took only IPv4 addresses for hosts, while the soak registers its workers under a name that each gateway resolves for itself.

--- a/src/acaciapier/platform/workers.py
+++ b/src/acaciapier/platform/workers.py
@@ -1,7 +1,6 @@
 """Entries of workers and of gateway instances in the platform's store."""
 
 import re
-from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Any
 
 import msgspec
@@ -15,6 +14,7 @@
 
 
 MAX_PORT = 65_535
+HOST_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*")
 PORT_PATTERN = re.compile("[0-9]{1,5}")
 MAX_SLOTS = 65_535
 """A worker runs one request a connection and accepts them on one port."""
@@ -55,11 +55,9 @@
 
 
 def _check_host(host: str) -> None:
-    """Raise `ValueError` unless a host is an IPv4 address; names are not looked up."""
-    try:
-        IPv4Address(host)
-    except AddressValueError as error:
-        raise ValueError(f"{host[:MAX_NAME_LENGTH]!r} is no address") from error
+    """Raise `ValueError` unless a host is an address, or a name of valid labels."""
+    if not HOST_PATTERN.fullmatch(host) or len(host) > MAX_NAME_LENGTH:
+        raise ValueError(f"{host[:MAX_NAME_LENGTH]!r} is no host")
 
 
 def _check_name(name: str) -> None:
