--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -101,6 +101,11 @@
     assert decode_worker("last", events[2].object.spec).slots == 4
 
 
+def test_a_host_name_is_no_odd_entry():
+    body = page_with(entry(addr='"workers.example:80"'))
+    assert decode_worker("w", decode_page(body).items[1].spec).host == "workers.example"
+
+
 @pytest.mark.parametrize("name", ["a\r\nb", "\u00e9", "a" * 256, "\x00"])
 def test_an_entry_whose_name_fits_in_no_header_names_no_worker(name):
     spec = decode_page(page_with(entry())).items[0].spec
