--- a/src/acaciapier/gateway/worker_limits.py
+++ b/src/acaciapier/gateway/worker_limits.py
@@ -29,8 +29,8 @@
 """Time in which other dispatchers may have sent what they have not reported yet."""
 
 FIRST_REPORT_MS = 1_000.0
-"""Time in which the sends of a dispatcher count that reports them for the first time;
-they may be many and old."""
+"""The first report of a dispatcher counts at most what the limit allows in this time,
+since its sends may be old."""
 
 MAX_LIMITS = 2_000
 """Number of limits that an instance remembers; the oldest are forgotten first."""
--- a/src/acaciapier/platform/pages.py
+++ b/src/acaciapier/platform/pages.py
@@ -1,8 +1,8 @@
 """Decodes the store's answers one object at a time.
 
 Other writers may have stored values that cannot be decoded. An answer is decoded as a
-whole first; if that fails, it is split into its objects, and only what cannot be
-decoded by itself is left out.
+whole first; if that fails, it is split into its objects, and only those that cannot be
+decoded by themselves have no readable value.
 """
 
 import re
