--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -94,6 +94,7 @@
         self.port = 0
         self._server = None
         self._writers = set()
+        self._readers = {}
 
     async def listen(self, port=0):
         self._server = await asyncio.start_server(
@@ -104,6 +105,7 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             while (request := await read_message(reader)) is not None:
                 if not await self.answer(*request, writer):
@@ -113,8 +115,13 @@
             pass
         finally:
             self._writers.discard(writer)
+            del self._readers[writer]
             writer.close()
 
+    def has_left(self, writer):
+        """Return whether the peer has closed the connection."""
+        return writer.is_closing() or self._readers[writer].at_eof()
+
     async def answer(self, line, headers, body, writer):
         raise NotImplementedError
 
