--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -491,7 +491,7 @@
             status = BROKEN if broken else HELD
             record.write(f"the rule {'was broken' if broken else 'held'}")
             print(f"the rule {'was broken' if broken else 'held'}")
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:
             record.write(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}")
         finally:
