Send final answers at the deadline to their end

Cause: final answers were sent inside the cancel scope of the deadline that they end. `Exchange.started` was set before the first byte, so `end_unanswered` took the cut response for begun and closed the connection.

Change: whole responses, heads and ends of streams are sent within a shielded scope, until the surrounding deadline and for 1 s at least; a caller that does not take its response is disconnected. A stream whose head was not sent counts as not begun. An answer that arrives with the deadline is sent. The end of a stop closes all connections.

--- a/src/acaciapier/gateway/caller_connections.py
+++ b/src/acaciapier/gateway/caller_connections.py
@@ -74,6 +74,11 @@
             if connection.idle:
                 connection.close_idle()
 
+    def close_all(self) -> None:
+        """Close all connections, also those on which a response is being sent."""
+        for connection in list(self._connections):
+            connection.close()
+
     def _limits(self) -> ConnectionLimits:
         configuration = self._catalogue.configuration
         limits = configuration.limits if configuration else InputLimits()
--- a/src/acaciapier/gateway/final_responses.py
+++ b/src/acaciapier/gateway/final_responses.py
@@ -53,6 +53,8 @@
 
 async def end_unanswered(exchange: Exchange, may_have_run: bool, status: int) -> None:
     """End a request that got no answer, with `status` if it may have run."""
+    if exchange.ended:
+        return
     if exchange.started:
         exchange.abort()
     elif may_have_run:
--- a/src/acaciapier/gateway/hedging.py
+++ b/src/acaciapier/gateway/hedging.py
@@ -84,12 +84,15 @@
     async def take_over(self) -> None:
         """Leave the other worker, as this one has the next part of the answer.
 
+        A part that is there is sent, also if the request's deadline has just passed.
+
         Raises
         ------
         trio.Cancelled
             If the other one had it first.
         """
-        await trio.lowlevel.checkpoint_if_cancelled()
+        if self.scope.cancel_called:
+            await trio.lowlevel.checkpoint_if_cancelled()
         now_s = trio.current_time()
         self._hedging.cancel_others(self, now_s - self._waiting_since_s)
         self.silent = False
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -468,6 +468,7 @@
         with trio.move_on_after(0.3):
             await self.sync.leave()
         self._front_scope.cancel()
+        self.connections.close_all()
         self.log.write("stopped", in_flight=self.relay.in_flight)
         self.log.flush()
 
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -124,6 +124,8 @@
                 outcome, fields = self._record_error(error)
                 await end_unanswered(exchange, False, 502)
         except CallerDisconnected:
+            if exchange.unread:
+                fields = {"cause": "response_unread"}
             exchange.abort()
         finally:
             self.in_flight -= 1
--- a/src/acaciapier/http/caller.py
+++ b/src/acaciapier/http/caller.py
@@ -8,7 +8,8 @@
 import socket
 import struct
 import termios
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 
@@ -26,6 +27,9 @@
 LINGER_TIMEOUT_S = 1.0
 """Time that a caller whose input is rejected has to read the response."""
 
+RESPONSE_TIMEOUT_S = 1.0
+"""Minimum time that a caller has to take a response that is there as a whole."""
+
 LINGER_RESET = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which closing a socket resets its connection."""
 
@@ -132,29 +136,58 @@
     def __init__(self, connection: "CallerConnection"):
         self.started = False
         self.ended = False
+        self.unread = False
+        """Whether the caller did not take a part of the response in time."""
         self._connection = connection
 
     async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Send a complete response."""
-        await self.start(
-            status, [*headers, (b"Content-Length", str(len(body)).encode())]
-        )
-        if body:
-            await self.send(body)
-        await self.end()
+        """Send a complete response, to its end even if the caller's deadline passes.
+
+        Raises
+        ------
+        CallerDisconnected
+            If the caller disconnects, or does not take the response in time.
+        """
+        length = (b"Content-Length", str(len(body)).encode())
+        with self._sending():
+            await self._start(status, [*headers, length])
+            if body:
+                await self.send(body)
+            await self.end()
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response; without a length its body is chunked."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        with self._sending():
+            await self._start(status, headers)
+
+    async def _start(self, status: int, headers: Headers) -> None:
         self.started = True
         await self._connection.send_head(status, headers)
 
+    @contextmanager
+    def _sending(self) -> Iterator[None]:
+        """Bound a part of a response that is sent to its end, once it has begun.
+
+        A surrounding scope that ends meanwhile would cut it.
+        """
+        latest_s = max(
+            trio.current_effective_deadline(), trio.current_time() + RESPONSE_TIMEOUT_S
+        )
+        with trio.CancelScope(shield=True, deadline=latest_s) as scope:
+            yield
+        if scope.cancelled_caught:
+            self.unread = True
+            raise CallerDisconnected("it does not take its response")
+
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
         await self._connection.send_event(h11.Data(data=data))
 
     async def end(self) -> None:
         """End the body."""
-        await self._connection.send_event(h11.EndOfMessage())
+        with self._sending():
+            await self._connection.send_event(h11.EndOfMessage())
         self.ended = True
 
     async def send_raw(self, data: bytes) -> None:
--- a/src/acaciapier_bench/soak/run.py
+++ b/src/acaciapier_bench/soak/run.py
@@ -11,7 +11,7 @@
 from acaciapier.platform.workers import PEER_KIND
 from acaciapier_standins.platform.example import KINDS, services
 from acaciapier_standins.platform.platform import StandInPlatform
-from acaciapier_standins.platform.workers import ENDLESS
+from acaciapier_standins.platform.worker_faults import ENDLESS
 
 from .builds import Build, current_build
 from .callers import HOST, Received, SoakCaller
--- a/tests/gateway/test_brittle_workers.py
+++ b/tests/gateway/test_brittle_workers.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from acaciapier_standins.platform.workers import Brittleness
+from acaciapier_standins.platform.worker_faults import Brittleness
 
 from .support import deployment
 from .test_limits_of_several_dispatchers import dispatch_alone
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from acaciapier_standins.platform.workers import ENDLESS
+from acaciapier_standins.platform.worker_faults import ENDLESS
 
 from .support import deployment
 
