Take no second copy of a failed stage answer for the next answer

Cause: answers to calls of stages have no id; a second copy is recognised by a handle that was received before, and an answer in which all pieces failed has none. After its copy each call on that connection got the results of the one before.

Change: the connection is closed after an answer without any handle, as it is after a refusal. The stand-in can fail all pieces of some calls, and send its copies early.

--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -190,6 +190,11 @@
                 # A second copy of it would be taken for the response to a later call.
                 connection.forbid_reuse()
             else:
+                if path == stage_format.RUN_PATH and not stage_format.decode_handles(
+                    response_body
+                ):
+                    # By a handle a second copy of it would be recognised.
+                    connection.forbid_reuse()
                 try:
                     decode(response_body)
                 except ValueError:
--- a/src/acaciapier_standins/platform/worker_faults.py
+++ b/src/acaciapier_standins/platform/worker_faults.py
@@ -63,6 +63,10 @@
     """Send an empty answer ahead of the answer to a call of a stage."""
     repeats_answers: bool = False
     """Send the answer to the last call a second time ahead of the next one."""
+    repeats_early: bool = False
+    """Send that copy when the next call arrives, before the work on it."""
+    fails_each: int | None = None
+    """Number of calls of a stage of which one fails all of its pieces."""
     cut_after: int | None = None
     """Events after which a stream is aborted; a plain answer is aborted midway."""
     ends_early: bool = False
--- a/src/acaciapier_standins/platform/workers.py
+++ b/src/acaciapier_standins/platform/workers.py
@@ -207,22 +207,32 @@
         if self.faults.not_run:
             await exchange.respond(503, [(b"Not-Run", b"1"), *self._state_headers()])
             return
+        copy = self._last_answers.get(id(exchange._connection), b"")
+        if self.faults.repeats_early:
+            await exchange.send_raw(copy)
         await trio.sleep(self._gap_s + self.faults.delay_s)
         await self._keep_silence()
         if self.faults.mute:
             await trio.sleep_forever()
         if self.faults.endless is not None:
             await self._send_without_end("", exchange)
-        answers = [self._run_piece(item) for item in json.loads(request.body)["items"]]
+        items = json.loads(request.body)["items"]
+        each = self.faults.fails_each
+        if each is not None and self.requests % each == 0:
+            answers = [{"reason": "error"} for _ in items]
+        else:
+            answers = [self._run_piece(item) for item in items]
         body = json.dumps({"items": answers}).encode()
         headers = [(b"Content-Type", b"application/json"), *self._state_headers()]
         if self.faults.stray_stage_answer:
             await exchange.send_raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         if self.faults.repeats_answers:
-            connection = id(exchange._connection)
-            await exchange.send_raw(self._last_answers.get(connection, b""))
+            if not self.faults.repeats_early:
+                await exchange.send_raw(copy)
             length = f"Content-Length: {len(body)}\r\n\r\n".encode()
-            self._last_answers[connection] = b"HTTP/1.1 200 OK\r\n" + length + body
+            self._last_answers[id(exchange._connection)] = (
+                b"HTTP/1.1 200 OK\r\n" + length + body
+            )
         await exchange.respond(200, headers, body)
 
     def _run_piece(self, item: dict[str, Any]) -> dict[str, str]:
--- a/tests/gateway/test_late_stage_answers.py
+++ b/tests/gateway/test_late_stage_answers.py
@@ -2,6 +2,8 @@
 
 import trio
 
+from acaciapier.gateway.models import AttemptId, Piece
+
 from .support import deployment
 
 
@@ -31,6 +33,29 @@
         assert {answer.status for answer in answers} == {200}
 
 
+async def test_a_second_copy_of_a_failed_stage_answer_is_not_taken_for_the_next_one():
+    """Requests ran with inputs of others: without a handle it was not recognised."""
+    async with deployment() as world:
+        platform_worker = world.platform.workers["encode-1"]
+        faults, platform_worker._gap_s = platform_worker.faults, 0.1
+        faults.repeats_answers = faults.repeats_early = True
+        gateway = world.gateways[0]
+        worker = gateway.catalogue.workers["encode-1"]
+
+        async def run(attempt: str):
+            piece = Piece(AttemptId(attempt), 0, 0, "k", ())
+            client = gateway.dispatcher._client
+            (result,) = await client.run(worker, [(piece, 900.0)], 900.0, lambda: None)
+            return result.handle
+
+        faults.fails_each = 1
+        assert await run("a1") is None
+        faults.fails_each = None
+        for attempt in ("a2", "a3", "a4"):
+            handle = await run(attempt)
+            assert world.platform._results[handle] == attempt
+
+
 async def test_an_answer_that_cannot_be_the_calls_own_closes_its_connection():
     async with deployment() as world:
         worker = world.platform.workers["encode-1"]
