--- a/tests/gateway/gateway_processes.py
+++ b/tests/gateway/gateway_processes.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 from .support import ENVIRONMENT, SERVICES, Caller
 
 READY_S = 20.0
+COMMAND = (sys.executable, "-m", "acaciapier.gateway.main")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -40,12 +42,12 @@
         self._log_path = folder / f"{name}.log"
         self._process: subprocess.Popen | None = None
 
-    def start(self, settings_text: str) -> None:
+    def start(self, settings_text: str, command: Sequence[str] = COMMAND) -> None:
         """Start the process."""
         self._settings_path.write_text(settings_text)
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "acaciapier.gateway.main"],
+                command,
                 env=os.environ
                 | {PATH_VARIABLE: str(self._settings_path)}
                 | {FLEET_KEY_VARIABLE: ENVIRONMENT[FLEET_KEY_VARIABLE]},
@@ -81,6 +83,7 @@
         """Wait until the process takes requests."""
         with trio.fail_after(READY_S):
             while not await self._is_ready():
+                assert self.running, self.log
                 await trio.sleep(0.05)
 
     def end(self) -> None:
