Watch from the first page of a list, so that no change between pages is missed

Cause: a list had the revision of its last page, so the watch after it began after changes to objects of earlier pages.

Evidence: the new test changes an object of the first page before the second one is read; the watch returned nothing before this change.

Change: a list has the revision of its first page. What changed meanwhile comes by the watch; an object that the list has already is applied once more.

--- a/src/acaciapier/platform/store.py
+++ b/src/acaciapier/platform/store.py
@@ -104,6 +104,8 @@
     async def list(self, kind: str) -> Snapshot:
         """Return all objects of a kind, read page by page.
 
+        Its position is that of the first page: changes between two pages come later.
+
         Raises
         ------
         StoreUnavailable
@@ -111,17 +113,18 @@
         """
         objects: list[StoredObject] = []
         after = ""
-        first_term = None
+        first_term = first_revision = None
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
             answer = await self._call("list", b"GET", f"{_path(kind)}{query}")
             page = _decode(answer.body, decode_page)
-            first_term = answer.term if first_term is None else first_term
+            if first_term is None:
+                first_term, first_revision = answer.term, page.current_rev
             if not answer.term == first_term == self.term:
                 raise StoreUnavailable("the store was restored during a list")
             objects += [_to_stored_object(item) for item in page.items]
             if not page.has_more or not page.items:
-                return Snapshot(objects, StorePosition(answer.term, page.current_rev))
+                return Snapshot(objects, StorePosition(answer.term, first_revision))
             before, after = after, max(item.metadata.name for item in page.items)
             if after <= before:
                 raise StoreUnavailable("a page of a list names no object after it")
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -7,11 +7,13 @@
 from acaciapier.exceptions import StoreUnavailable
 from acaciapier.gateway.catalogue import Catalogue
 from acaciapier.gateway.models import StorePosition
+from acaciapier.gateway.settings import Address
 from acaciapier.gateway.sync import StoreSync
 from acaciapier.platform import configuration as configuration_format
 from acaciapier.platform import workers as worker_format
 from acaciapier.platform.configuration import decode_configuration
-from acaciapier.platform.store import Snapshot
+from acaciapier.platform.store import PlatformStore, Snapshot
+from acaciapier_standins.platform.platform import HOST, StandInPlatform
 
 from .test_instance_state import record
 
@@ -85,3 +87,29 @@
             while store.lists.count(worker_format.WORKER_KIND) < 2:
                 await trio.sleep(0.01)
         nursery.cancel_scope.cancel()
+
+
+async def test_a_change_between_two_pages_of_a_list_is_seen():
+    """A worker that drained between two pages of a list stayed ready."""
+    async with trio.open_nursery() as nursery:
+        platform = StandInPlatform(nursery)
+        await platform.start()
+        platform.store.page_size = 2
+        for number in range(5):
+            platform.store.put("servers", f"book-{number}", {"state": "ready"})
+        answer, calls = platform.store._list, []
+
+        def list_and_change(objects, after):
+            page = answer(objects, after)
+            calls.append(after)
+            if len(calls) == 1:
+                platform.store.put("servers", "book-0", {"state": "draining"})
+            return page
+
+        platform.store._list = list_and_change
+        store = PlatformStore(Address(HOST, platform.store_port))
+        snapshot = await store.list("servers")
+        assert len(calls) == 3
+        changes = await store.watch("servers", snapshot.position, 1)
+        assert [stored.name for stored in changes.objects] == ["book-0"]
+        nursery.cancel_scope.cancel()
