Let a restarted instance fetch the crash records of whole requests

Cause: records are fetched at a start if a peer's heartbeat has another digest, and that digest covered the records of prompt parts only.

Evidence: the new test starts a third gateway after two crashes; it sent the request to a worker before this change.

Change: the digest covers all records. The heartbeat's field keeps its name; earlier builds, whose digest differs, fetch once for each pair of digests.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -405,7 +405,7 @@
             self.catalogue.version,
             self.notices.shared_leaving(),
             self.dispatcher.engine_times(),
-            self.quarantine.part_crashes_digest,
+            self.quarantine.crashes_digest,
             self.catalogue.complete and not self.paths.partitioned_from_all,
             build=self.builds.own,
             keeps_stream_records=True,
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -91,9 +91,9 @@
         self._is_reachable = is_reachable
 
     @property
-    def part_crashes_digest(self) -> int:
-        """Hash of the crash records of prompt parts."""
-        return self._parts.digest
+    def crashes_digest(self) -> int:
+        """Hash of the crash records of requests and prompt parts."""
+        return self._parts.digest ^ self._quarantine.digest
 
     def block_reason(self, state: RequestState) -> dict[str, str] | None:
         """Return the blocked fingerprint or part of a request; None if it may run.
@@ -138,7 +138,7 @@
         return CrashRecordList(tuple(map(to_entry, records)))
 
     def handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
-        """Start a fetch if a peer has other records of prompt parts.
+        """Start a fetch if a peer has other records.
 
         An instance that started, or was cut off, missed the records sent meanwhile.
         """
@@ -148,7 +148,7 @@
         self._tasks.start_soon(self._fetch, peer, heartbeat)
 
     def _lacks_records(self, heartbeat: Heartbeat) -> bool:
-        theirs, own = heartbeat.part_crashes_digest, self._parts.digest
+        theirs, own = heartbeat.part_crashes_digest, self.crashes_digest
         return theirs not in (0, own) and self._compared != (theirs, own)
 
     async def _fetch(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
@@ -159,7 +159,7 @@
             answer = await self._peers.call(peer, FetchCrashRecords(), FETCH_TIMEOUT_MS)
             if isinstance(answer, CrashRecordList):
                 self._merge(answer.records, new=False)
-                self._compared = (heartbeat.part_crashes_digest, self._parts.digest)
+                self._compared = (heartbeat.part_crashes_digest, self.crashes_digest)
         except PeerUnavailable as error:
             self._log("crash_records_not_fetched", peer=peer, reason=str(error))
         finally:
--- a/src/acaciapier/policy/quarantine.py
+++ b/src/acaciapier/policy/quarantine.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable, Sequence
 from random import Random
 
+import xxhash
+
 from ..core.clock import Clock, epoch_ms
 from ..core.ids import Fingerprint, PoolName, TargetId
 from ..core.outcomes import Cause
@@ -178,6 +180,14 @@
         self._expire()
         return tuple(self._records)
 
+    @property
+    def digest(self) -> int:
+        """Hash of all records, by which instances compare them; 0 without records."""
+        digest = 0
+        for record in self.records():
+            digest ^= xxhash.xxh32_intdigest(record.record_id.encode())
+        return digest
+
     def pop_new_records(self) -> tuple[CrashRecord, ...]:
         """Return and clear the records created here, to send to peers."""
         new, self._unshared = tuple(self._unshared), []
--- a/tests/gateway/test_crashing_prompt_parts.py
+++ b/tests/gateway/test_crashing_prompt_parts.py
@@ -101,7 +101,7 @@
         await crash_workers(world, 2)
         later = await world.add_gateway()
         await world.until(lambda: len(later.catalogue.workers) >= 8)
-        await world.until(lambda: later.quarantine.part_crashes_digest != 0)
+        await world.until(lambda: later.quarantine.crashes_digest != 0)
         since_s = trio.current_time()
         answer = await request(world, 1, "b1", True, "bb1")
         assert answer.status == 503
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/test_request_quarantine.py
@@ -67,3 +67,20 @@
             "POST", "/confirm/1", b"same", Attempt_Id="a9"
         )
         assert answer.status == 200
+
+
+async def test_an_instance_that_starts_later_blocks_a_request_that_crashed_workers():
+    """Each restarted instance let the request crash two more workers."""
+    async with deployment(gateways=2) as world:
+        for number in (3, 4):
+            await world.platform.add_worker(f"book-{number}", "book")
+        await send_and_crash_worker(world, world.caller(0), "a1", b"poison")
+        await send_and_crash_worker(world, world.caller(1), "a2", b"poison")
+        late = await world.add_gateway()
+        await world.until(lambda: late.peers.live_count == 3)
+        await trio.sleep(2.0)
+        answer = await world.caller(2).request(
+            "POST", "/confirm/1", b"poison", Attempt_Id="b1"
+        )
+        assert answer.status == 503
+        assert not world.platform.run_log.runs_of("b1")
