Take an instance that handed work over after a freeze for running again

Cause: after a freeze a dispatcher refuses its queued work with the cause of a stop. Its peers took it for stopping, and nothing reset that.

Evidence: the new test of the table of peers failed before this change.

Change: a heartbeat that does not announce a stop resets what was only concluded from a refusal. An announced stop stays. New log event `peer_not_stopping`.

--- a/src/acaciapier/gateway/peers.py
+++ b/src/acaciapier/gateway/peers.py
@@ -60,8 +60,7 @@
 """Number of incarnations that are remembered before they are listed."""
 
 NEIGHBOUR_COUNT = 2
-"""Neighbours that an instance of a large fleet observes, so that each instance is
-observed by two others."""
+"""Neighbours that an instance of a large fleet observes, so that two observe each."""
 
 
 @dataclass(eq=False)
@@ -72,6 +71,8 @@
     missed_heartbeats: int = 0
     up: bool = True
     stopping: bool = False
+    stop_announced: bool = False
+    """Whether its heartbeats say that it stops."""
     last_heartbeat: Heartbeat | None = None
     last_heartbeat_s: float = 0.0
     next_heartbeat_s: float = 0.0
@@ -307,7 +308,7 @@
         return rank_dispatchers(key, members)
 
     def record_stopping(self, instance: InstanceId) -> None:
-        """Record that a peer announced its shutdown."""
+        """Record that a peer stops, or at least handed work over."""
         peer = self._peers.get(instance)
         if peer is not None and not peer.stopping:
             peer.stopping = True
@@ -335,7 +336,12 @@
             peer.stable = left_ms <= 0
             self._ranks.clear()
         if heartbeat.stopping:
+            peer.stop_announced = True
             self.record_stopping(instance)
+        elif peer.stopping and not peer.stop_announced:
+            peer.stopping = False
+            self._ranks.clear()
+            self._on_change("peer_not_stopping", peer=instance)
         if not peer.up:
             peer.up = True
             self._ranks.clear()
--- a/tests/gateway/test_dispatcher_views.py
+++ b/tests/gateway/test_dispatcher_views.py
@@ -118,3 +118,34 @@
     assert views[-1] == {first}
     disagreed_s = STEP_S * sum(len(view) > 1 for view in views)
     assert disagreed_s <= 1.0
+
+
+def heartbeat(uptime_ms: float, stopping: bool = False) -> Heartbeat:
+    """Return a heartbeat of an instance that runs for `uptime_ms`."""
+    return Heartbeat(1, 1, 1, stopping, uptime_ms=uptime_ms)
+
+
+def peers_of_three() -> Peers:
+    records = [record(f"edge-{number}") for number in range(3)]
+    peers = make_peers_on(ManualClock(), records[0])
+    peers.set_records(records)
+    for other in records[1:]:
+        peers.record_heartbeat(other.instance, heartbeat(60_000.0))
+    return peers
+
+
+def test_an_instance_that_handed_work_over_after_a_freeze_is_not_stopping_for_good():
+    """Two instances dispatched one service, as some took the other for stopping."""
+    peers = peers_of_three()
+    before = {service: peers.rank(service, True) for service in SERVICES}
+    peers.record_stopping("edge-1")
+    assert not peers.is_up("edge-1")
+    peers.record_heartbeat("edge-1", heartbeat(61_000.0))
+    assert {service: peers.rank(service, True) for service in SERVICES} == before
+
+
+def test_an_instance_that_announced_its_stop_stays_out():
+    peers = peers_of_three()
+    peers.record_heartbeat("edge-1", heartbeat(61_000.0, stopping=True))
+    peers.record_heartbeat("edge-1", heartbeat(60_900.0))
+    assert not peers.is_up("edge-1")
