--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -193,7 +193,7 @@
                 if path == stage_format.RUN_PATH and not stage_format.decode_handles(
                     response_body
                 ):
-                    # By a handle a second copy of it would be recognised.
+                    # Without a handle a second copy of it is not recognised.
                     connection.forbid_reuse()
                 try:
                     decode(response_body)
