--- a/tests/gateway/test_limit_pacing.py
+++ b/tests/gateway/test_limit_pacing.py
@@ -400,7 +400,7 @@
             if gateway.settings.instance != first:
                 gateway.peers.record_stopping(first)
             else:
-                gateway.dispatcher.stopping = True
+                gateway._stopping = gateway.dispatcher.stopping = True
         await load(world, "GET", "/lookup/1", 3.0, 6)
         assert world.gateways[0].dispatch_client.dispatcher_of(service) != first
         assert most_in_window(needy.arrivals_s, start_s + 1.0) <= 2 * 4.0 + 4
