--- a/src/acaciapier_standins/platform/platform.py
+++ b/src/acaciapier_standins/platform/platform.py
@@ -163,7 +163,13 @@
         del self._entries[name]
         self.store.delete("servers", name)
 
-    def settings_text(self, node: str, ports: Sequence[int], seeds: str = "") -> str:
+    def settings_text(
+        self,
+        node: str,
+        ports: Sequence[int],
+        seeds: str = "",
+        first_start: bool = False,
+    ) -> str:
         """Return a gateway settings file; `ports` are front, ready and control."""
         front, ready, control = ports
         return "\n".join(
@@ -178,6 +184,7 @@
                 f"platform.addr={HOST}:{self.store_port}",
                 "bounds.grace_s=8",
                 f"limits.memory_mb={self.memory_mb}",
+                f"bootstrap={str(first_start).lower()}",
                 "a.field.of.the.future=1",
             ]
         )
--- a/tests/gateway/gateway_processes.py
+++ b/tests/gateway/gateway_processes.py
@@ -106,15 +106,23 @@
 class ProcessDeployment:
     """Gateway processes and the stand-in platform that they run on."""
 
-    def __init__(self, platform: StandInPlatform, gateways: list[GatewayProcess]):
+    def __init__(
+        self,
+        platform: StandInPlatform,
+        gateways: list[GatewayProcess],
+        first_start: bool = False,
+    ):
         self.platform = platform
         self.gateways = gateways
+        self._first_start = first_start
 
     def settings_text(self, gateway: GatewayProcess) -> str:
         """Return the settings of a gateway; the first one is the seed."""
         ports = (gateway.front, gateway._ready, gateway.control)
         seeds = f"{HOST}:{self.gateways[0].control}"
-        return self.platform.settings_text(gateway.name, ports, seeds)
+        return self.platform.settings_text(
+            gateway.name, ports, seeds, self._first_start
+        )
 
 
 @asynccontextmanager
@@ -124,8 +132,12 @@
     memory_mb: float = 256.0,
     routes=ROUTES,
     services=SERVICES,
+    first_start: bool = False,
 ):
-    """Run gateway processes on a platform with two workers per service."""
+    """Run gateway processes on a platform with two workers per service.
+
+    `first_start` tells whether their settings call this the first start of the system.
+    """
     async with trio.open_nursery() as nursery:
         platform = StandInPlatform(nursery)
         platform.memory_mb = memory_mb
@@ -139,7 +151,7 @@
             GatewayProcess(f"edge-{n + 1}", ports[3 * n : 3 * n + 3], folder)
             for n in range(count)
         ]
-        world = ProcessDeployment(platform, gateways)
+        world = ProcessDeployment(platform, gateways, first_start)
         try:
             for gateway in gateways:
                 gateway.start(world.settings_text(gateway))
--- /dev/null
+++ b/tests/gateway/test_streams_after_a_kill_of_all.py
@@ -0,0 +1,93 @@
+"""Streams that callers take up after all gateway processes were killed at once."""
+
+import signal
+
+import pytest
+import trio
+
+from .gateway_processes import gateway_processes
+from .test_release_out_of_step import (
+    JOINING,
+    MODELS,
+    begin_stream,
+    join_release,
+    take_up,
+)
+
+GATEWAYS, STREAMS = 3, 12
+SETTLE_S = 3.0
+
+
+async def take_up_after_kill(
+    folder, first_start: bool = True, release: str = ""
+) -> tuple[dict[str, str], dict[str, str]]:
+    """Begin streams, kill all gateways, start them again and take the streams up.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are.
+    first_start : bool
+        Whether the settings say that the whole system starts for the first time.
+    release : str
+        ``replaced`` if workers of a new version replace the old ones before the kill.
+
+    Returns
+    -------
+    begun, gone_on : dict
+        The worker that began each stream, and the one at which it went on.
+    """
+    begun: dict[str, str] = {}
+    gone_on: dict[str, str] = {}
+    async with gateway_processes(folder, GATEWAYS, first_start=first_start) as world:
+        for name in MODELS:
+            world.platform.workers[name].faults.pause_s = 0.3
+        await trio.sleep(SETTLE_S)
+        async with trio.open_nursery() as nursery:
+            for number in range(STREAMS):
+                gateway = world.gateways[number % GATEWAYS]
+                nursery.start_soon(
+                    begin_stream, world, gateway, f"first-{number}", begun
+                )
+        if release:
+            await join_release(world, gone=True)
+            await trio.sleep(1.0)
+        for gateway in world.gateways:
+            gateway.send_signal(signal.SIGKILL)
+        for gateway in world.gateways:
+            gateway.end()
+        for gateway in world.gateways:
+            gateway.start(world.settings_text(gateway))
+        for gateway in world.gateways:
+            await gateway.wait_ready()
+        await trio.sleep(SETTLE_S)
+        async with trio.open_nursery() as nursery:
+            for number, first in enumerate(begun):
+                gateway = world.gateways[(number + 1) % GATEWAYS]
+                nursery.start_soon(take_up, world, gateway, first, gone_on)
+    return begun, gone_on
+
+
+async def test_streams_go_on_after_all_instances_were_killed(tmp_path):
+    """Guards against refusing all streams for a minute, with one version in service."""
+    begun, gone_on = await take_up_after_kill(tmp_path)
+    assert len(begun) == STREAMS
+    assert len(gone_on) == STREAMS
+
+
+@pytest.mark.parametrize("first_start", [True, False])
+async def test_no_stream_goes_on_at_a_version_that_replaced_its_own(
+    first_start, tmp_path
+):
+    """Guards against a version that is concluded from the workers left after a kill."""
+    begun, gone_on = await take_up_after_kill(tmp_path, first_start, "replaced")
+    assert len(begun) == STREAMS
+    assert {worker for worker in begun.values()} <= set(MODELS)
+    assert not {worker for worker in gone_on.values()} & set(JOINING)
+
+
+async def test_no_version_is_concluded_if_streams_may_have_begun_before(tmp_path):
+    """Guards against a conclusion by instances that know nothing of earlier ones."""
+    begun, gone_on = await take_up_after_kill(tmp_path, first_start=False)
+    assert len(begun) == STREAMS
+    assert not gone_on
