Keep in the store what served lately, so that streams go on after a kill of all

Cause: records of streams end with the instances, and a version is concluded only if a list of workers and the routes have been known for as long as streams are taken up. Instances that started together knew neither, and nothing else told what had served before.

Evidence: stream_not_found for each of them, with no record and the answers of all others; both known times are that of the start.

Change: one entry of the platform's store names the versions that served and digests of where the routes led within that time. One of three instances by rank writes it when that changes, beside the requests; an instance that starts reads it, takes what it names for serving until then, and counts that time as known. A first record is written when 60 s are known, or at once at the first start of the whole system. A record of an earlier term of the store, or routes that led elsewhere, allow no conclusion, as before.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -50,6 +50,7 @@
 from .relay import Relay
 from .request_quarantine import RequestQuarantine
 from .response_memory import ResponseMemory
+from .serving_history import ServingHistory
 from .settings import GatewaySettings
 from .settings_reload import SettingsReloader
 from .stage_client import StageClient
@@ -124,13 +125,10 @@
         settings = self.settings
         nursery.start_soon(self.log.run)
         self.observer = RequestObserver(self.log, self.metrics)
-        report = self.observer.failed
+        report, log = self.observer.failed, self.log.write
         tasks = TaskSupervisor(nursery, report)
         self.catalogue = Catalogue(
-            self.clock,
-            decode_configuration,
-            self.log.write,
-            settings.worker_heartbeat_ms,
+            self.clock, decode_configuration, log, settings.worker_heartbeat_ms
         )
         own = PeerRecord(
             settings.instance,
@@ -150,7 +148,6 @@
         self.network = PeerNetwork(
             identity, FleetKeys([settings.fleet_key]), self.clock, self._random
         )
-        log = self.log.write
         self.peers = Peers(own, self.network, self.clock, self._make_heartbeat, log)
         self.builds = Builds(build_name(), self.peers.builds, self.clock, log)
         self.metrics.watch_builds(self.builds.counts)
@@ -170,12 +167,9 @@
         self.metrics.watch_brittle_workers(
             lambda: self.limits.brittle.named_by(self._listed_workers())
         )
+        changed = self._workers_changed
         self.notices = WorkerNotices(
-            self.catalogue,
-            self.clock,
-            self.log.write,
-            self._workers_changed,
-            self.limits,
+            self.catalogue, self.clock, log, changed, self.limits
         )
         self.memory = ResponseMemory(settings.memory_mb, self.clock, log)
         self.metrics.watch_response_memory(lambda: self.memory.used_bytes)
@@ -214,7 +208,7 @@
             lambda: self.catalogue.former_routes.known_ms,
         )
         self.dispatch_client = DispatchClient(
-            self.peers, self.dispatcher, self.catalogue, self.clock, self.log.write
+            self.peers, self.dispatcher, self.catalogue, self.clock, log
         )
         self.metrics.watch_dispatchers(self.dispatch_client.dispatchers)
         workers = WorkerExchange(
@@ -262,19 +256,24 @@
             self.peers,
             own,
             self.clock,
-            lambda: self._random.uniform(0.7, 1.3),
-            self.log.write,
-            self._workers_changed,
+            self._jitter,
+            log,
+            changed,
             self.followers,
         )
-        peer_sync = PeerSync(
+        history = ServingHistory(
+            self.store,
             self.catalogue,
             self.peers,
-            tasks,
-            self.log.write,
-            self._workers_changed,
-            own,
+            self._started_ms,
             self.clock,
+            self._jitter,
+            log,
+            settings.first_start,
+            lambda: self.sync.reachable and not self._stopping,
+        )
+        peer_sync = PeerSync(
+            self.catalogue, self.peers, tasks, log, changed, own, self.clock
         )
         self._peer_sync = peer_sync
         self.peers.on_heartbeat = self._handle_heartbeat
@@ -299,6 +298,7 @@
         nursery.start_soon(reloader.watch_signal)
         for loop in (
             self.sync.run,
+            history.run,
             self._detect_freezes,
             reloader.reload_periodically,
             connector.probe_periodically,
@@ -324,6 +324,9 @@
             build=self.builds.own,
         )
 
+    def _jitter(self) -> float:
+        return self._random.uniform(0.7, 1.3)
+
     def _make_connector(self, tasks: TaskSupervisor) -> WorkerConnector:
         """Return what opens connections to workers, here and for other instances."""
         self.paths = WorkerPaths(self.clock, self._listed_workers, self.log.write)
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -248,6 +248,28 @@
         return WorkerKey(f"{self.id}/{self.started_ms}")
 
 
+@dataclass(frozen=True, slots=True)
+class ServingRecord:
+    """What served lately, as the store keeps it for instances that start.
+
+    Parameters
+    ----------
+    versions : frozenset of tuple of str
+        Services and the software versions of their workers.
+    routes : frozenset of str
+        Digests of where all routes led.
+    within_ms : float
+        Time within which they served or were in force.
+    term : int
+        Term of the store in which this was written.
+    """
+
+    versions: frozenset[tuple[str, str]]
+    routes: frozenset[str]
+    within_ms: float
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerRecord:
     """One registered gateway instance.
--- a/src/acaciapier/gateway/routing.py
+++ b/src/acaciapier/gateway/routing.py
@@ -1,9 +1,12 @@
 """Selects the route, workspace and service of a request from the configuration."""
 
 import random as random_module
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+import msgspec
+import xxhash
+
 from ..core.clock import Clock, to_s
 from .models import (
     GatewayConfiguration,
@@ -43,6 +46,7 @@
 
     def __init__(self, configuration: GatewayConfiguration):
         self.configuration = configuration
+        self._digest = ""
         self._by_prefix = {
             (route.host, route.path_prefix): route for route in configuration.routes
         }
@@ -60,6 +64,20 @@
                 return route
         return None
 
+    def digest(self) -> str:
+        """Return a digest of the services to which all routes lead, and of their kinds.
+
+        It does not depend on the order of routes and services, and is the same in all
+        processes.
+        """
+        if not self._digest:
+            routes = sorted(
+                [*prefix, route.resumable, sorted({name for name, _ in route.services})]
+                for prefix, route in self._by_prefix.items()
+            )
+            self._digest = xxhash.xxh3_128_hexdigest(msgspec.json.encode(routes))
+        return self._digest
+
     def find_workspace(self, key: str | None) -> WorkspaceRule | None:
         """Return the workspace that an access key belongs to."""
         return None if key is None else self._by_key.get(key)
@@ -85,10 +103,23 @@
         """Routes of the configuration in force."""
         self._until_s: dict[tuple[str, str], dict[ServiceName, float]] = {}
         """Times until which routes, by host and prefix, led to services."""
+        self._digest_until_s: dict[str, float] = {}
+        """Times until which all routes led where these digests tell."""
+        self._first_digest = ""
+        self._digests_known_before_ms = self._known_before_ms = 0.0
 
     @property
     def known_ms(self) -> float:
-        """For how long a configuration has been known; 0 if none is."""
+        """For how long it has been known where routes lead; 0 if it is not."""
+        return self._elapsed_ms and self._known_before_ms + self._elapsed_ms
+
+    @property
+    def digests_known_ms(self) -> float:
+        """For how long the digests of all routes have been known; 0 if none is."""
+        return self._elapsed_ms and self._digests_known_before_ms + self._elapsed_ms
+
+    @property
+    def _elapsed_ms(self) -> float:
         if self._first_s is None:
             return 0.0
         return (self._clock.monotonic_s() - self._first_s) * 1_000.0
@@ -97,6 +128,33 @@
         """Record the first known configuration."""
         self._first_s = self._clock.monotonic_s()
         self._table = RouteTable(configuration)
+        self._first_digest = self._table.digest()
+
+    def add_former(self, digests: Iterable[str]) -> None:
+        """Record digests of the routes that were in force until now."""
+        now_s = self._clock.monotonic_s()
+        for digest in digests:
+            self._digest_until_s.setdefault(digest, now_s)
+
+    def add_known(self, before_ms: float) -> None:
+        """Record that all digests are known of a time before the start.
+
+        Where the routes led then is known only if that was always where the first known
+        configuration leads them.
+        """
+        self._digests_known_before_ms = before_ms
+        if self._digest_until_s.keys() <= {self._first_digest}:
+            self._known_before_ms = before_ms
+
+    def digests(self, within_ms: float) -> frozenset[str]:
+        """Return digests of the routes that are in force, or were within a time."""
+        oldest_s = self._clock.monotonic_s() - to_s(within_ms)
+        lately = {
+            digest
+            for digest, until_s in self._digest_until_s.items()
+            if until_s >= oldest_s
+        }
+        return frozenset(lately | {self._table.digest()})
 
     def replace(
         self, configuration: GatewayConfiguration, later: GatewayConfiguration
@@ -105,6 +163,7 @@
         now_s = self._clock.monotonic_s()
         former, table = RouteTable(configuration), RouteTable(later)
         self._table = table
+        self._digest_until_s[former.digest()] = now_s
         for prefix in former._by_prefix.keys() | table._by_prefix.keys():
             before, after = former.find_route(*prefix), table._by_prefix.get(prefix)
             if before is None or not before.resumable:
@@ -118,6 +177,9 @@
         for prefix, until_s in list(self._until_s.items()):
             if max(until_s.values()) < oldest_s:
                 del self._until_s[prefix]
+        for digest, digest_until_s in list(self._digest_until_s.items()):
+            if digest_until_s < oldest_s:
+                del self._digest_until_s[digest]
 
     def services(self, host: str, target: str, within_ms: float) -> set[ServiceName]:
         """Return the services to which a request could lead within a time."""
--- a/src/acaciapier/gateway/settings.py
+++ b/src/acaciapier/gateway/settings.py
@@ -80,6 +80,8 @@
         Limit on the memory of the process, in units of 10^6 bytes.
     worker_heartbeat_ms : float
         Period at which workers write their entries in the store.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     instance: InstanceId
@@ -97,3 +99,4 @@
     cores: float = 1.0
     memory_mb: float = DEFAULT_MEMORY_MB
     worker_heartbeat_ms: float = DEFAULT_WORKER_HEARTBEAT_MS
+    first_start: bool = False
--- a/src/acaciapier/gateway/software_versions.py
+++ b/src/acaciapier/gateway/software_versions.py
@@ -51,13 +51,15 @@
         self._first_s: float | None = None
         self._listed: set[tuple[str, str]] = set()
         self._removed_s: dict[tuple[str, str], float] = {}
+        self._known_before_ms = 0.0
 
     @property
     def known_ms(self) -> float:
-        """For how long the list of workers has been known; 0 if it is not."""
+        """For how long the versions that serve have been known; 0 if they are not."""
         if self._first_s is None:
             return 0.0
-        return (self._clock.monotonic_s() - self._first_s) * 1_000.0
+        elapsed_ms = (self._clock.monotonic_s() - self._first_s) * 1_000.0
+        return self._known_before_ms + elapsed_ms
 
     @property
     def services(self) -> set[ServiceName]:
@@ -78,19 +80,34 @@
             if version in listed or removed_s < oldest_s:
                 del self._removed_s[version]
 
-    def of(
-        self, service: str, within_ms: float = RETENTION_MS
-    ) -> frozenset[SoftwareVersion]:
-        """Return the versions whose workers serve a service, or did within a time."""
+    def add_former(self, versions: Iterable[tuple[str, str]]) -> None:
+        """Record services and versions that served until now, if not listed."""
+        now_s = self._clock.monotonic_s()
+        for version in versions:
+            if version not in self._listed:
+                self._removed_s.setdefault(version, now_s)
+
+    def add_known(self, before_ms: float) -> None:
+        """Record that all versions are known that served in a time before the start."""
+        self._known_before_ms = before_ms
+
+    def within(self, within_ms: float) -> frozenset[tuple[str, str]]:
+        """Return the services and versions that serve, or did within a time."""
         oldest_s = self._clock.monotonic_s() - to_s(within_ms)
         lately = {
             version
             for version, removed_s in self._removed_s.items()
             if removed_s >= oldest_s
         }
+        return frozenset(self._listed | lately)
+
+    def of(
+        self, service: str, within_ms: float = RETENTION_MS
+    ) -> frozenset[SoftwareVersion]:
+        """Return the versions whose workers serve a service, or did within a time."""
         return frozenset(
             SoftwareVersion(version)
-            for name, version in self._listed | lately
+            for name, version in self.within(within_ms)
             if name == service
         )
 
--- a/src/acaciapier/platform/settings.py
+++ b/src/acaciapier/platform/settings.py
@@ -95,6 +95,7 @@
         * fields.number("limits.cores", 1.0),
         memory_mb=fields.number("limits.memory_mb", DEFAULT_MEMORY_MB),
         worker_heartbeat_ms=fields.number("heartbeat_ms", DEFAULT_WORKER_HEARTBEAT_MS),
+        first_start=fields.is_true("bootstrap"),
     )
 
 
@@ -121,6 +122,9 @@
             self._findings.add(name, f"{value!r} is not a number")
             return default
 
+    def is_true(self, name: str) -> bool:
+        return self._values.get(name) == "true"
+
     def address(self, name: str) -> Address:
         value = self.text(name)
         return self._address(name, value) if value else Address("", 0)
