Leave a silent worker soon after its begun stream goes on at another one

Cause: the other worker was left only when one of the two had the next event, so the overlap was as long as the second worker takes to its first event.

Evidence: with workers that take 0.6 s to the first event, the overlap was 0.60 s in silences of 2.5 and 4.0 s alike.

Change: 0.3 s after the second worker got a begun stream, the silent one is left, unless it has the next event or the second one fails before. That is so only if another worker of the service has sent an event since the silence began; in a silence of all workers, or where nothing is known of others, the first one keeps the stream, as before.

--- a/src/acaciapier/gateway/hedging.py
+++ b/src/acaciapier/gateway/hedging.py
@@ -1,15 +1,19 @@
 """Sends a request to a second worker while its worker is silent.
 
 The worker that first has the next part of the answer goes on; the other one is left. A
-worker's failure ends nothing while the other one may still answer.
+worker's failure ends nothing while the other one may still answer. If others of its
+service send meanwhile, a silent worker of a begun stream is left soon in any case.
 """
 
+import math
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from .dispatch.refusal import Refused
+from .models import Worker
 from .request_state import RequestFailed
+from .worker_silence import WorkerActivity
 
 MAX_SENDERS = 2
 """Workers that may work on one request at once."""
@@ -18,6 +22,10 @@
 """A part that comes within this share of the time after which another worker is silent
 shows that not all workers are silent."""
 
+MAX_OVERLAP_S = 0.3
+"""Longest time for which a begun stream runs at a silent worker and at another one, if
+workers of the service send meanwhile."""
+
 Outcome = tuple[str, dict]
 """How a request ended, and fields for the log."""
 
@@ -36,12 +44,11 @@
         """Whether a worker has the request from this sender."""
         self.silent = False
         """Whether this worker has been silent since the last part of its answer."""
-        self.beaten = False
-        """Whether another sender has had the next part of the answer."""
         self.silent_alone = False
         """Whether that one had it promptly while this one's worker was silent."""
         self.scope = trio.CancelScope()
         self._hedging = hedging
+        self._worker: Worker | None = None
         self._waiting_since_s = 0.0
         self._silence_s = 0.0
 
@@ -55,14 +62,34 @@
         """Whether another worker, which is not silent, has the request."""
         return any(one.sending and not one.silent for one in self._hedging.others(self))
 
-    def begin(self) -> None:
+    def begin(self, worker: Worker) -> None:
         """Record that a worker gets the request."""
         self.sending, self.silent = True, False
+        self._worker = worker
         self._waiting_since_s = trio.current_time()
 
     def end(self) -> None:
         """Record that the worker no longer has the request."""
         self.sending = False
+        for one in self._hedging.others(self):
+            one.scope.deadline = math.inf
+
+    @property
+    def was_left(self) -> bool:
+        """Whether the worker was left, since another one goes on with the request."""
+        return self.scope.cancel_called
+
+    def limit_overlap(self, activity: WorkerActivity) -> None:
+        """Leave a silent worker soon, as this one gets its begun stream.
+
+        It stays if all workers may be silent, if it has the next event in time, or if
+        this one fails by then.
+        """
+        leave_at_s = trio.current_time() + MAX_OVERLAP_S
+        for one in self._hedging.others(self):
+            hedged = one.sending and one.silent
+            if hedged and activity.others_send(one._worker, one._silence_s):
+                one.scope.deadline = leave_at_s
 
     def retry(self) -> None:
         """Replace the sender that still looks for a worker, as this one does so, too.
@@ -93,6 +120,7 @@
         """
         if self.scope.cancel_called:
             await trio.lowlevel.checkpoint_if_cancelled()
+        self.scope.deadline = math.inf
         now_s = trio.current_time()
         self._hedging.cancel_others(self, now_s - self._waiting_since_s)
         self.silent = False
@@ -100,7 +128,6 @@
 
     def leave(self, waited_s: float) -> None:
         """Leave the worker: another one has the next part, after `waited_s`."""
-        self.beaten = True
         self.silent_alone = self.silent and waited_s < PROMPT_SHARE * self._silence_s
         self.scope.cancel()
 
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -37,7 +37,12 @@
 from .stream_records import StreamRecords
 from .supervision import TaskSupervisor
 from .worker_notices import WorkerNotices
-from .worker_silence import goes_on, head_timeout_s, stream_idle_timeout_s
+from .worker_silence import (
+    WorkerActivity,
+    goes_on,
+    head_timeout_s,
+    stream_idle_timeout_s,
+)
 
 MAX_BUFFERED_RESPONSE_BYTES = 8_000_000
 """Maximum size of a response that is buffered until it is complete."""
@@ -86,6 +91,7 @@
         checked_connections: CheckedConnections,
         memory: ResponseMemory,
     ):
+        self._activity = WorkerActivity()
         self._memory = memory
         self._streams = streams
         self._notices = notices
@@ -131,7 +137,7 @@
             self._log_decision(state, worker, "not_asked", refusal)
             raise WorkerDidNotRun(refusal)
         send = WorkerSend(permit)
-        sender.begin()
+        sender.begin(worker)
         try:
             async with self._checked_connections.acquire(
                 state, send, force_new=sent_before
@@ -166,7 +172,7 @@
         except trio.Cancelled:
             if sender.silent_alone:
                 self._record_silence(state, send)
-            elif sender.beaten:
+            elif sender.was_left:
                 self._quarantine.record_end(state, send, False)
             raise
         finally:
@@ -240,6 +246,8 @@
         state.may_have_run = True
         self._quarantine.record_send(state, worker)
         sent_s = self._clock.monotonic_s()
+        if state.last_event_id is not None:
+            sender.limit_overlap(self._activity)
         try:
             with trio.fail_after(head_timeout_s(state.route)):
                 await connection.send(outgoing, self._tasks)
@@ -424,6 +432,7 @@
             except ValueError as error:
                 raise ConnectionBroken(str(error)) from error
             if complete:
+                self._activity.record(send.worker)
                 await sender.take_over()
                 state.last_event_id = events.last_id or state.last_event_id
                 if not received:
--- a/src/acaciapier/gateway/worker_silence.py
+++ b/src/acaciapier/gateway/worker_silence.py
@@ -6,7 +6,7 @@
 
 from ..core.clock import to_s
 from ..http.client import HttpConnection
-from .models import RequestKind, RouteRule
+from .models import RequestKind, RouteRule, ServiceName, Worker, WorkerId
 
 MIN_STREAM_IDLE_TIMEOUT_MS = 1_000.0
 """Shortest time without data after which another worker is asked to resume a stream:
@@ -28,6 +28,38 @@
 """Time within which workers go on that were silent for the same reason."""
 
 
+RECENT_SHARE = 0.7
+"""A part that came within this share of the time after which a worker is silent came
+while it was silent."""
+
+
+class WorkerActivity:
+    """When workers last sent an event of a stream, for the last two of each service."""
+
+    def __init__(self):
+        self._latest: dict[ServiceName, tuple[WorkerId, float]] = {}
+        self._before: dict[ServiceName, tuple[WorkerId, float]] = {}
+        """The latest event of another worker than that of the latest one."""
+
+    def record(self, worker: Worker) -> None:
+        """Record that a worker has sent an event."""
+        latest = self._latest.get(worker.service)
+        if latest is not None and latest[0] != worker.id:
+            self._before[worker.service] = latest
+        self._latest[worker.service] = worker.id, trio.current_time()
+
+    def others_send(self, worker: Worker, silence_s: float) -> bool:
+        """Return whether another worker of the service has sent an event lately.
+
+        `silence_s` is the time after which a worker is silent.
+        """
+        for events in (self._latest, self._before):
+            other, sent_s = events.get(worker.service, (worker.id, 0.0))
+            if other != worker.id:
+                return trio.current_time() - sent_s < RECENT_SHARE * silence_s
+        return False
+
+
 def head_timeout_s(route: RouteRule) -> float:
     """Return after what time a worker without a response is silent.
 
