Forget what served only after it is out of the store's record

What callers could see: on routes with timeouts of 300 s or more, streams without a record were refused for ever after a release, as the former version never left the store's record. No caller reported it; it was found by reading.

Cause: an instance forgets what served after 600 s, the longest time that the record covers. If workers change just then, it forgets a version before it drops it from the record, and takes it over from there as one that served until now.

Evidence: test_a_version_is_dropped_from_a_record_of_the_longest_time, with changes of workers every 0.1 s, failed: the record named v1 and v2 10 s after v1 should have left it.

--- a/src/acaciapier/gateway/routing.py
+++ b/src/acaciapier/gateway/routing.py
@@ -15,7 +15,7 @@
     ServiceName,
     WorkspaceRule,
 )
-from .software_versions import MAX_RETENTION_MS
+from .software_versions import FORGET_AFTER_MS, MAX_RETENTION_MS
 
 MIN_ABANDON_AFTER_MS = 2_000.0
 """Minimum time for which callers wait for a stream's first event, by the users'
@@ -177,6 +177,7 @@
         for prefix, until_s in list(self._until_s.items()):
             if max(until_s.values()) < oldest_s:
                 del self._until_s[prefix]
+        oldest_s = now_s - to_s(FORGET_AFTER_MS)
         for digest, digest_until_s in list(self._digest_until_s.items()):
             if digest_until_s < oldest_s:
                 del self._digest_until_s[digest]
--- a/src/acaciapier/gateway/software_versions.py
+++ b/src/acaciapier/gateway/software_versions.py
@@ -20,6 +20,10 @@
 MAX_RETENTION_MS = 600_000.0
 """Longest such times, for routes with long timeouts."""
 
+FORGET_AFTER_MS = MAX_RETENTION_MS + RETENTION_MS
+"""Time after which an instance forgets what served: by then it is not in the store's
+record any more."""
+
 UNKNOWN_VERSION = SoftwareVersion("\x00unknown")
 """Version of a stream that no worker may resume; no worker has it."""
 
@@ -75,7 +79,7 @@
         for removed in self._listed - listed:
             self._removed_s[removed] = now_s
         self._listed = listed
-        oldest_s = now_s - to_s(MAX_RETENTION_MS)
+        oldest_s = now_s - to_s(FORGET_AFTER_MS)
         for version, removed_s in list(self._removed_s.items()):
             if version in listed or removed_s < oldest_s:
                 del self._removed_s[version]
--- a/tests/gateway/test_serving_history.py
+++ b/tests/gateway/test_serving_history.py
@@ -364,6 +364,26 @@
     play(scenario)
 
 
+def test_a_version_is_dropped_from_a_record_of_the_longest_time():
+    """Guards against taking over from the record what was just forgotten here."""
+
+    async def scenario(world):
+        world.configure(configure(1, timeout_ms=MAX_RETENTION_MS))
+        world.start("a")
+        await trio.sleep(5.0)
+        world.serve("v2")
+        world.configure(configure(2, "other", timeout_ms=MAX_RETENTION_MS))
+        await trio.sleep(MAX_RETENTION_MS / 1_000.0 - 5.0)
+        for _ in range(100):
+            await trio.sleep(0.1)
+            world.serve("v2")
+            world.configure(configure(3, "other", timeout_ms=MAX_RETENTION_MS))
+        assert world.store.record.versions == {("model", "v2")}
+        assert len(world.store.record.routes) == 1
+
+    play(scenario)
+
+
 def test_a_record_is_read_as_it_was_written():
     record = ServingRecord(
         frozenset({("a", "v1"), ("a", "v2"), ("b", "")}), frozenset("xy"), 60.0, 3
