--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,7 @@
 """One request that names very many pieces, and the gateways that plan them.
 
 Three gateways, model and stage workers, and callers that send four staged requests a
-second. With trouble, one further caller sends four requests whose `Chunk-Count` names
+second. With trouble, one further caller sends six requests whose `Chunk-Count` names
 five million pieces of the first stage, 5 s apart, each 250 bytes long. Like the platform,
 the case asks each gateway for its readiness once a second, kills one that takes more
 memory than `limits.memory_mb` of its settings, and starts it again.
@@ -23,7 +23,7 @@
 
 MEMORY_MB = 300.0
 PIECES = 5_000_000 if TROUBLE else 5
-REQUESTS, PAUSE_S = 4, 5.0
+REQUESTS, PAUSE_S = 6, 5.0
 RATE_PER_S = 4.0
 RESTART_S = 0.3
 ENDS, MACHINES = 3, 2
