Refuse more pieces than workers can make before planning them

Cause: the dispatcher made an object for each piece before it asked whether so many can be made, and the instance that took the request asked the next dispatcher when one ended. Both instances now compare the number with what the listed workers can make until the deadline, idle and at their fastest, and refuse at once; a request within that bound costs what the queue is made for. Handles, inputs of a call and messages between instances are bounded too, as their sizes follow from the same number.

--- a/src/acaciapier/gateway/dispatch/refusal.py
+++ b/src/acaciapier/gateway/dispatch/refusal.py
@@ -20,6 +20,9 @@
 """Retry delay if a service has no workers: by then it usually has one again."""
 
 
+TOO_MANY_PIECES = "too_many_pieces"
+"""Cause of a refusal of more pieces than the workers can make before the deadline."""
+
 CANCELLED = "cancelled"
 """Cause of a refusal of work that was withdrawn, or whose instance seemed down."""
 
--- a/src/acaciapier/gateway/dispatch/stage_capacity.py
+++ b/src/acaciapier/gateway/dispatch/stage_capacity.py
@@ -1,9 +1,11 @@
 """Rate at which the workers of a stage service complete pieces."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 from ...core.clock import to_s
-from ..models import BatchSpec, Worker
+from ...wire.frames import MAX_FRAME_BYTES
+from ..models import MAX_HANDLE_BYTES, BatchSpec, Worker
 from ..worker_eligibility import Unavailability
 from ..worker_limits import WorkerLimits
 from .health import WorkerHealth
@@ -17,6 +19,24 @@
 """For how long a silent worker may be sound: a sound one goes on after a second or
 so."""
 
+FASTEST_CALL_SHARE = 0.5
+"""Least time of a call, as a share of its declared time: pieces vary by half of it."""
+
+MAX_REQUEST_PIECES = MAX_FRAME_BYTES // (2 * MAX_HANDLE_BYTES)
+"""Pieces of a request whose handles fit into one message between instances, with room
+for its other fields."""
+
+
+def most_pieces(spec: BatchSpec, workers: int, within_ms: float) -> int:
+    """Return the most pieces that idle workers could complete within a time.
+
+    No more are ever planned: a caller may name any number, and what is planned takes
+    memory for each piece.
+    """
+    fastest_call_ms = max(1.0, FASTEST_CALL_SHARE * spec.duration_ms(spec.max_pieces))
+    calls = max(1, math.ceil(within_ms / fastest_call_ms))
+    return min(MAX_REQUEST_PIECES, max(1, workers) * spec.max_pieces * calls)
+
 
 def capacity_per_ms(
     spec: BatchSpec,
--- a/src/acaciapier/gateway/dispatch/stage_dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/stage_dispatcher.py
@@ -29,7 +29,13 @@
 from .admission import StageAdmission
 from .future import Future
 from .piece_groups import PieceGroup
-from .refusal import CANCELLED, MIN_RETRY_MS, NO_WORKER_RETRY_MS
+from .refusal import (
+    CANCELLED,
+    MIN_RETRY_MS,
+    NO_WORKER_RETRY_MS,
+    TOO_MANY_PIECES,
+)
+from .stage_capacity import most_pieces
 from .stage_explanations import StageQueueView, explain_stage
 from .stage_queue import StageQueue
 from .stage_scheduler import StageScheduler
@@ -81,9 +87,9 @@
         scheduler = self._scheduler(message.service)
         if scheduler is None:
             return WorkRefused("unknown_service", NO_WORKER_RETRY_MS)
-        barred = self._barred_cause(message)
-        if barred is not None:
-            return WorkRefused(barred, NO_WORKER_RETRY_MS)
+        refused_cause = self._barred_cause(message) or self._excess_cause(message)
+        if refused_cause is not None:
+            return WorkRefused(refused_cause, NO_WORKER_RETRY_MS)
         admission = self._admissions.get(message.service)
         if admission is None:
             admission = self._admissions[message.service] = StageAdmission(
@@ -102,11 +108,10 @@
         scheduler = self._scheduler(message.service)
         if scheduler is None:
             return WorkRefused("unknown_service", NO_WORKER_RETRY_MS)
-        now_s = self._clock.monotonic_s()
-        group = self._make_group(peer, message, now_s)
-        barred = self._barred_cause(message)
-        if barred is not None:
-            return WorkRefused(barred, NO_WORKER_RETRY_MS)
+        refused_cause = self._barred_cause(message) or self._excess_cause(message)
+        if refused_cause is not None:
+            return WorkRefused(refused_cause, NO_WORKER_RETRY_MS)
+        group = self._make_group(peer, message, self._clock.monotonic_s())
         forecast_ms = scheduler.forecast_ms(group)
         if forecast_ms is None:
             if not scheduler.may_wait(group):
@@ -171,17 +176,19 @@
         if rule is None or rule.batching is None:
             cause = "unknown_service"
             return ServiceExplanation(asked.service, "", "refused", cause=cause)
-        if isinstance(message, ExplainStage):
-            return self._explain_stage(peer, asked, rule, message.max_workers)
-        barred = self._barred_cause(asked)
-        if barred is not None:
+        refused_cause = self._excess_cause(asked)
+        if isinstance(message, ExplainAdmission):
+            refused_cause = self._barred_cause(asked) or refused_cause
+        if refused_cause is not None:
             return ServiceExplanation(
                 asked.service,
                 "",
                 "refused",
-                cause=barred,
+                cause=refused_cause,
                 retry_after_ms=NO_WORKER_RETRY_MS,
             )
+        if isinstance(message, ExplainStage):
+            return self._explain_stage(peer, asked, rule, message.max_workers)
         admission = self._admissions.get(asked.service)
         if admission is None:
             # Nothing was admitted here yet.
@@ -268,6 +275,14 @@
             ServiceName(message.service), message.allowed_regions
         )
 
+    def _excess_cause(self, message: EnterStages | RunPieces) -> str | None:
+        """Return why a request is refused whose pieces can never be made in time."""
+        service = ServiceName(message.service)
+        rule = self._catalogue.rule(service)
+        workers = len(self._catalogue.workers_of(service))
+        most = most_pieces(rule.batching, workers, message.expires_ms)
+        return TOO_MANY_PIECES if message.count > most else None
+
     def workers_changed(self) -> None:
         """Update all queues after a change of the workers."""
         evacuated = Ineligibility.EVACUATED.value
--- a/src/acaciapier/gateway/dispatch/stage_order.py
+++ b/src/acaciapier/gateway/dispatch/stage_order.py
@@ -9,6 +9,10 @@
 """Offset added to the due time for each step of lower priority when groups are sorted;
 the order matters while more work waits than fits in one call."""
 
+MAX_CALL_INPUTS = 50_000
+"""Largest number of handles in one call, where each piece names all its inputs: over
+a megabyte of body. A piece may name `MAX_REQUEST_PIECES`, which is less."""
+
 EXPIRES_SOON_CALLS = 4.0
 """A deprioritized group is added to a call when it expires within the time of this many
 calls: its remaining stages need about three."""
@@ -54,17 +58,20 @@
 ) -> list[tuple[PieceGroup, list[int]]]:
     """Fill a call with pieces, in order; the last group may be split."""
     parts = []
+    inputs_left = MAX_CALL_INPUTS
     for group in groups:
         if max_pieces <= 0:
             break
         fits = (
             int(free_bytes // group.result_bytes) if group.result_bytes else max_pieces
         )
-        count = min(len(group.waiting), max_pieces, fits)
+        inputs = max(1, len(group.pieces[0].inputs))
+        count = min(len(group.waiting), max_pieces, fits, inputs_left // inputs)
         if count <= 0:
             continue
         parts.append((group, group.waiting[:count]))
         max_pieces -= count
+        inputs_left -= count * inputs
         free_bytes -= count * group.result_bytes
     return parts
 
--- a/src/acaciapier/gateway/dispatch/stage_scheduler.py
+++ b/src/acaciapier/gateway/dispatch/stage_scheduler.py
@@ -14,7 +14,7 @@
 from .health import FIRST_EXCLUSION_MS, MAX_EXCLUSION_MS
 from .piece_groups import PieceGroup, StageCall
 from .refusal import CANCELLED
-from .stage_capacity import SOUND_SILENCE_MS
+from .stage_capacity import SOUND_SILENCE_MS, most_pieces
 from .stage_queue import StageQueue
 
 CALL_TIMEOUT_FACTOR = 1.7
@@ -153,8 +153,14 @@
         """Return whether a new group should wait until a worker is not excluded."""
         left_ms = (group.expires_s - self._clock.monotonic_s()) * 1_000.0
         excluded_ms = self.excluded_ms()
-        done_ms = excluded_ms + self.queue.spec.duration_ms(len(group.pieces))
-        return 0 < excluded_ms and done_ms <= MAX_WAIT_SHARE * left_ms
+        spec = self.queue.spec
+        done_ms = excluded_ms + spec.duration_ms(len(group.pieces))
+        pieces = self.queue.waiting_pieces + len(group.pieces)
+        return (
+            0 < excluded_ms
+            and done_ms <= MAX_WAIT_SHARE * left_ms
+            and pieces <= most_pieces(spec, len(self._workers()), left_ms)
+        )
 
     def excluded_ms(self) -> float:
         """Return after what time a worker accepts calls again; 0 if there is none."""
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -411,6 +411,11 @@
     inputs: tuple[str, ...]
 
 
+MAX_HANDLE_BYTES = 128
+"""Longest handle that is accepted: an address and some hexadecimal digits. Handles of
+a request go into messages between instances and into headers."""
+
+
 @dataclass(frozen=True, slots=True)
 class PieceResult:
     """Outcome of a piece: the handle of its result, or a failure."""
--- a/src/acaciapier/gateway/pipeline.py
+++ b/src/acaciapier/gateway/pipeline.py
@@ -12,7 +12,12 @@
 from ..core.ids import Fingerprint
 from ..wire.messages.gateway import EnterStages, RunPieces
 from .dispatch.dispatch_client import DispatchClient
-from .dispatch.refusal import MIN_RETRY_MS, Refused
+from .dispatch.refusal import (
+    MIN_RETRY_MS,
+    NO_WORKER_RETRY_MS,
+    TOO_MANY_PIECES,
+    Refused,
+)
 from .models import RequestMetadata, RouteRule, ServiceName
 from .stage_times import StageTimes, StageWindow, longest_chain_ms
 
@@ -141,6 +146,9 @@
             If a stage cannot finish in time.
         """
         left_ms = (self._expires_s - self._clock.monotonic_s()) * 1_000.0
+        # Dispatchers of earlier builds plan any number of pieces.
+        if not self._times.allows_pieces(self._route, self._counts, left_ms):
+            raise Refused(TOO_MANY_PIECES, NO_WORKER_RETRY_MS)
         forecast_ms = self.forecast_ms()
         if forecast_ms > left_ms:
             raise Refused("overload", MIN_RETRY_MS + forecast_ms - left_ms)
--- a/src/acaciapier/gateway/stage_times.py
+++ b/src/acaciapier/gateway/stage_times.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .catalogue import Catalogue
+from .dispatch.stage_capacity import MAX_REQUEST_PIECES, most_pieces
 from .engine_times import DEFAULT_ESTIMATE, EngineEstimate
 from .models import RequestMetadata, RouteRule, ServiceName
 
@@ -131,6 +132,27 @@
         rule = configuration.services.get(service) if configuration else None
         return rule.batching.call_ms if rule and rule.batching else 0.0
 
+    def allows_pieces(
+        self, route: RouteRule, counts: tuple[int, ...], within_ms: float
+    ) -> bool:
+        """Return whether workers could complete so many pieces of each stage in a time.
+
+        The number of pieces in all stages together is limited as well.
+        """
+        counts = counts[: len(route.stages)]
+        return sum(counts) <= MAX_REQUEST_PIECES and all(
+            count <= self._most_pieces(stage.service, within_ms)
+            for stage, count in zip(route.stages, counts, strict=True)
+        )
+
+    def _most_pieces(self, service: ServiceName, within_ms: float) -> int:
+        configuration = self._catalogue.configuration
+        rule = configuration.services.get(service) if configuration else None
+        if rule is None or rule.batching is None:
+            return MAX_REQUEST_PIECES
+        workers = len(self._catalogue.workers_of(service))
+        return most_pieces(rule.batching, workers, within_ms)
+
     def chain_ms(self, route: RouteRule, counts: tuple[int, ...], number: int) -> float:
         """Return the declared time of the longest chain that ends with stage `number`.
 
--- a/src/acaciapier/platform/stages.py
+++ b/src/acaciapier/platform/stages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..gateway.models import Piece, PieceFailure, PieceResult
+from ..gateway.models import MAX_HANDLE_BYTES, Piece, PieceFailure, PieceResult
 
 RUN_PATH = b"/api/stage-run"
 FREE_PATH = b"/api/stage-free"
@@ -81,7 +81,7 @@
 
 
 def _result(outcome: _Outcome) -> PieceResult:
-    if outcome.handle:
+    if outcome.handle and len(outcome.handle) <= MAX_HANDLE_BYTES:
         return PieceResult(outcome.handle)
     try:
         return PieceResult(None, PieceFailure(outcome.reason))
--- a/src/acaciapier/wire/network.py
+++ b/src/acaciapier/wire/network.py
@@ -180,7 +180,10 @@
         self.send_soon(peer, message)
 
     def send_soon(self, peer: InstanceId, message: Message) -> None:
-        """Queue `message` for `peer` without waiting; it may be dropped."""
+        """Queue `message` for `peer` without waiting; it may be dropped.
+
+        One that is too large for a frame is always dropped.
+        """
         connection = self._open_connection(peer)
         try:
             if connection is not None:
@@ -189,6 +192,9 @@
                 self._send_after_connecting(peer, message)
         except PeerUnavailable:
             self.counters.dropped_sends += 1
+        except ProtocolError as error:
+            self.counters.dropped_sends += 1
+            log.warning("message to {} dropped: {}", peer, error)
 
     async def call_stream(
         self, peer: InstanceId, message: Message, timeout_ms: float = 5_000.0
@@ -268,11 +274,7 @@
             self.counters.dropped_sends += len(pending)
             return
         for message in pending:
-            try:
-                self.send_soon(peer, message)
-            except ProtocolError as error:
-                self.counters.dropped_sends += 1
-                log.warning("message to {} dropped: {}", peer, error)
+            self.send_soon(peer, message)
 
     def _open_connection(self, peer: InstanceId) -> Connection | None:
         for connection in self._connections.get(peer, ()):
