Read the store's other objects beside one that cannot be read

Cause: an answer of the store was split by counting brackets over the whole text, so one object without its end hid where the next one begins, and the answer counted as an outage. Items are now read one after the other, and after a malformed one reading goes on at the next whole object. Nothing depends on the brackets of the malformed one, for all kinds of objects, in lists and watches.

--- a/src/acaciapier/platform/pages.py
+++ b/src/acaciapier/platform/pages.py
@@ -1,10 +1,11 @@
 """Decodes the store's answers one object at a time.
 
-Other writers may have stored values that cannot be decoded. An answer is decoded as a
-whole first; if that fails, it is split into its objects, and only those that cannot be
-decoded by themselves have no readable value.
+Other writers may have stored values that cannot be decoded, and that end or begin
+anywhere. An answer is decoded as a whole first; if that fails, it is split into its
+objects, and only those that cannot be decoded by themselves have no readable value.
 """
 
+import json
 import re
 from collections.abc import Callable
 from typing import Any
@@ -14,7 +15,18 @@
 UNREADABLE = None
 """Value of an object that cannot be decoded; no decoder accepts it."""
 
-TOKEN_PATTERN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
+ITEM_START_PATTERN = re.compile(
+    r',\s*(?=\{\s*"(?:metadata|spec|status|object|deleted)"\s*:)'
+)
+SPACE_PATTERN = re.compile(r"[ \t\r\n]*")
+DECODER = json.JSONDecoder(strict=False)
+
+MAX_CANDIDATES = 10_000
+"""Places in one answer that are tried as the beginning of an item."""
+
+MAX_TAIL_BRACKETS = 16
+"""Brackets from the end of an answer that are tried as the end of its items."""
+
 METADATA_PATTERN = re.compile(rb'"metadata"\s*:\s*(\{[^{}]*\})')
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError, OverflowError)
 
@@ -69,11 +81,7 @@
     try:
         return msgspec.json.decode(body, type=kind)
     except DECODE_ERRORS:
-        parts, rest = _split(body, field)
-    try:
-        decoded = msgspec.json.decode(rest, type=kind)
-    except DECODE_ERRORS as error:
-        raise ValueError(str(error)) from error
+        parts, decoded = _split(body, kind, field)
     setattr(decoded, field, [decode_one(part) for part in parts if part.strip()])
     return decoded
 
@@ -99,31 +107,75 @@
         return Event(decode_object(part))
 
 
-def _split(body: bytes, field: str) -> tuple[list[bytes], bytes]:
-    """Return the items of an array in an object, and the object with an empty array.
+def _split(body: bytes, kind: type, field: str) -> tuple[list[bytes], Any]:
+    """Return the items of an array in an answer, and the answer decoded without them.
+
+    What stands between two items that can be read is one that cannot, whatever its
+    brackets and quotes.
 
     Raises
     ------
     ValueError
-        If the brackets of the object do not match.
+        If there is no such array, or too much that looks like items.
     """
-    name, depth = f'"{field}"'.encode(), 0
-    awaited, start, item_start = False, None, 0
+    # Each byte is one character, so that positions are the same in both.
+    text = body.decode("latin-1")
+    found = re.search(rf'"{field}"\s*:\s*\[', text)
+    if found is None:
+        raise ValueError(f"no {field} found")
+    start = found.end()
+    end, rest = _find_end(body, start, kind)
     items = []
-    for token in TOKEN_PATTERN.finditer(body):
-        text = token.group()
-        if start is None and depth == 1 and text == name:
-            awaited = True
-        elif text in (b"[", b"{"):
-            depth += 1
-            if awaited and text == b"[":
-                awaited, start, item_start = False, token.start(), token.end()
-        elif text in (b"]", b"}"):
-            depth -= 1
-            if start is not None and depth == 1:
-                items.append(body[item_start : token.start()])
-                return items, body[:start] + b"[]" + body[token.end() :]
-        elif text == b"," and start is not None and depth == 2:
-            items.append(body[item_start : token.start()])
-            item_start = token.end()
-    raise ValueError(f"no {field} found, or brackets do not match")
+    candidates_left = MAX_CANDIDATES
+    while start < end:
+        found = _read_value(text, start, end)
+        if found is not None:
+            _, item_end = found
+        else:
+            item_end = end
+            for candidate in ITEM_START_PATTERN.finditer(text, start, end):
+                candidates_left -= 1
+                if candidates_left < 0:
+                    raise ValueError(f"too much that looks like {field}")
+                if _is_item(_read_value(text, candidate.end(), end)):
+                    item_end = candidate.start()
+                    break
+        items.append(body[start:item_end])
+        start = item_end + 1
+    return items, rest
+
+
+def _find_end(body: bytes, start: int, kind: type) -> tuple[int, Any]:
+    """Return where the array ends that begins at `start`, and the answer without it."""
+    end = len(body)
+    for _ in range(MAX_TAIL_BRACKETS):
+        end = body.rfind(b"]", start, end)
+        if end < 0:
+            break
+        try:
+            return end, msgspec.json.decode(body[:start] + body[end:], type=kind)
+        except DECODE_ERRORS:
+            continue
+    raise ValueError("the end of the answer cannot be read")
+
+
+def _read_value(text: str, start: int, end: int) -> tuple[Any, int] | None:
+    """Return the item that begins at `start` and its end; None if it is malformed."""
+    start = SPACE_PATTERN.match(text, start, end).end()
+    try:
+        value, value_end = DECODER.raw_decode(text, start)
+    except DECODE_ERRORS:
+        return None
+    value_end = SPACE_PATTERN.match(text, value_end).end()
+    if value_end == end or (value_end < end and text[value_end] == ","):
+        return value, value_end
+    return None
+
+
+def _is_item(found: tuple[Any, int] | None) -> bool:
+    """Return whether a value is an object of the store, or a change of one."""
+    if found is None:
+        return False
+    item = found[0].get("object", found[0])
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    return isinstance(metadata, dict) and {"name", "rev"} <= metadata.keys()
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -1,5 +1,7 @@
 """Entries of other writers among those of the workers and instances."""
 
+import time
+
 import pytest
 import trio
 from msgspec.structs import replace
@@ -104,6 +106,94 @@
     assert decode_worker("last", events[2].object.spec).slots == 4
 
 
+UNMATCHED = {
+    "cut": b'{"service":"book","addr":"127.0.0.1:70',
+    "empty": b"",
+    "bracket": b"[",
+    "brace": b'{"a":',
+    "quote": b'"',
+    "quote-in-text": b'{"a":"b}',
+    "escape": b'"\\',
+    "closing-bracket": b"]",
+    "closing-braces": b"}}",
+    "closed-early": b"1}",
+    "comma": b",",
+    "object-inside": b'[{"metadata":{"name":"x"},"spec":1',
+    "many": b'[{"' * 30_000,
+    "many-closing": b"]}" * 30_000,
+    "like-items": b',{"metadata":' * 2_000,
+}
+
+
+def read(page: bool, specs: list[bytes]) -> dict:
+    """Return the values of objects that a list, or a watch, tells beside each other."""
+    template = b'{"metadata":{"name":"%s","rev":%d},"spec":%s,"status":null}'
+    objects = [
+        template % (f"w{number}".encode(), number + 1, spec)
+        for number, spec in enumerate(specs)
+    ]
+    if page:
+        body = b'{"items":[%s],"has_more":true,"current_rev":530}'
+        decoded = decode_page(body % b",".join(objects))
+        assert decoded.has_more
+        found = decoded.items
+    else:
+        events = [b'{"deleted":false,"object":%s}' % one for one in objects]
+        body = b'{"events":[%s],"current_rev":530}'
+        decoded = decode_events(body % b",".join(events))
+        found = [event.object for event in decoded.events]
+    assert decoded.current_rev == 530
+    return {one.metadata.name: one.spec for one in found if one.metadata.name}
+
+
+@pytest.mark.parametrize("page", [True, False], ids=["list", "watch"])
+@pytest.mark.parametrize("odd", UNMATCHED.values(), ids=UNMATCHED)
+@pytest.mark.parametrize("places", [[0], [1], [3], [0, 1], [1, 2], [0, 3]])
+def test_an_entry_whose_brackets_do_not_match_hides_no_other(page, odd, places):
+    sound = entry()
+    specs = [odd if number in places else sound for number in range(4)]
+    found = read(page, specs)
+    for number in range(4):
+        if number in places:
+            with pytest.raises(ValueError):
+                decode_worker(f"w{number}", found.get(f"w{number}"))
+        else:
+            assert decode_worker(f"w{number}", found[f"w{number}"]).slots == 4
+
+
+def test_thousands_of_entries_without_an_end_are_read_in_time():
+    specs = [b'{"service":"book' if number % 2 else entry() for number in range(4_000)]
+    start_s = time.perf_counter()
+    found = read(True, specs)
+    assert time.perf_counter() - start_s < 1.0
+    assert sum(spec is not None for spec in found.values()) == 2_000
+
+
+@pytest.mark.parametrize(
+    "kind", [WORKER_KIND, PEER_KIND, "config", "acaciapier-serving"]
+)
+async def test_gateways_start_and_follow_beside_an_entry_without_an_end(kind):
+    # One such entry stopped all changes of its kind, and a start never ended.
+    cut = RawSpec(b'{"service":"book","addr":"127.0.0.1:70')
+    async with deployment(gateways=2) as world:
+        for name in ("aaa", "book-10", "zzz"):
+            world.platform.store.put(kind, name, cut)
+        await world.add_gateway()
+        await world.until(lambda: world.gateways[2].catalogue.complete)
+        world.platform.register("book-1", state="draining")
+        for gateway in world.gateways:
+            await world.until(
+                lambda gateway=gateway: (
+                    [worker.id for worker in gateway.catalogue.workers_of("book")]
+                    == ["book-2"]
+                )
+            )
+            await world.until(lambda gateway=gateway: gateway.peers.live_count == 3)
+        world.platform.configure(configuration(2, ROUTES[:1], SERVICES))
+        for gateway in world.gateways:
+            await world.until(lambda gateway=gateway: gateway.catalogue.version == 2)
+
+
 @pytest.mark.parametrize("value", [*ODD_COLD, "null"])
 def test_an_odd_cold_time_hides_nothing_else_of_its_worker(value):
     spec = decode_page(page_with(entry(cold_left_ms=value))).items[1].spec
