Bound what is kept of a prompt in bytes, not in tokens

Cause: each prefix was kept as a tuple of all part ids before it, in the table of its worker and in the log of prefills, bounded in tokens and time only. Prefixes are now hashes, their number is bounded, and what a waiting or running request keeps of its parts is about as large as their header. Rivals of crashing parts, ids of good parts and messages with crash records had the same cause.

--- a/src/acaciapier/gateway/dispatch/placement.py
+++ b/src/acaciapier/gateway/dispatch/placement.py
@@ -18,7 +18,7 @@
 from .deferral import is_worth_waiting
 from .health import WorkerHealth
 from .kv_cache import fits_kv_cache
-from .prefix_cache import PrefillLog, PrefixCacheModel
+from .prefix_cache import MAX_PREFIXES, PrefillLog, PrefixCacheModel
 from .reachability import Reachability
 from .request_costs import RequestCosts
 from .reservations import Reservations
@@ -148,7 +148,7 @@
         `ahead` is the number of requests that wait for a faster worker's slot.
         """
         recent_tokens = self._prefills.recent_tokens(
-            request.parts, self.prefix_reuse_ms, now_s
+            request.prefixes, self.prefix_reuse_ms, now_s
         )
         usable, full = self._usable(request, workers, now_s)
         if request.avoid:
@@ -273,8 +273,8 @@
         if cache is None:
             capacity = self.rule.engine.kv_cache_tokens
             cache = self._prefix_caches[worker.key] = PrefixCacheModel(capacity)
-        cache.record(request.parts)
-        self._prefills.record(request.parts, self.prefix_reuse_ms, now_s)
+        cache.record(request.prefixes, MAX_PREFIXES // len(self._prefix_caches))
+        self._prefills.record(request.prefixes, self.prefix_reuse_ms, now_s)
 
     def record_start(
         self, reservation: SlotReservation, elapsed_ms: float, now_s: float
@@ -464,7 +464,7 @@
         failure_slots = FAILURE_SLOTS * self.health.failure_rate(key)
         pending = sum(reservation.pending_prefill_tokens for reservation in held)
         cache = self._prefix_caches.get(key)
-        cached = cache.cached_tokens(request.parts) if cache else 0
+        cached = cache.cached_tokens(request.prefixes) if cache else 0
         uncached = request.prompt_tokens - cached
         repeated = max(0, recent_tokens - cached)
         repeated_prefill_ms = repeated * REPEATED_PREFILL_MS_PER_TOKEN
@@ -486,7 +486,7 @@
 
     def _cached_tokens(self, worker: Worker, request: SlotRequest) -> int:
         cache = self._prefix_caches.get(worker.key)
-        return cache.cached_tokens(request.parts) if cache else 0
+        return cache.cached_tokens(request.prefixes) if cache else 0
 
 
 def _held_bytes_and_key(candidate: _Candidate) -> tuple[int, str]:
--- a/src/acaciapier/gateway/dispatch/placement_view.py
+++ b/src/acaciapier/gateway/dispatch/placement_view.py
@@ -74,7 +74,7 @@
     ) -> list[WorkerAssessment]:
         """Return what is considered of each worker for a request."""
         recent_tokens = self._prefills.recent_tokens(
-            request.parts, self.prefix_reuse_ms, now_s
+            request.prefixes, self.prefix_reuse_ms, now_s
         )
         usable, _ = self._usable(request, workers, now_s)
         delays = self._delays_ms(usable, request, recent_tokens, now_s)
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -2,14 +2,20 @@
 
 from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from ...core.clock import Clock, to_s
 from ...wire.messages.gateway import AcquireWorker
 from ..models import SoftwareVersion, Worker
 from ..worker_eligibility import WorkerEligibility
 from ..worker_rooms import SentWithin
+from .prefix_cache import PrefixHash, hash_prefixes
 from .request_costs import CostDistribution, CostKind
 
+MAX_PLACEMENT_PARTS = 128
+"""Leading parts of a prompt that are considered for the choice of its worker. Requests
+that wait keep them, so that a longer list would cost more than it gains."""
+
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
 
@@ -52,6 +58,11 @@
     deferred_until_s: float | None = None
     """Until when it leaves free slots of slow workers alone, if it does."""
 
+    @cached_property
+    def prefixes(self) -> tuple[tuple[PrefixHash, int], ...]:
+        """Hashes of the prefixes of its prompt, with the tokens of their last parts."""
+        return hash_prefixes(self.parts)
+
     @property
     def is_bound(self) -> bool:
         """Whether it may run only at workers of some version or regions."""
@@ -161,7 +172,7 @@
         value=message.value,
         prompt_tokens=message.prompt_tokens,
         output_tokens=message.output_tokens,
-        parts=message.parts,
+        parts=message.parts[:MAX_PLACEMENT_PARTS],
         input_bytes=dict(message.input_bytes),
         avoid=frozenset(message.avoid),
         software_version=message.software_version if kept is None else kept,
--- a/src/acaciapier/gateway/dispatch/version_preference.py
+++ b/src/acaciapier/gateway/dispatch/version_preference.py
@@ -19,7 +19,7 @@
 from ..models import RouteRule, ServiceName, SoftwareVersion, Worker
 from ..routing import abandon_after_ms
 from ..software_versions import UNKNOWN_VERSION
-from .slot_requests import SlotReservation
+from .slot_requests import MAX_PLACEMENT_PARTS, SlotReservation
 from .slots import PERMIT_TTL_MS, SlotAllocator
 
 MAX_SLOTS_RATIO = 3.0
@@ -260,4 +260,5 @@
     request = reservation.request
     if request is None:
         return True
-    return not request.any_version and request.parts == message.parts
+    parts = message.parts[:MAX_PLACEMENT_PARTS]
+    return not request.any_version and request.parts == parts
--- a/src/acaciapier/gateway/explaining.py
+++ b/src/acaciapier/gateway/explaining.py
@@ -27,13 +27,12 @@
 from .final_responses import retry_after_s
 from .models import (
     AttemptId,
-    PartId,
-    PromptPart,
     RequestMetadata,
     ServiceName,
     WorkspaceRule,
 )
 from .pipeline import make_admission_message, piece_counts
+from .prompt_parts import PartId, PromptPart, PromptParts
 from .relay import BLOCKED_RETRY_S, Relay
 from .request_plan import Rejection, make_acquire_message
 from .request_state import RequestState
@@ -297,6 +296,6 @@
         key=message.key,
         prompt_tokens=message.prompt_tokens,
         output_tokens=message.output_tokens,
-        parts=tuple(PromptPart(PartId(name), count) for name, count in message.parts),
+        parts=PromptParts(PromptPart(PartId(n), count) for n, count in message.parts),
         piece_counts=message.piece_counts,
     )
--- a/src/acaciapier/gateway/models.py
+++ b/src/acaciapier/gateway/models.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..core.ids import DataCentreId, InstanceId
+from .prompt_parts import PartId, PromptParts
 
 ServiceName = NewType("ServiceName", str)
 WorkerId = NewType("WorkerId", str)
@@ -20,9 +21,6 @@
 AttemptId = NewType("AttemptId", str)
 """Id that a caller gives to one attempt; a retry by the caller has a new id."""
 
-PartId = NewType("PartId", str)
-"""Id of one part of a prompt."""
-
 ResultHandle = NewType("ResultHandle", str)
 """Reference to a stage result: the address of the worker that stores it, and a name."""
 
@@ -316,14 +314,6 @@
     capacity: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """One part of a prompt; requests that share leading parts share cached tokens."""
-
-    id: PartId
-    tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class RequestMetadata:
     """Metadata of a caller's request, from its headers.
@@ -338,7 +328,7 @@
         Access key.
     prompt_tokens, output_tokens : int
         Size of the prompt and maximum size of the generated output.
-    parts : tuple of PromptPart
+    parts : PromptParts
         Parts of the prompt in order.
     piece_counts : tuple of int
         Number of pieces in each stage.
@@ -351,19 +341,14 @@
     key: str | None
     prompt_tokens: int = 0
     output_tokens: int = 0
-    parts: tuple[PromptPart, ...] = ()
+    parts: PromptParts = field(default_factory=PromptParts)
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
 
-    @property
-    def shared_parts(self) -> tuple[PromptPart, ...]:
-        """All parts but the last, which belongs to this request or its session."""
-        return self.parts[:-1]
-
     @property
     def shared_part_ids(self) -> tuple[PartId, ...]:
-        """Ids of `shared_parts`."""
-        return tuple(part.id for part in self.shared_parts)
+        """Ids of all parts but the last, which is the request's own."""
+        return tuple(part.id for part in self.parts)[:-1]
 
     @property
     def weighted_tokens(self) -> float:
--- a/src/acaciapier/gateway/part_quarantine.py
+++ b/src/acaciapier/gateway/part_quarantine.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import groupby
 
 import xxhash
@@ -15,7 +15,8 @@
 from ..core.clock import Clock, epoch_ms, to_s
 from ..core.ids import Fingerprint, Incarnation, TargetId
 from ..policy.models import CrashRecord, CrashRecordKind
-from .models import PartId, Worker
+from .models import Worker
+from .prompt_parts import PartId
 
 PART_PREFIX = "part/"
 """Marks the records of prompt parts among those of whole requests."""
@@ -65,13 +66,13 @@
     newest_s : float
         Time of the newest one.
     rivals : frozenset of PartId
-        Parts that were in flight at the same crashes, and are blocked as well: one of
-        them is the cause, or several.
+        The part and those that were in flight at the same crashes, and are blocked as
+        well: one of them is the cause, or several. All of them share one set.
     """
 
     crashes: int
     newest_s: float
-    rivals: frozenset[PartId] = frozenset()
+    rivals: frozenset[PartId] = field(default=frozenset(), compare=False)
 
 
 @dataclass(frozen=True)
@@ -150,6 +151,8 @@
         It clears them of the crashes before this time.
         """
         for part in parts:
+            if len(part) > MAX_PART_ID_CHARS:
+                continue
             self._mark_known_good(part)
             for crash, crashed_s in list(self._crashes.get(part, {}).items()):
                 if crashed_s < begun_s:
@@ -221,7 +224,7 @@
         by_rank = sorted(ranks, key=ranks.__getitem__, reverse=True)
         for _, equals in groupby(by_rank, key=ranks.__getitem__):
             found = [part for part in equals if self._is_blocking(part, explained)]
-            blocks |= {part: self._block(part, found) for part in found}
+            blocks |= self._make_blocks(found)
             explained.update(*(self._crashes[part] for part in found))
         return blocks
 
@@ -231,15 +234,18 @@
         own = [at for crash, at in crashes.items() if crash not in explained]
         return _count_causes(own) >= self._blocking_crashes(part)
 
-    def _block(self, part: PartId, equals: Iterable[PartId]) -> PartBlock:
-        crashes = self._crashes[part]
-        rivals = {
-            other
-            for other in equals
-            if other != part and self._crashes[other].keys() == crashes.keys()
-        }
-        count = _count_causes(crashes.values())
-        return PartBlock(count, max(crashes.values()), frozenset(rivals))
+    def _make_blocks(self, parts: Iterable[PartId]) -> dict[PartId, PartBlock]:
+        """Return the blocks of suspects of one rank."""
+        by_crashes: dict[frozenset[Crash], set[PartId]] = {}
+        for part in parts:
+            by_crashes.setdefault(frozenset(self._crashes[part]), set()).add(part)
+        blocks = {}
+        for rivals in map(frozenset, by_crashes.values()):
+            for part in rivals:
+                times_s = self._crashes[part].values()
+                count = _count_causes(times_s)
+                blocks[part] = PartBlock(count, max(times_s), rivals)
+        return blocks
 
     def _suspicion(self, part: PartId) -> tuple[int, bool]:
         """Return the rank of a suspect; a part known to be good ranks lower."""
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -376,10 +376,10 @@
     def _prompt_cache_data_centre(self, state: RequestState) -> str:
         """Return the data centre of the engine that most likely caches the prompt."""
         workers = self.catalogue.workers_of(state.service)
-        shared = state.metadata.shared_parts
+        shared = state.metadata.shared_part_ids
         if not workers or not shared:
             return ""
-        prefix = shared[-1].id
+        prefix = shared[-1]
         likely = max(workers, key=lambda worker: rendezvous_rank(prefix, worker.id))
         return likely.data_centre
 
--- a/src/acaciapier/gateway/request_plan.py
+++ b/src/acaciapier/gateway/request_plan.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any
 
 from ..http.caller import IncomingRequest
@@ -13,6 +14,7 @@
 from ..wire.messages.gateway import AcquireWorker
 from .catalogue import Catalogue
 from .dispatch.refusal import NO_WORKER_RETRY_MS
+from .dispatch.slot_requests import MAX_PLACEMENT_PARTS
 from .models import (
     RequestKind,
     RequestMetadata,
@@ -138,7 +140,10 @@
         permit="",
         prompt_tokens=state.metadata.prompt_tokens,
         output_tokens=state.metadata.output_tokens,
-        parts=tuple((part.id, part.tokens) for part in state.metadata.parts),
+        parts=tuple(
+            (part.id, part.tokens)
+            for part in islice(state.metadata.parts, MAX_PLACEMENT_PARTS)
+        ),
         input_bytes=_input_bytes(state, locate),
         priority=state.priority,
         value=state.value,
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -19,9 +19,10 @@
 from ..wire.messages.gateway import Heartbeat
 from ..wire.messages.operations import CrashRecordList, FetchCrashRecords
 from ..wire.messages.quarantine import CrashRecordEntry, Strikes
-from .models import PartId, Worker
+from .models import Worker
 from .part_quarantine import PartBlock, PartQuarantine, is_part_record
 from .peers import Peers
+from .prompt_parts import PartId
 from .request_state import RequestState, WorkerSend
 from .supervision import TaskSupervisor
 
@@ -43,6 +44,9 @@
 FETCH_TIMEOUT_MS = 500.0
 """Timeout of a fetch; records have about a hundred bytes each."""
 
+MAX_MESSAGE_RECORDS = 1_000
+"""Crash records in one message; a record of the longest ids has under a kilobyte."""
+
 CRASH_RECORD_EXPIRY_MS = 60_000
 """Callers retry a crashing request within its deadline, and other callers send it again
 within seconds. Workers are replaced by fixed versions within minutes."""
@@ -138,9 +142,10 @@
     async def answer_fetch(
         self, peer: InstanceId, message: FetchCrashRecords
     ) -> CrashRecordList:
-        """Return all crash records."""
-        records = (*self._quarantine.records(), *self._parts.records())
-        return CrashRecordList(tuple(map(to_entry, records)))
+        """Return the newest crash records, as many as a message holds."""
+        records = [*self._quarantine.records(), *self._parts.records()]
+        records.sort(key=lambda record: record.at_ms)
+        return CrashRecordList(tuple(map(to_entry, records[-MAX_MESSAGE_RECORDS:])))
 
     def handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
         """Start a fetch if a peer has other records.
@@ -203,8 +208,10 @@
 
     def _publish(self) -> None:
         new = (*self._quarantine.pop_new_records(), *self._parts.pop_new_records())
+        for start in range(0, len(new), MAX_MESSAGE_RECORDS):
+            batch = new[start : start + MAX_MESSAGE_RECORDS]
+            self._peers.send_to_all(Strikes(tuple(map(to_entry, batch))))
         if new:
-            self._peers.send_to_all(Strikes(tuple(map(to_entry, new))))
             self._log_blocks()
 
     def _log_blocks(self) -> None:
--- a/src/acaciapier/platform/requests.py
+++ b/src/acaciapier/platform/requests.py
@@ -5,12 +5,11 @@
 
 from ..gateway.models import (
     AttemptId,
-    PartId,
-    PromptPart,
     RequestMetadata,
     ResponseMetadata,
     Resumption,
 )
+from ..gateway.prompt_parts import PartId, PromptPart, PromptParts
 from ..http.client import Headers, ResponseHead, end_to_end_headers
 from .workers import MAX_COLD_MS, decode_load, is_malformed_load
 
@@ -240,14 +239,14 @@
     return max(sound, default=None), tuple(ignored)
 
 
-def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
+def _parse_parts(value: bytes) -> PromptParts:
     parts = []
     for part in value.split(b","):
         name, _, tokens = part.strip().rpartition(b":")
         count = _parse_int(tokens)
         if name and count is not None:
             parts.append(PromptPart(PartId(name.decode("latin-1")), count))
-    return tuple(parts)
+    return PromptParts(parts)
 
 
 def _parse_counts(value: bytes) -> tuple[int, ...]:
--- a/tests/gateway/test_platform_formats.py
+++ b/tests/gateway/test_platform_formats.py
@@ -236,7 +236,7 @@
         {b"deadline-ms": b"soon", b"token-count": b"x,y"}
     )
     assert metadata.deadline_ms is None
-    assert (metadata.prompt_tokens, metadata.parts) == (0, ())
+    assert (metadata.prompt_tokens, tuple(metadata.parts)) == (0, ())
 
 
 def test_reserved_and_connection_headers_are_not_forwarded():
