Keep which versions began the streams in progress in the store

Cause: the version that began a stream was in the memory of three instances only. While several versions serve, each instance now also writes its streams in progress to an entry of its own, with all instances together making a tenth of the store's writes at most, and reads all entries when it starts.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -45,16 +45,14 @@
 from .settings_reload import SettingsReloader
 from .stage_client import StageClient
 from .status_server import StatusServer
+from .stored_streams import StoredStreams
 from .stream_records import StreamRecords
 from .supervision import TaskSupervisor, run_forever
 from .sync import StoreSync
-from .tunnel_server import TunnelServer
-from .tunnels import TunnelClient
-from .worker_connector import WorkerConnector
+from .worker_access import make_worker_access
 from .worker_exchange import WorkerExchange
 from .worker_limits import WorkerLimits
 from .worker_notices import WorkerNotices
-from .worker_paths import WorkerPaths
 
 LISTEN_BACKLOG = 1_024
 """Connections that may wait for accept; enough for all callers connecting at once."""
@@ -139,7 +137,19 @@
         self.earlier_builds = EarlierBuilds(self.peers)
         without_records = self.earlier_builds.without_records
         self.followers = StoreFollowers(self.peers)
-        connector = self._make_connector(tasks)
+        access = make_worker_access(
+            self.catalogue,
+            self.network,
+            self.peers,
+            settings.data_centre,
+            self.clock,
+            self._random,
+            log,
+            tasks,
+            self.metrics,
+        )
+        self.paths, self.tunnel_server = access.paths, access.tunnel_server
+        connector = access.connector
         worker_connections = WorkerConnectionPool(self.clock, connector)
         period_ms = partial(pacing_period_ms, self.peers)
         self.cold_workers = ColdWorkers(
@@ -270,6 +280,16 @@
             settings.first_start,
             lambda: self.sync.reachable and not self._stopping,
         )
+        stored_streams = StoredStreams(
+            self.store,
+            self.streams,
+            self.peers,
+            settings.instance,
+            self.clock,
+            self._jitter,
+            log,
+            settings.store.writes_per_s,
+        )
         peer_sync = self._peer_sync = PeerSync(
             self.catalogue,
             self.peers,
@@ -314,6 +334,7 @@
         for loop in (
             self.sync.run,
             history.run,
+            stored_streams.run,
             partial(detect_freezes, self.clock, log, self.dispatcher.hand_over),
             reloader.reload_periodically,
             connector.probe_periodically,
@@ -342,40 +363,6 @@
     def _jitter(self) -> float:
         return self._random.uniform(0.7, 1.3)
 
-    def _make_connector(self, tasks: TaskSupervisor) -> WorkerConnector:
-        """Return what opens connections to workers, here and for other instances."""
-        self.paths = WorkerPaths(
-            self.clock, self.catalogue.open_workers, self.log.write
-        )
-        tunnels = TunnelClient(
-            self.network,
-            self.peers,
-            self.settings.data_centre,
-            self._random,
-            tasks,
-            self.log.write,
-            self.metrics,
-            self.catalogue.eligibility,
-        )
-        connector = WorkerConnector(
-            self.paths,
-            tunnels,
-            self.catalogue.open_workers,
-            self._random,
-            self.log.write,
-            tasks,
-            self.catalogue.eligibility.is_open,
-        )
-        self.tunnel_server = TunnelServer(
-            self.catalogue,
-            connector.open_for_peer,
-            lambda worker: self.paths.since_s(worker.service) is not None,
-            self.log.write,
-            self.metrics,
-            self.catalogue.eligibility.is_open,
-        )
-        return connector
-
     def _listed_workers(self) -> list[Worker]:
         return list(self.catalogue.workers.values())
 
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -157,6 +157,8 @@
         }
         if state.resumption is not None:
             fields["resumes"] = state.resumption.attempt
+        if outcome == "done" and state.answer_begun:
+            self._end_stream(state)
         if state.stages is not None:
             fields["admission_ms"] = round(state.stages.admission_ms)
         if state.framing is not None:
@@ -296,6 +298,13 @@
             )
             raise Refused(cause, NO_WORKER_RETRY_MS)
 
+    def _end_stream(self, state: RequestState) -> None:
+        """Record that the stream of a request has come to its end, if it is one."""
+        attempt = state.metadata.attempt
+        if state.resumption is not None and state.resumption.attempt is not None:
+            attempt = state.resumption.attempt
+        self._streams.end(state.workspace or "", attempt)
+
     def _check_barred(self, state: RequestState) -> None:
         """Raise `Refused` if evacuations or regions leave a service no worker."""
         services = [state.service]
--- a/src/acaciapier/gateway/software_versions.py
+++ b/src/acaciapier/gateway/software_versions.py
@@ -150,6 +150,10 @@
         while len(self._streams) > MAX_STREAMS or self._first_until_s() < now_s:
             self._streams.popitem(last=False)
 
+    def remove(self, workspace: str, attempt: AttemptId) -> None:
+        """Remove the stream of an attempt."""
+        self._streams.pop((workspace, attempt), None)
+
     def find(self, workspace: str, attempt: AttemptId) -> BegunStream | None:
         """Return the stream of an attempt, if it has not expired."""
         until_s, stream = self._streams.get((workspace, attempt), (0.0, None))
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -130,6 +130,8 @@
         self._routes_known_ms = routes_known_ms
         self._streams = BegunStreams(clock)
         """Those that this instance forwards, and those that it holds for others."""
+        self._live = BegunStreams(clock)
+        """Those that this instance forwards and that have not come to their ends."""
         self._mixed: set[ServiceName] = set()
         self._stopping = False
 
@@ -149,6 +151,7 @@
         if not 0 < len(stream.attempt) <= MAX_ATTEMPT_CHARS:
             return  # A caller cannot name it later.
         self._streams.add(stream, max(RETENTION_MS, life_ms))
+        self._live.add(stream, max(RETENTION_MS, life_ms))
         holders = self._holders(stream.attempt)
         several = len(self._serving.of(stream.service)) > 1
         if not several and self._list_is_current():
@@ -171,10 +174,32 @@
         """Withdraw a version that was recorded for an attempt and may be wrong."""
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
         self._streams.add(unknown)
+        self._live.add(unknown)
         message = StreamsBegun((self._entry(unknown),))
         for instance in self._possible_holders():
             self._tasks.start_soon(self._send_copies, instance, message)
 
+    def end(self, workspace: str, attempt: AttemptId) -> None:
+        """Record that a stream has come to its end, so that nobody takes it up."""
+        self._live.remove(workspace, attempt)
+
+    def restore(self, stream: BegunStream, keep_ms: float) -> None:
+        """Add a stream that was in progress when all instances were killed."""
+        self._streams.add(stream, keep_ms)
+
+    def live_where_mixed(self) -> dict[BegunStream, float]:
+        """Return the streams in progress at services with several versions.
+
+        They are in their order, with the times in ms for which they are to be kept.
+        """
+        mixed = self._mixed_services()
+        latest = self._live.latest(MAX_COPIED_STREAMS if mixed else 0)
+        return {
+            stream: self._live.left_ms(stream)
+            for stream in reversed(latest)
+            if stream.service in mixed
+        }
+
     def hand_over(self) -> None:
         """Copy all records to instances that remain, since this one stops."""
         self._stopping = True
@@ -242,15 +267,12 @@
         if recorded:
             # A later try may name the same attempt.
             self._streams.add(stream, max(RETENTION_MS, life_ms))
+            self._live.add(stream, max(RETENTION_MS, life_ms))
         return concluded or FoundStream(stream, recorded)
 
     def workers_changed(self) -> None:
         """Log the services that have workers of several versions, when they do."""
-        mixed = {
-            service
-            for service in self._serving.services
-            if len(self._serving.of(service)) > 1
-        }
+        mixed = self._mixed_services()
         for service in mixed - self._mixed:
             versions = sorted(self._serving.of(service))
             self._log(
@@ -258,6 +280,10 @@
             )
         self._mixed = mixed
 
+    def _mixed_services(self) -> set[ServiceName]:
+        services = self._serving.services
+        return {one for one in services if len(self._serving.of(one)) > 1}
+
     async def handle_begun(self, peer: InstanceId, message: StreamsBegun) -> None:
         """Keep the records of a peer."""
         for entry in message.streams:
--- a/tests/gateway/test_streams_after_a_kill_of_all.py
+++ b/tests/gateway/test_streams_after_a_kill_of_all.py
@@ -30,7 +30,8 @@
     first_start : bool
         Whether the settings say that the whole system starts for the first time.
     release : str
-        ``replaced`` if workers of a new version replace the old ones before the kill.
+        ``replaced`` if workers of a new version replace the old ones before the kill,
+        ``mixed`` if they serve beside them from before the streams begin.
 
     Returns
     -------
@@ -43,14 +44,18 @@
         for name in MODELS:
             world.platform.workers[name].faults.pause_s = 0.3
         await trio.sleep(SETTLE_S)
+        if release == "mixed":
+            await join_release(world, gone=False)
+            await trio.sleep(1.0)
         async with trio.open_nursery() as nursery:
             for number in range(STREAMS):
                 gateway = world.gateways[number % GATEWAYS]
                 nursery.start_soon(
                     begin_stream, world, gateway, f"first-{number}", begun
                 )
-        if release:
+        if release == "replaced":
             await join_release(world, gone=True)
+        if release:
             await trio.sleep(1.0)
         for gateway in world.gateways:
             gateway.send_signal(signal.SIGKILL)
@@ -75,6 +80,15 @@
     assert len(gone_on) == STREAMS
 
 
+async def test_streams_go_on_after_a_kill_while_two_versions_serve(tmp_path):
+    """Guards against losing which version began a stream when all are killed."""
+    begun, gone_on = await take_up_after_kill(tmp_path, release="mixed")
+    assert len(begun) == STREAMS
+    assert len(gone_on) == STREAMS
+    for first, worker in gone_on.items():
+        assert (worker in MODELS) == (begun[first] in MODELS)
+
+
 @pytest.mark.parametrize("first_start", [True, False])
 async def test_no_stream_goes_on_at_a_version_that_replaced_its_own(
     first_start, tmp_path
