Hand the use of retry budgets on to the next dispatcher

Cause: the budget of all instances was a table of the dispatcher, so each new one granted six tenths of the whole budget anew; changed bounds emptied it as well. Dispatchers now tell in heartbeats what was granted in the window, by themselves and by those before them, and count all of it.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -149,6 +149,11 @@
         """Version of the configuration in force; 0 if none is known."""
         return self.configuration.version if self.configuration is not None else 0
 
+    @property
+    def services(self) -> Collection[ServiceName]:
+        """Services of the configuration."""
+        return self.configuration.services if self.configuration is not None else ()
+
     def rule(self, service: ServiceName) -> ServiceRule | None:
         """Return the rule of a service; None if the configuration lacks it."""
         if self.configuration is None:
--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from ...core.clock import Clock, to_s
+from ...core.clock import Clock, epoch_ms, to_s
 from ...core.ids import InstanceId
 from ...wire.messages.base import Message
 from ...wire.messages.explain import (
@@ -118,7 +118,7 @@
         self._waits: tuple[ServiceWait, ...] = ()
         self._waits_updated_s = -1.0
         self._bounds = bounds
-        self._budgets = RetryBudgets(bounds)
+        self.budgets = RetryBudgets(bounds, f"{own}/{epoch_ms(clock.now())}")
         self.stopping = False
         self._catalogue = catalogue
         self._clock = clock
@@ -146,7 +146,7 @@
         """Apply changed bounds of the operators."""
         if bounds != self._bounds:
             self._bounds = bounds
-            self._budgets = RetryBudgets(bounds)
+            self.budgets.set_bounds(bounds)
 
     async def enter_stages(self, peer: InstanceId, message: EnterStages) -> Message:
         """Wait until a request may start a chain of stages that ends with a service."""
@@ -185,7 +185,7 @@
             return self._refuse_for_lack(message.service, request)
         self.limits.merge(peer, message.limits, now_s)
         self.limits.brittle.merge(peer, message.service, message.brittle, now_s)
-        budget = self._budgets.of(message.service)
+        budget = self.budgets.of(message.service)
         if not message.repeat:
             budget.record_first_send(now_s)
         elif not budget.spend(now_s, is_hedge=message.only_untried):
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -407,6 +407,7 @@
             cold_workers=self.cold_workers.told_lately(),
             service_costs=self.dispatcher.shared_costs(),
             brittle_use=self.limits.brittle.reported_use(self._stopping, now_s),
+            retry_use=self.dispatcher.budgets.reports(now_s),
         )
 
     def _handle_heartbeat(self, peer: InstanceId, heartbeat: Heartbeat) -> None:
@@ -416,7 +417,10 @@
         self.notices.merge(peer, heartbeat.leaving)
         self.cold_workers.merge(peer, heartbeat.cold_workers)
         self.dispatcher.merge_costs(heartbeat.service_costs)
-        self.limits.merge_heartbeat(peer, heartbeat, self.clock.monotonic_s())
+        now_s = self.clock.monotonic_s()
+        self.limits.merge_heartbeat(peer, heartbeat, now_s)
+        services = self.catalogue.services
+        self.dispatcher.budgets.merge(heartbeat.retry_use, services, now_s)
         self.quarantine.handle_heartbeat(peer, heartbeat)
 
     def _evacuations_changed(self, from_store: bool) -> None:
--- a/src/acaciapier/wire/messages/gateway.py
+++ b/src/acaciapier/wire/messages/gateway.py
@@ -123,6 +123,26 @@
     slowdown: float | None = None
 
 
+class RetryCount(msgspec.Struct, frozen=True, array_like=True):
+    """First sends and retries of a service that were granted `age_ms` ago or longer."""
+
+    age_ms: float
+    first_sends: int
+    retries: int
+
+
+class RetryUse(msgspec.Struct, frozen=True, array_like=True):
+    """Sends that a dispatcher has granted in the window of a service's retry budget.
+
+    `dispatcher` names its incarnation, and `changes` grows with each of its reports.
+    """
+
+    service: str
+    dispatcher: str
+    changes: int
+    counts: tuple[RetryCount, ...]
+
+
 class Heartbeat(Message, frozen=True, tag="Beat"):
     """Heartbeat, and the answer to one: what the sender knows and whether it stops."""
 
@@ -161,6 +181,8 @@
     """Costs that the sender learned lately as a dispatcher."""
     brittle_use: tuple[BrittleUse, ...] = ()
     """What dispatchers hold at brittle workers, the sender and those known to it."""
+    retry_use: tuple[RetryUse, ...] = ()
+    """What dispatchers lately granted of retry budgets, the sender and those before."""
 
 
 class FetchUpdates(Message, frozen=True, tag="FetchNews"):
