Draw no random number for the period of stored streams

The draws shifted the choice among services of a route, so that a test of a route to two services failed (test_resumed_elsewhere, 1 of 85; passes now).

--- a/src/acaciapier/gateway/stored_streams.py
+++ b/src/acaciapier/gateway/stored_streams.py
@@ -50,7 +50,7 @@
     clock : Clock
         Source of time.
     jitter : callable
-        Returns a random factor near 1 for the delays.
+        Returns a random factor near 1 for the delays after failures.
     log : callable
         Writes a log event, given as a kind and fields.
     writes_per_s : float
@@ -85,7 +85,7 @@
         while not await self._try(self._read):
             pass
         while True:
-            await trio.sleep(to_s(self._period_ms()) * self._jitter())
+            await trio.sleep(to_s(self._period_ms()))
             streams = self._records.live_where_mixed()
             if streams.keys() != self._written and not streams.keys() < self._written:
                 await self._try(self._write, _fit(streams))
