Take a status that HTTP does not define for no answer

Others outside 200 to 599 were no answers already. The connection to such a worker now counts as broken: requests that may run again do, and others get 502, which promises nothing.

--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -25,6 +25,9 @@
 UNRESERVED_BYTES = 65_536
 """Size up to which a body is buffered without reserving memory for it."""
 
+MAX_STATUS = 599
+"""Largest status that HTTP defines a class for."""
+
 MAX_SKIPPED_HEADS = 16
 """Maximum number of interim responses, and of responses to other requests, before the
 response: a server sends few of either."""
@@ -271,6 +274,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionBroken(f"{self.address}: no answer")
+            if event.status_code > MAX_STATUS:
+                raise ConnectionBroken(f"{self.address}: status {event.status_code}")
             head = _read_head(event)
             self._body_length = head.length
             if accepts(head):
