Do not take the end of a connection for a proof before the upload is written

Cause: the kernel reports a reset once. If the task that writes the upload gets it, the one that reads the answer sees a clean end.

--- a/src/acaciapier/gateway/tunnel_server.py
+++ b/src/acaciapier/gateway/tunnel_server.py
@@ -1,6 +1,7 @@
 """Serves tunnels: connects to workers for other instances, and forwards bytes."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
 
 import trio
 
@@ -31,6 +32,15 @@
 the calls that a peer may have in progress."""
 
 
+@dataclass(eq=False)
+class _Tunnel:
+    """An open connection to a worker for another instance."""
+
+    connection: HttpConnection
+    writing: trio.Lock = field(default_factory=trio.Lock)
+    write_failed: bool = False
+
+
 class TunnelServer:
     """Connects to workers for other instances, and forwards bytes.
 
@@ -66,12 +76,12 @@
         self._log = log
         self._metrics = metrics
         self._opening = 0
-        self._connections: dict[tuple[InstanceId, int], HttpConnection] = {}
+        self._tunnels: dict[tuple[InstanceId, int], _Tunnel] = {}
 
     @property
     def count(self) -> int:
         """Number of tunnels that are open or being opened."""
-        return self._opening + len(self._connections)
+        return self._opening + len(self._tunnels)
 
     async def serve(
         self, peer: InstanceId, message: OpenTunnel
@@ -111,13 +121,13 @@
         self._metrics.worker_tunnel("served")
         self._log("tunnel_served", **fields)
         key = peer, message.tunnel
-        self._connections[key] = connection
+        tunnel = self._tunnels[key] = _Tunnel(connection)
         try:
             yield TunnelOpened()
-            async for item in _received(connection.stream):
+            async for item in _received(tunnel):
                 yield item
         finally:
-            del self._connections[key]
+            del self._tunnels[key]
             connection.close()
 
     def _refusal(self, peer: InstanceId, worker: Worker | None) -> TunnelRefused | None:
@@ -125,38 +135,36 @@
             return TunnelRefused(UNKNOWN_WORKER)
         if not self._may_connect(worker):
             return TunnelRefused(EVACUATED)
-        of_peer = sum(owner == peer for owner, _ in self._connections)
+        of_peer = sum(owner == peer for owner, _ in self._tunnels)
         if self.count >= MAX_TUNNELS or of_peer >= MAX_TUNNELS_PER_PEER:
             return TunnelRefused(OVERLOADED, f"{self.count} tunnels")
         return None
 
     async def write(self, peer: InstanceId, message: WriteTunnel) -> TunnelWritten:
         """Write bytes to the worker of a tunnel."""
-        connection = self._connections.get((peer, message.tunnel))
-        if connection is None:
+        tunnel = self._tunnels.get((peer, message.tunnel))
+        if tunnel is None:
             return TunnelWritten(False)
-        try:
-            await connection.stream.send_all(message.data)
-        except (
-            OSError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            trio.BusyResourceError,
-        ):
-            # The end of the connection is reported to the reading side.
-            return TunnelWritten(False)
-        return TunnelWritten(True)
+        async with tunnel.writing:
+            try:
+                await tunnel.connection.stream.send_all(message.data)
+            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+                tunnel.write_failed = True
+        return TunnelWritten(not tunnel.write_failed)
 
 
-async def _received(stream: trio.SocketStream) -> AsyncIterator[Message]:
+async def _received(tunnel: _Tunnel) -> AsyncIterator[Message]:
     """Yield the bytes from a worker and the end of its connection."""
     while True:
         try:
-            data = await stream.receive_some(READ_BYTES)
+            data = await tunnel.connection.stream.receive_some(READ_BYTES)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             yield TunnelEnded(False, repr(error))
             return
         if not data:
-            yield TunnelEnded(True)
+            # The kernel reports a reset once, perhaps to the writing task.
+            async with tunnel.writing:
+                clean = not tunnel.write_failed
+            yield TunnelEnded(clean, "" if clean else "reset during the request")
             return
         yield TunnelData(data)
--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -156,6 +156,9 @@
         self._skipping = False
         self._reuse_forbidden = False
         self._write_pending = False
+        self._write_ended = trio.Event()
+        """Set when nothing is written in the background, or that has failed."""
+        self._write_ended.set()
         self._received_bytes = 0
         self._content_bytes = 0
         self._parsed_parts = 0
@@ -252,6 +255,7 @@
             await self._write(parts)
         else:
             self._write_pending = True
+            self._write_ended = trio.Event()
             background.start_soon(self._write_in_background, parts)
 
     async def receive_head(
@@ -377,9 +381,11 @@
         try:
             for part in parts:
                 await self._stream.send_all(part)
+            self._write_pending = False
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return  # the reading side reports the failure
-        self._write_pending = False
+        finally:
+            self._write_ended.set()
 
     async def _next_event(self):
         self._parsed_parts += 1
@@ -398,12 +404,24 @@
                 raise ConnectionBroken(f"{self.address}: {error!r}") from error
             except trio.ClosedResourceError as error:
                 raise ConnectionBroken(f"{self.address}: closed here") from error
+            if not data:
+                await self._confirm_end()
             self._received_bytes += len(data)
             overhead = self._received_bytes - OVERHEAD_FACTOR * self._content_bytes
             if overhead > MAX_OVERHEAD_BYTES + RECEIVE_BYTES:
                 raise ConnectionBroken(f"{self.address}: too many bytes of no content")
             self._parser.receive_data(data)
 
+    async def _confirm_end(self) -> None:
+        """Raise `ConnectionBroken` if the end that was read may be that of a reset.
+
+        The kernel reports a reset once: if the writing task gets it, the reading one
+        sees the same as after a clean end.
+        """
+        await self._write_ended.wait()
+        if self._write_pending:
+            raise ConnectionBroken(f"{self.address}: reset during the request")
+
     async def _skip_response(self) -> None:
         """Discard the response to an earlier request; the parser expects the next."""
         self._skipping = True
