End a sender whose inputs another one has used up

A caller of a stream with stages got 502 although its worker's answer was whole: the worker had been silent for a while, and began its answer just as a second sender had got a slot at another worker.

Cause: the results of stages are freed when an answer begins, and the second sender, which had checked them before it waited for its slot, asked for their handles. The KeyError ended both senders. Inputs are now checked again with the slot in hand.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -237,6 +237,9 @@
                 # Only the connection to the silent worker may be silent.
                 only_untried = False
                 self._check_blocked(state)
+                if not self._has_inputs(state):
+                    # The other sender's worker has begun its answer meanwhile.
+                    raise Refused("inputs_used", OTHER_WORKER_RETRY_MS)
                 return await self._workers.send(state, exchange, permit, sender)
             except WorkerDidNotRun as refusal:
                 last_refusal = Refused(refusal.cause, OTHER_WORKER_RETRY_MS)
@@ -354,10 +357,15 @@
 
     async def _ensure_inputs(self, state: RequestState) -> None:
         """Run the stages unless the route has none or their results are there."""
-        done = state.stages is not None and state.stages.has_inputs
-        if state.route.stages and not done:
+        if not self._has_inputs(state):
             await self._run_stages(state)
 
+    def _has_inputs(self, state: RequestState) -> bool:
+        """Return whether the route has no stages, or their results are there."""
+        if not state.route.stages:
+            return True
+        return state.stages is not None and state.stages.has_inputs
+
     async def _run_stages(self, state: RequestState) -> None:
         state.stages = StageRun(
             self._dispatch_client,
