Admit urgent requests ahead of started ones that have time to give way

Cause: the admission to a chain counted all started pieces before a request. A burst of requests with 3 s filled the chain further ahead than 1.5 s, so that no urgent request could be on time any more. The queues of the stages would have let it pass. Started pieces of less urgent requests that are on time even with the other's whole chain before them are not counted now.

Ruled out: room (ten times as many of the less urgent class were served).

--- a/src/acaciapier/gateway/dispatch/admission_explanations.py
+++ b/src/acaciapier/gateway/dispatch/admission_explanations.py
@@ -23,6 +23,7 @@
         self.__dict__.update(queue.__dict__)
         self._on_time, self._late = list(self._on_time), list(self._late)
         self._started, self._refused = dict(self._started), dict(self._refused)
+        self._pieces_by_kind = self._pieces_by_kind.copy()
         self._shares = deepcopy(self._shares)
 
 
--- a/src/acaciapier/gateway/dispatch/admission_queue.py
+++ b/src/acaciapier/gateway/dispatch/admission_queue.py
@@ -9,6 +9,7 @@
 """
 
 import bisect
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -28,6 +29,9 @@
 throughput is measured. With less work the chain completes requests only as fast as they
 arrive. A chain of three average calls takes as long."""
 
+AIM_STEP_MS = 100.0
+"""Aims are counted together in steps of this size."""
+
 CERTAIN_WORK_SHARE = 0.8
 """Share of the work ahead of a request that is expected to run before it even in the
 best case; used to decide that a request is infeasible."""
@@ -92,6 +96,8 @@
     fingerprint: str = ""
     retried: bool = False
     workspace: str = ""
+    aim_ms: float = 0.0
+    """Time from its arrival to `due_s`, before it was known to be a retry."""
 
 
 class AdmissionQueue:
@@ -106,6 +112,8 @@
         self._late: list[AdmissionEntry] = []
         self._started: dict[str, AdmissionEntry] = {}
         self._started_pieces = 0
+        self._pieces_by_kind: Counter[tuple[tuple[int, int], int]] = Counter()
+        """Started pieces by the urgency and the aim of their requests."""
         self._throughput = Throughput()
         self._refused: dict[str, tuple[float, float]] = {}
         self._shares = WorkspaceShares()
@@ -125,6 +133,7 @@
 
         A retried request keeps the due time of its first try.
         """
+        entry.aim_ms = (entry.due_s - now_s) * 1_000.0
         due_s, until_s = self._refused.pop(entry.fingerprint, (0.0, 0.0))
         if now_s < until_s:
             entry.retried = True
@@ -195,6 +204,7 @@
             self._pop_started(entry.attempt)
             self._started[entry.attempt] = entry
             self._started_pieces += entry.pieces
+            self._pieces_by_kind[_kind(entry)] += entry.pieces
             self._shares.record(entry.workspace, entry.pieces, now_s)
             admitted.append(entry)
         return admitted
@@ -281,7 +291,7 @@
         feasible = [
             entry
             for entry in self._on_time
-            if self._can_be_on_time(entry, in_progress_ms, now_s)
+            if self._can_be_on_time(entry, self._pieces_before(entry) / rate, now_s)
         ]
         feasible.sort(key=lambda entry: entry.due_s + _priority_offset_s(entry))
         if feasible:
@@ -297,6 +307,20 @@
         workspaces = {entry.workspace for entry in self._all_waiting()}
         return self._shares.above(workspaces, now_s)
 
+    def _pieces_before(self, entry: AdmissionEntry) -> int:
+        """Return the started pieces that are not expected to give way to an entry.
+
+        In the queues of the stages a less urgent request gives way. One that has
+        enough time for the other's whole chain first is on time all the same.
+        """
+        least_aim_ms = entry.aim_ms + entry.average_ms
+        yielding = (
+            pieces
+            for (urgency, aim_ms), pieces in self._pieces_by_kind.items()
+            if urgency > _urgency(entry) and aim_ms >= least_aim_ms
+        )
+        return self._started_pieces - sum(yielding)
+
     def _can_be_on_time(
         self, entry: AdmissionEntry, in_progress_ms: float, now_s: float
     ) -> bool:
@@ -311,9 +335,21 @@
         entry = self._started.pop(attempt, None)
         if entry is not None:
             self._started_pieces -= entry.pieces
+            self._pieces_by_kind[_kind(entry)] -= entry.pieces
+            if not self._pieces_by_kind[_kind(entry)]:
+                del self._pieces_by_kind[_kind(entry)]
         return entry
 
 
+def _urgency(entry: AdmissionEntry) -> tuple[int, int]:
+    return entry.priority, entry.route_priority
+
+
+def _kind(entry: AdmissionEntry) -> tuple[tuple[int, int], int]:
+    """Return urgency and aim of a request, which are about the same for its route."""
+    return _urgency(entry), int(entry.aim_ms // AIM_STEP_MS * AIM_STEP_MS)
+
+
 def _priority_offset_s(entry: AdmissionEntry) -> float:
     return PRIORITY_STEP_MS * (entry.priority + entry.route_priority) / 1_000.0
 
--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -477,3 +477,23 @@
         "portal": BatchSpec(96, 150.0, 1.3, 1.7e6, 4_000.0),
     }
     return StageLoad(specs, {"registry": 9, "sanctions": 8, "portal": 11}, kinds, seed)
+
+
+def boards_load(seed: int = 1) -> StageLoad:
+    """Return a load in which many requests have more time than the more urgent ones."""
+    chain = [("ward", (), 8_000), ("sms", (0,), 60_000), ("donor", (1,), 6_000)]
+    sort = make_route("sort", 2, 3_000, 5_000, chain)
+    draft = make_route("draft", 1, 1_500, 15_000, chain)
+    circular = make_route("circular", 0, 800, 6_000, [("ward", (), 3 * MB)])
+    pieces = ((1, 1), (1, 8), (1, 16))
+    kinds = [
+        Kind(sort, 110.0, pieces, 0.79, 1_800),
+        Kind(draft, 16.2, pieces, 1.1, 543),
+        Kind(circular, 52.0, ((0.7, 2.5),), 5.5, 2_890),
+    ]
+    specs = {
+        "ward": BatchSpec(14, 150.0, 9.2, 77e6, 4_000.0),
+        "sms": BatchSpec(66, 150.0, 1.9, 12e6, 4_000.0),
+        "donor": BatchSpec(96, 150.0, 1.3, 1.7e6, 4_000.0),
+    }
+    return StageLoad(specs, {"ward": 11, "sms": 8, "donor": 11}, kinds, seed)
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -10,7 +10,7 @@
 from acaciapier.gateway.dispatch.admission_queue import AdmissionEntry, AdmissionQueue
 from acaciapier.gateway.models import AttemptId, RequestMetadata
 
-from .stage_load import order_load, vetting_load
+from .stage_load import boards_load, order_load, vetting_load
 
 ANSWER_VALUES = {
     "quote": (3.4, 0.51),
@@ -236,6 +236,29 @@
     assert urgent >= outcomes["dossier"].share_in_time - MAX_CREDIT_GAP
 
 
+@pytest.mark.parametrize("factor", [2.2, 3.0])
+def test_urgent_requests_are_not_starved_by_those_with_more_time(factor):
+    """Guards against a class that its service could serve and that is hardly served.
+
+    Less urgent requests filled the chains for as long as they had time themselves.
+    """
+    outcomes = simulate(boards_load, ("sort", 1, 8, factor), 1)
+    assert outcomes["draft"].share_in_time > 0.9
+    assert outcomes["draft"].share_in_time >= outcomes["sort"].share_in_time - 0.05
+    assert outcomes["sort"].share_in_time > 0.8
+
+
+def test_an_urgent_request_does_not_wait_for_those_that_have_time_to_give_way():
+    queue = AdmissionQueue()
+    for number in range(40):
+        queue.add(make_entry(f"relaxed{number}", due_s=3.0, route_priority=2), 0.0)
+    assert len(admitted(queue)) >= 20
+    queue.add(make_entry("urgent", due_s=1.0, route_priority=1), 0.1)
+    assert admitted(queue, now_s=0.1)[0] == "urgent"
+    queue.add(make_entry("equal", due_s=1.0, route_priority=2), 0.1)
+    assert "equal" not in admitted(queue, now_s=0.1)
+
+
 @pytest.mark.parametrize("make", [order_load, vetting_load])
 def test_requests_are_not_delayed_at_low_load(make):
     outcomes = simulate(make, None, 3)
