Compare connections once for many that close for new ones

Cause: all connections were compared for each new one over the bound, which took all of the processor. They are compared once in 0.1 s now, and close in that order, those that have gone on passed over.

--- a/src/acaciapier/gateway/caller_connections.py
+++ b/src/acaciapier/gateway/caller_connections.py
@@ -13,7 +13,7 @@
     Handler,
 )
 from .catalogue import Catalogue
-from .connection_bound import ConnectionBound, longest_waiting
+from .connection_bound import ClosingOrder, ConnectionBound
 from .input_memory import InputMemory
 from .models import InputLimits
 from .observing import RequestObserver
@@ -63,6 +63,7 @@
         self._memory = InputMemory(settings.memory_mb, clock)
         observer.watch_input_memory(lambda: self._memory.used_bytes)
         self._bound = ConnectionBound(settings.max_descriptors, clock)
+        self._closing_order = ClosingOrder(clock)
         self._connections: set[CallerConnection] = set()
 
     @property
@@ -113,7 +114,7 @@
     def _close_excess(self) -> None:
         """Close connections over the bound: at first the longest idle ones."""
         while self._bound.is_over(len(self._connections)):
-            closed = longest_waiting(self._connections)
+            closed = self._closing_order.next(self._connections)
             if closed is None:
                 return
             self._connections.discard(closed)
--- a/src/acaciapier/gateway/connection_bound.py
+++ b/src/acaciapier/gateway/connection_bound.py
@@ -5,7 +5,8 @@
 """
 
 import os
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from ..core.clock import Clock
@@ -21,6 +22,9 @@
 """Descriptors kept free: those that workers, peers and the store open until all are
 counted again, and connections that were accepted and are not admitted yet."""
 
+ORDER_PERIOD_S = 0.1
+"""Least time between two comparisons of all connections."""
+
 MIN_CONNECTIONS = 8
 """Connections that are admitted however many descriptors others take."""
 
@@ -92,9 +96,54 @@
     It is the longest idle one, or that with an unfinished request that has sent nothing
     for longest.
     """
-    candidates = [one for one in connections if one.waiting_since_s is not None]
-    candidates.sort(key=lambda one: one.waiting_since_s)
-    for one in candidates:
-        if one.idle:
-            return one
-    return candidates[0] if candidates else None
+    return next((one for one, _ in _by_waiting(connections)), None)
+
+
+def _by_waiting(
+    connections: Iterable[BoundConnection],
+) -> list[tuple[BoundConnection, float]]:
+    """Return the connections that may close, in order, and since when they wait."""
+    waiting = [
+        (not one.idle, one.waiting_since_s, number, one)
+        for number, one in enumerate(connections)
+        if one.waiting_since_s is not None
+    ]
+    return [(one, since_s) for _, since_s, _, one in sorted(waiting)]
+
+
+class ClosingOrder:
+    """The order of `longest_waiting`, for many connections that close one by one.
+
+    While a crowd connects, thousands would be compared for each new one. They are
+    compared once in a while, and those that have gone on since are passed over.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._order: deque[tuple[BoundConnection, float]] = deque()
+        self._ordered_s = float("-inf")
+
+    def next(self, connections: Collection[BoundConnection]) -> BoundConnection | None:
+        """Return the connection to close; None if all handle requests."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._ordered_s < ORDER_PERIOD_S:
+            closed = self._first(connections)
+            if closed is not None:
+                return closed
+        self._order = deque(_by_waiting(connections))
+        self._ordered_s = now_s
+        return self._first(connections)
+
+    def _first(
+        self, connections: Collection[BoundConnection]
+    ) -> BoundConnection | None:
+        while self._order:
+            one, since_s = self._order.popleft()
+            if one in connections and one.waiting_since_s == since_s:
+                return one
+        return None
--- a/tests/gateway/test_input_memory.py
+++ b/tests/gateway/test_input_memory.py
@@ -6,7 +6,11 @@
 import pytest
 import trio
 
-from acaciapier.gateway.connection_bound import ConnectionBound, longest_waiting
+from acaciapier.gateway.connection_bound import (
+    ClosingOrder,
+    ConnectionBound,
+    longest_waiting,
+)
 from acaciapier.gateway.input_memory import STALLED_S, InputMemory
 from acaciapier_standins.platform.platform import HOST
 
@@ -101,6 +105,54 @@
     assert longest_waiting([busy]) is None
 
 
+class Waiting:
+    """A connection that counts how often it is compared."""
+
+    compared = 0
+
+    def __init__(self, since_s: float, idle: bool = False):
+        self.since_s, self.idle = since_s, idle
+
+    @property
+    def waiting_since_s(self) -> float:
+        Waiting.compared += 1
+        return self.since_s
+
+
+def test_a_crowd_that_connects_takes_little_time_to_choose_what_closes():
+    # All 3,700 connections were compared for each of 300 new ones a second, which
+    # left no time for other callers.
+    clock = ManualClock()
+    connections = {Waiting(0.001 * number) for number in range(3_700)}
+    order = ClosingOrder(clock)
+    Waiting.compared = 0
+    for number in range(300):
+        clock.advance(1 / 300)
+        connections.add(Waiting(clock.now_s + 100.0))
+        connections.discard(order.next(connections))
+    assert Waiting.compared < 30 * 3_700
+    assert min(one.since_s for one in connections) == pytest.approx(0.3)
+
+
+def test_a_connection_that_has_gone_on_or_ended_does_not_close_in_its_turn():
+    clock = ManualClock()
+    gone_on, ended, first, last = (Waiting(float(number)) for number in range(4))
+    busy = Waiting(None)
+    connections = {gone_on, ended, first, last, busy}
+    order = ClosingOrder(clock)
+    connections.add(oldest := Waiting(-1.0))
+    assert order.next(connections) is oldest
+    connections -= {oldest, ended}
+    gone_on.since_s = 9.0
+    assert order.next(connections) is first
+    connections -= {first}
+    assert order.next(connections) is last
+    connections -= {last}
+    assert order.next(connections) is gone_on
+    connections -= {gone_on}
+    assert order.next(connections) is None
+
+
 async def test_a_body_of_very_small_chunks_within_the_limits_is_served():
     """A limit on the number of chunks refused callers that keep to the limits."""
     async with deployment() as world:
