Compare unfinished input once for much that gives way

Cause: the same as with connections: all unfinished input was compared for each part that arrived over the limit. It is compared once in 0.1 s now, and in between only what has changed since.

--- a/src/acaciapier/gateway/input_memory.py
+++ b/src/acaciapier/gateway/input_memory.py
@@ -6,6 +6,7 @@
 never gives way, since it may be running on a worker.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 import trio
@@ -33,6 +34,9 @@
 OTHERS_SHARE = 0.125
 """Share of the limit up to which all others leave room for one request of any size."""
 
+ORDER_PERIOD_S = 0.1
+"""Least time between two comparisons of all input."""
+
 STALLED_S = 1.0
 """Time without progress after which input gives way before any that progresses: five
 times the longest round trip of callers."""
@@ -106,6 +110,12 @@
         """Held while small parts of input are parsed, or rejected input is drained."""
         self._clock = clock
         self._unfinished: set[CallerInput] = set()
+        self._order: deque[tuple[CallerInput, float]] = deque()
+        """Unfinished input in the order in which it gives way, and when each piece of
+        it had progressed last."""
+        self._ordered_s = float("-inf")
+        self._changed: set[CallerInput] = set()
+        """Unfinished input that has begun or grown since this order was made."""
 
     def account(self, give_way: Callable[[], None]) -> CallerInput:
         """Return the account of a connection, which `give_way` makes drop its input."""
@@ -118,9 +128,10 @@
             self._unfinished.add(held)
             held.began_s = now_s
         held.progressed_s = now_s
+        self._changed.add(held)
         self._resize(held, size_bytes)
         while not self._fits(held):
-            largest = max(self._unfinished, key=lambda one: one.rank(now_s))
+            largest = self._first_to_give_way(now_s)
             self.release(largest)
             if largest is held:
                 return False
@@ -130,6 +141,7 @@
     def complete(self, held: CallerInput, size_bytes: int) -> None:
         """Count a complete request, which does not give way any more."""
         self._unfinished.discard(held)
+        self._changed.discard(held)
         self._resize(held, size_bytes)
 
     def hold_ahead(self, held: CallerInput, size_bytes: int) -> bool:
@@ -141,9 +153,32 @@
     def release(self, held: CallerInput) -> None:
         """Count nothing any more."""
         self._unfinished.discard(held)
+        self._changed.discard(held)
         held.ahead_bytes = 0
         self._resize(held, 0)
 
+    def _first_to_give_way(self, now_s: float) -> CallerInput:
+        """Return the unfinished input of the greatest rank.
+
+        A crowd makes input give way for each part that arrives, so all of it is
+        compared once in a while, and in between what has changed since.
+        """
+        if now_s - self._ordered_s >= ORDER_PERIOD_S:
+            self._ordered_s = now_s
+            ranked = sorted(
+                self._unfinished, key=lambda one: one.rank(now_s), reverse=True
+            )
+            self._order = deque((one, one.progressed_s) for one in ranked)
+            self._changed.clear()
+        candidates = set(self._changed)
+        while self._order:
+            one, progressed_s = self._order[0]
+            if one in self._unfinished and one.progressed_s == progressed_s:
+                candidates.add(one)
+                break
+            self._order.popleft()
+        return max(candidates or self._unfinished, key=lambda one: one.rank(now_s))
+
     def _resize(self, held: CallerInput, size_bytes: int) -> None:
         self.used_bytes += size_bytes - held.size_bytes
         held.size_bytes = size_bytes
--- a/tests/gateway/test_input_memory.py
+++ b/tests/gateway/test_input_memory.py
@@ -11,7 +11,7 @@
     ConnectionBound,
     longest_waiting,
 )
-from acaciapier.gateway.input_memory import STALLED_S, InputMemory
+from acaciapier.gateway.input_memory import STALLED_S, CallerInput, InputMemory
 from acaciapier_standins.platform.platform import HOST
 
 from .support import deployment
@@ -105,6 +105,26 @@
     assert longest_waiting([busy]) is None
 
 
+def test_a_crowd_of_small_input_takes_little_time_to_choose_what_gives_way(
+    inputs, monkeypatch
+):
+    # All unfinished input was compared for each part that arrived over the limit.
+    ranked = 0
+    rank = CallerInput.rank
+
+    def count(one, now_s):
+        nonlocal ranked
+        ranked += 1
+        return rank(one, now_s)
+
+    monkeypatch.setattr(CallerInput, "rank", count)
+    for number in range(4_000):
+        inputs.clock.now_s += 0.001
+        inputs.hold(f"c{number}", 0.02)
+    assert len(inputs.gave_way) > 1_000
+    assert ranked < 400_000
+
+
 class Waiting:
     """A connection that counts how often it is compared."""
 
