Wait for the upload only where the end of the connection ends the answer

A worker that ends a connection before or within a framed answer has broken it off either way, so that its request can be sent elsewhere at once.

--- a/src/acaciapier/http/client.py
+++ b/src/acaciapier/http/client.py
@@ -164,6 +164,8 @@
         self._parsed_parts = 0
         self._body_length: int | None = None
         """Length of the response's body if its head names it."""
+        self._framing: Framing | None = None
+        """What marks the end of the response's body, once its head is there."""
 
     @classmethod
     async def open(cls, host: str, port: int, timeout_ms: float) -> "HttpConnection":
@@ -240,6 +242,7 @@
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         self.exchanges += 1
+        self._framing = None
         self._received_bytes = self._content_bytes = 0
         headers = [*request.headers]
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -281,7 +284,7 @@
             if event.status_code > MAX_STATUS:
                 raise ConnectionBroken(f"{self.address}: status {event.status_code}")
             head = _read_head(event)
-            self._body_length = head.length
+            self._body_length, self._framing = head.length, head.framing
             if accepts(head):
                 self._record_keep_alive(head)
                 return head
@@ -404,7 +407,7 @@
                 raise ConnectionBroken(f"{self.address}: {error!r}") from error
             except trio.ClosedResourceError as error:
                 raise ConnectionBroken(f"{self.address}: closed here") from error
-            if not data:
+            if not data and self._framing is Framing.CONNECTION_END:
                 await self._confirm_end()
             self._received_bytes += len(data)
             overhead = self._received_bytes - OVERHEAD_FACTOR * self._content_bytes
