--- a/tests/gateway/stage_load.py
+++ b/tests/gateway/stage_load.py
@@ -112,7 +112,7 @@
     )
 
 
-class _Catalogue:
+class StageCatalogue:
     def __init__(self, specs):
         rules = {ServiceName(n): ServiceRule(n, 500, None, s) for n, s in specs.items()}
         self.configuration = GatewayConfiguration(1, (), rules)
@@ -147,7 +147,7 @@
             )
             for name, count in workers.items()
         }
-        self.times = StageTimes(_Catalogue(specs))
+        self.times = StageTimes(StageCatalogue(specs))
         self.outcomes = {kind.route.name: Outcome() for kind in kinds}
         self.stage_ms = Counter()
         self.calls = Counter()
--- a/tests/gateway/test_piece_counts.py
+++ b/tests/gateway/test_piece_counts.py
@@ -13,7 +13,7 @@
 from acaciapier.wire.messages.explain import ExplainAdmission, ExplainStage
 from acaciapier.wire.messages.gateway import EnterStages, RunPieces, WorkRefused
 
-from .stage_load import _Catalogue, make_route
+from .stage_load import StageCatalogue, make_route
 from .support import deployment
 from .test_stage_queue import SPEC, make_group
 
@@ -153,8 +153,10 @@
     assert longest_chain_ms(route, counts, 0, stage_ms) == 160.0
     assert len(asked) <= len(stages) ** 2
     specs = {name: BatchSpec(8, 10.0, 0.0, 1e6, 4_000.0) for name, _, _ in stages}
-    assert StageTimes(_Catalogue(specs)).chain_ms(route, counts, 16) == 170.0
-    assert StageTimes(_Catalogue(specs)).chain_ms(route, (1, *[0] * 15, 1), 16) == 20.0
+    assert StageTimes(StageCatalogue(specs)).chain_ms(route, counts, 16) == 170.0
+    assert (
+        StageTimes(StageCatalogue(specs)).chain_ms(route, (1, *[0] * 15, 1), 16) == 20.0
+    )
 
 
 async def test_excluded_workers_let_no_more_wait_than_they_can_make():
