--- a/tests/gateway/test_slow_answers.py
+++ b/tests/gateway/test_slow_answers.py
@@ -35,7 +35,7 @@
     async with deployment() as world:
         for number in (1, 2):
             world.platform.workers[f"model-{number}"].faults.pause_s = 1.3
-        budget = world.gateways[0].dispatcher._budgets.of("model")
+        budget = world.gateways[0].dispatcher.budgets.of("model")
         budget.spend = lambda now_s, is_hedge=False: False
         answer = await request(world, "mail")
         assert (answer.body, answer.complete) == (EVENTS, True)
@@ -101,7 +101,7 @@
         assert (await request(world, "lookup")).status == 200
         assert asked[0] == (False, 0)
         assert set(asked[1:]) == {(True, 1)}
-        assert not dispatcher._budgets.of("book")._retries
+        assert not dispatcher.budgets.of("book")._retries
 
 
 def test_a_worker_that_has_the_request_is_not_granted_as_its_replacement():
