--- a/src/acaciapier/gateway/dispatch/retry_budget.py
+++ b/src/acaciapier/gateway/dispatch/retry_budget.py
@@ -24,6 +24,9 @@
 REPORTED_STEPS = 10
 """Parts of the window for which sends are reported together."""
 
+MIN_STEP_S = 0.001
+"""Least length of such a part, for a window of no length."""
+
 REPORT_PERIOD_MS = 50.0
 """Least time between two counts of the recent sends, half a heartbeat period."""
 
@@ -133,7 +136,7 @@
         return reports
 
     def _own_counts(self, now_s: float) -> tuple[RetryCount, ...]:
-        step_s = self._window_s / REPORTED_STEPS
+        step_s = max(MIN_STEP_S, self._window_s / REPORTED_STEPS)
         counts = [[0, 0] for _ in range(REPORTED_STEPS)]
         for kind, times in enumerate((self._first_sends, self._retries)):
             for at_s in times:
--- a/src/acaciapier/gateway/stored_streams.py
+++ b/src/acaciapier/gateway/stored_streams.py
@@ -24,6 +24,9 @@
 WRITES_SHARE = 0.1
 """Share of the store's write calls that all instances together make for this."""
 
+MIN_WRITES_PER_S = 1.0
+"""Least rate of these, if the settings name none."""
+
 RETRY_DELAY_MS = 2_000.0
 """Delay after a failure of the store."""
 
@@ -92,9 +95,8 @@
 
     def _period_ms(self) -> float:
         instances = 1 + len(self._peers.records)
-        return max(
-            WRITE_PERIOD_MS, 1_000.0 * instances / (WRITES_SHARE * self._writes_per_s)
-        )
+        writes_per_s = max(MIN_WRITES_PER_S, WRITES_SHARE * self._writes_per_s)
+        return max(WRITE_PERIOD_MS, 1_000.0 * instances / writes_per_s)
 
     async def _try(self, call: Callable, *arguments) -> bool:
         """Return whether a call of the store succeeded; wait for a while if not."""
--- a/tests/gateway/test_retry_budgets.py
+++ b/tests/gateway/test_retry_budgets.py
@@ -117,6 +117,12 @@
     assert not budgets.of("book").spend(1.1)
 
 
+def test_a_window_of_no_length_is_reported():
+    budgets = RetryBudgets(GatewayBounds(retry_window_ms=0.0), "a")
+    assert budgets.of("book").spend(1.0)
+    assert [report.dispatcher for report in budgets.reports(1.0)] == ["a"]
+
+
 def test_nothing_is_reported_while_nothing_is_retried():
     budgets = RetryBudgets(BOUNDS, "a")
     for number in range(500):
--- a/tests/gateway/test_stored_streams.py
+++ b/tests/gateway/test_stored_streams.py
@@ -82,7 +82,11 @@
     """Return a function that starts an instance over a store."""
 
     def start(
-        store, name: str = "edge-1", versions=("v1", "v2"), fleet: int = 0
+        store,
+        name: str = "edge-1",
+        versions=("v1", "v2"),
+        fleet: int = 0,
+        writes_per_s: float = 400.0,
     ) -> Instance:
         own, clock, log = InstanceId(name), TrioClock(), []
         peers = NoPeers(own, [None] * fleet)
@@ -95,7 +99,7 @@
         tasks = TaskSupervisor(nursery, log.append)
         records = StreamRecords(peers, serving, clock, write, tasks)
         stored = StoredStreams(
-            store, records, peers, own, clock, lambda: 1.0, write, 400.0
+            store, records, peers, own, clock, lambda: 1.0, write, writes_per_s
         )
         scope = trio.CancelScope()
 
@@ -187,6 +191,14 @@
     assert 0 < store.writes <= most_per_s * 60 + 1
 
 
+async def test_a_store_that_names_no_rate_gets_few_writes(start, autojump_clock):
+    store = UnconditionalStore()
+    instance = start(store, writes_per_s=0.0)
+    await instance.records.record(stream("a1", "v1"))
+    await trio.sleep(2.0)
+    assert store.streams_of("edge-1") == {"a1"}
+
+
 async def test_nothing_is_written_while_no_stream_begins(start, autojump_clock):
     store = UnconditionalStore()
     instance = start(store)
