--- a/src/acaciapier/gateway/dispatch/admission_queue.py
+++ b/src/acaciapier/gateway/dispatch/admission_queue.py
@@ -30,7 +30,7 @@
 arrive. A chain of three average calls takes as long."""
 
 AIM_STEP_MS = 100.0
-"""Aims are counted together in steps of this size."""
+"""Requests whose aims differ by less are counted together."""
 
 CERTAIN_WORK_SHARE = 0.8
 """Share of the work ahead of a request that is expected to run before it even in the
@@ -308,7 +308,7 @@
         return self._shares.above(workspaces, now_s)
 
     def _pieces_before(self, entry: AdmissionEntry) -> int:
-        """Return the started pieces that are not expected to give way to an entry.
+        """Return the started pieces that do not give way to those of an entry.
 
         In the queues of the stages a less urgent request gives way. One that has
         enough time for the other's whole chain first is on time all the same.
--- a/src/acaciapier/gateway/dispatch/prefix_cache.py
+++ b/src/acaciapier/gateway/dispatch/prefix_cache.py
@@ -13,7 +13,7 @@
 PrefixHash = NewType("PrefixHash", int)
 
 MAX_PREFIXES = 100_000
-"""Prefixes recorded for all workers of a service together: about 20 MB."""
+"""Prefixes recorded for the workers of a service, and in their common log."""
 
 
 def hash_prefixes(
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -13,8 +13,8 @@
 from .request_costs import CostDistribution, CostKind
 
 MAX_PLACEMENT_PARTS = 128
-"""Leading parts of a prompt that are considered for the choice of its worker. Requests
-that wait keep them, so that a longer list would cost more than it gains."""
+"""Leading parts of a prompt that are considered for the choice of its worker, since
+each waiting request keeps them."""
 
 RESTORED_SLOT_TTL_MS = 5_000.0
 """Time for which a slot is reserved again after a silence: most requests end in it."""
--- a/src/acaciapier/gateway/dispatch/stage_order.py
+++ b/src/acaciapier/gateway/dispatch/stage_order.py
@@ -10,8 +10,8 @@
 the order matters while more work waits than fits in one call."""
 
 MAX_CALL_INPUTS = 50_000
-"""Largest number of handles in one call, where each piece names all its inputs: over
-a megabyte of body. A piece may name `MAX_REQUEST_PIECES`, which is less."""
+"""Largest number of handles in one call, where each piece names all its inputs. It is
+above `MAX_REQUEST_PIECES`, so that each piece fits into a call."""
 
 EXPIRES_SOON_CALLS = 4.0
 """A deprioritized group is added to a call when it expires within the time of this many
