--- a/tests/gateway/test_answers_during_uploads.py
+++ b/tests/gateway/test_answers_during_uploads.py
@@ -192,8 +192,13 @@
             connection.close()
 
 
-async def ask_bad_workers(serve: Serve, path: str, tries: int = 4) -> list:
-    """Return answers of a gateway that has only workers which `serve` plays."""
+PLAIN_AND_MODEL = ("book-1", "book-2", "model-1", "model-2")
+
+
+async def ask_bad_workers(
+    serve: Serve, path: str, tries: int = 4, bad=PLAIN_AND_MODEL, **headers: str
+) -> list:
+    """Return answers of a gateway whose workers named in `bad` `serve` plays."""
     answers = []
     async with deployment() as world, trio.open_nursery() as nursery:
 
@@ -201,11 +206,11 @@
             while head := await read_head(stream):
                 await serve(stream, head)
 
-        for name in ("book-1", "book-2", "model-1", "model-2"):
+        for name in bad:
             port = await listen(nursery, answer)
             world.platform.register(name, addr=f"{HOST}:{port}")
         workers = world.gateways[0].catalogue.workers
-        await world.until(lambda: workers["model-2"].port == port)
+        await world.until(lambda: workers[bad[-1]].port == port)
         for number in range(tries):
             with trio.fail_after(6):
                 answers.append(
@@ -215,6 +220,7 @@
                         BODY,
                         Attempt_Id=f"a{number}",
                         Deadline_Ms="2000",
+                        **headers,
                     )
                 )
         nursery.cancel_scope.cancel()
@@ -248,3 +254,16 @@
 
     for answer in await ask_bad_workers(serve, path, tries=2):
         assert answer.status in (0, 502, 503, 504)
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"600 Odd"])
+async def test_a_part_of_a_stage_workers_answer_is_no_result(status):
+    async def serve(stream, head: bytes) -> None:
+        await stream.send_all(head_of("", status) + b'{"items":[{"handle":"10.1')
+        await trio.sleep(0.02)
+        reset(stream)
+
+    stages = {"Chunk_Count": "2,1", "Chunk_Key": "k"}
+    bad = ("encode-1", "encode-2")
+    for answer in await ask_bad_workers(serve, "/staged/1", 2, bad, **stages):
+        assert answer.status in (0, 502, 503, 504)
