--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -95,6 +95,9 @@
         self.events = []
         self.changed = asyncio.Event()
         self.writers, self.waiting = set(), set()
+        self.stale_s = 0.0
+        """How old the answers are to calls that allow old ones."""
+        self.stale_calls = 0
         self.acks = {}
         """Times of the last write by kind and name."""
 
@@ -121,7 +124,8 @@
             self._event(kind, known, True)
 
     def _event(self, kind, item, deleted):
-        self.events.append((self.revision, kind, dict(item), deleted))
+        now = time.monotonic()
+        self.events.append((self.revision, kind, dict(item), deleted, now))
         self.acks[kind, item["metadata"]["name"]] = time.monotonic()
         former, self.changed = self.changed, asyncio.Event()
         former.set()
@@ -215,6 +219,13 @@
         if since > self.revision:
             return 410, {}
         end = time.monotonic() + min(30.0, int(query.get("wait_ms", 0)) / 1000)
+        if query.get("stale_ok") == "1" and self.stale_s:
+            self.stale_calls += 1
+            before = time.monotonic() - self.stale_s
+            old = [e for e in self.events if e[4] <= before]
+            found = [e for e in old if e[0] > since and e[1] == kind]
+            await asyncio.sleep(max(0.0, end - time.monotonic()) if not found else 0.0)
+            return 200, self._changes(found, max([since, *(e[0] for e in old)]))
         while True:
             found = [e for e in self.events if e[0] > since and e[1] == kind]
             left = end - time.monotonic()
@@ -224,8 +235,11 @@
                 await asyncio.wait_for(self.changed.wait(), left)
             except TimeoutError:
                 pass
-        events = [{"object": item, "deleted": gone} for _, _, item, gone in found]
-        return 200, {"events": events, "current_rev": self.revision}
+        return 200, self._changes(found, self.revision)
+
+    def _changes(self, found, revision):
+        events = [{"object": item, "deleted": gone} for _, _, item, gone, _ in found]
+        return {"events": events, "current_rev": revision}
 
 
 class Worker:
@@ -409,7 +423,24 @@
         except (OSError, TimeoutError):
             return False
 
-    async def wait_ready(self, within_s=30.0):
+    async def metrics(self):
+        """Return the gateway's metrics as text."""
+        reader, writer = await asyncio.open_connection(HOST, self.ready)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        try:
+            data = await asyncio.wait_for(reader.read(), 5.0)
+        finally:
+            writer.close()
+        return data.decode("latin-1")
+
+    async def dispatcher_of(self, service):
+        """Return the name of the instance that this one takes for a dispatcher."""
+        for line in (await self.metrics()).splitlines():
+            if line.startswith("acaciapier_dispatcher{") and f'"{service}"' in line:
+                return line.split('dispatcher="')[1].split('"')[0]
+        raise CannotRun(f"no dispatcher of {service} in the metrics")
+
+    async def wait_ready(self, within_s=40.0):
         end = time.monotonic() + within_s
         while not await self.is_ready():
             if time.monotonic() > end or self.process.returncode is not None:
@@ -442,14 +473,27 @@
                 continue
 
 
+PORTS = range(12_000, 31_000)
+"""Below those from which the system chooses for outgoing connections."""
+
+_taken = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Return ports that nothing listens at, each once in a case."""
+    found = []
+    while len(found) < count:
+        port = random.choice(PORTS)
+        if port in _taken:
+            continue
+        _taken.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 class Answer:
@@ -493,7 +537,7 @@
             "retry_slack": 58,
             "recovery_s": 12,
             "max_delay_ms": 120,
-            "retry_after_s": 7.5,
+            "retry_after_s": 6.8,
         } | self.bounds
         seeds = ",".join(f"{HOST}:{one.control}" for one in self.gateways[:3])
         lines = [
@@ -675,6 +719,9 @@
     random_source = random.Random(int(os.environ.get("SEED", "1")))
 
     async def main():
+        # A time-out from outside ends the gateways, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory(prefix="review3-") as temporary:
             world = World(Path(temporary), record)
             try:
@@ -695,7 +742,7 @@
         sys.exit(2)
     try:
         findings = asyncio.run(main())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record("case", "could not run", error=repr(error))
         record.close()
         print(f"could not run: {error!r}")
