Remember the answers of stage workers for each connection

Copies were recognised by the last 5,000 results of all services, which are those of a second at 4,000 results a second, while connections are idle for longer.

A copy comes where the next response on its connection is expected, so each connection now remembers its own answers for as long as it is open. One that has carried 500 is closed, which bounds the memory.

--- a/src/acaciapier/gateway/stage_client.py
+++ b/src/acaciapier/gateway/stage_client.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from weakref import WeakKeyDictionary
 
 import trio
+import xxhash
 
 from ..core.clock import Clock, to_s
 from ..http.client import (
@@ -23,8 +25,9 @@
 from .worker_eligibility import Ineligibility
 from .worker_notices import WorkerNotices
 
-MAX_REMEMBERED_HANDLES = 5_000
-"""Handles by which second copies of answers are recognised: those of some seconds."""
+MAX_ANSWERS = 500
+"""Answers with results that one connection carries. Second copies of them may arrive as
+long as it is open."""
 
 MAX_COPIES = 8
 """Second copies of answers that are skipped before the answer to a call."""
@@ -83,8 +86,8 @@
         self._notices = notices
         self._clock = clock
         self._log = log
-        self._received: dict[tuple[str, str], None] = {}
-        """Worker and handle of received results; oldest first."""
+        self._answers: WeakKeyDictionary[HttpConnection, set[int]] = WeakKeyDictionary()
+        """Hashes of the answers with results that came over each connection."""
 
     async def run(
         self,
@@ -135,11 +138,6 @@
             finally:
                 # Its traceback refers to this frame.
                 del failure
-        for result in results:
-            if result.handle is not None:
-                self._received[worker.key, result.handle] = None
-        while len(self._received) > MAX_REMEMBERED_HANDLES:
-            del self._received[next(iter(self._received))]
         return results
 
     async def free(self, worker: Worker, handles: Sequence[str]) -> None:
@@ -157,16 +155,23 @@
         self._connections.record_silence(worker, silence.connection)
         silence.on_silence()
 
-    def _is_copy(self, worker: Worker, body: bytes) -> bool:
-        """Return whether a response has results of an earlier one.
+    def _is_copy(self, connection: HttpConnection, body: bytes) -> bool:
+        """Return whether a response has the results of an earlier one.
 
-        Responses to calls have no id: a second copy of one, which arrives late on a
-        connection that is in use again, would be taken for the next one.
+        Responses to calls have no id: a second copy of one, which arrives late on its
+        connection, would be taken for the next one.
         """
-        return any(
-            (worker.key, handle) in self._received
-            for handle in stage_format.decode_handles(body)
-        )
+        handles = stage_format.decode_handles(body)
+        if not handles:
+            return False
+        answers = self._answers.setdefault(connection, set())
+        answer = xxhash.xxh3_64_intdigest(handles[0].encode())
+        if answer in answers:
+            return True
+        answers.add(answer)
+        if len(answers) >= MAX_ANSWERS:
+            connection.forbid_reuse()
+        return False
 
     async def _call(
         self,
@@ -238,7 +243,7 @@
                 body = await connection.receive_full_body(
                     MAX_RESPONSE_BYTES, reservation.reserve
                 )
-            if not self._is_copy(worker, body):
+            if not self._is_copy(connection, body):
                 return head, body
             self._log("stage_answer_skipped", worker=worker.id)
             connection.expect_another_response()
--- a/tests/gateway/test_late_stage_answers.py
+++ b/tests/gateway/test_late_stage_answers.py
@@ -1,8 +1,11 @@
 """A stage worker's answer that is sent twice, the second time within a later call."""
 
+from contextlib import asynccontextmanager
+
 import trio
 
 from acaciapier.gateway.models import AttemptId, Piece
+from acaciapier.gateway.stage_client import MAX_ANSWERS
 
 from .support import deployment
 
@@ -72,3 +75,51 @@
             )
         assert worker.requests
         assert world.platform.run_log.mixed_inputs == 0
+
+
+@asynccontextmanager
+async def copying_stage_worker():
+    """Provide a function that calls a stage worker which sends each answer twice.
+
+    The second copies come when the next call on the connection arrives. The function
+    returns the results of an attempt's pieces.
+    """
+    async with deployment() as world:
+        platform_worker = world.platform.workers["encode-1"]
+        faults = platform_worker.faults
+        faults.repeats_answers = faults.repeats_early = True
+        platform_worker._gap_s = 0.0
+        client = world.gateways[0].dispatcher.stages.client
+
+        async def run(attempt: str, count: int = 1, name: str = "encode-1"):
+            worker = world.gateways[0].catalogue.workers[name]
+            pieces = [
+                (Piece(AttemptId(attempt), 0, number, "k", ()), 900.0)
+                for number in range(count)
+            ]
+            results = await client.run(worker, pieces, 900.0, lambda: None)
+            owners = {world.platform._results[result.handle] for result in results}
+            assert owners == {attempt}
+
+        run.world = world
+        yield run
+
+
+async def test_a_second_copy_is_recognised_whatever_came_over_other_connections():
+    """Requests got the inputs of others: only the last results were remembered."""
+    async with copying_stage_worker() as run:
+        await run("a1", 2)
+        for number in range(3):
+            await run(f"b{number}", 4_000, "encode-2")
+        await run("a2", 2)
+
+
+async def test_a_connection_is_closed_before_copies_are_not_recognised():
+    """Guards against memory that grows with the age of a connection."""
+    async with copying_stage_worker() as run:
+        opened = run.world.gateways[0].relay._workers._connections
+        await run("a0")
+        before = opened.opened
+        for number in range(1, 2 * MAX_ANSWERS):
+            await run(f"a{number}")
+        assert opened.opened - before == 1
