Adjust the split of versions to what they can take

The dispatcher of a service now weighs the versions by their usable slots and learned times, and streams that wait for a slot move with the split. A stream whose worker is silent, with no other of its version, may begin at another one once the store has a record of that; no version is concluded without having read these records. Waiting requests of other versions no longer count into the forecast of a bound one.

--- a/src/acaciapier/gateway/dispatch/dispatcher.py
+++ b/src/acaciapier/gateway/dispatch/dispatcher.py
@@ -125,15 +125,15 @@
         self._log = log
         self._tasks = tasks
         self.stages = StageDispatcher(catalogue, client, clock, log, tasks, self.limits)
-        self._allocators: dict[str, SlotAllocator] = {}
+        self.allocators: dict[str, SlotAllocator] = {}
         self._grants: dict[str, Future[Worker | None]] = {}
         self._checking: set[str] = set()
         self._ended = EndedWork(clock)
-        self._costs = CostSharing(self._allocators, clock, log)
+        self._costs = CostSharing(self.allocators, clock, log)
         self._explainer = DispatchExplainer(
             catalogue,
             clock,
-            self._allocators,
+            self.allocators,
             self.limits,
             self.loads,
             self._versions,
@@ -245,7 +245,7 @@
 
     async def permit_started(self, peer: InstanceId, message: PermitStarted) -> None:
         """Record that an answer has started."""
-        allocator = self._allocators.get(message.service)
+        allocator = self.allocators.get(message.service)
         if allocator is not None:
             now_s = self._clock.monotonic_s()
             allocator.confirm(message.permit, now_s)
@@ -264,7 +264,7 @@
     async def permit_ended(self, peer: InstanceId, message: PermitEnded) -> None:
         """Release a slot and record how the call ended."""
         self._ended.record(message.service, message.permit)
-        allocator = self._allocators.get(message.service)
+        allocator = self.allocators.get(message.service)
         if allocator is None:
             return
         now_s = self._clock.monotonic_s()
@@ -334,7 +334,7 @@
         if now_s - self._waits_updated_s >= to_s(WAITS_PERIOD_MS):
             self._waits_updated_s = now_s
             waits = self.stages.waits_ms()
-            for service, allocator in self._allocators.items():
+            for service, allocator in self.allocators.items():
                 workers = self._catalogue.workers_of(ServiceName(service))
                 if limited_ms := allocator.waits_ms(workers, now_s):
                     waits[service] = limited_ms
@@ -343,7 +343,7 @@
 
     def engine_estimate(self, service: str) -> EngineEstimate | None:
         """Return the learned times of a service's engines, if there are any."""
-        allocator = self._allocators.get(service)
+        allocator = self.allocators.get(service)
         if allocator is None or not allocator.engine_times.learned:
             return None
         return allocator.engine_times.estimate
@@ -352,14 +352,14 @@
         """Return the learned times of all engines, for heartbeats."""
         return tuple(
             ServiceEngineTimes(service, estimate.first_part_ms, estimate.ms_per_token)
-            for service in self._allocators
+            for service in self.allocators
             if (estimate := self.engine_estimate(service)) is not None
         )
 
     def reserved_counts(self, permits: int) -> dict[str, int]:
         """Return what is reserved or waits here, by kind, for metrics."""
-        slots = sum(one.reserved for one in self._allocators.values())
-        waiting = sum(one.waiting for one in self._allocators.values())
+        slots = sum(one.reserved for one in self.allocators.values())
+        waiting = sum(one.waiting for one in self.allocators.values())
         own = {"permits": permits, "slots": slots, "waiting_requests": waiting}
         return own | self.stages.reserved_counts()
 
@@ -386,7 +386,7 @@
         self.stages.remove_owner(instance)
         released = ReleasedSlots(self._clock.monotonic_s())
         self._released[instance] = released
-        for service, allocator in self._allocators.items():
+        for service, allocator in self.allocators.items():
             held = released.by_service[service] = allocator.release_owner(instance)
             self._versions.record_end(service, held.values(), released.at_s)
             allocator.reachability.remove_instance(instance)
@@ -398,21 +398,21 @@
         started_s = self._clock.monotonic_s() - to_s(uptime_ms)
         if released is not None and started_s <= released.at_s:
             for service, permit, reservation in released.left(self._clock):
-                self._allocators[service].restore(permit, reservation)
+                self.allocators[service].restore(permit, reservation)
 
     def workers_changed(self) -> None:
         """Update all queues after a change of the workers."""
         self.stages.workers_changed()
         workers = self._catalogue.workers.values()
         self.loads.keep_only({worker.key for worker in workers})
-        for service, allocator in self._allocators.items():
+        for service, allocator in self.allocators.items():
             allocator.retain_workers(self._catalogue.workers_of(ServiceName(service)))
             self._assign(service)
 
     def hand_over(self) -> None:
         """Return all waiting work to its senders, at a stop or after a freeze."""
         self.stages.hand_over(HANDED_OVER, for_good=self.stopping)
-        for allocator in self._allocators.values():
+        for allocator in self.allocators.values():
             for request in allocator.pop_all():
                 self._grants[request.permit].set_result(None)
 
@@ -420,9 +420,9 @@
         rule = self._catalogue.rule(ServiceName(service))
         if rule is None:
             return None
-        allocator = self._allocators.get(service)
+        allocator = self.allocators.get(service)
         if allocator is None:
-            allocator = self._allocators[service] = SlotAllocator(
+            allocator = self.allocators[service] = SlotAllocator(
                 rule,
                 limits=self.limits,
                 reachability=Reachability(partial(self._log, service=service)),
@@ -436,7 +436,7 @@
         return self._catalogue.workers_of(ServiceName(service))
 
     def _assign(self, service: str) -> None:
-        allocator = self._allocators[service]
+        allocator = self.allocators[service]
         now_s = self._clock.monotonic_s()
         workers = self._catalogue.workers_of(ServiceName(service))
         self._release_overdue(service, allocator, now_s)
@@ -491,7 +491,7 @@
             self._tasks.start_soon(self._check_periodically, service)
 
     async def _check_periodically(self, service: str) -> None:
-        allocator = self._allocators[service]
+        allocator = self.allocators[service]
         try:
             while allocator.waiting:
                 await trio.sleep(to_s(CHECK_PERIOD_MS))
--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -83,6 +83,11 @@
         above = self.kind.workspace in above_share
         return self.due_s < now_s, self.priority, not self.begun, above, self.due_s
 
+    def may_compete_with(self, other: "SlotRequest") -> bool:
+        """Return whether both may be granted the same worker."""
+        versions = {self.software_version, other.software_version} - {None}
+        return len(versions) < 2
+
     def usable(self, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return the workers at which the request may be granted a slot."""
         if self.is_bound:
--- a/src/acaciapier/gateway/dispatch/slots.py
+++ b/src/acaciapier/gateway/dispatch/slots.py
@@ -5,7 +5,7 @@
 
 from ...core.clock import to_s
 from ..engine_times import EngineTimes
-from ..models import ServiceRule, Worker
+from ..models import ServiceRule, SoftwareVersion, Worker
 from ..settings import DEFAULT_PREFIX_REUSE_MS
 from ..worker_limits import WorkerLimits
 from .health import WorkerHealth
@@ -16,6 +16,7 @@
 from .reservations import Reservations
 from .slot_queue import SlotQueue
 from .slot_requests import SlotRequest, SlotReservation
+from .version_times import VersionTimes
 from .worker_load import WorkerLoads
 
 UNLISTED_PERMIT_MS = 1_000.0
@@ -64,6 +65,7 @@
         self._limits = limits or WorkerLimits()
         self.reachability = reachability or Reachability()
         self.queue = SlotQueue()
+        self._version_times = VersionTimes()
         self._reservations = Reservations(self._limits)
         self.placement = Placement(
             rule,
@@ -131,7 +133,10 @@
             return next_ms
         ahead = self.queue.count_ahead(
             request,
-            lambda waiting: not self.reachability.may_be_partitioned(waiting.owner),
+            lambda waiting: (
+                waiting.may_compete_with(request)
+                and not self.reachability.may_be_partitioned(waiting.owner)
+            ),
             now_s,
         )
         return max(next_ms, (ahead + 1) / self.placement.rate_per_ms(open_workers))
@@ -236,6 +241,21 @@
         """Release a slot and return its reservation; None if it is not reserved."""
         return self._reservations.release(permit)
 
+    def version_capacities(
+        self, owner: str, workers: Sequence[Worker], now_s: float
+    ) -> dict[SoftwareVersion, float]:
+        """Return the requests a second that the versions can take.
+
+        Only workers count that are open to the requests of an instance.
+        """
+        slots: dict[SoftwareVersion, int] = {}
+        for worker in workers:
+            healthy = self.health.usable(worker.key, now_s)
+            if healthy and not self.blocked_ms(owner, worker, now_s):
+                version = SoftwareVersion(worker.software_version)
+                slots[version] = slots.get(version, 0) + self.slots(worker)
+        return self._version_times.rates(slots)
+
     def record_duration(
         self,
         key: str,
@@ -245,6 +265,8 @@
     ) -> None:
         """Record the time of a successful call for a released slot."""
         self.placement.record_duration(key, elapsed_ms, now_s, reservation)
+        if reservation is not None and reservation.software_version is not None:
+            self._version_times.record(reservation.software_version, elapsed_ms)
 
     def confirm(self, permit: str, now_s: float) -> None:
         """Record that the instance of a slot has its permit."""
--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -42,6 +42,7 @@
 from .response_memory import ResponseMemory
 from .settings import GatewaySettings
 from .settings_reload import SettingsReloader
+from .split_exceptions import SplitExceptions
 from .stage_client import StageClient
 from .status_server import StatusServer
 from .stored_records import make_stored_records
@@ -201,9 +202,13 @@
             tasks,
             connector.is_reachable,
         )
+        count_call = self.metrics.gateway_store
+        self.store = PlatformStore(settings.store.address, count_call, log)
+        reachable = lambda: self.sync.reachable
         self.assignment = VersionAssignment(
-            self.catalogue, clock, log, lambda: bool(without_records())
+            self.catalogue, clock, log, lambda: bool(without_records()), reachable
         )
+        exceptions = SplitExceptions(self.store, self.peers, clock, log)
         self.streams = StreamRecords(
             self.peers,
             self.catalogue.serving,
@@ -216,6 +221,7 @@
             self.catalogue.former_routes.services_with_current,
             lambda: self.catalogue.former_routes.known_ms,
             self.assignment,
+            exceptions,
         )
         self.dispatch_client = DispatchClient(
             self.peers, self.dispatcher, self.catalogue, self.clock, log
@@ -261,8 +267,6 @@
         self.connections = CallerConnections(
             self.catalogue, self.relay.handle, self.clock, self.observer, settings
         )
-        count_call = self.metrics.gateway_store
-        self.store = PlatformStore(settings.store.address, count_call, log)
         self.sync = StoreSync(
             self.store,
             self.catalogue,
@@ -287,6 +291,7 @@
             self._jitter,
             log,
             lambda: self.sync.reachable and not self._stopping,
+            self.dispatcher,
         )
         peer_sync = self._peer_sync = PeerSync(
             self.catalogue,
@@ -333,6 +338,7 @@
         for loop in (
             self.sync.run,
             *self._stored.loops,
+            exceptions.sweep,
             partial(detect_freezes, self.clock, log, self.dispatcher.hand_over),
             reloader.reload_periodically,
             connector.probe_periodically,
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -3,6 +3,7 @@
 import random as random_module
 from functools import partial
 
+import msgspec
 import trio
 
 from ..core.clock import Clock
@@ -12,6 +13,7 @@
 from ..wire.messages.gateway import AcquireWorker
 from .catalogue import Catalogue
 from .dispatch.dispatch_client import DispatchClient
+from .dispatch.permits import Permit
 from .dispatch.refusal import NO_WORKER_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
 from .final_responses import (
     MIN_RETRY_AFTER_S,
@@ -233,12 +235,7 @@
             self._check_barred(state)
             await self._ensure_inputs(state)
             self._check_blocked(state)
-            if state.route.resumes_streams and state.software_version is None:
-                state.assigned_version = await self._assignment.assign(
-                    ServiceName(state.service), state.metadata.attempt
-                )
-            message = self._acquire_message(state, only_untried)
-            permit = await self._dispatch_client.acquire(message)
+            permit = await self._acquire(state, only_untried)
             try:
                 if only_untried and permit.worker.id in state.tried_workers:
                     # A dispatcher of an earlier release ignores the flag.
@@ -409,6 +406,27 @@
         likely = max(workers, key=lambda worker: rendezvous_rank(prefix, worker.id))
         return likely.data_centre
 
+    async def _acquire(self, state: RequestState, only_untried: bool) -> Permit:
+        """Acquire a slot, for a new stream at workers of its version."""
+        while state.route.resumes_streams and state.software_version is None:
+            service, attempt = ServiceName(state.service), state.metadata.attempt
+            version = await self._assignment.assign(service, attempt)
+            state.assigned_version = version
+            if version is None:
+                break
+            with self._assignment.cancelled_on_move(service, attempt, version):
+                message = self._acquire_message(state, only_untried)
+                try:
+                    return await self._dispatch_client.acquire(message)
+                except Refused:
+                    if not only_untried or not self._assignment.may_deviate:
+                        raise
+                # No other worker of the version is there; a further one is silent.
+                message = msgspec.structs.replace(message, software_version=None)
+                return await self._dispatch_client.acquire(message)
+        message = self._acquire_message(state, only_untried)
+        return await self._dispatch_client.acquire(message)
+
     def _acquire_message(
         self, state: RequestState, only_untried: bool
     ) -> AcquireWorker:
--- a/src/acaciapier/gateway/request_state.py
+++ b/src/acaciapier/gateway/request_state.py
@@ -96,6 +96,15 @@
             UNKNOWN_VERSION if self.writer_in_doubt else version,
         )
 
+    def deviating_stream(self, worker: Worker) -> BegunStream | None:
+        """Return the stream if it is to begin at another version than assigned."""
+        version = SoftwareVersion(worker.software_version) or UNKNOWN_VERSION
+        if self.software_version is not None:
+            return None
+        if self.assigned_version in (None, version):
+            return None
+        return self.begun_stream._replace(software_version=version)
+
     @property
     def resumed_within_ms(self) -> float:
         """Longest time for which callers resume a stream of the route.
--- a/src/acaciapier/gateway/stored_records.py
+++ b/src/acaciapier/gateway/stored_records.py
@@ -6,6 +6,7 @@
 from ..core.clock import Clock
 from ..platform.store import PlatformStore
 from .catalogue import Catalogue
+from .dispatch.dispatcher import Dispatcher
 from .earlier_builds import EarlierBuilds
 from .models import PeerRecord
 from .peers import Peers
@@ -15,6 +16,7 @@
 from .stored_streams import StoredStreams
 from .stream_records import StreamRecords
 from .version_assignment import VersionAssignment
+from .version_capacities import VersionCapacities
 
 
 @dataclass(frozen=True)
@@ -44,6 +46,7 @@
     jitter: Callable[[], float],
     log: Callable[..., None],
     is_current: Callable[[], bool],
+    dispatcher: Dispatcher,
 ) -> StoredRecords:
     """Return the records of an instance; see the classes for the parameters."""
     history = ServingHistory(
@@ -67,6 +70,7 @@
         log,
         history.nothing_before,
         is_current,
+        VersionCapacities(catalogue, peers, dispatcher, clock).of,
     )
     stored_streams = StoredStreams(
         store,
--- a/src/acaciapier/gateway/stream_conclusions.py
+++ b/src/acaciapier/gateway/stream_conclusions.py
@@ -12,6 +12,7 @@
     BegunStream,
     ServingVersions,
 )
+from .split_exceptions import SplitExceptions
 from .version_assignment import VersionAssignment
 
 
@@ -41,6 +42,8 @@
         Returns whether this instance reads the list of workers from the store.
     assignment : VersionAssignment or None
         The splits by which streams begin.
+    exceptions : SplitExceptions or None
+        The streams that began otherwise.
     """
 
     def __init__(
@@ -49,13 +52,15 @@
         serving: ServingVersions,
         list_is_current: Callable[[], bool],
         assignment: VersionAssignment | None,
+        exceptions: SplitExceptions | None,
     ):
+        self._exceptions = exceptions
         self._peers = peers
         self._serving = serving
         self._list_is_current = list_is_current
         self._assignment = assignment
 
-    def find(
+    async def find(
         self,
         workspace: str,
         attempt: AttemptId | None,
@@ -79,7 +84,16 @@
             Longest time for which a caller resumes a stream.
         """
         request = workspace, attempt, service, answers, life_ms
-        return self._from_lists(*request) or self._from_splits(*request[:-1])
+        found = self._from_lists(*request)
+        if found is not None:
+            return found
+        found = self._from_splits(*request[:-1])
+        if found is None or self._exceptions is None:
+            return found
+        read, exception = await self._exceptions.find(workspace, found.stream.attempt)
+        if exception is not None:
+            return FoundStream(exception, True)
+        return found if read else None
 
     def _from_lists(
         self,
--- a/src/acaciapier/gateway/stream_records.py
+++ b/src/acaciapier/gateway/stream_records.py
@@ -24,6 +24,7 @@
 from .models import AttemptId, ServiceName, SoftwareVersion
 from .peers import Peers
 from .record_holders import COPIES, new_holders, ranked_holders
+from .request_state import RequestFailed
 from .software_versions import (
     MAX_RETENTION_MS,
     RETENTION_MS,
@@ -32,6 +33,7 @@
     BegunStreams,
     ServingVersions,
 )
+from .split_exceptions import SplitExceptions
 from .stream_conclusions import FoundStream, StreamConclusions
 from .supervision import TaskSupervisor
 from .version_assignment import VersionAssignment
@@ -94,6 +96,8 @@
         Returns for how long this instance has known a configuration.
     assignment : VersionAssignment, optional
         Tells which versions began streams without a record.
+    exceptions : SplitExceptions, optional
+        Keeps the streams that began at another version than assigned.
     """
 
     def __init__(
@@ -109,9 +113,11 @@
         route_services: Callable[[str, str, float], Iterable[str]] = lambda *_: (),
         routes_known_ms: Callable[[], float] = lambda: math.inf,
         assignment: VersionAssignment | None = None,
+        exceptions: SplitExceptions | None = None,
     ):
+        self._exceptions = exceptions
         self._conclusions = StreamConclusions(
-            peers, serving, list_is_current, assignment
+            peers, serving, list_is_current, assignment, exceptions
         )
         self._assignment = assignment
         self._peers = peers
@@ -165,6 +171,17 @@
             return
         self._log("stream_version_not_shared", request=stream.attempt)
 
+    async def record_exception(self, stream: BegunStream) -> None:
+        """Record a stream that does not begin at its assigned version.
+
+        Raises
+        ------
+        RequestFailed
+            If the store does not have it, so that another version could be concluded.
+        """
+        if self._exceptions is None or not await self._exceptions.record(stream):
+            raise RequestFailed("version_not_recorded")
+
     def invalidate(self, stream: BegunStream) -> None:
         """Withdraw a version that was recorded for an attempt and may be wrong."""
         unknown = stream._replace(software_version=UNKNOWN_VERSION)
@@ -244,7 +261,7 @@
         concluded = None
         one_service = self._has_one_service(services, answers, life_ms, request)
         if not recorded and not known and one_service:
-            concluded = self._conclusions.find(
+            concluded = await self._conclusions.find(
                 workspace, attempt, services[0], answers, life_ms
             )
             stream = concluded and concluded.stream
--- a/src/acaciapier/gateway/version_assignment.py
+++ b/src/acaciapier/gateway/version_assignment.py
@@ -1,6 +1,7 @@
 """Assigns new streams to software versions by the splits that the store holds."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 
 import trio
 
@@ -33,6 +34,8 @@
 """Retry delay if none was written; a retry has another id and may be assigned to
 another version."""
 
+CapacitiesOf = Callable[[ServiceName], Mapping[SoftwareVersion, float] | None]
+
 
 class VersionAssignment:
     """The splits that this instance knows, and what follows from them.
@@ -48,6 +51,8 @@
     lacks_records : callable
         Returns whether an instance of a build without records of streams is listed.
         The dispatchers then choose the versions.
+    store_is_reachable : callable
+        Returns whether this instance reads from the store.
     """
 
     def __init__(
@@ -56,7 +61,9 @@
         clock: Clock,
         log: Callable[..., None],
         lacks_records: Callable[[], bool] = lambda: False,
+        store_is_reachable: Callable[[], bool] = lambda: True,
     ):
+        self._store_is_reachable = store_is_reachable
         self.record = SplitRecord()
         """The newest record that is known to be in the store."""
         self.splits: Mapping[ServiceName, ServiceSplits] = {}
@@ -70,6 +77,10 @@
         self._known_before_ms = 0.0
         self._since_s = clock.monotonic_s()
         self._changed = trio.Event()
+        self._waiting: dict[
+            trio.CancelScope, tuple[ServiceName, AttemptId, SoftwareVersion]
+        ] = {}
+        """Assigned streams that wait for a slot."""
         self._confirmed_s = clock.monotonic_s()
 
     @property
@@ -78,6 +89,11 @@
         elapsed_ms = (self._clock.monotonic_s() - self._since_s) * 1_000.0
         return self._known_before_ms + elapsed_ms
 
+    @property
+    def may_deviate(self) -> bool:
+        """Whether a stream may begin at another version, as the store can record it."""
+        return self._store_is_reachable()
+
     def add_known(self, before_ms: float) -> None:
         """Record that streams also began by splits in a time before the start."""
         self._known_before_ms = max(self._known_before_ms, before_ms)
@@ -113,6 +129,10 @@
                 for service, splits in self.splits.items()
             },
         )
+        for scope, (service, attempt, version) in self._waiting.items():
+            split = self._split_of(service)
+            if split is not None and split.version_of(attempt) != version:
+                scope.cancel()
         self._wake()
         return True
 
@@ -124,23 +144,38 @@
                 self._singles[service] = VersionSplit.single(*versions)
         self._wake()
 
-    def proposed(self, now_ms: int) -> dict[ServiceName, ServiceSplits]:
-        """Return the splits that should be in force, given the usable workers."""
+    def proposed(
+        self, now_ms: int, capacities: CapacitiesOf
+    ) -> dict[ServiceName, ServiceSplits]:
+        """Return the splits that should be in force, given the usable workers.
+
+        Parameters
+        ----------
+        now_ms : int
+            Unix time.
+        capacities : callable
+            Returns the capacities of a service's versions where this instance is to
+            adjust the split to them; None elsewhere.
+        """
         lives_ms = self._lives_ms()
-        slots: dict[ServiceName, dict[SoftwareVersion, int]] = {}
-        mixed = set()
+        by_service: dict[ServiceName, Mapping[SoftwareVersion, float]] = {}
+        mixed, adjustable = set(), set()
         for service in lives_ms:
             versions = self._catalogue.serving.of(service)
             if "" in versions:
                 continue
             if len(versions) > 1:
                 mixed.add(service)
-            by_version = slots.setdefault(service, {})
-            for worker in self._catalogue.workers_of(service):
-                version = worker.software_version
-                by_version[version] = by_version.get(version, 0) + max(1, worker.slots)
+            elif service not in self.splits:
+                continue
+            known = capacities(service)
+            if known is None:
+                known = self._listed_slots(service)
+            else:
+                adjustable.add(service)
+            by_service[service] = known
         return updated_splits(
-            self.splits, slots, mixed, self._singles, lives_ms, now_ms
+            self.splits, by_service, mixed, self._singles, lives_ms, adjustable, now_ms
         )
 
     async def assign(
@@ -204,6 +239,18 @@
                 return level_ms
         return 0.0
 
+    @contextmanager
+    def cancelled_on_move(
+        self, service: ServiceName, attempt: AttemptId, version: SoftwareVersion
+    ) -> Iterator[None]:
+        """Cancel what runs within when an attempt moves to another version."""
+        with trio.CancelScope() as scope:
+            self._waiting[scope] = service, attempt, version
+            try:
+                yield
+            finally:
+                del self._waiting[scope]
+
     async def wait_for_change(self, timeout_ms: float) -> None:
         """Wait until a split may have to be written, or for a time."""
         with trio.move_on_after(to_s(timeout_ms)):
@@ -221,6 +268,13 @@
         splits = self.splits.get(service)
         return self._singles.get(service) if splits is None else splits.current
 
+    def _listed_slots(self, service: ServiceName) -> dict[SoftwareVersion, float]:
+        slots: dict[SoftwareVersion, float] = {}
+        for worker in self._catalogue.workers_of(service):
+            version = worker.software_version
+            slots[version] = slots.get(version, 0.0) + max(1, worker.slots)
+        return slots
+
     def _lives_ms(self) -> dict[ServiceName, float]:
         """Return for how long callers resume the streams of each service."""
         configuration = self._catalogue.configuration
--- a/src/acaciapier/gateway/version_splits.py
+++ b/src/acaciapier/gateway/version_splits.py
@@ -5,7 +5,7 @@
 known without a record of the stream, even after all instances were killed at once.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
@@ -20,6 +20,9 @@
 """A split is kept while no version's share is off by this factor. A change makes the
 ids ambiguous that it moves."""
 
+MIN_KEEP_MS = 5_000
+"""Time for which a split is kept while all its versions have usable workers."""
+
 CHANGE_MARGIN_MS = 15_000.0
 """Time after which no instance uses a replaced split: heartbeats tell of the new one
 within seconds, and clocks may be seconds apart."""
@@ -36,13 +39,13 @@
         return cls(((version, UNITS),))
 
     @classmethod
-    def by_slots(cls, slots: Mapping[SoftwareVersion, int]) -> "VersionSplit":
-        """Return the split in which the versions' units follow their slots."""
-        total = sum(slots.values())
+    def by_capacity(cls, capacities: Mapping[SoftwareVersion, float]) -> "VersionSplit":
+        """Return the split in which the versions' units follow their capacities."""
+        total = sum(capacities.values())
         return cls(
             tuple(
                 (version, max(1, round(UNITS * own / total)))
-                for version, own in sorted(slots.items())
+                for version, own in sorted(capacities.items())
             )
         )
 
@@ -64,11 +67,11 @@
         )
         return version
 
-    def fits(self, slots: Mapping[SoftwareVersion, int]) -> bool:
-        """Return whether the split may be kept for versions with these slots."""
-        if self.versions != slots.keys():
+    def fits(self, capacities: Mapping[SoftwareVersion, float]) -> bool:
+        """Return whether the split may be kept for versions of these capacities."""
+        if self.versions != capacities.keys():
             return False
-        best = dict(VersionSplit.by_slots(slots).units)
+        best = dict(VersionSplit.by_capacity(capacities).units)
         return all(
             best[version] < MAX_SHARE_RATIO * units
             and units < MAX_SHARE_RATIO * best[version]
@@ -86,6 +89,11 @@
     life_ms: float = 0.0
     """Longest time for which callers have resumed streams of the service."""
 
+    @property
+    def replaced_ms(self) -> int:
+        """Unix time in ms of the last change; 0 if none is remembered."""
+        return max(self.former.values(), default=0)
+
     def replaced_by(self, split: VersionSplit, now_ms: int) -> "ServiceSplits":
         """Return the splits with a new current one."""
         former = {**self.former, self.current: now_ms}
@@ -157,10 +165,11 @@
 
 def updated_splits(
     known: Mapping[ServiceName, ServiceSplits],
-    slots: Mapping[ServiceName, Mapping[SoftwareVersion, int]],
-    mixed: Iterable[ServiceName],
+    capacities: Mapping[ServiceName, Mapping[SoftwareVersion, float]],
+    mixed: Collection[ServiceName],
     singles: Mapping[ServiceName, VersionSplit],
     lives_ms: Mapping[ServiceName, float],
+    adjustable: Collection[ServiceName],
     now_ms: int,
 ) -> dict[ServiceName, ServiceSplits]:
     """Return the splits that fit the workers.
@@ -169,31 +178,35 @@
     ----------
     known : mapping
         The splits in force.
-    slots : mapping
-        Slots of the usable workers by service and version.
-    mixed : iterable of ServiceName
+    capacities : mapping
+        Capacities of the versions with usable workers, by service.
+    mixed : collection of ServiceName
         Services that several versions serve, or served lately.
     singles : mapping
         Splits of services that a single version served until now.
     lives_ms : mapping
         Longest time for which callers resume streams of a service. One that is lowered
         still holds for streams that began before.
+    adjustable : collection of ServiceName
+        Services whose splits are changed even if all their versions have workers.
     now_ms : int
         Unix time.
     """
     updated = dict(known)
-    mixed = set(mixed)
-    for service, by_version in slots.items():
-        usable = {version: own for version, own in by_version.items() if own > 0}
+    for service, by_version in capacities.items():
         splits = known.get(service)
-        if not usable or (splits is None and service not in mixed):
+        if not by_version or (splits is None and service not in mixed):
             continue
-        best = VersionSplit.by_slots(usable)
+        best = VersionSplit.by_capacity(by_version)
         if splits is None:
             single = singles.get(service)
             former = {} if single in (None, best) else {single: now_ms}
             splits = ServiceSplits(best, former)
-        elif not splits.current.fits(usable):
+        elif not splits.current.versions <= by_version.keys() or (
+            service in adjustable
+            and now_ms - splits.replaced_ms >= MIN_KEEP_MS
+            and not splits.current.fits(by_version)
+        ):
             splits = splits.replaced_by(best, now_ms)
         life_ms = max(splits.life_ms, lives_ms.get(service, 0.0))
         updated[service] = replace(splits, life_ms=life_ms)
--- a/src/acaciapier/gateway/worker_exchange.py
+++ b/src/acaciapier/gateway/worker_exchange.py
@@ -194,7 +194,7 @@
     def _check_eligible(self, state: RequestState, worker: Worker) -> None:
         """Raise `WorkerDidNotRun` if a worker must not get the request any more."""
         reason = self._catalogue.ineligibility(
-            worker, state.bound_version, state.allowed_regions
+            worker, state.software_version, state.allowed_regions
         )
         if reason is None:
             return
@@ -452,6 +452,9 @@
             if complete:
                 self._activity.record(send.worker)
                 await sender.take_over()
+                deviating = None if received else state.deviating_stream(send.worker)
+                if deviating is not None:
+                    await self._streams.record_exception(deviating)
                 state.last_event_id = events.last_id or state.last_event_id
                 if not received:
                     send.begun_s = self._clock.monotonic_s()
@@ -492,9 +495,5 @@
     def _log_decision(
         self, state: RequestState, worker: Worker, decision: str, reason: str
     ) -> None:
-        self._observer.decided(
-            "worker_" + decision,
-            state.metadata.attempt,
-            worker=worker.id,
-            reason=reason,
-        )
+        kind, attempt = f"worker_{decision}", state.metadata.attempt
+        self._observer.decided(kind, attempt, worker=worker.id, reason=reason)
--- a/tests/gateway/test_split_history.py
+++ b/tests/gateway/test_split_history.py
@@ -80,6 +80,11 @@
     def rank(self, key: str, own_usable: bool) -> list[InstanceId]:
         return sorted(self.world.nodes)
 
+    def capacities(self, service: str) -> dict[str, float] | None:
+        if self.rank(service, True)[:1] != [self.name]:
+            return None
+        return {one.software_version: one.slots for one in self.catalogue.workers}
+
     def up_instances(self) -> list[InstanceId]:
         return [name for name in self.world.nodes if name != self.name]
 
@@ -136,6 +141,7 @@
             lambda event, **fields: node.events.append(event),
             nothing_before,
             lambda: not (self.store.down or node.cut_off),
+            node.capacities,
         )
         self.listed[name] = len(self.listed) + 1
         self.nodes[name] = node
