Ignore changes of the store that are older than what is known

Changes up to an earlier position are now ignored, as lists were, and an old list of instances brings none back.

--- a/src/acaciapier/gateway/catalogue.py
+++ b/src/acaciapier/gateway/catalogue.py
@@ -320,18 +320,19 @@
     ) -> None:
         """Apply changes up to `position`; None marks a removed entry.
 
-        Changes of an earlier term than the known one are ignored.
+        Changes up to an earlier position than the known one are part of what is known,
+        as it may come from a peer and the store's answer be old.
         """
         self._begin_term(position)
         self._workers_s = self._clock.monotonic_s()
-        if position.term < self.workers_position.term:
+        if position < self.workers_position:
             return
         for worker_id, worker in changes:
             if worker is not None:
                 self._put(worker, origin, position)
             elif worker_id in self.workers:
                 self._remove(self.workers[worker_id], after_outage, origin, position)
-        self._update_indexes(max(position, self.workers_position))
+        self._update_indexes(position)
 
     def record_draining(self, worker: Worker, origin: str) -> None:
         """Mark a worker as draining until the store or a peer has newer data."""
--- a/src/acaciapier/gateway/sync.py
+++ b/src/acaciapier/gateway/sync.py
@@ -116,6 +116,7 @@
         self._restored = trio.Event()
         """Set, and replaced, when the store has been restored from a copy."""
         self._restored_until_s = 0.0
+        self._peers_position = NO_POSITION
         self._records: dict[str, tuple[StorePosition, PeerRecord]] = {}
         """Instances with the position of their entries; `NO_POSITION` for those that a
         restored store does not list."""
@@ -275,6 +276,9 @@
         return msgspec.structs.replace(worker, entry_revision=stored.revision)
 
     def _apply_peers(self, snapshot: Snapshot, full: bool) -> None:
+        if snapshot.position < self._peers_position:
+            return
+        self._peers_position = snapshot.position
         known = self._records
         if full:
             self._records = {}
--- a/tests/gateway/test_instance_state.py
+++ b/tests/gateway/test_instance_state.py
@@ -70,6 +70,22 @@
     assert [ready.id for ready in catalogue.workers_of("book")] == ["w2"]
 
 
+def test_old_changes_of_the_store_do_not_undo_what_a_peer_told():
+    """A worker that drained got requests again from an answer that was seconds old."""
+    catalogue, _, _ = make_catalogue()
+    draining = worker("w1", state=WorkerState.DRAINING)
+    catalogue.update_workers(at(5), [worker("w1"), worker("w2")], "store")
+    catalogue.update_workers(at(9), [draining], "peer edge-2")
+    old = [("w1", worker("w1")), ("w2", worker("w2")), ("w3", worker("w3"))]
+    catalogue.apply_worker_changes(at(8), old, "store")
+    assert catalogue.workers_of("book") == ()
+    assert catalogue.workers_position == at(9)
+    catalogue.apply_worker_changes(at(9), [("w1", draining)], "store")
+    assert catalogue.workers_of("book") == ()
+    catalogue.apply_worker_changes(at(10), [("w3", worker("w3"))], "store")
+    assert [ready.id for ready in catalogue.workers_of("book")] == ["w3"]
+
+
 def test_a_worker_that_is_registered_again_in_a_newer_revision_is_used():
     catalogue, _, _ = make_catalogue()
     catalogue.update_workers(at(5), [worker("w1")], "store")
--- a/tests/gateway/test_split_exceptions.py
+++ b/tests/gateway/test_split_exceptions.py
@@ -12,10 +12,10 @@
 from acaciapier.gateway.split_exceptions import SWEEP_PERIOD_MS, SplitExceptions
 from acaciapier.platform import split_exceptions as entry_format
 
-from .support import EVENTS, deployment
+from .support import deployment
 from .test_stored_streams import NoPeers, UnconditionalStore
 from .test_stream_records import stream
-from .test_version_kept import TWO, begin, list_versions, set_faults
+from .test_version_kept import EVENTS, TWO, begin, list_versions, set_faults
 
 
 @pytest.fixture
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -244,3 +244,20 @@
         changes = await store.watch("servers", snapshot.position, 1)
         assert [stored.name for stored in changes.objects] == ["book-0"]
         nursery.cancel_scope.cancel()
+
+
+def test_an_old_answer_brings_no_instance_back():
+    """Guards against instances that are listed or removed by an old answer."""
+    sync = make_sync(UnresponsiveStore())
+
+    def answer(revision: int, *names: str, term: int = 1) -> Snapshot:
+        values = {name: worker_format.encode_peer(record(name)) for name in names}
+        objects = [StoredObject(name, 1, value) for name, value in values.items()]
+        return Snapshot(objects, StorePosition(term, revision))
+
+    sync._apply_peers(answer(9, "edge-2"), True)
+    sync._apply_peers(answer(8, "edge-2", "edge-3"), True)
+    sync._apply_peers(answer(8, "edge-4"), False)
+    assert set(sync._records) == {"edge-2"}
+    sync._apply_peers(answer(5, "edge-3", term=2), True)
+    assert "edge-3" in sync._records
