Keep nothing unparsed of input that gives way

What gave way was counted as gone while up to 64 kB of each body stayed in the parser until the connection had closed.

The parser is now replaced at once when input gives way, is rejected or has ended; a new one can still send the refusal.

--- a/src/acaciapier/http/caller_input.py
+++ b/src/acaciapier/http/caller_input.py
@@ -219,14 +219,19 @@
         self._received_lines = 0
         """Lines of the head in what was received last."""
         self._gave_way = False
+        self._dropped_bytes = 0
+        """Bytes that gave way unparsed."""
         self._scope = trio.CancelScope()
         self._max_head_bytes = limits().max_header_bytes
         self.parser = self._new_parser()
 
     @property
     def unparsed_bytes(self) -> int:
-        """Bytes that belong to an incomplete head, or to further requests."""
-        return len(self.parser.trailing_data[0])
+        """Bytes that belong to an incomplete head, or to further requests.
+
+        Those that gave way are counted until the request is dropped.
+        """
+        return self._dropped_bytes + len(self.parser.trailing_data[0])
 
     @property
     def unread_bytes(self) -> int:
@@ -266,9 +271,15 @@
         self.parser.start_next_cycle()
 
     def drop(self) -> None:
-        """Keep nothing of the request, which was rejected or has ended."""
+        """Keep nothing of the request, which was rejected or has ended.
+
+        A new parser can still send a response. The former one would keep what it has
+        not parsed while the caller takes its time.
+        """
         self._body = bytearray()
         self.head, self._head_memory_bytes = None, 0
+        self._dropped_bytes = 0
+        self.parser = self._new_parser()
         self._account.release()
 
     async def read_ahead(self, max_bytes: int) -> bool:
@@ -425,6 +436,8 @@
         """Drop the input at once, for the memory of others; `read` then ends."""
         self._gave_way = True
         self._body = bytearray()
+        self._dropped_bytes = self.unparsed_bytes
+        self.parser = self._new_parser()
         self._scope.cancel()
 
     def _check_gave_way(self) -> None:
--- a/tests/gateway/test_input_memory.py
+++ b/tests/gateway/test_input_memory.py
@@ -1,8 +1,10 @@
 """Decisions on callers' input that is over the limits of the process."""
 
 import os
+import socket
 from functools import partial
 
+import h11
 import pytest
 import trio
 
@@ -12,12 +14,18 @@
     longest_waiting,
 )
 from acaciapier.gateway.input_memory import STALLED_S, CallerInput, InputMemory
+from acaciapier.http.caller_input import (
+    ConnectionLimits,
+    RejectedInput,
+    RequestReader,
+)
 from acaciapier_standins.platform.platform import HOST
 
 from .support import deployment
 from .test_response_memory import ManualClock
 
 MB = 1_000_000
+LIMITS = ConnectionLimits(16_384, 100_000, 3.0, 15.0)
 CHUNKED = (
     b"POST /confirm/1 HTTP/1.1\r\nHost: orders.example\r\nAttempt-Id: c%d\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -183,3 +191,48 @@
         with trio.fail_after(30.0):
             answer = await stream.receive_some(1_000)
         assert b" 200 " in answer
+
+
+async def test_input_that_gives_way_keeps_nothing_unparsed():
+    """Processes ended as what gave way was kept while its connection was closed."""
+    own, other = socket.socketpair()
+    with own, other:
+        reader = RequestReader(
+            trio.SocketStream(trio.socket.from_stdlib_socket(own)),
+            lambda: LIMITS,
+            ManualClock().monotonic_s,
+            InputMemory(200.0, ManualClock()),
+            trio.lowlevel.checkpoint,
+        )
+        reader.parser.receive_data(
+            b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        assert isinstance(reader.parser.next_event(), h11.Request)
+        reader.parser.receive_data(b"a\r\n0123456789\r\n" * 4_000)
+        reader._give_way()
+        assert not reader.parser.trailing_data[0]
+        assert reader.unparsed_bytes == 60_000
+        reader.drop()
+        assert reader.unparsed_bytes == 0
+        refusal = h11.Response(status_code=503, headers=[(b"Content-Length", b"0")])
+        assert reader.parser.send(refusal).startswith(b"HTTP/1.1 503")
+
+
+async def test_rejected_input_keeps_nothing_unparsed():
+    """Guards against input that is kept while its caller takes the refusal."""
+    own, other = socket.socketpair()
+    with own, other:
+        reader = RequestReader(
+            trio.SocketStream(trio.socket.from_stdlib_socket(own)),
+            lambda: LIMITS,
+            ManualClock().monotonic_s,
+            InputMemory(200.0, ManualClock()),
+            trio.lowlevel.checkpoint,
+        )
+        reader.parser.receive_data(b"no request\r\n\r\n" + b"x" * 60_000)
+        with pytest.raises(RejectedInput):
+            reader._parser_event()
+        reader.drop()
+        assert reader.unparsed_bytes == 0
+        refusal = h11.Response(status_code=400, headers=[(b"Content-Length", b"0")])
+        assert reader.parser.send(refusal).startswith(b"HTTP/1.1 400")
