Try requests that crash workers again one at a time

Whole requests now take part in the quarantine of prompt parts: the block grows with each retry and ends with a single attempt of one instance, which is not repeated. Three late retries end the trials for as long as the request comes. Refusals spread the times after which callers return.

--- a/src/acaciapier/gateway/part_quarantine.py
+++ b/src/acaciapier/gateway/part_quarantine.py
@@ -1,8 +1,9 @@
 """Quarantine of prompt parts that crash the workers which write on them.
 
 Requests that share such a part have nothing else in common, so a quarantine of whole
-requests takes each for a new one. Instances exchange records of crashes by part and
-reach their decisions from the same records.
+requests takes each for a new one. A whole request counts as a further part of itself,
+so that its block grows and ends with a single trial, too. Instances exchange records of
+crashes by part and reach their decisions from the same records.
 """
 
 from collections import OrderedDict
@@ -21,6 +22,17 @@
 PART_PREFIX = "part/"
 """Marks the records of prompt parts among those of whole requests."""
 
+REQUEST_PREFIX = "request/"
+"""Marks the parts that stand for whole requests."""
+
+MAX_RETRIES = 3
+"""Crashes some time after the third one, after which a whole request is tried no more:
+the users' rules allow as many retries."""
+
+RETRY_AFTER_CRASHES = 3
+RETRY_AFTER_MS = 3_000.0
+"""The crash after which further ones count as retries, and the time until they do."""
+
 MAX_PART_ID_CHARS = 200
 """Longer part ids are not recorded; the platform's have 8."""
 
@@ -49,6 +61,9 @@
 """Time for which one instance may send one request with a part whose block is over."""
 
 EXPIRY_PERIOD_MS = 1_000.0
+RENEWAL_PERIOD_MS = 60_000.0
+"""Least time between two renewals of the records of a request that still comes."""
+
 MAX_RECORDS = 20_000
 MAX_KNOWN_GOOD = 50_000
 
@@ -110,6 +125,8 @@
         self._trials: dict[PartId, _Trial] = {}
         self._blocks: dict[PartId, PartBlock] | None = {}
         self._unshared: list[CrashRecord] = []
+        self._renew_s: dict[PartId, float] = {}
+        """When the records of a blocked request may be renewed again."""
 
     @property
     def digest(self) -> int:
@@ -130,6 +147,8 @@
             block = blocks.get(part)
             if block is None:
                 continue
+            if is_whole_request(part):
+                self._renew(part)
             # A request without all rivals shows which of them is the cause.
             decides = not block.rivals.issubset(parts)
             if not self._may_try(part, block, attempt, decides):
@@ -184,6 +203,15 @@
         for record in records:
             self._add(record, 0.0 if new else max(0.0, now_ms - record.at_ms))
 
+    def is_suspect(self, part: PartId) -> bool:
+        """Return whether a part has crashes."""
+        return part in self._crashes
+
+    def is_tried(self, parts: Iterable[PartId], attempt: str) -> bool:
+        """Return whether an attempt is the trial of a part."""
+        trials = (self._trials.get(part) for part in parts)
+        return any(trial is not None and trial.attempt == attempt for trial in trials)
+
     def blocks(self) -> dict[PartId, PartBlock]:
         """Return the blocked parts."""
         self._expire()
@@ -193,6 +221,9 @@
         self, part: PartId, block: PartBlock, attempt: str, decides: bool
     ) -> bool:
         """Return whether an attempt may try a blocked part, at once if it decides."""
+        retries = self._retries(part)
+        if retries >= MAX_RETRIES:
+            return False
         trial = self._trials.get(part)
         if trial is not None and trial.crashes != block.crashes:
             trial = None
@@ -200,7 +231,8 @@
             return True
         over_ms = (self._clock.monotonic_s() - block.newest_s) * 1_000.0
         if not decides:
-            over_ms -= _block_ms(block.crashes)
+            whole = is_whole_request(part)
+            over_ms -= _block_ms(BLOCKING_CRASHES + retries if whole else block.crashes)
         if over_ms < 0:
             return False
         turn = int(over_ms / TRIAL_TURN_MS)
@@ -218,9 +250,13 @@
 
     def _find_blocks(self) -> dict[PartId, PartBlock]:
         """Attribute the crashes to the strongest suspects; return those to block."""
-        blocks: dict[PartId, PartBlock] = {}
+        blocks = self._blocked_requests()
         explained: set[Crash] = set()
-        ranks = {part: self._suspicion(part) for part in self._crashes}
+        ranks = {
+            part: self._suspicion(part)
+            for part in self._crashes
+            if not is_whole_request(part)
+        }
         by_rank = sorted(ranks, key=ranks.__getitem__, reverse=True)
         for _, equals in groupby(by_rank, key=ranks.__getitem__):
             found = [part for part in equals if self._is_blocking(part, explained)]
@@ -228,6 +264,26 @@
             explained.update(*(self._crashes[part] for part in found))
         return blocks
 
+    def _blocked_requests(self) -> dict[PartId, PartBlock]:
+        """Return the blocks of whole requests, which compete with no parts.
+
+        Workers that crash at the same moment count one by one: a single trial clears a
+        request that was only popular.
+        """
+        return {
+            part: PartBlock(len(crashes), max(crashes.values()), frozenset((part,)))
+            for part, crashes in self._crashes.items()
+            if is_whole_request(part) and len(crashes) >= BLOCKING_CRASHES
+        }
+
+    def _retries(self, part: PartId) -> int:
+        """Return how many crashes of a whole request count as retries."""
+        if not is_whole_request(part):
+            return 0
+        times_s = sorted(self._crashes[part].values())
+        first = times_s[RETRY_AFTER_CRASHES - 1 :][:1]
+        return sum(at_s - first[0] > to_s(RETRY_AFTER_MS) for at_s in times_s if first)
+
     def _is_blocking(self, part: PartId, explained: set[Crash]) -> bool:
         """Return whether enough crashes of a part have no stronger suspect."""
         crashes = self._crashes[part]
@@ -305,6 +361,19 @@
         if not crashes:
             self._crashes.pop(part, None)
             self._trials.pop(part, None)
+            self._renew_s.pop(part, None)
+
+    def _renew(self, part: PartId) -> None:
+        """Keep the records of a blocked request that still comes."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._renew_s.get(part, now_s):
+            return
+        self._renew_s[part] = now_s + to_s(RENEWAL_PERIOD_MS)
+        for target, incarnation in self._crashes[part]:
+            kind = CrashRecordKind.CRASH.value
+            record_id = f"{kind}/{target}/{incarnation}/{PART_PREFIX}{part}"
+            _, record = self._records[record_id]
+            self._records[record_id] = now_s, record
 
     def _expire(self) -> None:
         """Remove expired records, and the oldest ones above `MAX_RECORDS`."""
@@ -327,6 +396,16 @@
         self._blocks = None
 
 
+def whole_request(fingerprint: Fingerprint) -> PartId:
+    """Return the part that stands for a whole request."""
+    return PartId(REQUEST_PREFIX + fingerprint)
+
+
+def is_whole_request(part: PartId) -> bool:
+    """Return whether a part stands for a whole request."""
+    return part.startswith(REQUEST_PREFIX)
+
+
 def is_part_record(record: CrashRecord) -> bool:
     """Return whether a record names a prompt part, not a whole request."""
     return record.fingerprint.startswith(PART_PREFIX)
--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -15,6 +15,7 @@
 from .dispatch.dispatch_client import DispatchClient
 from .dispatch.permits import Permit
 from .dispatch.refusal import NO_WORKER_RETRY_MS, OTHER_WORKER_RETRY_MS, Refused
+from .dispatch.retry_spread import RetrySpread
 from .final_responses import (
     MIN_RETRY_AFTER_S,
     end_unanswered,
@@ -42,7 +43,7 @@
 """Time for which a request whose worker is silent waits for another worker's slot."""
 
 BLOCKED_RETRY_S = 5.0
-"""Delays retries of a request that crashes workers."""
+"""Mean delay of the retries of a request that crashes workers."""
 
 
 class Relay:
@@ -93,6 +94,7 @@
         self._assignment = assignment
         self.clock = clock
         self._random = random
+        self._blocked_spread = RetrySpread()
         self.observer = observer
         self.times = StageTimes(catalogue, dispatch_client.engine_estimate)
         self.planner = RequestPlanner(catalogue)
@@ -152,7 +154,8 @@
         route, deadline_ms = state.route, (state.deadline_s - start_s) * 1_000.0
         blocked = self.quarantine.block_reason(state)
         if blocked is not None:
-            await refuse(exchange, 503, BLOCKED_RETRY_S)
+            delay_ms = self._blocked_spread.delay_ms(BLOCKED_RETRY_S * 1_000.0)
+            await refuse(exchange, 503, delay_ms / 1_000.0)
             return "blocked", {"route": route.name, **blocked}
         outcome, fields = await self._serve_until_deadline(state, exchange, deadline_ms)
         fields |= {
@@ -327,7 +330,8 @@
     def _check_blocked(self, state: RequestState) -> None:
         """Raise `Refused` if the request was blocked while it waited."""
         if self.quarantine.block_reason(state) is not None:
-            raise Refused("blocked", BLOCKED_RETRY_S * 1_000.0)
+            delay_ms = self._blocked_spread.delay_ms(BLOCKED_RETRY_S * 1_000.0)
+            raise Refused("blocked", delay_ms)
 
     def _may_retry(self, state: RequestState) -> bool:
         """Return whether a failed request may run again on another worker.
@@ -336,6 +340,8 @@
         """
         if state.answer_begun and state.last_event_id is None:
             return False
+        if state.last_event_id is None and self.quarantine.is_trial(state):
+            return False
         return self._may_hedge(state)
 
     def _may_hedge(self, state: RequestState) -> bool:
--- a/src/acaciapier/gateway/request_quarantine.py
+++ b/src/acaciapier/gateway/request_quarantine.py
@@ -20,7 +20,13 @@
 from ..wire.messages.operations import CrashRecordList, FetchCrashRecords
 from ..wire.messages.quarantine import CrashRecordEntry, Strikes
 from .models import Worker
-from .part_quarantine import PartBlock, PartQuarantine, is_part_record
+from .part_quarantine import (
+    PartBlock,
+    PartQuarantine,
+    is_part_record,
+    is_whole_request,
+    whole_request,
+)
 from .peers import Peers
 from .prompt_parts import PartId
 from .request_state import RequestState, WorkerSend
@@ -108,10 +114,17 @@
             return {"fingerprint": state.fingerprint}
         if state.last_event_id is not None:
             return None
-        attempt = state.metadata.attempt
-        part = self._parts.blocked_part(state.metadata.shared_part_ids, attempt)
+        parts = (whole_request(state.fingerprint), *state.metadata.shared_part_ids)
+        part = self._parts.blocked_part(parts, state.metadata.attempt)
+        if part is not None and is_whole_request(part):
+            return {"fingerprint": state.fingerprint}
         return None if part is None else {"part": part}
 
+    def is_trial(self, state: RequestState) -> bool:
+        """Return whether a request tries what was blocked; a crash must not repeat."""
+        parts = (whole_request(state.fingerprint),)
+        return self._parts.is_tried(parts, state.metadata.attempt)
+
     def blocked_parts(self, parts: Collection[PartId]) -> list[PartId]:
         """Return the blocked ones of the parts of a prompt."""
         blocks = self._parts.blocks()
@@ -129,6 +142,10 @@
         if done and send.begun_s is not None:
             parts = state.metadata.shared_part_ids
             self._parts.record_written(parts, send.worker, send.begun_s)
+        whole = whole_request(state.fingerprint)
+        if done and self._parts.is_suspect(whole):
+            begun_s = send.begun_s or self._clock.monotonic_s()
+            self._parts.record_written([whole], send.worker, begun_s)
         self._publish()
 
     def check_for_crash(self, state: RequestState, send: WorkerSend) -> None:
@@ -193,6 +210,7 @@
         outcome = CallOutcome.FAILED if reachable else CallOutcome.CRASHED
         self._quarantine.ended(_report(worker, outcome), state.fingerprint)
         if outcome is CallOutcome.CRASHED:
+            self._parts.record_crash([whole_request(state.fingerprint)], worker)
             if begun_s is None or broken_s - begun_s < to_s(WRITE_SETTLE_MS):
                 self._parts.record_crash(state.metadata.shared_part_ids, worker)
             self._log(
@@ -220,9 +238,13 @@
         self._logged_blocks = now
         for part, block in now.items():
             if block != before.get(part):
-                self._log("prompt_part_blocked", part=part, crashes=block.crashes)
+                self._log(f"{_kind(part)}_blocked", part=part, crashes=block.crashes)
         for part in before.keys() - now.keys():
-            self._log("prompt_part_released", part=part)
+            self._log(f"{_kind(part)}_released", part=part)
+
+
+def _kind(part: PartId) -> str:
+    return "whole_request" if is_whole_request(part) else "prompt_part"
 
 
 def _report(worker: Worker, outcome: CallOutcome) -> CallReport:
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -7,13 +7,16 @@
 from hypothesis import strategies as st
 
 from acaciapier.core.clock import ManualClock
+from acaciapier.core.ids import Fingerprint
 from acaciapier.gateway.models import Worker, WorkerState
 from acaciapier.gateway.part_quarantine import (
     FIRST_BLOCK_MS,
+    MAX_RETRIES,
     RECORD_EXPIRY_MS,
     SAME_CAUSE_GAP_MS,
     TRIAL_TURN_MS,
     PartQuarantine,
+    whole_request,
 )
 
 
@@ -304,3 +307,74 @@
         bound_s = fleet.crashes_s[4] + 3.0
         assert sum(sent_s > bound_s for sent_s in fleet.sends_s) <= 3
     assert fleet.sound["begun"] >= 0.9 * fleet.sound["sent"]
+
+
+REQUEST = whole_request(Fingerprint("f1"))
+
+
+def admitted(quarantine, clock, seconds: float) -> list[float]:
+    """Return when attempts that come twice a second may run, each with a crash."""
+    times = []
+    for number in range(int(2 * seconds)):
+        clock.advance(0.5)
+        now_s = clock.monotonic_s()
+        if quarantine.blocked_part([REQUEST], f"a{now_s}") is None:
+            times.append(now_s)
+            quarantine.record_crash([REQUEST], worker(1_000 + int(2 * now_s)))
+    return times
+
+
+@pytest.mark.parametrize("at_once", [1, 6])
+def test_a_request_that_crashes_workers_gets_three_more_trials(at_once):
+    """All instances let it through at once, a minute after its last crash."""
+    quarantine, clock = make()
+    for number in range(3):
+        crash(quarantine, clock, number, REQUEST)
+    for number in range(3, 2 + at_once):
+        quarantine.record_crash([REQUEST], worker(number))
+    assert len(admitted(quarantine, clock, 7_200.0)) == MAX_RETRIES
+
+
+def test_a_trial_of_a_request_is_granted_to_one_attempt_of_one_instance():
+    quarantine, clock = make()
+    other, _ = make(turn=False)
+    for number in range(2):
+        crash(quarantine, clock, number, REQUEST)
+    clock.advance(FIRST_BLOCK_MS / 1_000.0)
+    assert quarantine.blocked_part([REQUEST], "a1") is None
+    assert quarantine.is_tried([REQUEST], "a1")
+    assert quarantine.blocked_part([REQUEST], "a2") == REQUEST
+    assert not quarantine.is_tried([REQUEST], "a2")
+    other.merge(quarantine.records(), new=True)
+    other._clock.advance(FIRST_BLOCK_MS / 1_000.0)
+    assert other.blocked_part([REQUEST], "a3") == REQUEST
+
+
+def test_a_sound_request_that_many_workers_ran_as_they_crashed_comes_back():
+    """Guards against a block without end of a request that was only popular."""
+    quarantine, clock = make()
+    for number in range(12):
+        quarantine.record_crash([REQUEST], worker(number))
+    assert quarantine.blocked_part([REQUEST], "a1") == REQUEST
+    clock.advance(FIRST_BLOCK_MS / 1_000.0)
+    assert quarantine.blocked_part([REQUEST], "a2") is None
+    written(quarantine, clock, REQUEST)
+    assert quarantine.blocked_part([REQUEST], "a3") is None
+
+
+def test_whole_requests_do_not_delay_the_block_of_a_part():
+    """Guards against a trial of a part for each request that was sent twice."""
+    quarantine, clock = make()
+    for number in range(2):
+        crash(quarantine, clock, number, "bad", REQUEST)
+    other = whole_request(Fingerprint("f2"))
+    assert quarantine.blocked_part(["bad", other], "a1") == "bad"
+
+
+def test_a_request_that_does_not_come_again_is_forgotten():
+    quarantine, clock = make()
+    for number in range(3):
+        crash(quarantine, clock, number, REQUEST)
+    clock.advance(RECORD_EXPIRY_MS / 1_000.0 + 2.0)
+    assert not quarantine.blocks()
+    assert quarantine.digest == 0
