Bind new streams to a version only where several serve

A stream of the only version in service waited neither for a worker that joins, nor began at all where the version that served alone before had left unnoticed.

--- a/src/acaciapier/gateway/relay.py
+++ b/src/acaciapier/gateway/relay.py
@@ -422,6 +422,8 @@
                 break
             with self._assignment.cancelled_on_move(service, attempt, version):
                 message = self._acquire_message(state, only_untried)
+                if not self._assignment.must_bind(service):
+                    message = msgspec.structs.replace(message, software_version=None)
                 try:
                     return await self._dispatch_client.acquire(message)
                 except Refused:
--- a/src/acaciapier/gateway/split_history.py
+++ b/src/acaciapier/gateway/split_history.py
@@ -26,7 +26,7 @@
 CHECK_PERIOD_MS = 500.0
 """Longest time between two checks whether the splits fit the workers."""
 
-CHECK_PAUSE_MS = 20.0
+CHECK_PAUSE_MS = 100.0
 """Least time between two checks; workers may change in quick succession."""
 
 
--- a/src/acaciapier/gateway/version_assignment.py
+++ b/src/acaciapier/gateway/version_assignment.py
@@ -178,6 +178,15 @@
             self.splits, by_service, mixed, self._singles, lives_ms, adjustable, now_ms
         )
 
+    def must_bind(self, service: ServiceName) -> bool:
+        """Return whether a dispatcher must grant new streams their versions only.
+
+        With one version in service they may also wait for a worker that joins.
+        """
+        splits = self.splits.get(service)
+        versions = set() if splits is None else splits.current.versions
+        return len(versions | self._catalogue.serving.of(service)) > 1
+
     async def assign(
         self, service: ServiceName, attempt: AttemptId
     ) -> SoftwareVersion | None:
@@ -198,13 +207,13 @@
                     worker.software_version
                     for worker in self._catalogue.workers_of(service)
                 }
-                if not usable or "" in usable:
+                if "" in usable:
                     return None
                 split = self._split_of(service)
                 if service in self.splits and self._is_isolated():
                     raise Refused("isolated", NO_SPLIT_RETRY_MS)
                 version = None if split is None else split.version_of(attempt)
-                if version in usable:
+                if not usable or version in usable:
                     return version
                 await self._changed.wait()
         self._log("version_split_missing", request=attempt, service=service)
@@ -266,7 +275,12 @@
 
     def _split_of(self, service: ServiceName) -> VersionSplit | None:
         splits = self.splits.get(service)
-        return self._singles.get(service) if splits is None else splits.current
+        if splits is not None:
+            return splits.current
+        versions = self._catalogue.serving.of(service)
+        if len(versions) == 1 and "" not in versions:
+            return VersionSplit.single(*versions)
+        return self._singles.get(service)
 
     def _listed_slots(self, service: ServiceName) -> dict[SoftwareVersion, float]:
         slots: dict[SoftwareVersion, float] = {}
--- a/src/acaciapier/gateway/version_splits.py
+++ b/src/acaciapier/gateway/version_splits.py
@@ -60,6 +60,8 @@
         By rendezvous hashing, a change of units moves only ids of the versions that
         lose some, and only to those that gain some.
         """
+        if len(self.units) == 1:
+            return self.units[0][0]
         _, version = max(
             (rendezvous_rank(attempt, f"{version}\x00{unit}"), version)
             for version, units in self.units
--- a/tests/gateway/test_split_history.py
+++ b/tests/gateway/test_split_history.py
@@ -116,6 +116,7 @@
         self.earlier: set[str] = set()
         """Listed instances of a build without splits."""
         self.versions = versions
+        self.configuration = configure(1)
         self.begun: dict[AttemptId, str] = {}
         self.begun_s: dict[AttemptId, float] = {}
         self._nursery = nursery
@@ -123,7 +124,7 @@
 
     def start(self, name: str, first_start: bool = True) -> Node:
         clock = TrioClock()
-        catalogue = Catalogue(ServingVersions(clock), configure(1))
+        catalogue = Catalogue(ServingVersions(clock), self.configuration)
         assignment = VersionAssignment(catalogue, clock, lambda *_, **__: None)
         node = Node(self, InstanceId(name), catalogue, assignment)
         store = StoreOf(node, self.store)
@@ -322,6 +323,24 @@
     play(scenario, v1=8, v2=8)
 
 
+def test_the_only_version_begins_streams_whatever_served_before():
+    """Guards against waiting for a version that left before callers resumed streams."""
+
+    async def scenario(world: World) -> None:
+        world.configuration = None
+        world.start_all()
+        await trio.sleep(1.0)
+        world.serve(v2=8)
+        await trio.sleep(RETENTION_MS / 1_000.0 + 1.0)
+        for node in world.nodes.values():
+            node.catalogue.configuration = configure(1)
+            assert not node.assignment.must_bind(MODEL)
+        await world.begin("edge-1", 5)
+        assert set(world.begun.values()) == {"v2"}
+
+    play(scenario, v1=8)
+
+
 def test_streams_are_refused_while_no_split_can_be_written():
     """Guards against a version that is chosen freely and concluded from a split."""
 
