--- a/src/acaciapier/gateway/dispatch/slot_requests.py
+++ b/src/acaciapier/gateway/dispatch/slot_requests.py
@@ -85,8 +85,8 @@
 
     def may_compete_with(self, other: "SlotRequest") -> bool:
         """Return whether both may be granted the same worker."""
-        versions = {self.software_version, other.software_version} - {None}
-        return len(versions) < 2
+        own, others = self.software_version, other.software_version
+        return own is None or others is None or own == others
 
     def usable(self, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return the workers at which the request may be granted a slot."""
