Store: an unreadable entry brings back no worker that it quotes (DRAIN)

Cause: where an unreadable value ends cannot be told from the text alone, so whole objects that it quotes were taken for items of the answer, in lists and in watches.

Change: a value quotes only what is older than itself. If the object after an unreadable one has no later revision, the answer is cut there and the next call returns what follows; a watch that cannot go on behind it lists anew.

The samples of two older tests gave all objects one revision, which the store never does; they have increasing ones now. Ruled out: that only watches are affected.

--- a/src/acaciapier/platform/pages.py
+++ b/src/acaciapier/platform/pages.py
@@ -3,11 +3,16 @@
 Other writers may have stored values that cannot be decoded, and that end or begin
 anywhere. An answer is decoded as a whole first; if that fails, it is split into its
 objects, and only those that cannot be decoded by themselves have no readable value.
+
+Such a value may quote other objects. What follows it is taken for objects of the answer
+only if their revisions show that it does not quote them; otherwise the answer is cut
+after it, and the next call returns what follows.
 """
 
 import json
 import re
 from collections.abc import Callable
+from itertools import pairwise
 from typing import Any
 
 import msgspec
@@ -31,6 +36,10 @@
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError, OverflowError)
 
 
+class AmbiguousEvents(ValueError):
+    """Changes follow an unreadable value that may quote them, and no call skips it."""
+
+
 class Metadata(msgspec.Struct):
     """Name of an object and the revision of its last change."""
 
@@ -67,23 +76,67 @@
     current_rev: int
 
 
-def decode_page(body: bytes) -> Page:
-    """Decode a list of objects; raise `ValueError` if it is no list."""
-    return _decode(body, Page, "items", decode_object)
+def decode_page(body: bytes, after: str = "") -> Page:
+    """Decode the objects whose names are greater than `after`.
 
+    A page that is cut has more objects, and its last one has the greatest name.
 
-def decode_events(body: bytes) -> Events:
-    """Decode changes of objects; raise `ValueError` if there are none."""
-    return _decode(body, Events, "events", _decode_event)
+    Raises
+    ------
+    ValueError
+        If the answer is no list.
+    """
+    page, cut = _decode(body, Page, "items", decode_object)
+    if cut is not None:
+        names = [item.metadata.name for item in page.items[:cut]]
+        if names[-1] == max(names) > after:
+            page.items, page.has_more = page.items[:cut], True
+    return page
 
 
-def _decode(body: bytes, kind: type, field: str, decode_one: Callable) -> Any:
+def decode_events(body: bytes, since: int = 0) -> Events:
+    """Decode the changes after revision `since`.
+
+    Raises
+    ------
+    AmbiguousEvents
+        If the answer would have to be cut at or before `since`.
+    ValueError
+        If the answer has no changes.
+    """
+    events, cut = _decode(body, Events, "events", _decode_event)
+    if cut is not None:
+        revision = events.events[cut - 1].object.metadata.rev
+        if revision <= since:
+            raise AmbiguousEvents(f"an unreadable object of revision {revision}")
+        events.events, events.current_rev = events.events[:cut], revision
+    return events
+
+
+def _decode(
+    body: bytes, kind: type, field: str, decode_one: Callable
+) -> tuple[Any, int | None]:
+    """Return an answer and the number of items after which it must be cut, if any."""
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(body, type=kind), None
     except DECODE_ERRORS:
         parts, decoded = _split(body, kind, field)
-    setattr(decoded, field, [decode_one(part) for part in parts if part.strip()])
-    return decoded
+    items = [decode_one(part) for part in parts if part.strip()]
+    setattr(decoded, field, items)
+    return decoded, _find_cut(items, decoded.current_rev)
+
+
+def _find_cut(items: list, newest_rev: int) -> int | None:
+    """Return the number of items up to the first one that may quote the next.
+
+    The value of an item can only quote objects that are older than the item.
+    """
+    objects = [getattr(item, "object", item) for item in items]
+    for number, (item, following) in enumerate(pairwise(objects), start=1):
+        may_be_later = item.metadata.rev < following.metadata.rev <= newest_rev
+        if item.spec is UNREADABLE and not may_be_later:
+            return number
+    return None
 
 
 def decode_object(part: bytes) -> Object:
--- a/src/acaciapier/platform/store.py
+++ b/src/acaciapier/platform/store.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -19,7 +20,13 @@
     OutgoingRequest,
     ResponseHead,
 )
-from .pages import Object, decode_events, decode_object, decode_page
+from .pages import (
+    AmbiguousEvents,
+    Object,
+    decode_events,
+    decode_object,
+    decode_page,
+)
 
 CONNECT_TIMEOUT_MS = 1_000.0
 """Callers' new connections also time out after one second."""
@@ -123,7 +130,7 @@
             )
             query = f"?{query}" if query else ""
             answer = await self._call("list", b"GET", f"{_path(kind)}{query}")
-            page = _decode(answer.body, decode_page)
+            page = _decode(answer.body, partial(decode_page, after=after))
             if first_term is None:
                 first_term, first_revision = answer.term, page.current_rev
             if not answer.term == first_term == self.term:
@@ -149,7 +156,8 @@
         Raises
         ------
         WatchCompacted
-            If the store has no history from `position` on, or was restored since.
+            If the store has no history from `position` on, or was restored since, or
+            its answer cannot be told from what an unreadable object quotes.
         StoreUnavailable
             If it does not respond within `wait_ms` plus `CALL_TIMEOUT_MS`.
         """
@@ -160,7 +168,13 @@
         if not answer.term == position.term == self.term:
             # The restored store has assigned these revisions again.
             raise WatchCompacted(path)
-        changes = _decode(answer.body, decode_events)
+        try:
+            changes = _decode(
+                answer.body, partial(decode_events, since=position.revision)
+            )
+        except AmbiguousEvents as error:
+            self._log("store_changes_ambiguous", kind=kind, reason=str(error))
+            raise WatchCompacted(path) from error
         return Snapshot(
             [
                 _to_stored_object(event.object, event.deleted)
@@ -309,6 +323,8 @@
 def _decode(body: bytes, decode: Callable[[bytes], Any]) -> Any:
     try:
         return decode(body)
+    except AmbiguousEvents:
+        raise
     except ValueError as error:
         raise StoreUnavailable(f"malformed answer: {error}") from error
 
--- a/src/acaciapier_standins/platform/store.py
+++ b/src/acaciapier_standins/platform/store.py
@@ -99,6 +99,10 @@
         """Return the sorted names of the objects of a kind."""
         return sorted(self._objects.get(kind, {}))
 
+    def object(self, kind: str, name: str) -> dict[str, Any]:
+        """Return an object as a list of its kind holds it."""
+        return self._objects[kind][name]
+
     def restore(self, age_s: float) -> None:
         """Return to the state of `age_s` ago, or the oldest one, and start a new term.
 
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Entries of other writers among those of the workers and instances."""
 
+import json
 import time
 
 import pytest
@@ -10,7 +11,7 @@
 from acaciapier.gateway.models import UNKNOWN_COLD_MS
 from acaciapier.gateway.settings import Address
 from acaciapier.http.client import ConnectFailed, HttpConnection
-from acaciapier.platform.pages import decode_events, decode_page
+from acaciapier.platform.pages import AmbiguousEvents, decode_events, decode_page
 from acaciapier.platform.requests import decode_request_metadata
 from acaciapier.platform.store import PlatformStore
 from acaciapier.platform.workers import (
@@ -22,7 +23,7 @@
 )
 from acaciapier_standins.platform.example import ROUTES
 from acaciapier_standins.platform.platform import configuration
-from acaciapier_standins.platform.store import RawSpec
+from acaciapier_standins.platform.store import RawSpec, StandInStore
 
 from .support import SERVICES, deployment
 
@@ -76,10 +77,11 @@
 
 
 def page_with(odd: bytes, name: str = "odd") -> bytes:
+    specs = {"first": entry(), name: odd, "last": entry()}
     objects = [
-        b'{"metadata": {"name": "%s", "rev": 3}, "spec": %s, "status": {}}'
-        % (one.encode(), spec)
-        for one, spec in (("first", entry()), (name, odd), ("last", entry()))
+        b'{"metadata": {"name": "%s", "rev": %d}, "spec": %s, "status": {}}'
+        % (one.encode(), rev, spec)
+        for rev, (one, spec) in enumerate(specs.items(), start=2)
     ]
     return b'{"items": [%s], "has_more": false, "current_rev": 7}' % b",".join(objects)
 
@@ -161,6 +163,83 @@
             assert decode_worker(f"w{number}", found[f"w{number}"]).slots == 4
 
 
+def quotation(store: StandInStore, kind: str) -> RawSpec:
+    """Return the list of a kind as another writer may store it: its end is missing."""
+    objects = [store.object(kind, name) for name in store.names(kind)]
+    return RawSpec(json.dumps({"items": objects}).encode()[:-25])
+
+
+@pytest.mark.parametrize("name", ["aaa", "book-10", "zzz"])
+async def test_an_unreadable_entry_brings_back_no_worker_that_it_quotes(name):
+    # DRAIN: a worker that had left was ready again, as a cut copy of the list held it.
+    async with deployment(gateways=2) as world:
+        store = world.platform.store
+        cut = quotation(store, WORKER_KIND)
+        store.delete(WORKER_KIND, "book-1")
+        world.platform.register("book-2", state="draining")
+        store.put(WORKER_KIND, name, cut)
+        await world.platform.add_worker("book-9", "book")
+        await world.add_gateway()
+        for number in range(2):
+            if number:
+                store.delete(WORKER_KIND, name)
+                await world.platform.add_worker("book-8", "book")
+            expected = {"book-9", "book-8"} if number else {"book-9"}
+            for gateway in world.gateways:
+                workers = gateway.catalogue.workers
+                await world.until(lambda w=workers, e=expected: e <= w.keys())
+                serving = {worker.id for worker in gateway.catalogue.workers_of("book")}
+                assert serving == expected
+                assert "book-1" not in workers
+
+
+def revisions(first: int, names: list[str]) -> list[bytes]:
+    template = b'{"metadata":{"name":"%s","rev":%d},"spec":%s,"status":null}'
+    return [
+        template % (name.encode(), rev, entry())
+        for rev, name in enumerate(names, start=first)
+    ]
+
+
+def unreadable(rev: int, quoted: list[bytes]) -> bytes:
+    text = b'{"items":[%s' % b",".join(quoted)
+    return b'{"metadata":{"name":"m","rev":%d},"spec":%s,"status":null}' % (
+        rev,
+        text[:-25],
+    )
+
+
+@pytest.mark.parametrize("quoted", [["a", "z"], ["n", "o", "p"], ["x", "x"]])
+def test_a_page_is_cut_after_an_unreadable_object_that_quotes_others(quoted):
+    objects = [*revisions(2, ["l"]), unreadable(9, revisions(1, quoted))]
+    body = b'{"items":[%s],"has_more":false,"current_rev":30}'
+    page = decode_page(body % b",".join([*objects, *revisions(3, ["n", "z"])]))
+    assert [item.metadata.name for item in page.items] == ["l", "m"]
+    assert page.has_more
+    page = decode_page(body % b",".join([*objects, *revisions(10, ["n", "z"])]))
+    assert [item.metadata.name for item in page.items][:2] == ["l", "m"]
+
+
+@pytest.mark.parametrize("quoted", [["a", "b", "z"], ["n", "o", "p"]])
+def test_changes_are_cut_after_an_unreadable_object_that_quotes_others(quoted):
+    body = b'{"events":[%s],"current_rev":30}'
+    objects = [*revisions(8, ["l"]), unreadable(9, revisions(1, quoted))]
+    changes = [b'{"object":%s}' % one for one in [*objects, *revisions(10, ["z"])]]
+    events = decode_events(body % b",".join(changes), since=7)
+    assert [event.object.metadata.name for event in events.events] == ["l", "m"]
+    assert events.current_rev == 9
+
+
+def test_changes_after_a_deleted_object_that_quotes_others_are_listed_anew():
+    # The object of a deletion may name a revision that has been read before.
+    removed = b'{"deleted":true,"object":%s}' % unreadable(
+        9, revisions(1, ["a", "b", "z"])
+    )
+    body = b'{"events":[%s],"current_rev":30}' % removed
+    with pytest.raises(AmbiguousEvents):
+        decode_events(body, since=9)
+
+
 def test_thousands_of_entries_without_an_end_are_read_in_time():
     specs = [b'{"service":"book' if number % 2 else entry() for number in range(4_000)]
     start_s = time.perf_counter()
