Log and metrics: the lag of the event loop beside each decision

Cause of the gap: the process measured only pauses over 600 ms (`stood_still`).

Change: the task that writes the log measures how late its own timer fires. Lines of a process that lags by 50 ms or more have `loop_lag_ms`, the longest lag of the last second including one that has not ended; a histogram has all of them.

--- a/src/acaciapier/gateway/instance.py
+++ b/src/acaciapier/gateway/instance.py
@@ -97,8 +97,8 @@
         self.settings = settings
         self._reread = reread
         self.clock = BootClock()
-        self.log = StructuredLog(self.clock)
         self.metrics = Metrics(settings.instance)
+        self.log = StructuredLog(self.clock, record_lag=self.metrics.loop_lag)
         self._random = random
         self._stopping = False
 
--- a/src/acaciapier/gateway/observing.py
+++ b/src/acaciapier/gateway/observing.py
@@ -10,12 +10,11 @@
 from collections.abc import Callable
 from typing import Any
 
-import trio
-
 from ..core.clock import Clock
 from ..http.caller import UnansweredInput
 from ..observability.metrics import Metrics
 from ..platform import requests as request_format
+from .loop_lag import LoopLag
 
 MAX_QUEUED_LINES = 2_000
 """Lines that may be queued: a few seconds of output of the busiest instance."""
@@ -43,7 +42,8 @@
     """Writes one JSON object per line to a file descriptor.
 
     Lines wait in a bounded queue. Dropped lines are counted, and the count is logged
-    later.
+    later. While the event loop lags, lines tell by how much (`loop_lag_ms`), since
+    what a timer decided may be due to that.
 
     Parameters
     ----------
@@ -51,10 +51,18 @@
         Source of time.
     descriptor : int
         File descriptor that lines are written to; standard output by default.
+    record_lag : callable, optional
+        Called with each long lag of the event loop in milliseconds.
     """
 
-    def __init__(self, clock: Clock, descriptor: int = 1):
+    def __init__(
+        self,
+        clock: Clock,
+        descriptor: int = 1,
+        record_lag: Callable[[float], None] = lambda lag_ms: None,
+    ):
         self.dropped = 0
+        self._lag = LoopLag(clock, record_lag)
         self._clock = clock
         self._descriptor = descriptor
         self._lines: deque[str] = deque()
@@ -67,6 +75,8 @@
         if self._over_rate(kind) or len(self._lines) >= MAX_QUEUED_LINES:
             self.dropped += 1
             return
+        if lag_ms := self._lag.recent_ms():
+            fields["loop_lag_ms"] = round(lag_ms)
         stamp = self._clock.now().isoformat(timespec="milliseconds")
         line = json.dumps({"time": stamp, "event": kind, **fields}, default=str)
         self._lines.append(line)
@@ -75,7 +85,7 @@
         """Write queued lines until cancelled."""
         os.set_blocking(self._descriptor, False)
         while True:
-            await trio.sleep(FLUSH_PERIOD_MS / 1_000.0)
+            await self._lag.sleep(FLUSH_PERIOD_MS)
             self.flush()
 
     def flush(self) -> None:
--- a/src/acaciapier/observability/metrics.py
+++ b/src/acaciapier/observability/metrics.py
@@ -77,6 +77,7 @@
         )
         self._gateway_decisions = meter.create_counter("acaciapier_gateway_decisions")
         self._internal_errors = meter.create_counter("acaciapier_internal_errors")
+        self._loop_lag = meter.create_histogram("acaciapier_loop_lag_duration", "ms")
 
     def request_opened(self) -> None:
         """Count a started request as open."""
@@ -150,6 +151,10 @@
         """Count an unexpected exception by the module and line that raised it."""
         self._internal_errors.add(1, {"place": place})
 
+    def loop_lag(self, lag_ms: float) -> None:
+        """Record by how much the timers of the process fired late."""
+        self._loop_lag.record(lag_ms)
+
     def worker_tunnel(self, kind: str) -> None:
         """Count a tunnel that was opened, served or refused, by its kind."""
         self._worker_tunnels.add(1, {"kind": kind})
