--- a/tests/gateway/test_common_silence.py
+++ b/tests/gateway/test_common_silence.py
@@ -37,13 +37,14 @@
 class Load:
     """Sends requests of all routes at a steady rate over kept connections."""
 
-    def __init__(self, world, silence_s: float):
+    def __init__(self, world, silence_s: float, routes: tuple[str, ...] = ROUTES):
         self.calls: list[Call] = []
         self.spans = {
             (-SETTLE_S, 0.0): "before",
             (0.0, silence_s): "during",
             (silence_s, silence_s + AFTER_S): "after",
         }
+        self._routes = routes
         self._silence_s = silence_s
         self._world = world
         self._idle = {number: [] for number in range(len(world.gateways))}
@@ -58,7 +59,7 @@
             nursery.start_soon(self._silence, silent_s, list(workers))
             for number in range(count):
                 await trio.sleep_until(start_s + number * PERIOD_S)
-                for route in ROUTES:
+                for route in self._routes:
                     call = Call(route, trio.current_time() - silent_s)
                     self.calls.append(call)
                     nursery.start_soon(self._send, call, f"{route}-{number}", number)
@@ -66,7 +67,7 @@
     def describe(self, from_s: float, to_s: float) -> str:
         """Return how the requests that began in a span ended, by route."""
         return "; ".join(
-            f"{route} {dict(self._ends(route, from_s, to_s))}" for route in ROUTES
+            f"{route} {dict(self._ends(route, from_s, to_s))}" for route in self._routes
         )
 
     def _ends(self, route: str, from_s: float, to_s: float) -> Counter:
@@ -101,15 +102,26 @@
 @pytest.mark.parametrize("silence_s", [0.9, 1.3, 1.6])
 @pytest.mark.parametrize("gateways", [1, 3])
 async def test_a_common_silence_of_sound_workers_costs_no_request(gateways, silence_s):
+    await play_common_silence(gateways, silence_s, ROUTES)
+
+
+@pytest.mark.parametrize("silence_s", [0.9, 1.3, 1.6])
+@pytest.mark.parametrize("gateways", [1, 3])
+async def test_a_common_silence_costs_no_request_with_stages(gateways, silence_s):
+    """Guards against stages that start too late after a silence of all workers."""
+    await play_common_silence(gateways, silence_s, ("staged",))
+
+
+async def play_common_silence(gateways: int, silence_s: float, routes: tuple[str, ...]):
     async with deployment(gateways) as world:
         # A busy machine may hold the gateways up for a while.
-        routes = [{**route, "timeout_ms": 3_000} for route in ROUTE_RULES]
-        world.platform.configure(configuration(2, routes, SERVICES))
+        rules = [{**route, "timeout_ms": 3_000} for route in ROUTE_RULES]
+        world.platform.configure(configuration(2, rules, SERVICES))
         for gateway in world.gateways:
             await world.until(
                 lambda gateway=gateway: gateway.catalogue.configuration.version == 2
             )
-        load = Load(world, silence_s)
+        load = Load(world, silence_s, routes)
         await load.run()
         print(f"{gateways} gateways, silent {silence_s} s")
         for span, name in load.spans.items():
